--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The command line for operators.
+ */
+export {parseConfiguration} from '@sequoiatally/core';
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,20 @@
+/**
+ * The decisions of sequoiatally: one reducer over all events, with effects as
+ * data. Nothing in this package does input or output.
+ */
+export * from './lib/configuration/configuration.js';
+export * from './lib/configuration/check-configuration.js';
+export * from './lib/configuration/instance-list.js';
+export * from './lib/effect.js';
+export * from './lib/event.js';
+export * from './lib/hash.js';
+export * from './lib/message.js';
+export * from './lib/refusal.js';
+export * from './lib/reducer.js';
+export * from './lib/state.js';
+export * from './lib/timeline-entry.js';
+export * from './lib/membership/describe-summary.js';
+export * from './lib/targets/target-choice.js';
+export type {Target} from './lib/targets/target-state.js';
+export type {TokenBucket} from './lib/allowance/token-bucket.js';
+export type {PendingRequest} from './lib/requests/request-state.js';
--- /dev/null
+++ b/packages/core/src/lib/effect.ts
@@ -0,0 +1,108 @@
+/**
+ * Effects: everything that the reducer can ask the runner to do, as data.
+ *
+ * An effect that spends something carries `notAfter`: a process can pause
+ * between the decision and the send, so the runner checks the time again.
+ */
+import type {DocumentKind} from './event.js';
+import type {BorrowRequest, LoanAmount, Summary} from './message.js';
+import type {Refusal} from './refusal.js';
+import type {TimelineEntry} from './timeline-entry.js';
+
+export const effectKind = {
+	dispatch: 'dispatch',
+	refuse: 'refuse',
+	cancel: 'cancel',
+	readDocument: 'read-document',
+	fetchDocument: 'fetch-document',
+	exchange: 'exchange',
+	borrow: 'borrow',
+	answerBorrow: 'answer-borrow',
+	giveBack: 'give-back',
+	record: 'record',
+	finishDrain: 'finish-drain',
+} as const;
+
+/** Send the request to a target and deliver the answer to the caller. */
+export type Dispatch = {
+	readonly kind: typeof effectKind.dispatch;
+	readonly requestId: string;
+	readonly attemptId: number;
+	readonly targetId: string;
+	readonly address: string;
+	readonly priority: number;
+	/** True for an engine's token stream, false for a plain answer. */
+	readonly isStream: boolean;
+	/** Stream events already delivered; the target continues after them. */
+	readonly resumeFrom: number;
+	/** True: use a new connection, so that a failed connect proves that nothing ran. */
+	readonly useFreshConnection: boolean;
+	/** Time after which nothing may be sent any more. */
+	readonly notAfter: number;
+	/** Time at which the answer has to be whole. */
+	readonly deadlineAt: number;
+};
+
+/** Answer the caller with a typed refusal, or end its stream with a typed error. */
+export type Refuse = {readonly kind: typeof effectKind.refuse; readonly requestId: string; readonly refusal: Refusal};
+
+/** Stop an attempt and close its connection. */
+export type Cancel = {readonly kind: typeof effectKind.cancel; readonly requestId: string; readonly attemptId: number};
+
+/** Read a document from the configuration service, waiting for one newer than `after`. */
+export type ReadDocument = {
+	readonly kind: typeof effectKind.readDocument;
+	readonly document: DocumentKind;
+	readonly after: number;
+	/** Longest time that the service may hold the call, in milliseconds. */
+	readonly waitMs: number;
+};
+
+/** Read a document from a peer that announced a newer one. */
+export type FetchDocument = {
+	readonly kind: typeof effectKind.fetchDocument;
+	readonly document: DocumentKind;
+	readonly peerId: string;
+	readonly address: string;
+};
+
+export type Exchange = {
+	readonly kind: typeof effectKind.exchange;
+	readonly peerId: string;
+	readonly address: string;
+	readonly summary: Summary;
+};
+
+export type Borrow = {
+	readonly kind: typeof effectKind.borrow;
+	readonly peerId: string;
+	readonly address: string;
+	readonly request: BorrowRequest;
+};
+
+/** Answer a peer's `borrowRequested`; the amounts are already subtracted here. */
+export type AnswerBorrow = {
+	readonly kind: typeof effectKind.answerBorrow;
+	readonly callId: number;
+	readonly loanId: string;
+	readonly amounts: readonly LoanAmount[];
+	/** Time after which an empty answer has to be sent instead. */
+	readonly notAfter: number;
+};
+
+export type GiveBack = {
+	readonly kind: typeof effectKind.giveBack;
+	readonly peerId: string;
+	readonly address: string;
+	readonly loanId: string;
+};
+
+/** Write an entry to the time line. */
+export type RecordEntry = {readonly kind: typeof effectKind.record; readonly entry: TimelineEntry};
+
+/** Every request is finished: the process may end. */
+export type FinishDrain = {readonly kind: typeof effectKind.finishDrain};
+
+export type Effect =
+	| Dispatch | Refuse | Cancel | ReadDocument | FetchDocument | Exchange
+	| Borrow | AnswerBorrow | GiveBack | RecordEntry | FinishDrain;
--- /dev/null
+++ b/packages/core/src/lib/membership/describe-summary.ts
@@ -0,0 +1,28 @@
+/**
+ * Describes this instance for its peers.
+ */
+import {protocolVersion, type Summary} from '../message.js';
+import type {State} from '../state.js';
+import {describeTargetLoads} from '../targets/target-state.js';
+import {describeSpare} from '../allowance/allowance-state.js';
+
+/** Builds the summary that goes out in an exchange at `now`. */
+export function describeSummary(state: State, now: number): Summary {
+	const {tables, membership} = state;
+	return {
+		protocolVersion,
+		instanceId: state.self.instanceId,
+		incarnation: state.self.incarnation,
+		tablesVersion: tables.configuration?.version ?? 0,
+		listAsOf: membership.list?.asOf ?? 0,
+		tablesAgeMs: computeAge(tables.currentAt, now),
+		listAgeMs: computeAge(membership.listCurrentAt, now),
+		draining: membership.isDraining,
+		targets: describeTargetLoads(state.targets, now),
+		spare: describeSpare(state.allowances, now),
+	};
+}
+
+function computeAge(currentAt: number | undefined, now: number): number | undefined {
+	return currentAt === undefined ? undefined : Math.ceil(now - currentAt);
+}
--- /dev/null
+++ b/packages/core/src/lib/reducer.ts
@@ -0,0 +1,167 @@
+/**
+ * The reducer: every decision of a router, as a function of its state, an
+ * event and the present time. It does no input or output and reads no clock.
+ */
+import {updateBuckets} from './allowance/allowance-state.js';
+import {effectKind, type Effect} from './effect.js';
+import {
+	documentKind, eventKind, type DocumentUnchanged, type Event,
+} from './event.js';
+import {
+	applyList, applyPeerFailure, applySummary, exchangeWithPeers,
+} from './membership/reduce-membership.js';
+import {
+	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft,
+} from './requests/reduce-requests.js';
+import {recordEntry, type State, type Step} from './state.js';
+import {applyConfiguration, rejectConfiguration} from './tables.js';
+import {applyListedTargets, applyLoadReport} from './targets/target-state.js';
+import {timelineKind} from './timeline-entry.js';
+import {endRead, startDueReads} from './watch.js';
+
+/**
+ * Applies one event. Changes `state` in place and returns the effects in the
+ * order in which they are to be carried out.
+ */
+export function reduce(state: State, event: Event, now: number): readonly Effect[] {
+	const step: Step = {state, now, effects: []};
+	applyEvent(step, event);
+	state.membership.lastEventAt = now;
+	return step.effects;
+}
+
+// One case per event keeps the whole of what can happen in sight.
+
+function applyEvent(step: Step, event: Event): void {
+	switch (event.kind) {
+		case eventKind.requestArrived: {
+			applyArrival(step, event);
+			break;
+		}
+
+		case eventKind.attemptEnded: {
+			applyAttemptEnd(step, event);
+			advanceWaiting(step);
+			finishDrainIfIdle(step);
+			break;
+		}
+
+		case eventKind.callerLeft: {
+			applyCallerLeft(step, event);
+			advanceWaiting(step);
+			finishDrainIfIdle(step);
+			break;
+		}
+
+		case eventKind.configurationRead: {
+			endRead(step, documentKind.tables, event.source, false);
+			applyConfiguration(step, event);
+			updateBuckets(step);
+			advanceWaiting(step);
+			break;
+		}
+
+		case eventKind.configurationRejected: {
+			endRead(step, documentKind.tables, event.source, false);
+			rejectConfiguration(step, event);
+			break;
+		}
+
+		case eventKind.listRead: {
+			endRead(step, documentKind.list, event.source, false);
+			applyList(step, event);
+			applyListedTargets(step);
+			advanceWaiting(step);
+			break;
+		}
+
+		case eventKind.documentUnchanged: {
+			endRead(step, event.document, {revision: event.revision}, false);
+			applyUnchanged(step, event);
+			break;
+		}
+
+		case eventKind.readFailed: {
+			endRead(step, event.document, event.source, true);
+			break;
+		}
+
+		case eventKind.summaryReceived: {
+			applySummary(step, event);
+			break;
+		}
+
+		case eventKind.peerFailed: {
+			applyPeerFailure(step, event);
+			break;
+		}
+
+		case eventKind.loadReported: {
+			applyLoadReport(step, event);
+			break;
+		}
+
+		case eventKind.borrowRequested: {
+			step.effects.push({
+				kind: effectKind.answerBorrow, callId: event.callId, loanId: event.request.loanId, amounts: [], notAfter: step.now,
+			});
+			break;
+		}
+
+		case eventKind.drainRequested: {
+			startDrain(step, event.by);
+			finishDrainIfIdle(step);
+			break;
+		}
+
+		case eventKind.undrainRequested: {
+			step.state.membership.isDraining = false;
+			break;
+		}
+
+		case eventKind.tick: {
+			startDueReads(step);
+			exchangeWithPeers(step);
+			updateBuckets(step);
+			advanceWaiting(step);
+			break;
+		}
+
+		case eventKind.loanGranted:
+		case eventKind.loanFailed:
+		case eventKind.loanGivenBack: {
+			break;
+		}
+	}
+}
+
+function applyUnchanged(step: Step, {document, asOf, currentAt}: DocumentUnchanged): void {
+	const {tables, membership} = step.state;
+	if (document === documentKind.tables) {
+		tables.currentAt = Math.max(tables.currentAt ?? 0, currentAt);
+		return;
+	}
+
+	if (membership.list !== undefined && asOf !== undefined && asOf > membership.list.asOf) {
+		membership.list = {...membership.list, asOf};
+		membership.listCurrentAt = currentAt;
+	}
+}
+
+function startDrain(step: Step, by: string): void {
+	const {membership} = step.state;
+	if (membership.isDraining) {
+		return;
+	}
+
+	membership.isDraining = true;
+	membership.drainStartedAt = step.now;
+	recordEntry(step, {kind: timelineKind.drainStarted, cause: 'drain', detail: `Requested by ${by}.`});
+}
+
+function finishDrainIfIdle(step: Step): void {
+	const {membership, requests} = step.state;
+	if (membership.isDraining && requests.pending.size === 0) {
+		step.effects.push({kind: effectKind.finishDrain});
+	}
+}
--- /dev/null
+++ b/packages/core/src/lib/refusal.ts
@@ -0,0 +1,74 @@
+/**
+ * Refusals: every way in which a request ends without its whole answer.
+ *
+ * `not-run` is a promise: no byte of the request can have reached a target, or
+ * the target itself said that it did not start. Everything else is `unknown`.
+ */
+
+/** Whether the request may have had an effect. */
+export const runOutcome = {
+	notRun: 'not-run',
+	unknown: 'unknown',
+} as const;
+export type RunOutcome = typeof runOutcome[keyof typeof runOutcome];
+
+export const refusalReason = {
+	badRequest: 'bad-request',
+	noRoute: 'no-route',
+	keyMissing: 'key-missing',
+	keyUnknown: 'key-unknown',
+	notReady: 'not-ready',
+	configurationStale: 'configuration-stale',
+	draining: 'draining',
+	rateExceeded: 'rate-exceeded',
+	overloaded: 'overloaded',
+	noTarget: 'no-target',
+	targetUnreachable: 'target-unreachable',
+	answerLost: 'answer-lost',
+	deadlineExceeded: 'deadline-exceeded',
+	duplicate: 'duplicate',
+} as const;
+export type RefusalReason = typeof refusalReason[keyof typeof refusalReason];
+
+/** A typed refusal as a caller sees it. */
+export type Refusal = {
+	readonly reason: RefusalReason;
+	readonly outcome: RunOutcome;
+	/** HTTP status code. */
+	readonly status: number;
+	/** What happened and what to do, in one or two sentences. */
+	readonly message: string;
+	/** Time after which a repeat can succeed, in milliseconds; undefined: do not repeat as it is. */
+	readonly retryAfterMs?: number;
+};
+
+const statusByReason: Readonly<Record<RefusalReason, number>> = {
+	[refusalReason.badRequest]: 400,
+	[refusalReason.noRoute]: 404,
+	[refusalReason.keyMissing]: 401,
+	[refusalReason.keyUnknown]: 401,
+	[refusalReason.notReady]: 503,
+	[refusalReason.configurationStale]: 503,
+	[refusalReason.draining]: 503,
+	[refusalReason.rateExceeded]: 429,
+	[refusalReason.overloaded]: 503,
+	[refusalReason.noTarget]: 503,
+	[refusalReason.targetUnreachable]: 502,
+	[refusalReason.answerLost]: 502,
+	[refusalReason.deadlineExceeded]: 504,
+	[refusalReason.duplicate]: 409,
+};
+
+/** Creates a refusal of a request that cannot have run. */
+export function createNotRun(reason: RefusalReason, message: string, retryAfterMs?: number): Refusal {
+	return {
+		reason, outcome: runOutcome.notRun, status: statusByReason[reason], message, retryAfterMs,
+	};
+}
+
+/** Creates a refusal of a request that may have run. */
+export function createUnknown(reason: RefusalReason, message: string, retryAfterMs?: number): Refusal {
+	return {
+		reason, outcome: runOutcome.unknown, status: statusByReason[reason], message, retryAfterMs,
+	};
+}
--- /dev/null
+++ b/packages/core/src/lib/requests/reduce-requests.ts
@@ -0,0 +1,260 @@
+/**
+ * Reduces events about requests: admission, waiting, dispatch, retry, end.
+ */
+import {tryAdmit} from '../allowance/allowance-state.js';
+import {type Pool, routeKind} from '../configuration/configuration.js';
+import {effectKind} from '../effect.js';
+import {
+	attemptOutcome, type AttemptEnded, type CallerLeft, type RequestArrived,
+} from '../event.js';
+import {
+	createNotRun, createUnknown, refusalReason, type Refusal,
+} from '../refusal.js';
+import {recordEntry, type Step} from '../state.js';
+import {chooseTarget, listEligibleTargets} from '../targets/choose-target.js';
+import {timelineKind, type TimelineKind} from '../timeline-entry.js';
+import {admitRequest, findAccount} from './admit-request.js';
+import {requestPhase, type PendingRequest} from './request-state.js';
+
+/** Time within which a dispatch has to leave the process, in milliseconds. */
+const dispatchWithinMs = 500;
+/** Longest time that a request waits for a token that a peer may lend, in milliseconds. */
+const tokenWaitMs = 100;
+/** Attempts at one request, the first included. */
+const maxAttempts = 3;
+/** Time that a target is left alone after a failed attempt, in milliseconds. */
+const avoidAfterFailureMs = 1000;
+
+/** Admits or refuses a request that has arrived. */
+export function applyArrival(step: Step, event: RequestArrived): void {
+	const {state, now} = step;
+	const admission = admitRequest(step, event);
+	if (admission.isErr()) {
+		refuseRequest(step, event.requestId, undefined, admission.error);
+		return;
+	}
+
+	const {route, account, priority} = admission.value;
+	const request: PendingRequest = {
+		requestId: event.requestId,
+		route,
+		account,
+		keyDigest: event.keyDigest,
+		chatKey: event.chatKey,
+		priority,
+		arrivedAt: now,
+		deadlineAt: now + Math.min(route.deadlineMs, event.deadlineMs ?? route.deadlineMs),
+		phase: requestPhase.waitsForToken,
+		waitUntil: now + tokenWaitMs,
+		attemptId: 0,
+		attemptCount: 0,
+		failedTargetIds: new Set(),
+		deliveredCount: 0,
+	};
+	state.requests.pending.set(request.requestId, request);
+	recordRequest(step, timelineKind.requestReceived, request);
+	advanceRequest(step, request);
+}
+
+/** Moves every waiting request forward that can be; called at each tick and after each end. */
+export function advanceWaiting(step: Step): void {
+	const {pending, waiting} = step.state.requests;
+	for (const requestId of waiting) {
+		const request = pending.get(requestId);
+		if (request === undefined) {
+			waiting.delete(requestId);
+			continue;
+		}
+
+		advanceRequest(step, request);
+	}
+}
+
+/** Takes the end of an attempt: the request is finished, tried again, or refused. */
+export function applyAttemptEnd(step: Step, event: AttemptEnded): void {
+	const {state, now} = step;
+	const request = state.requests.pending.get(event.requestId);
+	if (request?.attemptId !== event.attemptId) {
+		return;
+	}
+
+	releaseTarget(step, request);
+	request.deliveredCount = event.deliveredCount;
+	const {targetId} = request;
+	const detail = event.detail === undefined ? event.outcome : `${event.outcome}: ${event.detail}`;
+	recordRequest(step, timelineKind.attemptEnded, request, detail);
+
+	if (event.outcome === attemptOutcome.complete) {
+		finishRequest(step, request);
+		recordRequest(step, timelineKind.requestCompleted, request);
+		return;
+	}
+
+	if (targetId !== undefined && event.outcome !== attemptOutcome.expired) {
+		request.failedTargetIds.add(targetId);
+		const target = state.targets.targets.get(targetId);
+		if (target !== undefined) {
+			target.avoidUntil = now + avoidAfterFailureMs;
+		}
+	}
+
+	retryOrRefuse(step, request, event);
+}
+
+/** Takes the caller's departure: the work is cancelled. */
+export function applyCallerLeft(step: Step, event: CallerLeft): void {
+	const request = step.state.requests.pending.get(event.requestId);
+	if (request === undefined) {
+		return;
+	}
+
+	if (request.phase === requestPhase.running) {
+		step.effects.push({kind: effectKind.cancel, requestId: request.requestId, attemptId: request.attemptId});
+		releaseTarget(step, request);
+	}
+
+	finishRequest(step, request);
+	recordEntry(step, {
+		kind: timelineKind.callerLeft, cause: request.requestId, requestId: request.requestId, account: request.account,
+	});
+}
+
+function retryOrRefuse(step: Step, request: PendingRequest, event: AttemptEnded): void {
+	const didNotRun = event.outcome === attemptOutcome.notRun || event.outcome === attemptOutcome.expired;
+	const mayRepeat = didNotRun || request.route.repeatable;
+	if (mayRepeat && request.attemptCount < maxAttempts && step.now < request.deadlineAt) {
+		request.phase = requestPhase.waitsForTarget;
+		request.waitUntil = step.now + (findPool(step, request)?.queueMs ?? 0);
+		advanceRequest(step, request);
+		return;
+	}
+
+	const refusal = didNotRun && request.deliveredCount === 0
+		? createNotRun(refusalReason.targetUnreachable, 'No target could be reached; nothing ran. Try again.', event.retryAfterMs ?? avoidAfterFailureMs)
+		: createUnknown(refusalReason.answerLost, 'The answer was lost on its way; the request may have run.');
+	refuseRequest(step, request.requestId, request, refusal);
+}
+
+function advanceRequest(step: Step, request: PendingRequest): void {
+	if (request.phase === requestPhase.running) {
+		return;
+	}
+
+	const account = findAccount(step, request.route, request.keyDigest);
+	if (account.isErr()) {
+		refuseRequest(step, request.requestId, request, account.error);
+		return;
+	}
+
+	if (step.now >= request.deadlineAt) {
+		refuseRequest(step, request.requestId, request, createWaitRefusal(step, request, refusalReason.deadlineExceeded));
+		return;
+	}
+
+	if (request.phase === requestPhase.waitsForToken && !advancePastToken(step, request)) {
+		return;
+	}
+
+	dispatchRequest(step, request);
+}
+
+function advancePastToken(step: Step, request: PendingRequest): boolean {
+	if (tryAdmit(step, request.account)) {
+		request.phase = requestPhase.waitsForTarget;
+		request.waitUntil = step.now + (findPool(step, request)?.queueMs ?? 0);
+		return true;
+	}
+
+	if (step.now >= request.waitUntil) {
+		refuseRequest(step, request.requestId, request, createWaitRefusal(step, request, refusalReason.rateExceeded));
+		return false;
+	}
+
+	step.state.requests.waiting.add(request.requestId);
+	return false;
+}
+
+function dispatchRequest(step: Step, request: PendingRequest): void {
+	const {state, now, effects} = step;
+	const pool = findPool(step, request);
+	const target = pool === undefined ? undefined : chooseTarget(step, pool, request.chatKey, request.failedTargetIds);
+	if (pool === undefined || target === undefined) {
+		waitForTarget(step, request, pool);
+		return;
+	}
+
+	state.requests.waiting.delete(request.requestId);
+	target.inFlight += 1;
+	request.phase = requestPhase.running;
+	request.attemptId = state.requests.nextAttemptId++;
+	request.attemptCount += 1;
+	request.targetId = target.listed.id;
+	effects.push({
+		kind: effectKind.dispatch,
+		requestId: request.requestId,
+		attemptId: request.attemptId,
+		targetId: target.listed.id,
+		address: target.listed.address,
+		priority: request.priority,
+		isStream: request.route.kind === routeKind.model,
+		resumeFrom: request.deliveredCount,
+		useFreshConnection: !request.route.repeatable,
+		notAfter: Math.min(now + dispatchWithinMs, request.deadlineAt),
+		deadlineAt: request.deadlineAt,
+	});
+	recordRequest(step, timelineKind.requestDispatched, request);
+}
+
+function waitForTarget(step: Step, request: PendingRequest, pool: Pool | undefined): void {
+	const {waiting} = step.state.requests;
+	const isQueued = waiting.has(request.requestId);
+	const isFull = !isQueued && waiting.size >= (pool?.queueLimit ?? 0);
+	if (pool === undefined || isFull || step.now >= request.waitUntil) {
+		const hasTargets = pool !== undefined && listEligibleTargets(step, pool.name).length > 0;
+		refuseRequest(step, request.requestId, request, createWaitRefusal(step, request, hasTargets ? refusalReason.overloaded : refusalReason.noTarget));
+		return;
+	}
+
+	waiting.add(request.requestId);
+}
+
+function createWaitRefusal(step: Step, request: PendingRequest, reason: Refusal['reason']): Refusal {
+	const message = `Request waited ${Math.round(step.now - request.arrivedAt)} ms: ${reason}.`;
+	return request.deliveredCount === 0 && (request.attemptCount === 0 || !request.route.repeatable)
+		? createNotRun(reason, `${message} Nothing ran.`, 1000)
+		: createUnknown(reason, `${message} An earlier attempt may have run.`, 1000);
+}
+
+function recordRequest(step: Step, kind: TimelineKind, request: PendingRequest, detail?: string): void {
+	const {requestId, chatKey, account, targetId} = request;
+	recordEntry(step, {
+		kind, cause: requestId, requestId, chatKey, account, targetId, detail,
+	});
+}
+
+function findPool({state}: Step, {route}: PendingRequest): Pool | undefined {
+	return state.tables.configuration?.pools.find(pool => pool.name === route.pool);
+}
+
+function releaseTarget({state}: Step, request: PendingRequest): void {
+	const target = state.targets.targets.get(request.targetId ?? '');
+	if (target !== undefined) {
+		target.inFlight -= 1;
+	}
+}
+
+function finishRequest({state}: Step, request: PendingRequest): void {
+	state.requests.pending.delete(request.requestId);
+	state.requests.waiting.delete(request.requestId);
+}
+
+function refuseRequest(step: Step, requestId: string, request: PendingRequest | undefined, refusal: Refusal): void {
+	if (request !== undefined) {
+		finishRequest(step, request);
+	}
+
+	step.effects.push({kind: effectKind.refuse, requestId, refusal});
+	recordEntry(step, {
+		kind: timelineKind.requestRefused, cause: requestId, requestId, account: request?.account, detail: `${refusal.reason} (${refusal.outcome})`,
+	});
+}
--- /dev/null
+++ b/packages/core/src/lib/requests/request-state.ts
@@ -0,0 +1,45 @@
+/**
+ * Requests that this instance is responsible for, from arrival to their end.
+ */
+import type {Route} from '../configuration/configuration.js';
+
+export const requestPhase = {
+	/** Waits for a token of its client account. */
+	waitsForToken: 'waits-for-token',
+	/** Waits for a target with room. */
+	waitsForTarget: 'waits-for-target',
+	/** An attempt is under way. */
+	running: 'running',
+} as const;
+
+export type PendingRequest = {
+	readonly requestId: string;
+	readonly route: Route;
+	readonly account: string;
+	/** Digest of the key that came with it; undefined on open routes. */
+	readonly keyDigest?: string;
+	readonly chatKey: string;
+	readonly priority: number;
+	readonly arrivedAt: number;
+	readonly deadlineAt: number;
+	phase: typeof requestPhase[keyof typeof requestPhase];
+	/** Time until which it may wait in its present phase. */
+	waitUntil: number;
+	attemptId: number;
+	attemptCount: number;
+	targetId?: string;
+	/** Targets at which an attempt failed. */
+	readonly failedTargetIds: Set<string>;
+	deliveredCount: number;
+};
+
+export type RequestState = {
+	pending: Map<string, PendingRequest>;
+	/** Waiting requests in the order of their arrival. */
+	waiting: Set<string>;
+	nextAttemptId: number;
+};
+
+export function createRequestState(): RequestState {
+	return {pending: new Map(), waiting: new Set(), nextAttemptId: 1};
+}
--- /dev/null
+++ b/packages/core/src/lib/targets/target-state.ts
@@ -0,0 +1,87 @@
+/**
+ * Targets as this instance knows them: what the list says, what it has in
+ * flight there itself, and the latest evidence of each target's boot.
+ */
+import {listedState, type ListedTarget} from '../configuration/instance-list.js';
+import type {LoadReported} from '../event.js';
+import type {TargetLoad} from '../message.js';
+import type {Step} from '../state.js';
+
+export type Target = {
+	listed: ListedTarget;
+	/** Requests that this instance has in flight there. */
+	inFlight: number;
+	/** The engine's boot identifier by the latest evidence. */
+	bootId: string;
+	/** Time of that boot, on this process's clock; undefined: not known. */
+	bootedAt?: number;
+	/** Time of the latest evidence. */
+	evidenceAt?: number;
+	/** Time until which failed connects keep new work away. */
+	avoidUntil: number;
+};
+
+export type TargetState = {
+	targets: Map<string, Target>;
+};
+
+export function createTargetState(): TargetState {
+	return {targets: new Map()};
+}
+
+/** Takes the targets of a new list; a target that it no longer names is forgotten once idle. */
+export function applyListedTargets(step: Step): void {
+	const {targets} = step.state.targets;
+	const listedTargets = step.state.membership.list?.targets ?? [];
+	const listedIds = new Set(listedTargets.map(target => target.id));
+	for (const [id, target] of targets) {
+		if (!listedIds.has(id) && target.inFlight === 0) {
+			targets.delete(id);
+		} else if (!listedIds.has(id)) {
+			target.listed = {...target.listed, state: listedState.leaving};
+		}
+	}
+
+	for (const listed of listedTargets) {
+		const known = targets.get(listed.id);
+		if (known === undefined) {
+			targets.set(listed.id, {
+				listed, inFlight: 0, bootId: '', avoidUntil: 0,
+			});
+		} else {
+			known.listed = listed;
+		}
+	}
+}
+
+/** Takes evidence of a target's boot. */
+export function applyLoadReport(step: Step, event: LoadReported): void {
+	const target = step.state.targets.targets.get(event.targetId);
+	if (target === undefined || event.bootId === undefined) {
+		return;
+	}
+
+	target.bootId = event.bootId;
+	target.bootedAt = step.now - (event.uptimeMs ?? 0);
+	target.evidenceAt = step.now;
+}
+
+/** Describes the targets on which this instance has requests in flight. */
+export function describeTargetLoads({targets}: TargetState, now: number): TargetLoad[] {
+	const loads: TargetLoad[] = [];
+	for (const [targetId, target] of targets) {
+		if (target.inFlight === 0) {
+			continue;
+		}
+
+		loads.push({
+			targetId,
+			inFlight: target.inFlight,
+			bootId: target.bootId,
+			uptimeMs: target.bootedAt === undefined ? 0 : Math.round(now - target.bootedAt),
+			evidenceAgeMs: target.evidenceAt === undefined ? 0 : Math.round(now - target.evidenceAt),
+		});
+	}
+
+	return loads;
+}
--- /dev/null
+++ b/packages/core/src/lib/timeline-entry.ts
@@ -0,0 +1,43 @@
+/**
+ * Time line entries: typed facts that a process records about its decisions.
+ * The writer adds the instance, the incarnation and both clocks.
+ */
+
+export const timelineKind = {
+	processStarted: 'process-started',
+	processStopped: 'process-stopped',
+	requestReceived: 'request-received',
+	requestWaits: 'request-waits',
+	requestDispatched: 'request-dispatched',
+	attemptEnded: 'attempt-ended',
+	requestCompleted: 'request-completed',
+	requestRefused: 'request-refused',
+	callerLeft: 'caller-left',
+	configurationApplied: 'configuration-applied',
+	configurationRejected: 'configuration-rejected',
+	membershipChanged: 'membership-changed',
+	shareChanged: 'share-changed',
+	loanTaken: 'loan-taken',
+	loanGiven: 'loan-given',
+	targetCold: 'target-cold',
+	targetWarm: 'target-warm',
+	drainStarted: 'drain-started',
+	drainEnded: 'drain-ended',
+	alarmRaised: 'alarm-raised',
+	faultInjected: 'fault-injected',
+	administratorActed: 'administrator-acted',
+} as const;
+export type TimelineKind = typeof timelineKind[keyof typeof timelineKind];
+
+export type TimelineEntry = {
+	readonly kind: TimelineKind;
+	/** What joins the entries of one matter over all processes, such as a request identifier. */
+	readonly cause: string;
+	readonly requestId?: string;
+	readonly chatKey?: string;
+	readonly account?: string;
+	readonly targetId?: string;
+	readonly peerId?: string;
+	/** One sentence for a person; never holds a key or caller data. */
+	readonly detail?: string;
+};
--- /dev/null
+++ b/packages/load/src/lib/caller.ts
@@ -0,0 +1,158 @@
+/**
+ * A caller: sends requests as a client account would and checks every answer
+ * against what it must be.
+ */
+import {computeToken} from '@sequoiatally/stand-ins';
+import {createParser} from 'eventsource-parser';
+import {Agent, request} from 'undici';
+
+/** Field of the chat interface that limits the answer's tokens. */
+const tokenLimitField = 'max_tokens';
+
+/** How a request ended, as the caller sees it. */
+export const answerKind = {
+	whole: 'whole',
+	/** A typed refusal, or a typed error at the end of a stream. */
+	refused: 'refused',
+	/** Neither whole nor refused, or whole but not the right one. */
+	wrong: 'wrong',
+} as const;
+
+export type Answer = {
+	readonly kind: typeof answerKind[keyof typeof answerKind];
+	readonly requestId?: string;
+	/** Type and outcome of a refusal. */
+	readonly reason?: string;
+	readonly outcome?: string;
+	/** True: the engine had the chat's prefix cached. */
+	readonly isCacheHit?: boolean;
+	readonly targetId?: string;
+	readonly firstTokenMs?: number;
+	readonly totalMs: number;
+	readonly detail?: string;
+};
+
+export type ChatCall = {readonly key?: string; readonly model: string; readonly chatId: string; readonly maxTokens: number; readonly priority?: number};
+export type PlainCall = {readonly key?: string; readonly method: string; readonly path: string; readonly idempotencyKey?: string};
+
+type ErrorBody = {error?: {type?: string; outcome?: string; requestId?: string}};
+
+/** Sends requests to one router address over connections of its own. */
+export class Caller {
+	readonly #agent = new Agent({pipelining: 1});
+
+	async close(): Promise<void> {
+		await this.#agent.close();
+	}
+
+	/** Sends a chat request and reads its stream to the end. */
+	async callChat(address: string, call: ChatCall): Promise<Answer> {
+		const startedAt = performance.now();
+		try {
+			const response = await request(`http://${address}/v1/chat/completions`, {
+				method: 'POST',
+				dispatcher: this.#agent,
+				headers: {
+					...describeKey(call.key), 'content-type': 'application/json', 'x-chat-id': call.chatId, 'x-priority': String(call.priority ?? 0),
+				},
+				body: createChatBody(call),
+			});
+			if (response.statusCode !== 200) {
+				return describeRefusal(await response.body.text(), startedAt);
+			}
+
+			return await readStream(response, call, startedAt);
+		} catch (error) {
+			return {kind: answerKind.wrong, totalMs: performance.now() - startedAt, detail: (error as Error).message};
+		}
+	}
+
+	/** Sends a plain request and reads its answer. */
+	async callPlain(address: string, call: PlainCall): Promise<Answer> {
+		const startedAt = performance.now();
+		try {
+			const response = await request(`http://${address}${call.path}`, {
+				method: call.method as 'GET',
+				dispatcher: this.#agent,
+				headers: {...describeKey(call.key), ...(call.idempotencyKey === undefined ? {} : {'idempotency-key': call.idempotencyKey})},
+			});
+			const text = await response.body.text();
+			if (response.statusCode !== 200) {
+				return describeRefusal(text, startedAt);
+			}
+
+			const {requestId} = JSON.parse(text) as {requestId?: string};
+			const isRight = requestId === response.headers['x-request-id'];
+			return {kind: isRight ? answerKind.whole : answerKind.wrong, requestId, totalMs: performance.now() - startedAt};
+		} catch (error) {
+			return {kind: answerKind.wrong, totalMs: performance.now() - startedAt, detail: (error as Error).message};
+		}
+	}
+}
+
+function createChatBody({model, chatId, maxTokens}: ChatCall): string {
+	return JSON.stringify({
+		model, [tokenLimitField]: maxTokens, stream: true, messages: [{role: 'user', content: chatId}],
+	});
+}
+
+function describeKey(key: string | undefined): Record<string, string> {
+	return key === undefined ? {} : {authorization: `Bearer ${key}`};
+}
+
+function describeRefusal(text: string, startedAt: number): Answer {
+	const totalMs = performance.now() - startedAt;
+	try {
+		const {error} = JSON.parse(text) as ErrorBody;
+		return error?.type === undefined || error.outcome === undefined
+			? {kind: answerKind.wrong, totalMs, detail: 'a refusal without its type'}
+			: {
+				kind: answerKind.refused, reason: error.type, outcome: error.outcome, requestId: error.requestId, totalMs,
+			};
+	} catch {
+		return {kind: answerKind.wrong, totalMs, detail: 'a refusal that is not JSON'};
+	}
+}
+
+async function readStream(response: Awaited<ReturnType<typeof request>>, call: ChatCall, startedAt: number): Promise<Answer> {
+	const requestId = String(response.headers['x-request-id']);
+	let nextIndex = 0;
+	let firstTokenMs: number | undefined;
+	let isDone = false;
+	let fault: string | undefined;
+	let refusalText: string | undefined;
+	const parser = createParser({
+		onEvent({event, data}) {
+			if (event === 'error') {
+				refusalText = data;
+			} else if (data === '[DONE]') {
+				isDone = true;
+			} else {
+				firstTokenMs ??= performance.now() - startedAt;
+				const {id, index, choices} = JSON.parse(data) as {id: string; index: number; choices: Array<{delta: {content: string}}>};
+				const isRight = id === requestId && index === nextIndex && choices[0]?.delta.content === computeToken(call.chatId, index);
+				fault ??= isRight ? undefined : `token ${index} at place ${nextIndex} is not the right one`;
+				nextIndex++;
+			}
+		},
+	});
+	const decoder = new TextDecoder();
+	for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
+		parser.feed(decoder.decode(chunk, {stream: true}));
+	}
+
+	if (refusalText !== undefined && fault === undefined) {
+		return describeRefusal(refusalText, startedAt);
+	}
+
+	const isWhole = isDone && nextIndex === call.maxTokens && fault === undefined;
+	return {
+		kind: isWhole ? answerKind.whole : answerKind.wrong,
+		requestId,
+		isCacheHit: response.headers['x-cache'] === 'hit',
+		targetId: String(response.headers['x-target']),
+		firstTokenMs,
+		totalMs: performance.now() - startedAt,
+		detail: isWhole ? undefined : fault ?? `the stream ended after ${nextIndex} of ${call.maxTokens} tokens, done: ${isDone}`,
+	};
+}
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,5 @@
+/**
+ * The router daemon, for programs that run it inside a test.
+ */
+export * from './lib/router.js';
+export * from './lib/runner.js';
--- /dev/null
+++ b/packages/router/src/lib/peer-client.ts
@@ -0,0 +1,131 @@
+/**
+ * Calls other routers. Each call has a time limit; a peer that does not answer
+ * within it is reported as failed and its connection is replaced.
+ */
+import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {
+	documentKind, eventKind, type Borrow, type Event, type Exchange, type FetchDocument, type GiveBack,
+} from '@sequoiatally/core';
+import {DocumentKind, PeerService} from '@sequoiatally/peer';
+import {describeError, type LifecycleManager, type Logger} from '@sequoiatally/runtime';
+import {
+	fromWireAmount, fromWireSummary, toWireBorrowRequest, toWireSummary,
+} from './peer-mapping.js';
+import {PeerSession} from './peer-session.js';
+import {createDocumentEvent} from './platform-client.js';
+
+/** Header that carries the fleet's secret. */
+export const secretHeader = 'x-fleet-secret';
+const exchangeTimeoutMs = 1000;
+const borrowTimeoutMs = 300;
+const fetchTimeoutMs = 2000;
+
+type Connection = {readonly client: Client<typeof PeerService>; readonly session: PeerSession};
+
+type Peer = {readonly peerId: string; readonly address: string};
+
+/** Calls peers for the reducer. */
+export class PeerClient {
+	readonly #connections = new Map<string, Connection>();
+	readonly #secret: string;
+	readonly #emit: (event: Event) => void;
+	readonly #readClock: () => number;
+	readonly #logger: Logger;
+
+	constructor(secret: string, emit: (event: Event) => void, readClock: () => number, logger: Logger, lifecycle: LifecycleManager) {
+		this.#secret = secret;
+		this.#emit = emit;
+		this.#readClock = readClock;
+		this.#logger = logger;
+		lifecycle.own('peer connections', () => {
+			for (const {session} of this.#connections.values()) {
+				session.close();
+			}
+		});
+	}
+
+	async exchange(effect: Exchange): Promise<void> {
+		const startedAt = this.#readClock();
+		await this.#call(effect, async client => {
+			const {summary} = await client.exchange({summary: toWireSummary(effect.summary)}, {timeoutMs: exchangeTimeoutMs});
+			if (summary !== undefined) {
+				this.#emit({kind: eventKind.summaryReceived, summary: fromWireSummary(summary), startedAt});
+			}
+		}, () => {
+			this.#emit({kind: eventKind.peerFailed, peerId: effect.peerId});
+		});
+	}
+
+	async fetchDocument(effect: FetchDocument): Promise<void> {
+		const startedAt = this.#readClock();
+		const source = {peerId: effect.peerId};
+		const kind = effect.document === documentKind.tables ? DocumentKind.TABLES : DocumentKind.LIST;
+		await this.#call(effect, async client => {
+			const {json, ageMs} = await client.fetchDocument({kind}, {timeoutMs: fetchTimeoutMs});
+			const currentAt = startedAt - Math.max(0, Number(ageMs));
+			this.#emit(createDocumentEvent(effect.document, new TextDecoder().decode(json), currentAt, source));
+		}, () => {
+			this.#emit({kind: eventKind.readFailed, document: effect.document, source});
+		});
+	}
+
+	async borrow(effect: Borrow): Promise<void> {
+		const {peerId, request} = effect;
+		const {loanId, termMs} = request;
+		const askedAt = this.#readClock();
+		await this.#call(effect, async client => {
+			const {amounts} = await client.borrow(toWireBorrowRequest(request), {timeoutMs: borrowTimeoutMs});
+			this.#emit({
+				kind: eventKind.loanGranted, loanId, peerId, askedAt, termMs, amounts: amounts.map(amount => fromWireAmount(amount)),
+			});
+		}, () => {
+			this.#emit({kind: eventKind.loanFailed, loanId, peerId});
+		});
+	}
+
+	async giveBack(effect: GiveBack, instanceId: string, incarnation: string): Promise<void> {
+		await this.#call(effect, async client => {
+			await client.giveBack({loanId: effect.loanId, instanceId, incarnation}, {timeoutMs: borrowTimeoutMs});
+		}, () => {
+			// The lender takes the share back by itself when the term has passed.
+		});
+	}
+
+	async #call(peer: Peer, run: (client: Client<typeof PeerService>) => Promise<void>, fail: () => void): Promise<void> {
+		const {peerId, address} = peer;
+		try {
+			await run(this.#connect(address).client);
+		} catch (error) {
+			this.#logger.debug({event: 'peer-call-failed', peerId, error: describeError(error)});
+			this.#disconnect(address);
+			fail();
+		}
+	}
+
+	#connect(address: string): Connection {
+		const known = this.#connections.get(address);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const addSecret: Interceptor = next => async call => {
+			call.header.set(secretHeader, this.#secret);
+			return next(call);
+		};
+
+		const baseUrl = `http://${address}`;
+		const session = new PeerSession(baseUrl);
+		const transport = createConnectTransport({
+			baseUrl, httpVersion: '2', sessionManager: session, interceptors: [addSecret],
+		});
+		const connection = {client: createClient(PeerService, transport), session};
+		this.#connections.set(address, connection);
+		return connection;
+	}
+
+	#disconnect(address: string): void {
+		this.#connections.get(address)?.session.close();
+		this.#connections.delete(address);
+	}
+}
--- /dev/null
+++ b/packages/router/src/lib/peer-mapping.ts
@@ -0,0 +1,78 @@
+/**
+ * Maps messages between the reducer's types and the generated wire types.
+ */
+import {create} from '@bufbuild/protobuf';
+import type {BorrowRequest, LoanAmount, Summary} from '@sequoiatally/core';
+import {
+	BorrowRequestSchema, LoanAmountSchema, SummarySchema,
+	type BorrowRequest as WireBorrowRequest, type LoanAmount as WireLoanAmount, type Summary as WireSummary,
+} from '@sequoiatally/peer';
+
+/** Age on the wire that means "never". */
+const noAge = -1n;
+
+export function toWireSummary(summary: Summary): WireSummary {
+	return create(SummarySchema, {
+		...summary,
+		tablesVersion: BigInt(summary.tablesVersion),
+		listAsOf: BigInt(Math.round(summary.listAsOf)),
+		tablesAgeMs: toWireAge(summary.tablesAgeMs),
+		listAgeMs: toWireAge(summary.listAgeMs),
+		targets: summary.targets.map(target => ({...target, uptimeMs: BigInt(target.uptimeMs)})),
+		spare: [...summary.spare],
+	});
+}
+
+export function fromWireSummary(wire: WireSummary): Summary {
+	return {
+		protocolVersion: wire.protocolVersion,
+		instanceId: wire.instanceId,
+		incarnation: wire.incarnation,
+		tablesVersion: Number(wire.tablesVersion),
+		listAsOf: Number(wire.listAsOf),
+		tablesAgeMs: fromWireAge(wire.tablesAgeMs),
+		listAgeMs: fromWireAge(wire.listAgeMs),
+		draining: wire.draining,
+		targets: wire.targets.map(target => ({
+			targetId: target.targetId,
+			inFlight: target.inFlight,
+			bootId: target.bootId,
+			uptimeMs: Number(target.uptimeMs),
+			evidenceAgeMs: target.evidenceAgeMs,
+		})),
+		spare: wire.spare.map(({limitId, tokens, rate}) => ({limitId, tokens, rate})),
+	};
+}
+
+export function toWireBorrowRequest(request: BorrowRequest): WireBorrowRequest {
+	return create(BorrowRequestSchema, {...request, amounts: request.amounts.map(amount => toWireAmount(amount))});
+}
+
+export function fromWireBorrowRequest(wire: WireBorrowRequest): BorrowRequest {
+	const {
+		loanId, instanceId, incarnation, termMs,
+	} = wire;
+	return {
+		loanId, instanceId, incarnation, termMs, amounts: wire.amounts.map(amount => fromWireAmount(amount)),
+	};
+}
+
+export function toWireAmount(amount: LoanAmount): WireLoanAmount {
+	return create(LoanAmountSchema, amount);
+}
+
+export function fromWireAmount({
+	limitId, rate, room, tokens,
+}: WireLoanAmount): LoanAmount {
+	return {
+		limitId, rate, room, tokens,
+	};
+}
+
+function toWireAge(age: number | undefined): bigint {
+	return age === undefined ? noAge : BigInt(Math.max(0, Math.ceil(age)));
+}
+
+function fromWireAge(age: bigint): number | undefined {
+	return age < 0n ? undefined : Number(age);
+}
--- /dev/null
+++ b/packages/router/src/lib/peer-session.ts
@@ -0,0 +1,66 @@
+/**
+ * One HTTP/2 connection to a peer, for the calls of `connect-es`.
+ *
+ * The library's own session manager lets an error escape as an uncaught
+ * exception when a peer ends an idle connection, which would end this process
+ * whenever a peer is replaced. This one listens to every session for its whole
+ * life and opens a new one after any error.
+ */
+import {
+	connect, constants, type ClientHttp2Session, type ClientHttp2Stream, type ClientSessionRequestOptions, type OutgoingHttpHeaders,
+} from 'node:http2';
+import type {createConnectTransport} from '@connectrpc/connect-node';
+
+type TransportOptions = Parameters<typeof createConnectTransport>[0];
+type SessionManager = NonNullable<Extract<TransportOptions, {sessionManager?: unknown}>['sessionManager']>;
+
+/** Keeps one session open, and replaces it when it is lost. */
+export class PeerSession implements SessionManager {
+	#session?: ClientHttp2Session;
+
+	constructor(readonly authority: string) {}
+
+	/** Opens a stream, on a new connection if there is none. */
+	async request(
+		method: string,
+		path: string,
+		headers: OutgoingHttpHeaders,
+		options: Omit<ClientSessionRequestOptions, 'signal'>,
+	): Promise<ClientHttp2Stream> {
+		const session = this.#open();
+		return session.request({...headers, [constants.HTTP2_HEADER_METHOD]: method, [constants.HTTP2_HEADER_PATH]: path}, options);
+	}
+
+	/** Required by the library; silence is noticed by each call's own time limit. */
+	notifyResponseByteRead(): void {
+		// Nothing to note.
+	}
+
+	/** Closes the connection; the next call opens a new one. */
+	close(): void {
+		this.#session?.destroy();
+		this.#session = undefined;
+	}
+
+	#open(): ClientHttp2Session {
+		if (this.#session !== undefined && !this.#session.closed && !this.#session.destroyed) {
+			return this.#session;
+		}
+
+		const session = connect(this.authority);
+		const forget = () => {
+			if (this.#session === session) {
+				this.#session = undefined;
+			}
+		};
+
+		session.on('error', forget);
+		session.on('close', forget);
+		session.on('goaway', () => {
+			forget();
+			session.close();
+		});
+		this.#session = session;
+		return session;
+	}
+}
--- /dev/null
+++ b/packages/router/src/lib/router.ts
@@ -0,0 +1,159 @@
+/**
+ * One router: joins the reducer with its servers and clients.
+ */
+import {randomUUID} from 'node:crypto';
+import {
+	createState, eventKind, RendezvousChoice, timelineKind, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Event,
+	type Exchange, type FetchDocument, type GiveBack, type ReadDocument, type Refuse, type TimelineEntry,
+} from '@sequoiatally/core';
+import {
+	readMonotonicMs, TimelineWriter, type LifecycleManager, type Logger, type SocketAddress,
+} from '@sequoiatally/runtime';
+import {listenAdmin} from './admin-server.js';
+import {CallerServer, type OpenRequests} from './caller-server.js';
+import {Metrics} from './metrics.js';
+import {PeerClient} from './peer-client.js';
+import {PeerServer} from './peer-server.js';
+import {PlatformClient} from './platform-client.js';
+import {EffectHandler, Runner} from './runner.js';
+import {TargetClient} from './target-client.js';
+
+/** Time between two ticks of the reducer, in milliseconds. */
+const tickIntervalMs = 50;
+
+/** Checked settings of a router. */
+export type RouterSettings = {
+	readonly instanceId: string;
+	readonly zone: string;
+	readonly callerAddress: SocketAddress;
+	readonly peerAddress: SocketAddress;
+	readonly adminAddress: SocketAddress;
+	readonly platformAddress: SocketAddress;
+	readonly fleetSecret: string;
+	readonly adminToken: string;
+	readonly timelinePath: string | undefined;
+};
+
+class RouterEffects extends EffectHandler {
+	readonly openRequests: OpenRequests;
+	readonly targets: TargetClient;
+	readonly platform: PlatformClient;
+	readonly peerClient: PeerClient;
+	readonly peerServer: PeerServer;
+	readonly metrics: Metrics;
+	readonly timeline: TimelineWriter;
+	readonly runner: Runner;
+	readonly onDrained: () => void;
+
+	constructor(parts: Omit<RouterEffects, keyof EffectHandler>) {
+		super();
+		this.openRequests = parts.openRequests;
+		this.targets = parts.targets;
+		this.platform = parts.platform;
+		this.peerClient = parts.peerClient;
+		this.peerServer = parts.peerServer;
+		this.metrics = parts.metrics;
+		this.timeline = parts.timeline;
+		this.runner = parts.runner;
+		this.onDrained = parts.onDrained;
+	}
+
+	override dispatch(effect: Dispatch): void {
+		const open = this.openRequests.get(effect.requestId);
+		if (open !== undefined) {
+			void this.targets.run(effect, open);
+		}
+	}
+
+	override refuse({requestId, refusal}: Refuse): void {
+		this.openRequests.get(requestId)?.refuse(refusal);
+		this.openRequests.delete(requestId);
+	}
+
+	override cancel({attemptId}: Cancel): void {
+		this.targets.cancel(attemptId);
+	}
+
+	override readDocument(effect: ReadDocument): void {
+		void this.platform.read(effect);
+	}
+
+	override fetchDocument(effect: FetchDocument): void {
+		void this.peerClient.fetchDocument(effect);
+	}
+
+	override exchange(effect: Exchange): void {
+		void this.peerClient.exchange(effect);
+	}
+
+	override borrow(effect: Borrow): void {
+		void this.peerClient.borrow(effect);
+	}
+
+	override answerBorrow(effect: AnswerBorrow): void {
+		this.peerServer.answerBorrow(effect);
+	}
+
+	override giveBack(effect: GiveBack): void {
+		const {instanceId, incarnation} = this.runner.state.self;
+		void this.peerClient.giveBack(effect, instanceId, incarnation);
+	}
+
+	override record(entry: TimelineEntry): void {
+		this.timeline.write(entry);
+		this.metrics.count(entry);
+		if (entry.kind === timelineKind.requestCompleted || entry.kind === timelineKind.callerLeft) {
+			this.openRequests.delete(entry.requestId ?? '');
+		}
+	}
+
+	override finishDrain(): void {
+		this.onDrained();
+	}
+}
+
+/** Starts a router; it stops when it has drained, or when the lifecycle closes. */
+export async function startRouter(settings: RouterSettings, logger: Logger, lifecycle: LifecycleManager): Promise<Runner> {
+	const {instanceId, zone} = settings;
+	const incarnation = randomUUID();
+	const timeline = new TimelineWriter({
+		process: 'router', instanceId, incarnation, zone,
+	}, settings.timelinePath);
+	lifecycle.own('time line', async () => timeline.close());
+	const self = {
+		instanceId, incarnation, zone, startedAt: readMonotonicMs(),
+	};
+	const runner = new Runner(createState(self, {targetChoice: new RendezvousChoice()}), readMonotonicMs);
+	const emit = (event: Event) => {
+		runner.handle(event);
+	};
+
+	const openRequests: OpenRequests = new Map();
+	const metrics = new Metrics(runner);
+	const peerServer = new PeerServer(runner, settings.fleetSecret, readMonotonicMs);
+	runner.connect(new RouterEffects({
+		openRequests,
+		targets: new TargetClient(emit, readMonotonicMs, lifecycle),
+		platform: new PlatformClient(settings.platformAddress, emit, readMonotonicMs, logger, lifecycle),
+		peerClient: new PeerClient(settings.fleetSecret, emit, readMonotonicMs, logger, lifecycle),
+		peerServer,
+		metrics,
+		timeline,
+		runner,
+		onDrained() {
+			timeline.write({kind: timelineKind.drainEnded, cause: 'drain'});
+			void lifecycle.closeAll();
+		},
+	}));
+	await peerServer.listen(settings.peerAddress, lifecycle);
+	await listenAdmin({
+		runner, metrics, timeline, token: settings.adminToken,
+	}, settings.adminAddress, lifecycle);
+	await new CallerServer(runner, openRequests).listen(settings.callerAddress, lifecycle);
+	lifecycle.ownInterval('tick', tickIntervalMs, () => {
+		emit({kind: eventKind.tick});
+	});
+	timeline.write({kind: timelineKind.processStarted, cause: instanceId});
+	emit({kind: eventKind.tick});
+	return runner;
+}
--- /dev/null
+++ b/packages/router/src/lib/runner.ts
@@ -0,0 +1,122 @@
+/**
+ * The runner: feeds events to the reducer and carries out its effects. All
+ * events pass through here, one after the other, on one thread.
+ */
+import {
+	effectKind, reduce, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Effect, type Event,
+	type Exchange, type FetchDocument, type GiveBack, type ReadDocument, type Refuse, type State, type TimelineEntry,
+} from '@sequoiatally/core';
+
+/**
+ * What carries effects out. Each method starts its work and returns at once;
+ * the outcome comes back as an event.
+ */
+export abstract class EffectHandler {
+	abstract dispatch(effect: Dispatch): void;
+	abstract refuse(effect: Refuse): void;
+	abstract cancel(effect: Cancel): void;
+	abstract readDocument(effect: ReadDocument): void;
+	abstract fetchDocument(effect: FetchDocument): void;
+	abstract exchange(effect: Exchange): void;
+	abstract borrow(effect: Borrow): void;
+	abstract answerBorrow(effect: AnswerBorrow): void;
+	abstract giveBack(effect: GiveBack): void;
+	abstract record(entry: TimelineEntry): void;
+	abstract finishDrain(): void;
+}
+
+/** Runs one router's reducer. */
+export class Runner {
+	readonly #readClock: () => number;
+	readonly #queue: Event[] = [];
+	#handler?: EffectHandler;
+	#isRunning = false;
+
+	constructor(readonly state: State, readClock: () => number) {
+		this.#readClock = readClock;
+	}
+
+	/** Sets what carries effects out; has to be called before the first event. */
+	connect(handler: EffectHandler): void {
+		this.#handler = handler;
+	}
+
+	/** Handles an event and all that follow from its effects at once. */
+	handle(event: Event): void {
+		this.#queue.push(event);
+		if (this.#isRunning) {
+			return;
+		}
+
+		this.#isRunning = true;
+		try {
+			for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+				for (const effect of reduce(this.state, next, this.#readClock())) {
+					this.#carryOut(effect);
+				}
+			}
+		} finally {
+			this.#isRunning = false;
+		}
+	}
+
+	#carryOut(effect: Effect): void {
+		const handler = this.#handler!;
+		switch (effect.kind) {
+			case effectKind.dispatch: {
+				handler.dispatch(effect);
+				break;
+			}
+
+			case effectKind.refuse: {
+				handler.refuse(effect);
+				break;
+			}
+
+			case effectKind.cancel: {
+				handler.cancel(effect);
+				break;
+			}
+
+			case effectKind.readDocument: {
+				handler.readDocument(effect);
+				break;
+			}
+
+			case effectKind.fetchDocument: {
+				handler.fetchDocument(effect);
+				break;
+			}
+
+			case effectKind.exchange: {
+				handler.exchange(effect);
+				break;
+			}
+
+			case effectKind.borrow: {
+				handler.borrow(effect);
+				break;
+			}
+
+			case effectKind.answerBorrow: {
+				handler.answerBorrow(effect);
+				break;
+			}
+
+			case effectKind.giveBack: {
+				handler.giveBack(effect);
+				break;
+			}
+
+			case effectKind.record: {
+				handler.record(effect.entry);
+				break;
+			}
+
+			case effectKind.finishDrain: {
+				handler.finishDrain();
+				break;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * What every process shares: life cycle, settings, logs, clocks, time line.
+ */
+export * from './lib/clock.js';
+export * from './lib/errors.js';
+export * from './lib/lifecycle-manager.js';
+export * from './lib/logger.js';
+export * from './lib/settings.js';
+export * from './lib/timeline.js';
--- /dev/null
+++ b/packages/runtime/src/lib/logger.ts
@@ -0,0 +1,45 @@
+/**
+ * Structured logs: one JSON object a line on the standard error stream, by the
+ * `loglevel` library.
+ */
+import process from 'node:process';
+import loglevel from 'loglevel';
+import {readWallMs} from './clock.js';
+
+export const logLevels = ['trace', 'debug', 'info', 'warn', 'error', 'silent'] as const;
+export type LogLevel = typeof logLevels[number];
+
+/** What a log line says; `event` names it for machines. */
+export type LogFields = Readonly<Record<string, unknown>> & {readonly event: string};
+
+export type Logger = Record<'trace' | 'debug' | 'info' | 'warn' | 'error', (fields: LogFields) => void>;
+
+/** Creates a logger that adds `fixedFields` to every line. */
+export function createLogger(name: string, level: LogLevel, fixedFields: Readonly<Record<string, string>> = {}): Logger {
+	const log = loglevel.getLogger(name);
+	log.methodFactory = methodName => (fields: LogFields) => {
+		const line = JSON.stringify({
+			time: new Date(readWallMs()).toISOString(), level: methodName, process: name, ...fixedFields, ...fields,
+		});
+		process.stderr.write(`${line}\n`);
+	};
+
+	log.setLevel(level, false);
+	return {
+		trace(fields) {
+			log.trace(fields);
+		},
+		debug(fields) {
+			log.debug(fields);
+		},
+		info(fields) {
+			log.info(fields);
+		},
+		warn(fields) {
+			log.warn(fields);
+		},
+		error(fields) {
+			log.error(fields);
+		},
+	};
+}
--- /dev/null
+++ b/packages/scenarios/src/lib/reducer-fleet.ts
@@ -0,0 +1,518 @@
+/**
+ * Many reducers in one process, joined by a network that delays, loses and
+ * doubles messages, with processes that freeze, die and restart, and with a
+ * configuration service that each of them may fail to reach.
+ *
+ * Time is virtual and every choice comes from a seed, so a run repeats exactly.
+ * An effect is carried out a moment after its decision; a freeze in between
+ * delays it to the wake-up, which is what `notAfter` is for.
+ */
+import {
+	attemptOutcome, createState, describeSummary, documentKind, effectKind, eventKind, reduce, RendezvousChoice,
+	type AnswerBorrow, type Borrow, type Configuration, type Dispatch, type Effect, type Event, type Exchange, type FetchDocument,
+	type GiveBack, type InstanceList, type ReadDocument, type Refusal, type State, type TargetChoice, type TimelineEntry,
+} from '@sequoiatally/core';
+import {uniformInt, xoroshiro128plus} from '@sequoiatally/load';
+
+const tickMs = 50;
+const exchangeTimeoutMs = 1000;
+const borrowTimeoutMs = 300;
+const readTimeoutMs = 2000;
+
+/** How the network behaves; probabilities are from 0 to 1. */
+export type NetworkFaults = {
+	readonly minDelayMs: number;
+	readonly maxDelayMs: number;
+	readonly lossProbability: number;
+	readonly doubleProbability: number;
+};
+
+export const calmNetwork: NetworkFaults = {
+	minDelayMs: 1, maxDelayMs: 3, lossProbability: 0, doubleProbability: 0,
+};
+
+/** One router process. */
+export type FleetInstance = {
+	readonly id: string;
+	readonly state: State;
+	/** Virtual time of its start: the zero of its own clock. */
+	readonly startedAt: number;
+	isAlive: boolean;
+	/** Virtual time until which it does nothing. */
+	frozenUntil: number;
+	/** Instances of different sides cannot reach each other. */
+	side: number;
+	/** True: it cannot reach the configuration service. */
+	isCutFromPlatform: boolean;
+};
+
+/** What a caller sends. */
+export type CallerFields = {
+	readonly account: string;
+	readonly keyDigest?: string;
+	readonly path: string;
+	readonly model?: string;
+	readonly chatKey?: string;
+	readonly method?: string;
+};
+
+/** A request that was admitted, as the outside sees it. */
+export type SentRequest = {readonly at: number; readonly instanceId: string; readonly account: string; readonly targetId: string; readonly requestId: string};
+export type RefusedRequest = {readonly at: number; readonly instanceId: string; readonly requestId: string; readonly refusal: Refusal};
+
+type Delivery = {readonly at: number; readonly order: number; readonly instance?: FleetInstance; readonly run: () => void};
+
+export type ReducerFleetOptions = {
+	readonly seed: number;
+	readonly configuration: Configuration;
+	readonly network?: NetworkFaults;
+	/** Lag of the list in milliseconds. */
+	readonly listLagMs?: number;
+	/** Time that a target takes for a request, in milliseconds. */
+	readonly serviceMs?: number;
+	readonly createTargetChoice?: () => TargetChoice;
+};
+
+/** A fleet of reducers under virtual time. */
+export class ReducerFleet {
+	now = 0;
+	network: NetworkFaults;
+	configuration: Configuration;
+	/** True: every read of the configuration service fails. */
+	isPlatformDown = false;
+	/** What the platform shows now; readers get it after the lag. */
+	list: InstanceList = {asOf: 0, instances: [], targets: []};
+	readonly instances = new Map<string, FleetInstance>();
+	readonly sent: SentRequest[] = [];
+	readonly refused: RefusedRequest[] = [];
+	readonly timeline: Array<TimelineEntry & {readonly at: number; readonly instanceId: string}> = [];
+	/** Requests in flight by target, over the whole fleet. */
+	readonly inFlight = new Map<string, number>();
+	/** Messages sent between instances. */
+	messageCount = 0;
+	/** Calls to the configuration service. */
+	platformCallCount = 0;
+	/** Answers a dispatched request; the default completes it after `serviceMs`. */
+	onDispatch: (instance: FleetInstance, effect: Dispatch) => void;
+	readonly #random;
+	readonly #deliveries: Delivery[] = [];
+	readonly #options: ReducerFleetOptions;
+	readonly #shownLists: Array<{readonly at: number; readonly list: InstanceList}> = [];
+	readonly #borrowAnswers = new Map<number, (effect: AnswerBorrow) => void>();
+	readonly #accountByRequest = new Map<string, string>();
+	#order = 0;
+	#nextCallId = 1;
+
+	constructor(options: ReducerFleetOptions) {
+		this.#options = options;
+		this.#random = xoroshiro128plus(options.seed);
+		this.configuration = options.configuration;
+		this.network = options.network ?? calmNetwork;
+		this.onDispatch = (instance, effect) => {
+			this.schedule(options.serviceMs ?? 100, () => {
+				this.endAttempt(instance, effect, attemptOutcome.complete);
+			});
+		};
+	}
+
+	/** Starts a process; it appears on the list after the lag. */
+	start(id: string, zone = 'zone-a', isListed = true): FleetInstance {
+		const self = {
+			instanceId: id, incarnation: `${id}@${this.now}`, zone, startedAt: 0,
+		};
+		const targetChoice = this.#options.createTargetChoice?.() ?? new RendezvousChoice();
+		const instance: FleetInstance = {
+			id,
+			state: createState(self, {targetChoice}),
+			startedAt: this.now,
+			isAlive: true,
+			frozenUntil: 0,
+			side: 0,
+			isCutFromPlatform: false,
+		};
+		this.instances.set(id, instance);
+		if (isListed) {
+			const listed = {
+				id, peerAddress: id, zone, state: 'live' as const, since: this.now,
+			};
+			this.changeList(list => ({...list, instances: [...list.instances.filter(other => other.id !== id), listed]}));
+		}
+
+		this.#tick(instance);
+		return instance;
+	}
+
+	/** Ends a process at once, without notice. */
+	kill(id: string, isUnlisted = true): void {
+		this.instances.get(id)!.isAlive = false;
+		if (isUnlisted) {
+			this.changeList(list => ({...list, instances: list.instances.filter(other => other.id !== id)}));
+		}
+	}
+
+	/** Stops a process for a while; everything due meanwhile happens at its wake-up. */
+	freeze(id: string, durationMs: number): void {
+		this.instances.get(id)!.frozenUntil = this.now + durationMs;
+	}
+
+	/** Changes what the platform shows; readers see it after the lag. */
+	changeList(change: (list: InstanceList) => InstanceList): void {
+		this.list = change(this.list);
+		this.#shownLists.push({at: this.now, list: this.list});
+	}
+
+	/** Sends a caller's request to an instance. */
+	request(instanceId: string, requestId: string, fields: CallerFields): void {
+		this.#accountByRequest.set(requestId, fields.account);
+		this.emit(this.instances.get(instanceId)!, {
+			kind: eventKind.requestArrived, requestId, method: fields.method ?? 'POST', path: fields.path, model: fields.model, keyDigest: fields.keyDigest, chatKey: fields.chatKey ?? requestId, priority: 0,
+		});
+	}
+
+	/** Hands an event to an instance now, or at its wake-up. */
+	emit(instance: FleetInstance, event: Event): void {
+		if (!instance.isAlive) {
+			return;
+		}
+
+		if (instance.frozenUntil > this.now) {
+			this.#scheduleFor(instance, instance.frozenUntil - this.now, () => {
+				this.emit(instance, event);
+			});
+			return;
+		}
+
+		for (const effect of reduce(instance.state, event, this.now - instance.startedAt)) {
+			this.#scheduleEffect(instance, effect);
+		}
+	}
+
+	/** Ends an attempt as the target client would. */
+	endAttempt(instance: FleetInstance, effect: Dispatch, outcome: typeof attemptOutcome[keyof typeof attemptOutcome]): void {
+		this.inFlight.set(effect.targetId, (this.inFlight.get(effect.targetId) ?? 0) - 1);
+		this.emit(instance, {
+			kind: eventKind.attemptEnded, requestId: effect.requestId, attemptId: effect.attemptId, outcome, deliveredCount: 0,
+		});
+	}
+
+	/** Runs `run` after `delayMs` of virtual time. */
+	schedule(delayMs: number, run: () => void): void {
+		this.#insert({at: this.now + delayMs, order: this.#order++, run});
+	}
+
+	/** Lets virtual time pass. */
+	runFor(durationMs: number): void {
+		const endAt = this.now + durationMs;
+		while (this.#deliveries.length > 0 && this.#deliveries.at(-1)!.at <= endAt) {
+			const delivery = this.#deliveries.pop()!;
+			this.now = Math.max(this.now, delivery.at);
+			const {instance} = delivery;
+			if (instance === undefined) {
+				delivery.run();
+			} else if (instance.isAlive && instance.frozenUntil > this.now) {
+				this.#insert({...delivery, at: instance.frozenUntil});
+			} else if (instance.isAlive) {
+				delivery.run();
+			}
+		}
+
+		this.now = endAt;
+	}
+
+	/** Draws a whole number from the fleet's seed. */
+	draw(min: number, max: number): number {
+		return uniformInt(this.#random, min, max);
+	}
+
+	#scheduleEffect(instance: FleetInstance, effect: Effect): void {
+		if (effect.kind === effectKind.record) {
+			this.timeline.push({...effect.entry, at: this.now, instanceId: instance.id});
+			return;
+		}
+
+		if (effect.kind === effectKind.answerBorrow) {
+			this.#borrowAnswers.get(effect.callId)?.(effect);
+			return;
+		}
+
+		this.#scheduleFor(instance, 0, () => {
+			this.#carryOut(instance, effect);
+		});
+	}
+
+	#carryOut(instance: FleetInstance, effect: Effect): void {
+		switch (effect.kind) {
+			case effectKind.dispatch: {
+				this.#dispatch(instance, effect);
+				break;
+			}
+
+			case effectKind.refuse: {
+				this.refused.push({
+					at: this.now, instanceId: instance.id, requestId: effect.requestId, refusal: effect.refusal,
+				});
+				break;
+			}
+
+			case effectKind.readDocument: {
+				this.#read(instance, effect);
+				break;
+			}
+
+			case effectKind.exchange: {
+				this.#exchange(instance, effect);
+				break;
+			}
+
+			case effectKind.fetchDocument: {
+				this.#fetch(instance, effect);
+				break;
+			}
+
+			case effectKind.borrow: {
+				this.#borrow(instance, effect);
+				break;
+			}
+
+			case effectKind.giveBack: {
+				this.#giveBack(instance, effect);
+				break;
+			}
+
+			case effectKind.answerBorrow:
+			case effectKind.record:
+			case effectKind.cancel:
+			case effectKind.finishDrain: {
+				break;
+			}
+		}
+	}
+
+	#dispatch(instance: FleetInstance, effect: Dispatch): void {
+		if (this.now - instance.startedAt > effect.notAfter) {
+			this.emit(instance, {
+				kind: eventKind.attemptEnded, requestId: effect.requestId, attemptId: effect.attemptId, outcome: attemptOutcome.expired, deliveredCount: 0,
+			});
+			return;
+		}
+
+		const {requestId, targetId} = effect;
+		this.sent.push({
+			at: this.now, instanceId: instance.id, account: this.#accountByRequest.get(requestId) ?? '', targetId, requestId,
+		});
+		this.inFlight.set(targetId, (this.inFlight.get(targetId) ?? 0) + 1);
+		this.onDispatch(instance, effect);
+	}
+
+	#read(instance: FleetInstance, {document, after, waitMs}: ReadDocument): void {
+		this.platformCallCount++;
+		const startedAt = this.now - instance.startedAt;
+		const isReachable = () => !this.isPlatformDown && !instance.isCutFromPlatform;
+		const fail = () => {
+			this.emit(instance, {kind: eventKind.readFailed, document, source: {}});
+		};
+
+		const answer = (waitedMs: number) => {
+			if (!isReachable()) {
+				this.#scheduleFor(instance, readTimeoutMs, fail);
+				return;
+			}
+
+			const asOf = Math.max(0, this.now - (this.#options.listLagMs ?? 0));
+			const list = this.#findShownList(asOf);
+			const revision = document === documentKind.tables ? this.configuration.version : list.revision;
+			if (revision <= after && waitedMs < waitMs) {
+				this.#scheduleFor(instance, tickMs, () => {
+					answer(waitedMs + tickMs);
+				});
+				return;
+			}
+
+			const event = this.#describeRead(document, {
+				after, revision, asOf, list: list.list, currentAt: startedAt + waitedMs,
+			});
+			this.#scheduleFor(instance, this.#drawDelay(), () => {
+				this.emit(instance, event);
+			});
+		};
+
+		this.#scheduleFor(instance, this.#drawDelay(), () => {
+			answer(0);
+		});
+	}
+
+	#describeRead(document: ReadDocument['document'], read: {after: number; revision: number; asOf: number; list: InstanceList; currentAt: number}): Event {
+		const {
+			after, revision, asOf, currentAt,
+		} = read;
+		if (revision <= after) {
+			return {
+				kind: eventKind.documentUnchanged, document, revision, asOf, currentAt,
+			};
+		}
+
+		const source = {revision};
+		return document === documentKind.tables
+			? {
+				kind: eventKind.configurationRead, configuration: this.configuration, text: JSON.stringify(this.configuration), currentAt, source,
+			}
+			: {
+				kind: eventKind.listRead, list: {...read.list, asOf}, currentAt, source,
+			};
+	}
+
+	#findShownList(asOf: number): {revision: number; list: InstanceList} {
+		const index = this.#shownLists.findLastIndex(({at}) => at <= asOf);
+		return index === -1 ? {revision: 1, list: {asOf: 0, instances: [], targets: []}} : {revision: index + 2, list: this.#shownLists[index]!.list};
+	}
+
+	#exchange(from: FleetInstance, effect: Exchange): void {
+		const startedAt = this.now - from.startedAt;
+		this.#call(from, effect.peerId, exchangeTimeoutMs, to => {
+			const receivedAt = this.now - to.startedAt;
+			this.emit(to, {kind: eventKind.summaryReceived, summary: effect.summary, startedAt: receivedAt});
+			const summary = describeSummary(to.state, receivedAt);
+			return () => {
+				this.emit(from, {kind: eventKind.summaryReceived, summary, startedAt});
+			};
+		}, () => {
+			this.emit(from, {kind: eventKind.peerFailed, peerId: effect.peerId});
+		});
+	}
+
+	#fetch(from: FleetInstance, {peerId, document}: FetchDocument): void {
+		const startedAt = this.now - from.startedAt;
+		const source = {peerId};
+		this.#call(from, peerId, exchangeTimeoutMs, to => {
+			const {tables, membership} = to.state;
+			const isTables = document === documentKind.tables;
+			const known = isTables ? tables.currentAt : membership.listCurrentAt;
+			const age = this.now - to.startedAt - (known ?? 0);
+			const {configuration} = tables;
+			const {list} = membership;
+			return () => {
+				if (isTables && configuration !== undefined) {
+					this.emit(from, {
+						kind: eventKind.configurationRead, configuration, text: '', currentAt: startedAt - age, source,
+					});
+				} else if (!isTables && list !== undefined) {
+					this.emit(from, {
+						kind: eventKind.listRead, list, currentAt: startedAt - age, source,
+					});
+				}
+			};
+		}, () => {
+			this.emit(from, {kind: eventKind.readFailed, document, source});
+		});
+	}
+
+	#borrow(from: FleetInstance, {peerId, request}: Borrow): void {
+		const askedAt = this.now - from.startedAt;
+		const {loanId, termMs} = request;
+		this.#call(from, peerId, borrowTimeoutMs, to => {
+			const callId = this.#nextCallId++;
+			let amounts: AnswerBorrow['amounts'] = [];
+			this.#borrowAnswers.set(callId, answer => {
+				amounts = answer.amounts;
+			});
+			this.emit(to, {kind: eventKind.borrowRequested, callId, request});
+			this.#borrowAnswers.delete(callId);
+			return () => {
+				this.emit(from, {
+					kind: eventKind.loanGranted, loanId, peerId, amounts, askedAt, termMs,
+				});
+			};
+		}, () => {
+			this.emit(from, {kind: eventKind.loanFailed, loanId, peerId});
+		});
+	}
+
+	#giveBack(from: FleetInstance, {peerId, loanId}: GiveBack): void {
+		this.#call(from, peerId, borrowTimeoutMs, to => {
+			this.emit(to, {kind: eventKind.loanGivenBack, loanId});
+			return () => {
+				// The answer says nothing.
+			};
+		}, () => {
+			// The lender takes the share back by itself.
+		});
+	}
+
+	/** One call: the request arrives once or twice, the answer or the time limit comes first. */
+	#call(from: FleetInstance, peerId: string, timeoutMs: number, arrive: (to: FleetInstance) => () => void, fail: () => void): void {
+		this.messageCount++;
+		let isSettled = false;
+		const settle = (run: () => void) => {
+			if (!isSettled) {
+				isSettled = true;
+				run();
+			}
+		};
+
+		const to = this.instances.get(peerId);
+		const canReach = () => to?.isAlive === true && to.side === from.side;
+		const copies = this.#drawChance(this.network.doubleProbability) ? 2 : 1;
+		for (let copy = 0; copy < copies; copy++) {
+			if (to === undefined || !canReach() || this.#drawChance(this.network.lossProbability)) {
+				continue;
+			}
+
+			this.#scheduleFor(to, this.#drawDelay(), () => {
+				const answer = arrive(to);
+				if (canReach() && !this.#drawChance(this.network.lossProbability)) {
+					this.messageCount++;
+					this.#scheduleFor(from, this.#drawDelay(), () => {
+						settle(answer);
+					});
+				}
+			});
+		}
+
+		this.#scheduleFor(from, timeoutMs, () => {
+			settle(fail);
+		});
+	}
+
+	#tick(instance: FleetInstance): void {
+		if (!instance.isAlive || this.instances.get(instance.id) !== instance) {
+			return;
+		}
+
+		this.emit(instance, {kind: eventKind.tick});
+		this.#scheduleFor(instance, tickMs, () => {
+			this.#tick(instance);
+		});
+	}
+
+	#scheduleFor(instance: FleetInstance, delayMs: number, run: () => void): void {
+		this.#insert({
+			at: this.now + delayMs, order: this.#order++, instance, run,
+		});
+	}
+
+	/** Keeps the deliveries in descending order, so that the next one is the last. */
+	#insert(delivery: Delivery): void {
+		let low = 0;
+		let high = this.#deliveries.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			const other = this.#deliveries[middle]!;
+			const isLater = other.at > delivery.at || (other.at === delivery.at && other.order > delivery.order);
+			if (isLater) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		this.#deliveries.splice(low, 0, delivery);
+	}
+
+	#drawDelay(): number {
+		return this.draw(this.network.minDelayMs, this.network.maxDelayMs);
+	}
+
+	#drawChance(probability: number): boolean {
+		return probability > 0 && this.draw(0, 999_999) < probability * 1_000_000;
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/bin/engine.ts
@@ -0,0 +1,30 @@
+#!/usr/bin/env node
+/**
+ * Starts the stand-in for a model engine.
+ */
+import {randomUUID} from 'node:crypto';
+import {Command} from 'commander';
+import {
+	createLogger, defineAddress, defineInteger, defineText, LifecycleManager, parseSettingsOrExit, readMonotonicMs,
+} from '@sequoiatally/runtime';
+import {createEngineApp, Engine} from '../lib/engine.js';
+import {serveApp} from '../lib/serve.js';
+
+const settings = parseSettingsOrExit(new Command('sequoiatally-stand-in-engine').description('Stand-in for a model engine.'), {
+	address: defineAddress({flag: 'address', description: 'Address to serve on', defaultText: '127.0.0.1:7200'}),
+	id: defineText({flag: 'id', description: 'Name of the target', defaultText: 'engine'}),
+	cachedChats: defineInteger(1, 1_000_000, {flag: 'cached-chats', description: 'Chats whose prefix stays cached', defaultText: '200'}),
+	tokenMs: defineInteger(0, 10_000, {flag: 'token-ms', description: 'Milliseconds between two tokens', defaultText: '5'}),
+	warmPrefillMs: defineInteger(0, 60_000, {flag: 'warm-prefill-ms', description: 'Milliseconds to the first token with a cached prefix', defaultText: '10'}),
+	coldPrefillMs: defineInteger(0, 60_000, {flag: 'cold-prefill-ms', description: 'Milliseconds to the first token without one', defaultText: '60'}),
+	warmAfterMs: defineInteger(0, 600_000, {flag: 'warm-after-ms', description: 'Milliseconds until the engine is warm', defaultText: '2000'}),
+	coldSlots: defineInteger(1, 10_000, {flag: 'cold-slots', description: 'Requests borne while cold', defaultText: '2'}),
+	slots: defineInteger(1, 10_000, {flag: 'slots', description: 'Requests borne when warm', defaultText: '32'}),
+});
+
+const logger = createLogger(`stand-in-engine-${settings.id}`, 'info');
+const lifecycle = new LifecycleManager(logger);
+const engine = new Engine({...settings, bootId: randomUUID()}, readMonotonicMs());
+await serveApp(createEngineApp(engine, readMonotonicMs), settings.address, lifecycle);
+lifecycle.handleSignals(async () => lifecycle.closeAll());
+logger.info({event: 'listening', ...settings.address});
--- /dev/null
+++ b/packages/stand-ins/src/lib/plain-service.ts
@@ -0,0 +1,92 @@
+/**
+ * A stand-in for a plain service, such as a booking desk. It counts every run
+ * per request identifier, so that a test can see a doubled one.
+ */
+import {Hono} from 'hono';
+
+/** How a plain service fails; `none` is normal. */
+export const plainFault = {
+	none: 'none',
+	/** Breaks the connection before it runs anything. */
+	cutBefore: 'cut-before',
+	/** Runs, then breaks the connection without an answer. */
+	cutAfter: 'cut-after',
+	/** Runs, then never answers. */
+	silent: 'silent',
+	/** Runs and answers with another request's identifier. */
+	cross: 'cross',
+	/** Refuses before it runs anything. */
+	refuse: 'refuse',
+} as const;
+export type PlainFault = typeof plainFault[keyof typeof plainFault];
+
+/** Never settles a promise: stands for a service that says nothing. */
+function ignoreAll(): void {
+	// Deliberately empty.
+}
+
+/** The service's state. */
+export class PlainService {
+	fault: PlainFault = plainFault.none;
+	/** Runs by the caller's idempotency key, or by request identifier without one. */
+	readonly runsByKey = new Map<string, number>();
+	keySightings = 0;
+
+	/** `runMs` is the time that each run takes, in milliseconds. */
+	constructor(readonly id: string, readonly runMs: number) {}
+
+	countRun(key: string): void {
+		this.runsByKey.set(key, (this.runsByKey.get(key) ?? 0) + 1);
+	}
+}
+
+/** Serves a plain service over HTTP. */
+export function createPlainServiceApp(service: PlainService): Hono {
+	const app = new Hono();
+	app.get('/control/stats', c => c.json({runs: Object.fromEntries(service.runsByKey), keySightings: service.keySightings}));
+	app.post('/control/fault', async c => {
+		const {fault} = await c.req.json<{fault: string}>();
+		const known = Object.values(plainFault).find(value => value === fault);
+		if (known === undefined) {
+			return c.json({error: 'unknown-fault'}, 400);
+		}
+
+		service.fault = known;
+		return c.json({});
+	});
+	app.all('*', async c => {
+		const requestId = c.req.header('x-request-id') ?? '';
+		const {outgoing} = c.env as {outgoing: {destroy: () => void}};
+		const {fault} = service;
+		if (c.req.header('authorization') !== undefined || c.req.header('cookie') !== undefined) {
+			service.keySightings++;
+		}
+
+		await c.req.arrayBuffer();
+		if (fault === plainFault.refuse) {
+			return c.json({error: 'not started'}, 503, {'x-request-id': requestId, 'x-not-started': 'true'});
+		}
+
+		if (fault === plainFault.cutBefore) {
+			outgoing.destroy();
+			return c.body(null);
+		}
+
+		service.countRun(c.req.header('x-idempotency-key') ?? requestId);
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, service.runMs);
+		});
+		if (fault === plainFault.cutAfter) {
+			outgoing.destroy();
+			return c.body(null);
+		}
+
+		if (fault === plainFault.silent) {
+			await new Promise(ignoreAll);
+		}
+
+		const echoedId = fault === plainFault.cross ? `${requestId}-other` : requestId;
+		return c.json({service: service.id, requestId: echoedId, path: c.req.path}, 200, {'x-request-id': echoedId});
+	});
+	return app;
+}
