--- /dev/null
+++ b/packages/scenarios/src/lib/experiments/index.ts
@@ -0,0 +1,6 @@
+/**
+ * All experiments, in the order in which they are reported.
+ */
+import type {Experiment} from '../experiment.js';
+
+export const experiments: readonly Experiment[] = [];
