Border for operators: drains that can be undone, and more of the time line

Cause: a drain by an operator ended the process as soon as it was idle, so that there was nothing left to undrain; time line entries did not name the route, and had no kinds for callers and targets. Change: drainRequested may keep the process; a later signal overrules it. Entries name the route. The runner shows each effect to its handler.

--- a/packages/core/src/lib/event.ts
+++ b/packages/core/src/lib/event.ts
@@ -180,7 +180,13 @@
 	readonly inFlight?: number;
 };
 
-export type DrainRequested = {readonly kind: typeof eventKind.drainRequested; readonly by: string};
+/** Somebody asks this instance to take no new work. */
+export type DrainRequested = {
+	readonly kind: typeof eventKind.drainRequested;
+	readonly by: string;
+	/** True: the process stays when its requests are finished, so that it can be undrained. */
+	readonly staysAfter?: boolean;
+};
 export type UndrainRequested = {readonly kind: typeof eventKind.undrainRequested; readonly by: string};
 
 /** Time has passed; sent several times a second. */
--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -22,6 +22,8 @@
 	exchangedAt: Map<string, number>;
 	/** True: this instance takes no new work and ends when its requests have. */
 	isDraining: boolean;
+	/** True: the drained process does not end, so that it can be undrained. */
+	staysAfterDrain: boolean;
 	/** Time at which draining began. */
 	drainStartedAt?: number;
 	/** Time of the last event, to notice that the process was paused. */
@@ -30,6 +32,6 @@
 
 export function createMembershipState(): MembershipState {
 	return {
-		peers: new Map(), exchangedAt: new Map(), isDraining: false, lastEventAt: 0,
+		peers: new Map(), exchangedAt: new Map(), isDraining: false, staysAfterDrain: false, lastEventAt: 0,
 	};
 }
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -5,7 +5,7 @@
 import {updateBuckets} from './allowance/allowance-state.js';
 import {effectKind, type Effect} from './effect.js';
 import {
-	documentKind, eventKind, type DocumentUnchanged, type Event,
+	documentKind, eventKind, type DocumentUnchanged, type DrainRequested, type Event,
 } from './event.js';
 import {
 	applyList, applyPeerFailure, applySummary, exchangeWithPeers,
@@ -109,13 +109,13 @@
 		}
 
 		case eventKind.drainRequested: {
-			startDrain(step, event.by);
+			startDrain(step, event);
 			finishDrainIfIdle(step);
 			break;
 		}
 
 		case eventKind.undrainRequested: {
-			step.state.membership.isDraining = false;
+			stopDrain(step, event.by);
 			break;
 		}
 
@@ -148,8 +148,10 @@
 	}
 }
 
-function startDrain(step: Step, by: string): void {
+function startDrain(step: Step, {by, staysAfter = false}: DrainRequested): void {
 	const {membership} = step.state;
+	// A later request to end the process overrules one that keeps it.
+	membership.staysAfterDrain = staysAfter && (membership.staysAfterDrain || !membership.isDraining);
 	if (membership.isDraining) {
 		return;
 	}
@@ -159,9 +161,18 @@
 	recordEntry(step, {kind: timelineKind.drainStarted, cause: 'drain', detail: `Requested by ${by}.`});
 }
 
+/** Takes new work again, unless the process is about to end. */
+function stopDrain(step: Step, by: string): void {
+	const {membership} = step.state;
+	if (membership.isDraining && membership.staysAfterDrain) {
+		membership.isDraining = false;
+		recordEntry(step, {kind: timelineKind.drainEnded, cause: 'drain', detail: `Undrained by ${by}.`});
+	}
+}
+
 function finishDrainIfIdle(step: Step): void {
 	const {membership, requests} = step.state;
-	if (membership.isDraining && requests.pending.size === 0) {
+	if (membership.isDraining && !membership.staysAfterDrain && requests.pending.size === 0) {
 		step.effects.push({kind: effectKind.finishDrain});
 	}
 }
--- a/packages/core/src/lib/requests/reduce-requests.ts
+++ b/packages/core/src/lib/requests/reduce-requests.ts
@@ -115,7 +115,7 @@
 
 	finishRequest(step, request);
 	recordEntry(step, {
-		kind: timelineKind.callerLeft, cause: request.requestId, requestId: request.requestId, account: request.account,
+		kind: timelineKind.callerLeft, cause: request.requestId, requestId: request.requestId, account: request.account, route: request.route.name,
 	});
 }
 
@@ -228,7 +228,7 @@
 function recordRequest(step: Step, kind: TimelineKind, request: PendingRequest, detail?: string): void {
 	const {requestId, chatKey, account, targetId} = request;
 	recordEntry(step, {
-		kind, cause: requestId, requestId, chatKey, account, targetId, detail,
+		kind, cause: requestId, requestId, chatKey, account, route: request.route.name, targetId, detail,
 	});
 }
 
@@ -255,6 +255,6 @@
 
 	step.effects.push({kind: effectKind.refuse, requestId, refusal});
 	recordEntry(step, {
-		kind: timelineKind.requestRefused, cause: requestId, requestId, account: request?.account, detail: `${refusal.reason} (${refusal.outcome})`,
+		kind: timelineKind.requestRefused, cause: requestId, requestId, account: request?.account, route: request?.route.name, detail: `${refusal.reason} (${refusal.outcome})`,
 	});
 }
--- a/packages/core/src/lib/timeline-entry.ts
+++ b/packages/core/src/lib/timeline-entry.ts
@@ -6,6 +6,12 @@
 export const timelineKind = {
 	processStarted: 'process-started',
 	processStopped: 'process-stopped',
+	/** Written by callers, which learn the request's identifier from the answer. */
+	callerSent: 'caller-sent',
+	callerAnswered: 'caller-answered',
+	/** Written by targets. */
+	targetReceived: 'target-received',
+	targetAnswered: 'target-answered',
 	requestReceived: 'request-received',
 	requestWaits: 'request-waits',
 	requestDispatched: 'request-dispatched',
@@ -24,6 +30,7 @@
 	drainStarted: 'drain-started',
 	drainEnded: 'drain-ended',
 	alarmRaised: 'alarm-raised',
+	alarmCleared: 'alarm-cleared',
 	faultInjected: 'fault-injected',
 	administratorActed: 'administrator-acted',
 } as const;
@@ -36,6 +43,8 @@
 	readonly requestId?: string;
 	readonly chatKey?: string;
 	readonly account?: string;
+	/** Name of the request's route. */
+	readonly route?: string;
 	readonly targetId?: string;
 	readonly peerId?: string;
 	/** One sentence for a person; never holds a key or caller data. */
--- a/packages/router/src/lib/runner.ts
+++ b/packages/router/src/lib/runner.ts
@@ -12,6 +12,11 @@
  * the outcome comes back as an event.
  */
 export abstract class EffectHandler {
+	/** Sees every effect before it is carried out. */
+	observe(_effect: Effect): void {
+		// Nothing to do unless a handler counts effects.
+	}
+
 	abstract dispatch(effect: Dispatch): void;
 	abstract refuse(effect: Refuse): void;
 	abstract cancel(effect: Cancel): void;
@@ -62,6 +67,7 @@
 
 	#carryOut(effect: Effect): void {
 		const handler = this.#handler!;
+		handler.observe(effect);
 		switch (effect.kind) {
 			case effectKind.dispatch: {
 				handler.dispatch(effect);
