--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './lib/configuration/configuration.js';
 export * from './lib/configuration/check-configuration.js';
+export * from './lib/configuration/configuration-schema.js';
 export * from './lib/configuration/instance-list.js';
 export * from './lib/effect.js';
 export * from './lib/event.js';
@@ -18,3 +19,8 @@
 export type {Target} from './lib/targets/target-state.js';
 export type {TokenBucket} from './lib/allowance/token-bucket.js';
 export type {PendingRequest} from './lib/requests/request-state.js';
+export * from './lib/describe/describe-accounts.js';
+export * from './lib/describe/describe-instances.js';
+export * from './lib/describe/describe-targets.js';
+export * from './lib/describe/explain-choice.js';
+export * from './lib/describe/list-alarms.js';
--- /dev/null
+++ b/packages/core/src/lib/describe/describe-targets.ts
@@ -0,0 +1,78 @@
+/**
+ * Describes the targets for operators: load, coldness and slots as this
+ * instance sees them.
+ */
+import type {Pool} from '../configuration/configuration.js';
+import {listedState} from '../configuration/instance-list.js';
+import type {State} from '../state.js';
+import type {Target} from '../targets/target-state.js';
+
+export type TargetDescription = {
+	readonly targetId: string;
+	readonly pool: string;
+	readonly address: string;
+	readonly zone: string;
+	/** True: the list shows it as leaving, or no longer shows it. */
+	readonly isLeaving: boolean;
+	readonly isZoneDrained: boolean;
+	/** Time for which it is still left alone after a failed attempt, in milliseconds. */
+	readonly avoidedForMs: number;
+	/** Undefined: nothing is known of its boot. */
+	readonly uptimeMs?: number;
+	/** True: younger than the pool's warm-up, or of unknown age. */
+	readonly isCold: boolean;
+	/** Requests that this instance has in flight there. */
+	readonly inFlight: number;
+	/** Requests that the peers have in flight there, by their latest summaries. */
+	readonly peerInFlight: number;
+	/** Requests that the target bears over the whole fleet in its present state. */
+	readonly fleetSlots: number;
+};
+
+/** Describes every known target. */
+export function describeTargets(state: State, now: number): TargetDescription[] {
+	const peerInFlight = countPeerInFlight(state);
+	return [...state.targets.targets.values()]
+		.map(target => describeTarget(state, target, peerInFlight.get(target.listed.id) ?? 0, now));
+}
+
+function describeTarget(state: State, target: Target, peerInFlight: number, now: number): TargetDescription {
+	const {listed, bootedAt, avoidUntil, inFlight} = target;
+	const {configuration} = state.tables;
+	const pool = configuration?.pools.find(({name}) => name === listed.pool);
+	const uptimeMs = bootedAt === undefined ? undefined : Math.round(now - bootedAt);
+	const isCold = uptimeMs === undefined || uptimeMs < (pool?.warmAfterMs ?? 0);
+	return {
+		targetId: listed.id,
+		pool: listed.pool,
+		address: listed.address,
+		zone: listed.zone,
+		isLeaving: listed.state !== listedState.live,
+		isZoneDrained: configuration?.drainedZones.includes(listed.zone) ?? false,
+		avoidedForMs: Math.max(0, Math.round(avoidUntil - now)),
+		uptimeMs,
+		isCold,
+		inFlight,
+		peerInFlight,
+		fleetSlots: computeSlots(pool, isCold),
+	};
+}
+
+function computeSlots(pool: Pool | undefined, isCold: boolean): number {
+	if (pool === undefined) {
+		return 0;
+	}
+
+	return isCold ? pool.coldSlots : pool.slotsPerTarget;
+}
+
+function countPeerInFlight({membership}: State): Map<string, number> {
+	const counts = new Map<string, number>();
+	for (const {summary} of membership.peers.values()) {
+		for (const {targetId, inFlight} of summary.targets) {
+			counts.set(targetId, (counts.get(targetId) ?? 0) + inFlight);
+		}
+	}
+
+	return counts;
+}
--- a/packages/router/src/bin/router.ts
+++ b/packages/router/src/bin/router.ts
@@ -4,7 +4,7 @@
  */
 import {eventKind} from '@sequoiatally/core';
 import {
-	createLogger, defineAddress, defineChoice, defineText, LifecycleManager, logLevels, makeOptional, parseSettingsOrExit,
+	createLogger, defineAddress, defineChoice, defineNamedTokens, defineText, LifecycleManager, logLevels, makeOptional, parseSettingsOrExit,
 } from '@sequoiatally/runtime';
 import {Command} from 'commander';
 import {startRouter} from '../lib/router.js';
@@ -21,9 +21,7 @@
 	fleetSecret: defineText({
 		flag: 'fleet-secret', description: 'Secret that routers show each other', pattern: /^.{16,}$/, allowed: 'at least 16 characters', isSecret: true,
 	}),
-	adminToken: defineText({
-		flag: 'admin-token', description: 'Token that operators show', pattern: /^.{16,}$/, allowed: 'at least 16 characters', isSecret: true,
-	}),
+	adminTokens: defineNamedTokens({flag: 'admin-tokens', description: 'Tokens that operators show, each with the name of its holder'}),
 	timelinePath: makeOptional(defineText({flag: 'timeline-path', description: 'File or pipe to which time line entries are appended'})),
 	logLevel: defineChoice(logLevels, {flag: 'log-level', description: 'Least severe level that is logged', defaultText: 'info'}),
 });
--- a/packages/router/src/lib/admin-server.ts
+++ b/packages/router/src/lib/admin-server.ts
@@ -1,57 +1,110 @@
 /**
- * Serves operators on an address of its own: health, metrics and, with the
- * operators' token, the state and draining. It changes nothing shared.
+ * Serves operators on an address of its own: health, metrics and, with an
+ * operator's token, the administration API. It changes nothing shared.
  */
-import {createHash, timingSafeEqual} from 'node:crypto';
 import {createServer} from 'node:http';
 import {getRequestListener} from '@hono/node-server';
-import {eventKind, timelineKind, type State} from '@sequoiatally/core';
-import type {LifecycleManager, SocketAddress, TimelineWriter} from '@sequoiatally/runtime';
+import {isReady} from '@sequoiatally/core';
+import type {LifecycleManager, NamedToken, SocketAddress} from '@sequoiatally/runtime';
 import {Hono, type Context, type Next} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+import {err, ok, type Result} from 'neverthrow';
+import type {z} from 'zod';
+import {createAdminActions, type AdminSubject} from './admin/admin-actions.js';
+import {
+	adminErrorKind, createAdminError, statusByAdminError, type AdminError,
+} from './admin/admin-error.js';
+import {adminRoutes, type AdminRoute} from './admin/admin-routes.js';
+import {OperatorTokens} from './admin/operator-tokens.js';
 import type {Metrics} from './metrics.js';
-import type {Runner} from './runner.js';
 
-/** Says whether callers may be sent here. */
-export function isReady({tables, membership}: State): boolean {
-	return tables.configuration !== undefined && membership.list !== undefined && !membership.isDraining;
-}
+/** Largest body that an operator may send. */
+const largestBodyBytes = 64 * 1024;
 
 /** What the administration server needs. */
-export type AdminParts = {readonly runner: Runner; readonly metrics: Metrics; readonly timeline: TimelineWriter; readonly token: string};
+export type AdminParts = AdminSubject & {readonly metrics: Metrics; readonly tokens: readonly NamedToken[]};
+
+type AdminContext = Context<{Variables: {operator: string}}>;
+/** Any route's action; each one's input was checked against its own schemas. */
+type AnyAction = (input: unknown) => Result<unknown, AdminError>;
 
 /** Creates the administration application. */
-export function createAdminApp({runner, metrics, timeline, token}: AdminParts): Hono {
-	const app = new Hono();
-	const digest = (text: string) => createHash('sha256').update(text).digest();
+export function createAdminApp(parts: AdminParts): Hono<{Variables: {operator: string}}> {
+	const {runner, metrics} = parts;
+	const app = new Hono<{Variables: {operator: string}}>();
 	app.get('/healthz', c => c.text('ok'));
 	app.get('/readyz', c => isReady(runner.state) ? c.text('ready') : c.text('not ready', 503));
 	app.get('/metrics', async c => c.text(await metrics.registry.metrics()));
-	app.use('/v1/*', async (c: Context, next: Next) => {
-		const shown = c.req.header('authorization') ?? '';
-		if (!timingSafeEqual(digest(shown), digest(`Bearer ${token}`))) {
-			return c.json({error: {type: 'unauthorized', message: 'Send the operators\' token as "Authorization: Bearer <token>".'}}, 401);
+	app.use('/v1/*', createGuard(parts), bodyLimit({
+		maxSize: largestBodyBytes,
+		onError: c => answerError(c as AdminContext, createAdminError(adminErrorKind.badInput, `The body is larger than ${largestBodyBytes} bytes.`)),
+	}));
+	const actions = createAdminActions(parts);
+	for (const [name, route] of Object.entries(adminRoutes)) {
+		const act = actions[name as keyof typeof actions] as AnyAction;
+		app.on(route.method, route.path.replaceAll(/{(\w+)}/g, ':$1'), async c => answerRoute(c, route, act));
+	}
+
+	app.notFound(c => answerError(c, createAdminError(adminErrorKind.notFound, 'There is no such path; see docs/openapi.json.')));
+	return app;
+}
+
+/** Lets only known operators pass. */
+function createGuard({tokens, logger}: AdminParts): (c: AdminContext, next: Next) => Promise<Response | undefined> {
+	const operatorTokens = new OperatorTokens(tokens);
+	return async (c, next) => {
+		const operator = operatorTokens.findOperator(c.req.header('authorization') ?? '');
+		if (operator === undefined) {
+			logger.warn({event: 'operator-rejected', method: c.req.method});
+			return answerError(c, createAdminError(adminErrorKind.unauthorized, 'Send an operator\'s token as "Authorization: Bearer <token>".'));
 		}
 
+		c.set('operator', operator);
 		await next();
-	});
-	app.get('/v1/status', c => {
-		const {state} = runner;
-		return c.json({
-			...state.self,
-			configurationVersion: state.tables.configuration?.version ?? 0,
-			isDraining: state.membership.isDraining,
-			instances: state.membership.list?.instances ?? [],
-			openRequests: state.requests.pending.size,
-			buckets: Object.fromEntries(state.allowances.buckets),
-		});
-	});
-	app.get('/v1/timeline', c => c.json(timeline.listKept()));
-	app.post('/v1/drain', c => {
-		timeline.write({kind: timelineKind.administratorActed, cause: 'drain'});
-		runner.handle({kind: eventKind.drainRequested, by: 'administrator'});
-		return c.json({draining: true});
-	});
-	return app;
+		return undefined;
+	};
+}
+
+async function answerRoute(c: AdminContext, route: AdminRoute, act: AnyAction): Promise<Response> {
+	const input = await readInput(c, route);
+	const output = input.andThen(act);
+	return output.isOk() ? c.json(output.value as Record<string, unknown>) : answerError(c, output.error);
+}
+
+async function readInput(c: AdminContext, route: AdminRoute): Promise<Result<unknown, AdminError>> {
+	const body = await readBody(c, route);
+	return checkPart('path', route.parameters, c.req.param())
+		.andThen(parameters => checkPart('query', route.query, c.req.query())
+			.andThen(query => body.map(value => ({
+				operator: c.get('operator'), parameters, query, body: value,
+			}))));
+}
+
+async function readBody(c: AdminContext, {body}: AdminRoute): Promise<Result<unknown, AdminError>> {
+	if (body === undefined) {
+		return ok(undefined);
+	}
+
+	try {
+		return checkPart('body', body, await c.req.json());
+	} catch {
+		return err(createAdminError(adminErrorKind.badInput, 'The body is not JSON.'));
+	}
+}
+
+function checkPart(place: string, schema: z.ZodObject | undefined, value: unknown): Result<unknown, AdminError> {
+	if (schema === undefined) {
+		return ok(undefined);
+	}
+
+	const parsed = schema.safeParse(value);
+	return parsed.success
+		? ok(parsed.data)
+		: err(createAdminError(adminErrorKind.badInput, parsed.error.issues.map(issue => `${[place, ...issue.path].join('.')}: ${issue.message}`).join('; ')));
+}
+
+function answerError(c: AdminContext, error: AdminError): Response {
+	return c.json({error}, statusByAdminError[error.type]);
 }
 
 /** Starts to listen. */
--- /dev/null
+++ b/packages/router/src/lib/admin/admin-actions.ts
@@ -0,0 +1,105 @@
+/**
+ * What each route of the administration API does. The answers follow from the
+ * state and the entries in memory; the only changes are draining and its end.
+ */
+import {
+	describeAccounts, describeInstances, describeStatus, describeTargets, eventKind, explainChoice, timelineKind,
+} from '@sequoiatally/core';
+import {
+	isSelected, readMonotonicMs, type Logger, type TimelineWriter,
+} from '@sequoiatally/runtime';
+import {err, ok, type Result} from 'neverthrow';
+import type {AlarmWatch} from '../alarm-watch.js';
+import {countByType, type RecentRefusals} from '../recent-refusals.js';
+import type {Runner} from '../runner.js';
+import {adminErrorKind, createAdminError, type AdminError} from './admin-error.js';
+import type {AdminInput, AdminOutput, AdminRouteName} from './admin-routes.js';
+import {explainRequest} from './explain-request.js';
+
+/** What the actions work on. */
+export type AdminSubject = {
+	readonly runner: Runner;
+	readonly timeline: TimelineWriter;
+	readonly refusals: RecentRefusals;
+	readonly alarms: AlarmWatch;
+	readonly logger: Logger;
+};
+
+type Action<N extends AdminRouteName> = (input: AdminInput<N>) => Result<AdminOutput<N>, AdminError>;
+export type AdminActions = {readonly [N in AdminRouteName]: Action<N>};
+
+/** Creates the actions of one router. */
+export function createAdminActions(subject: AdminSubject): AdminActions {
+	const {
+		runner, timeline, refusals, alarms,
+	} = subject;
+	const {state} = runner;
+	return {
+		status: () => ok({...describeStatus(state, readMonotonicMs()), alarms: [...alarms.standing]}),
+		instances: () => ok({instances: describeInstances(state, readMonotonicMs())}),
+		tables: () => describeTables(runner),
+		targets: ({query}) => ok({
+			targets: describeTargets(state, readMonotonicMs()).filter(({pool}) => pool === (query.pool ?? pool)),
+		}),
+		accounts: ({query}) => ok({
+			accounts: describeAccounts(state, readMonotonicMs()).filter(({name}) => name === (query.name ?? name)),
+		}),
+		refusals({query}) {
+			const recent = refusals.listSince(query.sinceMs);
+			return ok({counts: countByType(recent), newest: recent.slice(0, query.limit)});
+		},
+		timeline: ({query}) => ok({
+			lines: timeline.listKept().filter(line => isSelected(line, query)).slice(-query.limit),
+		}),
+		request({parameters: {requestId}}) {
+			const explanation = explainRequest(timeline.listKept(), requestId);
+			return explanation === undefined
+				? err(createAdminError(adminErrorKind.notFound, 'No entry of this request is kept here; ask the other instances, or the time line\'s files.'))
+				: ok(explanation);
+		},
+		explain: ({body}) => ok(toMutable(explainChoice(state, body, readMonotonicMs()))),
+		drain: ({operator}) => drain(subject, operator),
+		undrain: ({operator}) => undrain(subject, operator),
+	};
+}
+
+function describeTables({state}: Runner): Result<AdminOutput<'tables'>, AdminError> {
+	const {configuration} = state.tables;
+	if (configuration === undefined) {
+		return err(createAdminError(adminErrorKind.notReady, 'No configuration has been read yet; see the alarms of /v1/status.'));
+	}
+
+	const accounts = configuration.accounts.map(account => ({...account, keyDigests: []}));
+	return ok({...configuration, accounts});
+}
+
+function drain(subject: AdminSubject, operator: string): Result<AdminOutput<'drain'>, AdminError> {
+	const {state} = subject.runner;
+	recordAction(subject, operator, 'drain');
+	if (!state.membership.isDraining) {
+		subject.runner.handle({kind: eventKind.drainRequested, by: operator, staysAfter: true});
+	}
+
+	return ok({isDraining: state.membership.isDraining, openRequests: state.requests.pending.size});
+}
+
+function undrain(subject: AdminSubject, operator: string): Result<AdminOutput<'undrain'>, AdminError> {
+	const {state} = subject.runner;
+	recordAction(subject, operator, 'undrain');
+	subject.runner.handle({kind: eventKind.undrainRequested, by: operator});
+	return state.membership.isDraining
+		? err(createAdminError(adminErrorKind.shuttingDown, 'This process was told to end; start another in its place.'))
+		: ok({isDraining: false, openRequests: state.requests.pending.size});
+}
+
+function recordAction({timeline, logger}: AdminSubject, operator: string, action: string): void {
+	timeline.write({kind: timelineKind.administratorActed, cause: action, detail: `${operator}: ${action}`});
+	logger.info({event: timelineKind.administratorActed, operator, action});
+}
+
+type Choice = ReturnType<typeof explainChoice>;
+
+/** The API's types are mutable; a copy keeps the two apart. */
+function toMutable(choice: Choice): AdminOutput<'explain'> {
+	return {...choice, targets: [...choice.targets]};
+}
--- /dev/null
+++ b/packages/router/src/lib/admin/explain-request.ts
@@ -0,0 +1,46 @@
+/**
+ * Explains what became of a request, from the time line entries that this
+ * instance keeps in memory.
+ */
+import {timelineKind} from '@sequoiatally/core';
+import type {TimelineLine} from '@sequoiatally/runtime';
+import type {AdminOutput} from './admin-routes.js';
+
+type RequestExplanation = AdminOutput<'request'>;
+
+const endByKind: Readonly<Record<string, RequestExplanation['end']>> = {
+	[timelineKind.requestCompleted]: 'completed',
+	[timelineKind.requestRefused]: 'refused',
+	[timelineKind.callerLeft]: 'caller-left',
+};
+
+/** Explains a request; undefined: no entry of it is kept. */
+export function explainRequest(lines: readonly TimelineLine[], requestId: string): RequestExplanation | undefined {
+	const entries = lines.filter(line => line.requestId === requestId);
+	if (entries.length === 0) {
+		return undefined;
+	}
+
+	const last = entries.findLast(({kind}) => endByKind[kind] !== undefined);
+	const dispatched = entries.filter(({kind}) => kind === timelineKind.requestDispatched);
+	return {
+		requestId,
+		end: last === undefined ? 'open' : endByKind[last.kind]!,
+		route: findText(entries, 'route'),
+		account: findText(entries, 'account'),
+		targetIds: dispatched.map(line => String(line.targetId)),
+		reason: findText([...entries].reverse(), 'detail'),
+		entries,
+	};
+}
+
+function findText(lines: readonly TimelineLine[], field: string): string | undefined {
+	for (const line of lines) {
+		const value = line[field];
+		if (typeof value === 'string') {
+			return value;
+		}
+	}
+
+	return undefined;
+}
--- /dev/null
+++ b/packages/router/src/lib/admin/operator-tokens.ts
@@ -0,0 +1,33 @@
+/**
+ * Recognizes operators by their tokens. Only digests are kept, and a token is
+ * compared with each of them in constant time.
+ */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {NamedToken} from '@sequoiatally/runtime';
+
+/** The tokens of one process. */
+export class OperatorTokens {
+	readonly #digests: ReadonlyArray<{readonly name: string; readonly digest: Uint8Array}>;
+
+	constructor(tokens: readonly NamedToken[]) {
+		this.#digests = tokens.map(({name, token}) => ({name, digest: computeDigest(`Bearer ${token}`)}));
+	}
+
+	/** Finds the name of the operator whose token an `authorization` header shows. */
+	findOperator(authorization: string): string | undefined {
+		const shown = computeDigest(authorization);
+		let found: string | undefined;
+		// Every token is compared, so that the time does not tell which one matched.
+		for (const {name, digest} of this.#digests) {
+			if (timingSafeEqual(shown, digest)) {
+				found = name;
+			}
+		}
+
+		return found;
+	}
+}
+
+function computeDigest(text: string): Uint8Array {
+	return createHash('sha256').update(text).digest();
+}
--- a/packages/router/src/lib/metrics.ts
+++ b/packages/router/src/lib/metrics.ts
@@ -1,38 +1,142 @@
 /**
- * Metrics, by the `prom-client` library.
+ * Metrics, by the `prom-client` library. None has a label for the client
+ * account, the chat or the key, so that their number stays bounded.
  */
-import {timelineKind, type TimelineEntry} from '@sequoiatally/core';
+import {
+	effectKind, eventKind, timelineKind, type Effect, type Event, type Refusal, type State, type TimelineEntry,
+} from '@sequoiatally/core';
 import {
 	collectDefaultMetrics, Counter, Gauge, Registry,
 } from 'prom-client';
+import type {AlarmWatch} from './alarm-watch.js';
 import type {Runner} from './runner.js';
 
+/** Prefix of every metric of the product; those of the process have the library's names. */
+const prefix = 'sequoiatally_';
+/** Route of requests that were refused before a route was found. */
+const unknownRoute = 'none';
+
+/** Outcome of a request by the entry that ends it. */
+const outcomeByKind: Readonly<Record<string, string>> = {
+	[timelineKind.requestCompleted]: 'completed',
+	[timelineKind.requestRefused]: 'refused',
+	[timelineKind.callerLeft]: 'caller-left',
+};
+
+/** Effects that send a message to a peer or the configuration service. */
+const controlEffects: ReadonlyArray<Effect['kind']> = [
+	effectKind.readDocument, effectKind.fetchDocument, effectKind.exchange, effectKind.borrow, effectKind.answerBorrow, effectKind.giveBack,
+];
+
 /** Metrics of one router. */
 export class Metrics {
 	readonly registry = new Registry();
-	readonly #events: Counter<'kind'>;
+	readonly #entries: Counter<'kind'>;
+	readonly #requests: Counter<'route' | 'outcome'>;
+	readonly #refusals: Counter<'reason' | 'outcome'>;
+	readonly #attempts: Counter<'outcome'>;
+	readonly #effects: Counter<'kind'>;
+	readonly #control: Counter<'kind'>;
 
-	constructor(runner: Runner) {
+	constructor(runner: Runner, alarms: AlarmWatch) {
 		collectDefaultMetrics({register: this.registry});
-		this.#events = new Counter({
-			name: 'sequoiatally_events_total', help: 'Time line entries by kind.', labelNames: ['kind'], registers: [this.registry],
+		this.#entries = this.#createCounter('events_total', 'Time line entries by kind.', ['kind']);
+		this.#requests = this.#createCounter('requests_total', 'Finished requests by route and outcome.', ['route', 'outcome']);
+		this.#refusals = this.#createCounter('refusals_total', 'Refusals by reason, and whether the request may have run.', ['reason', 'outcome']);
+		this.#attempts = this.#createCounter('attempts_total', 'Attempts at targets by outcome.', ['outcome']);
+		this.#effects = this.#createCounter('effects_total', 'Effects of the reducer by kind.', ['kind']);
+		this.#control = this.#createCounter('control_calls_total', 'Calls to peers and to the configuration service by kind.', ['kind']);
+		for (const kind of controlEffects) {
+			this.#control.inc({kind}, 0);
+		}
+
+		this.#createRequestGauges(runner.state);
+		this.#createFleetGauges(runner.state);
+		this.#createAlarmGauge(alarms);
+	}
+
+	/** Counts a time line entry, and the request that it ends. */
+	count({kind, route = unknownRoute}: TimelineEntry): void {
+		this.#entries.inc({kind});
+		const outcome = outcomeByKind[kind];
+		if (outcome !== undefined) {
+			this.#requests.inc({route, outcome});
+		}
+	}
+
+	/** Counts a refusal. */
+	countRefusal({reason, outcome}: Refusal): void {
+		this.#refusals.inc({reason, outcome});
+	}
+
+	/** Counts what an event says has happened. */
+	countEvent(event: Event): void {
+		if (event.kind === eventKind.attemptEnded) {
+			this.#attempts.inc({outcome: event.outcome});
+		}
+	}
+
+	/** Counts an effect. */
+	countEffect({kind}: Effect): void {
+		this.#effects.inc({kind});
+		if (controlEffects.includes(kind)) {
+			this.#control.inc({kind});
+		}
+	}
+
+	#createCounter<L extends string>(name: string, help: string, labelNames: L[]): Counter<L> {
+		return new Counter({
+			name: prefix + name, help, labelNames, registers: [this.registry],
 		});
-		const {registry} = this;
-		const gauge = (name: string, help: string, read: () => number) => new Gauge({
-			name, help, registers: [registry], collect() {
+	}
+
+	#createGauge(name: string, help: string, read: () => number): void {
+		new Gauge({
+			name: prefix + name, help, registers: [this.registry], collect() {
 				this.set(read());
 			},
-		});
-		gauge('sequoiatally_requests_open', 'Requests that are open.', () => runner.state.requests.pending.size);
-		gauge('sequoiatally_configuration_version', 'Version in force.', () => runner.state.tables.configuration?.version ?? 0);
-		gauge('sequoiatally_instances_listed', 'Instances on the list.', () => runner.state.membership.list?.instances.length ?? 0);
-		for (const kind of Object.values(timelineKind)) {
-			this.#events.inc({kind}, 0);
-		}
+		}).set(0);
+	}
+
+	#createRequestGauges(state: State): void {
+		this.#createGauge('requests_open', 'Requests that are open.', () => state.requests.pending.size);
+		this.#createGauge('requests_waiting', 'Requests that wait for a token or a target.', () => state.requests.waiting.size);
+		new Gauge({
+			name: `${prefix}targets_in_flight`, help: 'Requests in flight at targets by pool.', labelNames: ['pool'], registers: [this.registry], collect() {
+				this.reset();
+				for (const {listed, inFlight} of state.targets.targets.values()) {
+					this.inc({pool: listed.pool}, inFlight);
+				}
+			},
+		}).reset();
+	}
+
+	#createFleetGauges(state: State): void {
+		this.#createGauge('configuration_version', 'Version in force.', () => state.tables.configuration?.version ?? 0);
+		this.#createGauge('instances_listed', 'Instances on the list.', () => state.membership.list?.instances.length ?? 0);
+		this.#createGauge('peers_heard', 'Peers that were heard at least once.', () => state.membership.peers.size);
+		this.#createGauge('draining', '1 while this instance takes no new work.', () => Number(state.membership.isDraining));
+		this.#createGauge('share_rate', 'Requests per second that this instance may admit, over all client accounts.', () => sumBuckets(state, 'rate'));
+		this.#createGauge('share_tokens', 'Tokens that this instance holds, over all client accounts.', () => sumBuckets(state, 'tokens'));
+	}
+
+	#createAlarmGauge(alarms: AlarmWatch): void {
+		new Gauge({
+			name: `${prefix}alarm`, help: '1 for each alarm that stands.', labelNames: ['alarm', 'subject'], registers: [this.registry], collect() {
+				this.reset();
+				for (const {kind, subject} of alarms.standing) {
+					this.set({alarm: kind, subject}, 1);
+				}
+			},
+		}).reset();
 	}
+}
 
-	/** Counts a time line entry. */
-	count({kind}: TimelineEntry): void {
-		this.#events.inc({kind});
+function sumBuckets({allowances}: State, field: 'rate' | 'tokens'): number {
+	let sum = 0;
+	for (const bucket of allowances.buckets.values()) {
+		sum += bucket[field];
 	}
+
+	return sum;
 }
--- a/packages/router/src/lib/router.ts
+++ b/packages/router/src/lib/router.ts
@@ -3,23 +3,27 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	createState, eventKind, RendezvousChoice, timelineKind, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Event,
+	createState, eventKind, RendezvousChoice, timelineKind, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Effect, type Event,
 	type Exchange, type FetchDocument, type GiveBack, type ReadDocument, type Refuse, type TimelineEntry,
 } from '@sequoiatally/core';
 import {
-	readMonotonicMs, TimelineWriter, type LifecycleManager, type Logger, type SocketAddress,
+	readMonotonicMs, readWallMs, TimelineWriter, type LifecycleManager, type Logger, type NamedToken, type SocketAddress,
 } from '@sequoiatally/runtime';
+import {AlarmWatch} from './alarm-watch.js';
 import {listenAdmin} from './admin-server.js';
 import {CallerServer, type OpenRequests} from './caller-server.js';
 import {Metrics} from './metrics.js';
 import {PeerClient} from './peer-client.js';
 import {PeerServer} from './peer-server.js';
 import {PlatformClient} from './platform-client.js';
+import {RecentRefusals} from './recent-refusals.js';
 import {EffectHandler, Runner} from './runner.js';
 import {TargetClient} from './target-client.js';
 
 /** Time between two ticks of the reducer, in milliseconds. */
 const tickIntervalMs = 50;
+/** Time between two looks at the alarms, in milliseconds. */
+const alarmIntervalMs = 500;
 
 /** Checked settings of a router. */
 export type RouterSettings = {
@@ -30,7 +34,8 @@
 	readonly adminAddress: SocketAddress;
 	readonly platformAddress: SocketAddress;
 	readonly fleetSecret: string;
-	readonly adminToken: string;
+	/** Operators' tokens with their holders' names. */
+	readonly adminTokens: readonly NamedToken[];
 	readonly timelinePath: string | undefined;
 };
 
@@ -41,6 +46,7 @@
 	readonly peerClient: PeerClient;
 	readonly peerServer: PeerServer;
 	readonly metrics: Metrics;
+	readonly refusals: RecentRefusals;
 	readonly timeline: TimelineWriter;
 	readonly runner: Runner;
 	readonly onDrained: () => void;
@@ -53,11 +59,16 @@
 		this.peerClient = parts.peerClient;
 		this.peerServer = parts.peerServer;
 		this.metrics = parts.metrics;
+		this.refusals = parts.refusals;
 		this.timeline = parts.timeline;
 		this.runner = parts.runner;
 		this.onDrained = parts.onDrained;
 	}
 
+	override observe(effect: Effect): void {
+		this.metrics.countEffect(effect);
+	}
+
 	override dispatch(effect: Dispatch): void {
 		const open = this.openRequests.get(effect.requestId);
 		if (open !== undefined) {
@@ -66,6 +77,8 @@
 	}
 
 	override refuse({requestId, refusal}: Refuse): void {
+		this.metrics.countRefusal(refusal);
+		this.refusals.record(requestId, refusal, readWallMs());
 		this.openRequests.get(requestId)?.refuse(refusal);
 		this.openRequests.delete(requestId);
 	}
@@ -124,12 +137,18 @@
 		instanceId, incarnation, zone, startedAt: readMonotonicMs(),
 	};
 	const runner = new Runner(createState(self, {targetChoice: new RendezvousChoice()}), readMonotonicMs);
+	const alarms = new AlarmWatch(logger, entry => {
+		timeline.write(entry);
+		metrics.count(entry);
+	});
+	const metrics = new Metrics(runner, alarms);
+	const refusals = new RecentRefusals();
 	const emit = (event: Event) => {
+		metrics.countEvent(event);
 		runner.handle(event);
 	};
 
 	const openRequests: OpenRequests = new Map();
-	const metrics = new Metrics(runner);
 	const peerServer = new PeerServer(runner, settings.fleetSecret, readMonotonicMs);
 	runner.connect(new RouterEffects({
 		openRequests,
@@ -138,6 +157,7 @@
 		peerClient: new PeerClient(settings.fleetSecret, emit, readMonotonicMs, logger, lifecycle),
 		peerServer,
 		metrics,
+		refusals,
 		timeline,
 		runner,
 		onDrained() {
@@ -147,12 +167,15 @@
 	}));
 	await peerServer.listen(settings.peerAddress, lifecycle);
 	await listenAdmin({
-		runner, metrics, timeline, token: settings.adminToken,
+		runner, metrics, timeline, refusals, alarms, logger, tokens: settings.adminTokens,
 	}, settings.adminAddress, lifecycle);
 	await new CallerServer(runner, openRequests).listen(settings.callerAddress, lifecycle);
 	lifecycle.ownInterval('tick', tickIntervalMs, () => {
 		emit({kind: eventKind.tick});
 	});
+	lifecycle.ownInterval('alarms', alarmIntervalMs, () => {
+		alarms.update(runner.state, readMonotonicMs());
+	});
 	timeline.write({kind: timelineKind.processStarted, cause: instanceId});
 	emit({kind: eventKind.tick});
 	return runner;
--- /dev/null
+++ b/packages/router/src/test/admin-server_test.ts
@@ -0,0 +1,276 @@
+/**
+ * The administration API: who may ask, what each route answers, and that bad
+ * input is a typed error.
+ */
+import assert from 'node:assert/strict';
+import {readFile} from 'node:fs/promises';
+import {beforeEach, test} from 'node:test';
+import {
+	createNotRun, createState, eventKind, parseConfiguration, refusalReason, RendezvousChoice, type Effect, type Event,
+} from '@sequoiatally/core';
+import {
+	readMonotonicMs, TimelineWriter, type LogFields, type Logger,
+} from '@sequoiatally/runtime';
+import fc from 'fast-check';
+import {adminRoutes} from '../lib/admin/admin-routes.js';
+import {createOpenApi} from '../lib/admin/create-openapi.js';
+import {AlarmWatch} from '../lib/alarm-watch.js';
+import {createAdminApp, type AdminParts} from '../lib/admin-server.js';
+import {Metrics} from '../lib/metrics.js';
+import {RecentRefusals} from '../lib/recent-refusals.js';
+import {EffectHandler, Runner} from '../lib/runner.js';
+
+const keyDigest = 'ab'.repeat(32);
+const token = 'amina-token-0123456789';
+const tokens = [{name: 'amina', token}, {name: 'ci', token: 'ci-token-0123456789abc'}];
+
+/** Counts effects and carries none out. */
+class NoEffects extends EffectHandler {
+	readonly effects: Effect[] = [];
+	override observe(effect: Effect): void {
+		this.effects.push(effect);
+	}
+
+	override dispatch(): void {/* Nothing is sent. */}
+	override refuse(): void {/* Nobody waits. */}
+	override cancel(): void {/* Nothing runs. */}
+	override readDocument(): void {/* There is no service. */}
+	override fetchDocument(): void {/* There are no peers. */}
+	override exchange(): void {/* There are no peers. */}
+	override borrow(): void {/* There are no peers. */}
+	override answerBorrow(): void {/* There are no peers. */}
+	override giveBack(): void {/* There are no peers. */}
+	override record(): void {/* The time line is written by hand. */}
+	override finishDrain(): void {/* The process stays. */}
+}
+
+/** The fields that the tests look at, whatever the route. */
+type AnswerBody = {
+	readonly error: {readonly type: string};
+	readonly refusal: {readonly reason: string};
+	readonly account: {readonly name: string};
+	readonly chosenTargetId?: string;
+	readonly targets: ReadonlyArray<{readonly targetId: string; readonly standing: string}>;
+};
+type Answer = {readonly status: number; readonly body: AnswerBody};
+
+let parts: AdminParts;
+let effects: NoEffects;
+let logged: LogFields[];
+
+beforeEach(async () => {
+	logged = [];
+	effects = new NoEffects();
+	const log = (fields: LogFields) => {
+		logged.push(fields);
+	};
+
+	const logger: Logger = {
+		trace: log, debug: log, info: log, warn: log, error: log,
+	};
+	const timeline = new TimelineWriter({process: 'router', instanceId: 'router-1', incarnation: 'i1'});
+	const self = {
+		instanceId: 'router-1', incarnation: 'i1', zone: 'zone-a', startedAt: readMonotonicMs() - 60_000,
+	};
+	const runner = new Runner(createState(self, {targetChoice: new RendezvousChoice()}), readMonotonicMs);
+	runner.connect(effects);
+	const alarms = new AlarmWatch(logger, () => {/* Not looked at here. */});
+	parts = {
+		runner, timeline, alarms, logger, tokens, refusals: new RecentRefusals(), metrics: new Metrics(runner, alarms),
+	};
+	await applyDocuments();
+});
+
+async function applyDocuments(): Promise<void> {
+	const text = JSON.stringify({
+		version: 3,
+		fleet: {ceiling: 2},
+		routes: [{
+			name: 'chat', kind: 'model', path: '/chat', model: 'm', pool: 'engines', repeatable: true,
+		}],
+		pools: [{name: 'engines'}],
+		accounts: [{
+			name: 'ladders', rate: 100, burst: 100, keyDigests: [keyDigest],
+		}],
+		drainedZones: ['zone-b'],
+	});
+	const currentAt = readMonotonicMs();
+	const source = {revision: 1};
+	handle({
+		kind: eventKind.configurationRead, configuration: parseConfiguration(text).unwrap(), text, currentAt, source,
+	});
+	const target = (id: string, zone: string) => ({
+		id, pool: 'engines', address: `127.0.0.1:1${id.length}`, zone, state: 'live' as const, since: 0,
+	});
+	handle({
+		kind: eventKind.listRead, currentAt, source, list: {
+			asOf: 1,
+			instances: [{
+				id: 'router-1', peerAddress: '127.0.0.1:1', zone: 'zone-a', state: 'live', since: 0,
+			}],
+			targets: [target('engine-1', 'zone-a'), target('engine-2', 'zone-b'), target('engine-33', 'zone-a')],
+		},
+	});
+}
+
+function handle(event: Event): void {
+	parts.runner.handle(event);
+}
+
+async function call(method: string, path: string, {body, authorization = `Bearer ${token}`}: {body?: string; authorization?: string} = {}): Promise<Answer> {
+	const response = await createAdminApp(parts).request(path, {method, headers: {authorization}, body});
+	const text = await response.text();
+	return {status: response.status, body: JSON.parse(text) as AnswerBody};
+}
+
+function fillPath(path: string): string {
+	return path.replaceAll(/{\w+}/g, 'r1');
+}
+
+test('every route asks for a token, and every token works', async () => {
+	for (const {method, path} of Object.values(adminRoutes)) {
+		for (const authorization of ['', token, 'Basic x', 'Bearer wrong', `bearer ${token}`, `Bearer ${token}x`]) {
+			const {status, body} = await call(method.toUpperCase(), fillPath(path), {authorization});
+			assert.deepEqual([status, body.error.type], [401, 'unauthorized'], `${path} with "${authorization}"`);
+		}
+	}
+
+	for (const known of tokens) {
+		const answer = await call('GET', '/v1/status', {authorization: `Bearer ${known.token}`});
+		assert.equal(answer.status, 200);
+	}
+});
+
+test('each answer has the published form', async () => {
+	parts.timeline.write({kind: 'request-received', cause: 'r1', requestId: 'r1'});
+	parts.refusals.record('r2', createNotRun(refusalReason.rateExceeded, 'Too many.', 1000), 1);
+	for (const {method, path, response, ...route} of Object.values(adminRoutes)) {
+		const body = 'body' in route
+			? JSON.stringify({
+				path: '/chat', chatId: 'c1', model: 'm', account: 'ladders',
+			})
+			: undefined;
+		const answer = await call(method.toUpperCase(), fillPath(path), {body});
+		assert.equal(answer.status, 200, path);
+		const parsed = response.safeParse(answer.body);
+		assert.ok(parsed.success, `${path}: ${parsed.error?.message}`);
+	}
+});
+
+test('the OpenAPI page is current, and each of its paths is served', async () => {
+	const committed = JSON.parse(await readFile(new URL('../../../../docs/openapi.json', import.meta.url), 'utf8')) as {paths: Record<string, Record<string, unknown>>};
+	assert.deepEqual(committed, createOpenApi(), 'run "npm run generate:docs"');
+	const served = createAdminApp(parts).routes
+		.filter(({path}) => !path.endsWith('*'))
+		.map(({method, path}) => `${method} ${path.replaceAll(/:(\w+)/g, '{$1}')}`);
+	const published = Object.entries(committed.paths).flatMap(([path, methods]) => Object.keys(methods).map(method => `${method.toUpperCase()} ${path}`));
+	assert.deepEqual(served.toSorted(), published.toSorted());
+});
+
+test('explain names the chosen target and why the others are not', async () => {
+	const body = JSON.stringify({
+		path: '/chat', model: 'm', chatId: 'c1', account: 'ladders',
+	});
+	const {body: choice} = await call('POST', '/v1/explain', {body});
+	assert.equal(choice.account.name, 'ladders');
+	const standings = Object.fromEntries(choice.targets.map(({targetId, standing}) => [targetId, standing]));
+	assert.equal(standings['engine-2'], 'zone-drained');
+	assert.deepEqual(Object.values(standings).toSorted(), ['chosen', 'later', 'zone-drained']);
+	assert.equal(parts.runner.state.requests.pending.size, 0, 'nothing is left of the dry run');
+	const refused = await call('POST', '/v1/explain', {body: JSON.stringify({path: '/chat', model: 'm', chatId: 'c1'})});
+	assert.equal(refused.body.refusal.reason, 'key-missing');
+});
+
+test('explain agrees with where a real request goes', async () => {
+	const chatKeys = fc.uniqueArray(fc.string({minLength: 1, maxLength: 40}), {minLength: 1, maxLength: 3});
+	await fc.assert(fc.asyncProperty(chatKeys, async chatIds => {
+		for (const chatId of chatIds) {
+			const body = JSON.stringify({
+				path: '/chat', model: 'm', chatId, account: 'ladders',
+			});
+			const {body: choice} = await call('POST', '/v1/explain', {body});
+			const now = readMonotonicMs();
+			const bucket = parts.runner.state.allowances.buckets.get('ladders');
+			if (bucket !== undefined) {
+				bucket.tokens = 10;
+			}
+
+			effects.effects.length = 0;
+			handle({
+				kind: eventKind.requestArrived, requestId: `${now}`, method: 'POST', path: '/chat', model: 'm', keyDigest, chatKey: chatId, priority: 0,
+			});
+			const sent = effects.effects.find(effect => effect.kind === 'dispatch');
+			assert.equal(choice.chosenTargetId, sent?.kind === 'dispatch' ? sent.targetId : undefined);
+			handle({kind: eventKind.callerLeft, requestId: `${now}`});
+		}
+	}), {seed: 62, numRuns: 50});
+});
+
+test('drain and undrain are logged with who asked, and change readiness', async () => {
+	const app = createAdminApp(parts);
+	const readStatus = async () => {
+		const {status} = await app.request('/readyz');
+		return status;
+	};
+
+	assert.equal(await readStatus(), 200);
+	const drained = await call('POST', '/v1/drain');
+	assert.deepEqual([drained.body, await readStatus()], [{isDraining: true, openRequests: 0}, 503]);
+	assert.ok(!effects.effects.some(({kind}) => kind === 'finish-drain'), 'the process stays');
+	const undrained = await call('POST', '/v1/undrain');
+	assert.deepEqual([undrained.body, await readStatus()], [{isDraining: false, openRequests: 0}, 200]);
+	assert.deepEqual(logged.map(({operator, action}) => [operator, action]), [['amina', 'drain'], ['amina', 'undrain']]);
+	assert.ok(parts.timeline.listKept().some(({kind, detail}) => kind === 'administrator-acted' && detail === 'amina: drain'));
+});
+
+test('a process that was told to end cannot be undrained', async () => {
+	handle({kind: eventKind.drainRequested, by: 'signal'});
+	const {status, body} = await call('POST', '/v1/undrain');
+	assert.deepEqual([status, body.error.type], [409, 'shutting-down']);
+});
+
+test('a signal ends a process that an operator has drained', async () => {
+	await call('POST', '/v1/drain');
+	handle({kind: eventKind.drainRequested, by: 'signal'});
+	assert.ok(effects.effects.some(({kind}) => kind === 'finish-drain'));
+});
+
+test('no answer holds a digest of a key', async () => {
+	for (const {method, path} of Object.values(adminRoutes)) {
+		const {body} = await call(method.toUpperCase(), fillPath(path), method === 'post' ? {body: '{"path":"/chat","chatId":"c"}'} : {});
+		assert.ok(!JSON.stringify(body).includes(keyDigest), path);
+	}
+});
+
+test('an alarm is told once when it is raised and once when it is cleared', () => {
+	const {runner, alarms} = parts;
+	const now = readMonotonicMs();
+	alarms.update(runner.state, now);
+	alarms.update(runner.state, now + 20_000);
+	alarms.update(runner.state, now + 21_000);
+	runner.state.tables.currentAt = now + 21_000;
+	alarms.update(runner.state, now + 22_000);
+	const told = logged.filter(({alarm}) => alarm === 'configuration-stale').map(({event}) => event);
+	assert.deepEqual(told, ['alarm-raised', 'alarm-cleared']);
+});
+
+test('any input gets an answer or a typed error, and leaves the state alone', async () => {
+	const {state} = parts.runner;
+	const oddBody = fc.record({path: fc.jsonValue(), chatId: fc.jsonValue(), priority: fc.jsonValue()}).map(value => JSON.stringify(value));
+	const input = fc.record({
+		path: fc.constantFrom(...Object.values(adminRoutes).filter(({path}) => !path.includes('drain')).map(({path}) => path), '/v1/', '/v1/none', '/'),
+		method: fc.constantFrom('GET', 'POST', 'PUT', 'DELETE'),
+		parameter: fc.string({minLength: 1}),
+		query: fc.dictionary(fc.constantFrom('limit', 'sinceMs', 'pool', 'account', 'x', '__proto__'), fc.string()),
+		body: fc.oneof(fc.string(), fc.json(), oddBody),
+	});
+	await fc.assert(fc.asyncProperty(input, async ({
+		path, method, parameter, query, body,
+	}) => {
+		const target = `${path.replaceAll(/{\w+}/g, encodeURIComponent(parameter))}?${new URLSearchParams(query).toString()}`;
+		const answer = await call(method, target, method === 'GET' ? {} : {body});
+		assert.ok(answer.status === 200 || typeof answer.body.error.type === 'string', `${method} ${target}: ${answer.status}`);
+		assert.ok(answer.status < 500, `${method} ${target}: ${answer.status}`);
+		assert.deepEqual([state.requests.pending.size, state.membership.isDraining], [0, false]);
+	}), {seed: 63, numRuns: 500});
+});
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,3 +7,4 @@
 export * from './lib/logger.js';
 export * from './lib/settings.js';
 export * from './lib/timeline.js';
+export * from './lib/timeline-filter.js';
--- a/packages/runtime/src/lib/settings.ts
+++ b/packages/runtime/src/lib/settings.ts
@@ -4,16 +4,30 @@
  * is allowed. Every fault is reported, not only the first.
  */
 import process from 'node:process';
-import {type Command, Option} from 'commander';
+import {type Command, CommanderError, Option} from 'commander';
 import {Err, Ok, type Result} from 'ts-results-es';
 
 /** Exit code of a start that a bad setting ended. */
 export const badSettingsExitCode = 2;
 
-/** One bad setting. */
+export const settingFaultKind = {
+	/** The value is not of the form that the setting takes. */
+	badValue: 'bad-setting',
+	/** A required setting has neither flag nor variable. */
+	missing: 'missing-setting',
+	/** The flag stands without a value. */
+	noValue: 'no-value',
+	unknownFlag: 'unknown-flag',
+	unknownVariable: 'unknown-variable',
+	unexpectedArgument: 'unexpected-argument',
+} as const;
+
+/** One fault of the settings. */
 export type SettingFault = {
-	readonly kind: 'bad-setting';
+	readonly kind: typeof settingFaultKind[keyof typeof settingFaultKind];
+	/** The flag or the variable as it was given. */
 	readonly flag: string;
+	/** What was given; secrets are hidden. */
 	readonly value: string | undefined;
 	/** What the setting takes. */
 	readonly allowed: string;
@@ -39,6 +53,8 @@
 
 /** Prefix of every environment variable. */
 const variablePrefix = 'SEQUOIATALLY_';
+/** Stands for a secret in everything that is printed. */
+const hiddenSecret = '(secret)';
 
 /** Makes a setting optional: without flag and variable its value is undefined. */
 export function makeOptional<T>(setting: Setting<T>): Setting<T | undefined> {
@@ -61,6 +77,30 @@
 	return {...rest, allowed: `one of ${words.join(', ')}`, parse: text => words.find(word => word === text)};
 }
 
+/** A token and the name of whom it was given to. */
+export type NamedToken = {readonly name: string; readonly token: string};
+
+/** Defines a setting that lists named tokens, such as `amina:0123456789abcdef,ci:fedcba9876543210`. */
+export function defineNamedTokens(rest: Omit<Setting<readonly NamedToken[]>, 'parse' | 'allowed' | 'isSecret'>): Setting<readonly NamedToken[]> {
+	return {
+		...rest, isSecret: true, allowed: 'name:token,name:token with names of letters, digits, "-" or "_", each once, and tokens of 16 characters or more', parse: parseNamedTokens,
+	};
+}
+
+function parseNamedTokens(text: string): readonly NamedToken[] | undefined {
+	const tokens: NamedToken[] = [];
+	for (const part of text.split(',')) {
+		const match = /^([\w-]{1,64}):([^\s,]{16,256})$/.exec(part);
+		if (match === null || tokens.some(({name}) => name === match[1])) {
+			return undefined;
+		}
+
+		tokens.push({name: match[1]!, token: match[2]!});
+	}
+
+	return tokens;
+}
+
 /** Defines a setting that is a whole number within bounds. */
 export function defineInteger(min: number, max: number, rest: Omit<Setting<number>, 'parse' | 'allowed'>): Setting<number> {
 	return {
@@ -90,46 +130,140 @@
 	return isValid ? {host, port} : undefined;
 }
 
+/** Where settings come from. */
+export type SettingsSource = {
+	readonly argv: readonly string[];
+	readonly env: Readonly<Record<string, string | undefined>>;
+};
+
 /** Parses the command line and the environment into checked settings. */
 export function parseSettings<S extends SettingsSchema>(
 	program: Command,
 	schema: S,
-	argv: readonly string[] = process.argv,
+	source: SettingsSource = process,
 ): Result<SettingsOf<S>, readonly SettingFault[]> {
-	for (const {flag, description, allowed, defaultText} of Object.values(schema)) {
-		const option = new Option(`--${flag} <value>`, `${description} (${allowed})`).env(toVariableName(flag));
-		program.addOption(defaultText === undefined ? option : option.default(defaultText));
+	addSettings(program, schema);
+	program.exitOverride().parse([...source.argv]);
+	const checked = checkSettings(program, schema, source.env);
+	const strayFaults = [
+		...findStrayArguments(program.args),
+		...findUnknownVariables(schema, source.env),
+	];
+	if (strayFaults.length === 0) {
+		return checked;
 	}
 
-	program.parse([...argv]);
-	return checkSettings(schema, program.opts());
+	return Err(checked.isErr() ? [...checked.error, ...strayFaults] : strayFaults);
 }
 
-function checkSettings<S extends SettingsSchema>(schema: S, texts: Readonly<Record<string, unknown>>): Result<SettingsOf<S>, readonly SettingFault[]> {
+/**
+ * Adds a flag for each setting. Values are optional to the library, so that a
+ * flag without one becomes a fault among the others and does not hide them.
+ */
+export function addSettings(program: Command, schema: SettingsSchema): void {
+	for (const setting of Object.values(schema)) {
+		const option = new Option(`--${setting.flag} [value]`, describeSetting(setting));
+		program.addOption(option);
+	}
+
+	program.allowUnknownOption().allowExcessArguments();
+}
+
+function describeSetting({flag, description, allowed, defaultText}: Setting<unknown>): string {
+	const fallback = defaultText === undefined ? '' : `; default: ${defaultText}`;
+	return `${description} (${allowed}${fallback}; variable: ${toVariableName(flag)})`;
+}
+
+/** Checks the settings of a command whose command line was parsed. */
+export function checkSettings<S extends SettingsSchema>(
+	program: Command,
+	schema: S,
+	env: SettingsSource['env'],
+): Result<SettingsOf<S>, readonly SettingFault[]> {
+	const given = program.opts();
 	const faults: SettingFault[] = [];
 	const values: Record<string, unknown> = {};
 	for (const [name, setting] of Object.entries(schema)) {
-		const text = texts[toCamelCase(setting.flag)] as string | undefined;
-		if (text === undefined && setting.isOptional) {
-			continue;
+		const text = given[toCamelCase(setting.flag)] as string | true | undefined ?? env[toVariableName(setting.flag)] ?? setting.defaultText;
+		const checked = checkSetting(setting, text);
+		if (checked.isErr()) {
+			faults.push(checked.error);
+		} else {
+			values[name] = checked.value;
 		}
+	}
 
-		const value = text === undefined ? undefined : setting.parse(text);
-		if (value === undefined) {
+	return faults.length > 0 ? Err(faults) : Ok(values as SettingsOf<S>);
+}
+
+/** `true` stands for a flag without a value, as the library reports it. */
+function checkSetting(setting: Setting<unknown>, text: string | true | undefined): Result<unknown, SettingFault> {
+	const fault = {flag: `--${setting.flag}`, allowed: setting.allowed};
+	if (text === true) {
+		return Err({...fault, kind: settingFaultKind.noValue, value: undefined});
+	}
+
+	if (text === undefined) {
+		return setting.isOptional ? Ok(undefined) : Err({...fault, kind: settingFaultKind.missing, value: undefined});
+	}
+
+	const value = setting.parse(text);
+	return value === undefined
+		? Err({...fault, kind: settingFaultKind.badValue, value: setting.isSecret ? hiddenSecret : text})
+		: Ok(value);
+}
+
+/** Finds what the command line holds beside known flags; the value after an unknown flag counts with it. */
+export function findStrayArguments(args: readonly string[]): SettingFault[] {
+	const faults: SettingFault[] = [];
+	let previousWasFlag = false;
+	for (const argument of args) {
+		const isFlag = argument.startsWith('-');
+		if (isFlag) {
+			// A value after "=" may be a secret under a mistyped name.
+			const [flag] = argument.split('=', 1);
+			faults.push({
+				kind: settingFaultKind.unknownFlag, flag: flag!, value: undefined, allowed: 'a flag that --help lists',
+			});
+		} else if (!previousWasFlag) {
 			faults.push({
-				kind: 'bad-setting', flag: `--${setting.flag}`, value: setting.isSecret ? '(secret)' : text, allowed: setting.allowed,
+				kind: settingFaultKind.unexpectedArgument, flag: '', value: argument, allowed: 'flags only',
 			});
 		}
 
-		values[name] = value;
+		previousWasFlag = isFlag && !argument.includes('=');
 	}
 
-	return faults.length > 0 ? Err(faults) : Ok(values as SettingsOf<S>);
+	return faults;
 }
 
-/** Parses settings, or prints every fault and ends the process. */
+function findUnknownVariables(schema: SettingsSchema, env: SettingsSource['env']): SettingFault[] {
+	const known = new Set(Object.values(schema).map(({flag}) => toVariableName(flag)));
+	return Object.keys(env)
+		.filter(name => name.startsWith(variablePrefix) && !known.has(name))
+		.map(name => ({
+			kind: settingFaultKind.unknownVariable, flag: name, value: undefined, allowed: 'a variable that --help lists',
+		}));
+}
+
+/** Describes checked settings for people: secrets are hidden. */
+export function describeSettings<S extends SettingsSchema>(schema: S, settings: SettingsOf<S>): Record<string, unknown> {
+	const described: Record<string, unknown> = {};
+	for (const [name, setting] of Object.entries(schema)) {
+		const value: unknown = (settings as Record<string, unknown>)[name];
+		described[setting.flag] = setting.isSecret && value !== undefined ? hiddenSecret : value;
+	}
+
+	return described;
+}
+
+/**
+ * Parses settings, or prints every fault and ends the process. With
+ * `--print-settings` it prints the checked settings and ends the process.
+ */
 export function parseSettingsOrExit<S extends SettingsSchema>(program: Command, schema: S): SettingsOf<S> {
-	const settings = parseSettings(program, schema);
+	program.option('--print-settings', 'Prints the checked settings, secrets hidden, and ends');
+	const settings = parseOrExitWithHelp(program, schema);
 	if (settings.isErr()) {
 		for (const fault of settings.error) {
 			process.stderr.write(`${JSON.stringify({level: 'error', event: fault.kind, ...fault})}\n`);
@@ -140,9 +274,26 @@
 		process.exit(badSettingsExitCode);
 	}
 
+	if (program.opts().printSettings === true) {
+		process.stdout.write(`${JSON.stringify(describeSettings(schema, settings.value), undefined, '\t')}\n`);
+		// eslint-disable-next-line unicorn/no-process-exit
+		process.exit(0);
+	}
+
 	return settings.value;
 }
 
+function parseOrExitWithHelp<S extends SettingsSchema>(program: Command, schema: S): Result<SettingsOf<S>, readonly SettingFault[]> {
+	try {
+		return parseSettings(program, schema);
+	} catch (error) {
+		// The library has printed the help, or what it could not parse.
+		const isHelp = error instanceof CommanderError && error.exitCode === 0;
+		// eslint-disable-next-line unicorn/no-process-exit
+		process.exit(isHelp ? 0 : badSettingsExitCode);
+	}
+}
+
 /** The environment variable of a flag, such as `SEQUOIATALLY_PEER_ADDRESS`. */
 export function toVariableName(flag: string): string {
 	return variablePrefix + flag.replaceAll('-', '_').toUpperCase();
--- /dev/null
+++ b/packages/runtime/src/lib/timeline-filter.ts
@@ -0,0 +1,34 @@
+/**
+ * Selects lines of the time line, for the administration API and the command
+ * line alike.
+ */
+import type {TimelineLine} from './timeline.js';
+
+/** What a line has to match; a field that is undefined matches all. */
+export type TimelineFilter = {
+	readonly request?: string;
+	readonly chat?: string;
+	readonly account?: string;
+	readonly target?: string;
+	readonly instance?: string;
+	readonly kind?: string;
+	/** Wall-clock bounds in milliseconds since 1970, both included. */
+	readonly sinceMs?: number;
+	readonly untilMs?: number;
+};
+
+/** Says whether a line matches every given field. */
+export function isSelected(line: TimelineLine, filter: TimelineFilter): boolean {
+	return isMatch(filter.request, line.requestId ?? line.cause)
+		&& isMatch(filter.chat, line.chatKey)
+		&& isMatch(filter.account, line.account)
+		&& isMatch(filter.target, line.targetId)
+		&& isMatch(filter.instance, line.instanceId)
+		&& isMatch(filter.kind, line.kind)
+		&& line.wallMs >= (filter.sinceMs ?? Number.NEGATIVE_INFINITY)
+		&& line.wallMs <= (filter.untilMs ?? Number.POSITIVE_INFINITY);
+}
+
+function isMatch(wanted: string | undefined, value: unknown): boolean {
+	return wanted === undefined || wanted === value;
+}
--- a/packages/runtime/src/lib/timeline.ts
+++ b/packages/runtime/src/lib/timeline.ts
@@ -13,6 +13,9 @@
 /** Who writes: part of each line. */
 export type TimelineOrigin = {readonly process: string; readonly instanceId: string; readonly incarnation: string; readonly zone?: string};
 
+/** What an entry says; `cause` joins the entries of one matter over all processes. */
+export type TimelineFields = {readonly kind: string; readonly cause: string} & Readonly<Record<string, unknown>>;
+
 /** A line of the time line: the entry, who wrote it and when. */
 export type TimelineLine = TimelineOrigin & {
 	readonly wallMs: number;
@@ -34,10 +37,13 @@
 		this.#stream = path === undefined ? undefined : createWriteStream(path, {flags: 'a'});
 	}
 
-	/** Writes one entry with the present time of both clocks. */
-	write(entry: {readonly kind: string; readonly cause: string}): void {
+	/**
+	 * Writes one entry with the present time of both clocks, or with the time
+	 * `ageMs` earlier, for what could not be told when it happened.
+	 */
+	write(entry: TimelineFields, ageMs = 0): void {
 		const line: TimelineLine = {
-			wallMs: readWallMs(), monotonicMs: Math.round(readMonotonicMs() * 1000) / 1000, ...this.#origin, ...entry,
+			wallMs: readWallMs() - Math.round(ageMs), monotonicMs: Math.round((readMonotonicMs() - ageMs) * 1000) / 1000, ...this.#origin, ...entry,
 		};
 		this.#kept[this.#nextIndex] = line;
 		this.#nextIndex = (this.#nextIndex + 1) % keptEntryCount;
--- a/xo.config.mjs
+++ b/xo.config.mjs
@@ -26,6 +26,15 @@
 			'no-warning-comments': 'error',
 		},
 	},
+	{
+		files: ['packages/*/src/test/**'],
+		rules: {
+			// The runner itself waits for each test.
+			'@typescript-eslint/no-floating-promises': ['error', {
+				allowForKnownSafeCalls: [{from: 'package', name: ['test', 'describe', 'it', 'suite'], package: 'node:test'}],
+			}],
+		},
+	},
 ];
 
 export default config;
