Command line for operators, and a time line over callers, routers and targets

The time line merges files by each process's monotonic clock, bounds the clocks' offsets by the order of requests, leaves out torn lines and draws one HTML page without scripts. Stand-ins and the demonstration's callers write time lines too. Ruled out: using 'completed before the caller saw it' as a bound; a router notes the end after it has sent it.

--- /dev/null
+++ b/packages/cli/src/bin/drain.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/**
+ * Runs the `drain` command.
+ */
+import {DrainCommand} from '../lib/commands/drain-commands.js';
+import {runBinary} from '../lib/run-binary.js';
+import {runCommand} from '../lib/run-commands.js';
+
+await runBinary(async (source, output) => runCommand(new DrainCommand(), source, output));
--- /dev/null
+++ b/packages/cli/src/bin/explain.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/**
+ * Runs the `explain` command.
+ */
+import {ExplainCommand} from '../lib/commands/explain-command.js';
+import {runBinary} from '../lib/run-binary.js';
+import {runCommand} from '../lib/run-commands.js';
+
+await runBinary(async (source, output) => runCommand(new ExplainCommand(), source, output));
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,4 +1,11 @@
 /**
- * The command line for operators.
+ * The command line for operators, for programs that merge or draw time lines
+ * themselves.
  */
-export {parseConfiguration} from '@sequoiatally/core';
+export {checkText} from './lib/commands/check-command.js';
+export {createCommands} from './lib/commands/index.js';
+export {exitCode, type ExitCode} from './lib/exit-code.js';
+export {runCommand, runCommands, type CommandOutput} from './lib/run-commands.js';
+export {drawTimeline} from './lib/timeline/draw-timeline.js';
+export {mergeTimeline, type MergedTimeline} from './lib/timeline/merge-timeline.js';
+export {parseLines} from './lib/timeline/parse-lines.js';
--- /dev/null
+++ b/packages/cli/src/lib/commands/drain-commands.ts
@@ -0,0 +1,85 @@
+/**
+ * Drains instances, and takes it back. Each instance is told by itself; its
+ * log names the operator whose token was shown.
+ */
+import type {AdminOutput} from '@sequoiatally/router/admin';
+import {defineInteger, readMonotonicMs} from '@sequoiatally/runtime';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	callAll, type AdminClient, type AdminFault, type InstanceAnswer,
+} from '../admin-client.js';
+import {adminSettings} from '../admin-settings.js';
+import {exitCode} from '../exit-code.js';
+import {
+	noOperands, OperatorCommand, type CommandInput, type CommandReport,
+} from '../operator-command.js';
+
+/** Time between two looks at a draining instance, in milliseconds. */
+const pollIntervalMs = 200;
+
+const drainSchema = {
+	...adminSettings,
+	waitMs: defineInteger(0, 3_600_000, {flag: 'wait-ms', description: 'Longest time to wait until no request is open, in milliseconds', defaultText: '0'}),
+};
+
+type DrainState = AdminOutput<'drain'>;
+
+/** The `drain` command. */
+export class DrainCommand extends OperatorCommand<typeof drainSchema> {
+	override readonly name = 'drain';
+	override readonly description = 'Tells instances to take no new work; open requests go on, and the processes stay.';
+	override readonly schema = drainSchema;
+	override readonly operands = noOperands;
+
+	override async run({settings}: CommandInput<typeof drainSchema>): Promise<CommandReport> {
+		const answers = await callAll(settings, async client => {
+			const drained = await client.call('drain');
+			return drained.isOk() ? waitUntilIdle(client, drained.value, settings.waitMs) : err(drained.error);
+		});
+		return createReport(answers, settings.waitMs > 0);
+	}
+}
+
+async function waitUntilIdle(client: AdminClient, first: DrainState, waitMs: number): Promise<Result<DrainState, AdminFault>> {
+	const startedAt = readMonotonicMs();
+	let state = first;
+	while (state.openRequests > 0 && readMonotonicMs() - startedAt < waitMs) {
+		await new Promise(resolve => {
+			setTimeout(resolve, pollIntervalMs);
+		});
+		const status = await client.call('status');
+		if (status.isErr()) {
+			return err(status.error);
+		}
+
+		state = status.value;
+	}
+
+	return ok({isDraining: state.isDraining, openRequests: state.openRequests});
+}
+
+/** The `undrain` command. */
+export class UndrainCommand extends OperatorCommand<typeof adminSettings> {
+	override readonly name = 'undrain';
+	override readonly description = 'Tells drained instances to take new work again.';
+	override readonly schema = adminSettings;
+	override readonly operands = noOperands;
+
+	override async run({settings}: CommandInput<typeof adminSettings>): Promise<CommandReport> {
+		return createReport(await callAll(settings, async client => client.call('undrain')), false);
+	}
+}
+
+function createReport(answers: ReadonlyArray<InstanceAnswer<DrainState>>, hasWaited: boolean): CommandReport {
+	const isUnanswered = answers.some(({result}) => result.isErr());
+	const isBusy = answers.some(({result}) => result.isOk() && result.value.openRequests > 0);
+	return {
+		exitCode: isUnanswered ? exitCode.unreachable : (hasWaited && isBusy ? exitCode.bad : exitCode.ok),
+		json: {instances: answers.map(({address, result}) => result.isOk() ? {address, ...result.value} : {address, error: result.error})},
+		lines: answers.map(({address, result}) => `${address}: ${result.isOk() ? formatState(result.value) : result.error.message}`),
+	};
+}
+
+function formatState({isDraining, openRequests}: DrainState): string {
+	return `${isDraining ? 'takes no new work' : 'takes new work'}; ${openRequests} requests open`;
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/explain-command.ts
@@ -0,0 +1,113 @@
+/**
+ * Explains where a chat's next request would go, or what became of a request.
+ */
+import type {AdminOutput} from '@sequoiatally/router/admin';
+import {
+	defineInteger, defineText, makeOptional, type SettingsOf,
+} from '@sequoiatally/runtime';
+import {callAll, adminFaultKind, type InstanceAnswer} from '../admin-client.js';
+import {adminSettings} from '../admin-settings.js';
+import {exitCode, type ExitCode} from '../exit-code.js';
+import {formatTable} from '../format-table.js';
+import {
+	noOperands, OperatorCommand, type CommandInput, type CommandReport,
+} from '../operator-command.js';
+
+const schema = {
+	...adminSettings,
+	request: makeOptional(defineText({flag: 'request', description: 'Identifier of a request that has been; without it the command makes a dry run'})),
+	chat: defineText({flag: 'chat', description: 'Chat of the dry run', defaultText: 'explain'}),
+	account: makeOptional(defineText({flag: 'account', description: 'Client account of the dry run; none: no key'})),
+	model: makeOptional(defineText({flag: 'model', description: 'Model of the dry run'})),
+	path: defineText({flag: 'path', description: 'Path of the dry run', defaultText: '/v1/chat/completions'}),
+	method: defineText({flag: 'method', description: 'Method of the dry run', defaultText: 'POST'}),
+	priority: defineInteger(0, 9, {flag: 'priority', description: 'Priority of the dry run', defaultText: '0'}),
+};
+type ExplainSettings = SettingsOf<typeof schema>;
+type Choice = AdminOutput<'explain'>;
+type Outcome = AdminOutput<'request'>;
+
+/** The `explain` command. */
+export class ExplainCommand extends OperatorCommand<typeof schema> {
+	override readonly name = 'explain';
+	override readonly description = 'Explains where a request would go (dry run), or why a request went where it went or was refused (--request).';
+	override readonly schema = schema;
+	override readonly operands = noOperands;
+
+	override async run({settings}: CommandInput<typeof schema>): Promise<CommandReport> {
+		return settings.request === undefined ? explainChoice(settings) : explainRequest(settings, settings.request);
+	}
+}
+
+async function explainChoice(settings: ExplainSettings): Promise<CommandReport> {
+	const {
+		chat, account, model, path, method, priority,
+	} = settings;
+	const body = {
+		chatId: chat, account, model, path, method, priority,
+	};
+	const answers = await callAll(settings, async client => client.call('explain', {body}));
+	const isEachChosen = answers.every(({result}) => result.isErr() || result.value.chosenTargetId !== undefined);
+	return {
+		exitCode: answers.some(({result}) => result.isErr()) ? exitCode.unreachable : judge(isEachChosen),
+		json: {instances: answers.map(answer => describeAnswer(answer))},
+		lines: answers.flatMap(({address, result}) => [`${address}:`, ...result.isOk() ? formatChoice(result.value) : [`  ${result.error.message}`]]),
+	};
+}
+
+function formatChoice(choice: Choice): string[] {
+	const {
+		refusal, route, pool, account, chosenTargetId, targets,
+	} = choice;
+	if (refusal !== undefined) {
+		return [`  refused: ${refusal.reason} (${refusal.outcome}), status ${refusal.status}: ${refusal.message}`];
+	}
+
+	const share = account === undefined
+		? ''
+		: `; ${account.name} holds ${account.share.tokens.toFixed(1)} tokens here and ${account.share.heldRate.toFixed(1)} of ${account.rate} requests/s`;
+	const rows = targets.map(({
+		targetId, zone, rank, standing, inFlight,
+	}) => [rank === undefined ? '-' : String(rank), targetId, zone, standing, String(inFlight)]);
+	return [
+		`  route ${route} to pool ${pool}${share}`,
+		chosenTargetId === undefined ? '  no target has room now: the request would wait' : `  goes to ${chosenTargetId}`,
+		...formatTable(['rank', 'target', 'zone', 'standing', 'in flight here'], rows).map(line => `  ${line}`),
+	];
+}
+
+async function explainRequest(settings: ExplainSettings, requestId: string): Promise<CommandReport> {
+	const answers = await callAll(settings, async client => client.call('request', {parameters: {requestId}}));
+	const known = answers.flatMap(({address, result}) => result.isOk() ? [{address, outcome: result.value}] : []);
+	const isUnreachable = answers.some(({result}) => result.isErr() && (result.error.kind !== adminFaultKind.refused || result.error.type === 'unauthorized'));
+	const lines = known.length === 0
+		? answers.map(({address, result}) => `${address}: ${result.isErr() ? result.error.message : ''}`)
+		: known.flatMap(({address, outcome}) => formatOutcome(address, outcome));
+	return {
+		exitCode: known.length === 0 && isUnreachable ? exitCode.unreachable : judge(known.length > 0),
+		json: {instances: answers.map(answer => describeAnswer(answer))},
+		lines,
+	};
+}
+
+function formatOutcome(address: string, outcome: Outcome): string[] {
+	const {
+		requestId, end, route, account, targetIds, reason, entries,
+	} = outcome;
+	const startedAt = entries[0]?.wallMs ?? 0;
+	return [
+		`${address}: request ${requestId}: ${end}${reason === undefined ? '' : `: ${reason}`}`,
+		`  route ${route ?? '?'}, client account ${account ?? '?'}, targets tried: ${targetIds.length === 0 ? 'none' : targetIds.join(', ')}`,
+		...entries.map(({
+			wallMs, kind, targetId, detail,
+		}) => `  +${wallMs - startedAt} ms  ${[kind, targetId, detail].filter(part => typeof part === 'string').join('  ')}`),
+	];
+}
+
+function describeAnswer<T extends Readonly<Record<string, unknown>>>({address, result}: InstanceAnswer<T>): Record<string, unknown> {
+	return result.isOk() ? {address, ...result.value} : {address, error: result.error};
+}
+
+function judge(isFine: boolean): ExitCode {
+	return isFine ? exitCode.ok : exitCode.bad;
+}
--- /dev/null
+++ b/packages/cli/src/lib/commands/index.ts
@@ -0,0 +1,14 @@
+/**
+ * All commands of the command line.
+ */
+import type {OperatorCommand} from '../operator-command.js';
+import {CheckCommand} from './check-command.js';
+import {DrainCommand, UndrainCommand} from './drain-commands.js';
+import {ExplainCommand} from './explain-command.js';
+import {StatusCommand} from './status-command.js';
+import {TimelineCommand} from './timeline-command.js';
+
+/** Creates one of each command. */
+export function createCommands(): OperatorCommand[] {
+	return [new CheckCommand(), new StatusCommand(), new ExplainCommand(), new DrainCommand(), new UndrainCommand(), new TimelineCommand()];
+}
--- /dev/null
+++ b/packages/cli/src/lib/format-table.ts
@@ -0,0 +1,15 @@
+/**
+ * Formats rows for a terminal.
+ */
+
+/** Formats rows under a head, with columns as wide as their widest cell. */
+export function formatTable(head: readonly string[], rows: ReadonlyArray<readonly string[]>): string[] {
+	const all = [head, ...rows];
+	const widths = head.map((_, column) => Math.max(...all.map(row => row[column]?.length ?? 0)));
+	return all.map(row => row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd());
+}
+
+/** Formats an age, such as `1.5 s`. */
+export function formatAge(ms: number | undefined): string {
+	return ms === undefined ? 'never' : `${(ms / 1000).toFixed(1)} s`;
+}
--- /dev/null
+++ b/packages/cli/src/lib/run-commands.ts
@@ -0,0 +1,108 @@
+/**
+ * Runs commands by the `commander` library: one alone, or several as the
+ * subcommands of one program. No process is started for a subcommand.
+ */
+import {
+	addSettings, checkSettings, findStrayArguments, settingFaultKind, type SettingFault, type SettingsSource,
+} from '@sequoiatally/runtime';
+import {Command, CommanderError} from 'commander';
+import {exitCode, exitCodeHelp, type ExitCode} from './exit-code.js';
+import type {CommandReport, OperatorCommand} from './operator-command.js';
+
+/** Where a program prints. */
+export type CommandOutput = {
+	readonly print: (text: string) => void;
+	readonly printError: (text: string) => void;
+};
+
+/** Runs a binary that is one command. */
+export async function runCommand(command: OperatorCommand, source: SettingsSource, output: CommandOutput): Promise<ExitCode> {
+	const program = new Command(`sequoiatally-${command.name}`);
+	return runProgram(program, [[program, command]], source, output);
+}
+
+/** Runs the binary that has all commands as subcommands. */
+export async function runCommands(commands: readonly OperatorCommand[], source: SettingsSource, output: CommandOutput): Promise<ExitCode> {
+	const program = new Command('sequoiatally').description('Command line for the operators of a router fleet.');
+	const parts = commands.map(command => [program.command(command.name), command] as const);
+	program.addHelpText('after', exitCodeHelp);
+	return runProgram(program, parts, source, output);
+}
+
+type Part = readonly [Command, OperatorCommand];
+
+async function runProgram(program: Command, parts: readonly Part[], source: SettingsSource, output: CommandOutput): Promise<ExitCode> {
+	const codes: ExitCode[] = [];
+	for (const [parsed, command] of parts) {
+		describeCommand(parsed, command);
+		parsed.exitOverride().configureOutput({writeOut: output.print, writeErr: output.printError});
+		parsed.action(async () => {
+			const report = await runParsed(parsed, command, source);
+			printReport(report, parsed.opts().json === true, output);
+			codes.push(report.exitCode);
+		});
+	}
+
+	program.exitOverride().configureOutput({writeOut: output.print, writeErr: output.printError});
+	try {
+		await program.parseAsync([...source.argv]);
+	} catch (error) {
+		if (!(error instanceof CommanderError)) {
+			throw error;
+		}
+
+		// The library has printed the help or the fault itself.
+		return error.exitCode === 0 ? exitCode.ok : exitCode.usage;
+	}
+
+	return codes[0] ?? exitCode.ok;
+}
+
+function describeCommand(parsed: Command, command: OperatorCommand): void {
+	const {description, schema, operands: {name, fewest}} = command;
+	addSettings(parsed, schema);
+	const operands = fewest > 0 ? name : `[${name}]`;
+	parsed
+		.description(description)
+		.usage(name === undefined ? '[flags]' : `[flags] ${operands}`)
+		.option('--json', 'Prints JSON for programs')
+		.addHelpText('after', exitCodeHelp);
+}
+
+async function runParsed(parsed: Command, command: OperatorCommand, {env}: SettingsSource): Promise<CommandReport> {
+	const operands = parsed.args.filter(argument => !argument.startsWith('-'));
+	const settings = checkSettings(parsed, command.schema, env);
+	const faults = [...settings.isErr() ? settings.error : [], ...findOperandFaults(command, parsed.args)];
+	return settings.isErr() || faults.length > 0
+		? createUsageReport(faults)
+		: command.run({settings: settings.value, operands});
+}
+
+function findOperandFaults({operands: {name, fewest}}: OperatorCommand, args: readonly string[]): SettingFault[] {
+	const faults = findStrayArguments(args)
+		.filter(({kind}) => name === undefined || kind === settingFaultKind.unknownFlag);
+	if (args.filter(argument => !argument.startsWith('-')).length < fewest) {
+		faults.push({
+			kind: settingFaultKind.missing, flag: name ?? '', value: undefined, allowed: `${fewest} or more`,
+		});
+	}
+
+	return faults;
+}
+
+function createUsageReport(faults: readonly SettingFault[]): CommandReport {
+	const lines = faults.map(({
+		kind, flag, value, allowed,
+	}) => `${kind}: ${flag}${value === undefined ? '' : ` "${value}"`}; allowed: ${allowed}`);
+	return {exitCode: exitCode.usage, json: {faults}, lines: [...lines, 'See --help.']};
+}
+
+function printReport({exitCode: code, json, lines}: CommandReport, isJson: boolean, {print, printError}: CommandOutput): void {
+	if (isJson) {
+		print(`${JSON.stringify(json, undefined, '\t')}\n`);
+		return;
+	}
+
+	const printLines = code === exitCode.usage ? printError : print;
+	printLines(`${lines.join('\n')}\n`);
+}
--- /dev/null
+++ b/packages/cli/src/lib/timeline/clock-offsets.ts
@@ -0,0 +1,124 @@
+/**
+ * Estimates how far the wall clocks of processes are apart, from requests: a
+ * request is received after it was sent, and answered after it was received.
+ *
+ * Each such pair of entries bounds the offset between two processes. An offset
+ * of zero that contradicts no bound is kept, so that the order changes only
+ * where clocks are known to be wrong.
+ */
+import {timelineKind} from '@sequoiatally/core';
+import type {TimedLine} from './timed-line.js';
+
+/** Bounds of a second process's clock minus the first one's, in milliseconds. */
+type OffsetBounds = {lowest: number; highest: number};
+
+/** Bounds by first process, then by second. */
+type BoundsByPair = Map<string, Map<string, OffsetBounds>>;
+
+/** Estimates the offset of each process's clock, by process key. */
+export function estimateOffsets(lines: readonly TimedLine[]): Map<string, number> {
+	const bounds = gatherBounds(lines);
+	const offsets = new Map<string, number>();
+	// The process with the most neighbours is the reference of all that it reaches.
+	const keys = [...bounds.keys()].sort((a, b) => bounds.get(b)!.size - bounds.get(a)!.size);
+	for (const key of keys) {
+		if (!offsets.has(key)) {
+			spreadOffsets(key, bounds, offsets);
+		}
+	}
+
+	return offsets;
+}
+
+function spreadOffsets(start: string, bounds: BoundsByPair, offsets: Map<string, number>): void {
+	offsets.set(start, 0);
+	const reached = [start];
+	for (const key of reached) {
+		for (const [neighbour, pair] of bounds.get(key) ?? []) {
+			if (!offsets.has(neighbour)) {
+				offsets.set(neighbour, offsets.get(key)! + chooseOffset(pair));
+				reached.push(neighbour);
+			}
+		}
+	}
+}
+
+function chooseOffset({lowest, highest}: OffsetBounds): number {
+	// On a bound, an entry would stand at the same time as its cause.
+	if (lowest < 0 && highest > 0) {
+		return 0;
+	}
+
+	if (Number.isFinite(lowest) && Number.isFinite(highest)) {
+		return (lowest + highest) / 2;
+	}
+
+	return Number.isFinite(lowest) ? lowest : highest;
+}
+
+function gatherBounds(lines: readonly TimedLine[]): BoundsByPair {
+	const bounds: BoundsByPair = new Map();
+	for (const requestLines of groupByRequest(lines).values()) {
+		for (const [before, after] of listOrderedPairs(requestLines)) {
+			applyPair(bounds, before, after);
+		}
+	}
+
+	return bounds;
+}
+
+function applyPair(bounds: BoundsByPair, before: TimedLine, after: TimedLine): void {
+	const difference = after.atMs - before.atMs;
+	const forward = findBounds(bounds, before.processKey, after.processKey);
+	forward.highest = Math.min(forward.highest, difference);
+	const backward = findBounds(bounds, after.processKey, before.processKey);
+	backward.lowest = Math.max(backward.lowest, -difference);
+}
+
+function findBounds(bounds: BoundsByPair, first: string, second: string): OffsetBounds {
+	const bySecond = bounds.get(first) ?? new Map<string, OffsetBounds>();
+	bounds.set(first, bySecond);
+	const pair = bySecond.get(second) ?? {lowest: Number.NEGATIVE_INFINITY, highest: Number.POSITIVE_INFINITY};
+	bySecond.set(second, pair);
+	return pair;
+}
+
+/** Lists pairs of entries of different processes of which the first certainly came first. */
+function listOrderedPairs(lines: readonly TimedLine[]): Array<[TimedLine, TimedLine]> {
+	const find = (kind: string) => lines.filter(line => line.kind === kind);
+	const pairs: Array<[TimedLine, TimedLine]> = [];
+	for (const received of find(timelineKind.requestReceived)) {
+		pairs.push(
+			...find(timelineKind.callerSent).map(sent => [sent, received] as [TimedLine, TimedLine]),
+			...find(timelineKind.callerAnswered).map(answered => [received, answered] as [TimedLine, TimedLine]),
+		);
+	}
+
+	for (const atTarget of find(timelineKind.targetReceived)) {
+		const isHere = (line: TimedLine) => line.targetId === atTarget.instanceId;
+		const dispatches = find(timelineKind.requestDispatched).filter(line => isHere(line));
+		const ends = find(timelineKind.attemptEnded).filter(line => isHere(line));
+		// With several attempts at one target it is not known which entry belongs to which.
+		if (dispatches.length === 1 && ends.length === 1) {
+			pairs.push([dispatches[0]!, atTarget], [atTarget, ends[0]!]);
+		}
+	}
+
+	return pairs;
+}
+
+function groupByRequest(lines: readonly TimedLine[]): Map<string, TimedLine[]> {
+	const groups = new Map<string, TimedLine[]>();
+	for (const line of lines) {
+		const {requestId} = line;
+		if (typeof requestId !== 'string') {
+			continue;
+		}
+
+		const group = groups.get(requestId) ?? [];
+		group.push(line);
+		groups.set(requestId, group);
+	}
+
+	return groups;
+}
--- /dev/null
+++ b/packages/cli/src/lib/timeline/draw-timeline.ts
@@ -0,0 +1,166 @@
+/**
+ * Draws a time line as one self-contained HTML page without scripts: an
+ * overview with a lane for each process, and single requests followed through
+ * callers, routers and targets. A click on an entry shows its request.
+ */
+import {timelineKind} from '@sequoiatally/core';
+import {
+	computeX, createLayout, drawLanes, escapeText, findClass, type LaneLayout,
+} from './lane-layout.js';
+import type {MergedTimeline} from './merge-timeline.js';
+import {pageStyle} from './page-style.js';
+import type {TimedLine} from './timed-line.js';
+
+/** Entries that the overview draws at most. */
+const mostOverviewLines = 20_000;
+/** Requests that are drawn one by one at most. */
+const mostFollowedRequests = 200;
+const overviewLaneHeight = 20;
+const detailLaneHeight = 46;
+const numberRadius = 8;
+/** Entries that a refused request counts more than an answered one, when requests are chosen. */
+const refusedWeight = 5;
+
+const legend = [
+	['step', 'sent'], ['good', 'answered'], ['refused', 'refused'], ['bad', 'failed'], ['alarm', 'alarm or operator'], ['plain', 'other'],
+] as const;
+
+/** Draws the page; `followedId` names the request that is shown first. */
+export function drawTimeline({lines, offsets}: MergedTimeline, followedId?: string): string {
+	const requests = chooseRequests(lines, followedId);
+	const first = requests[0]?.[0];
+	const sections = requests.map(([id, requestLines]) => drawRequest(id, requestLines, id === first));
+	// The section that is shown first stands last, so that any chosen one can hide it.
+	const ordered = [...sections.slice(1), ...sections.slice(0, 1)];
+	return [
+		'<!doctype html><html lang="en"><head><meta charset="utf-8"><title>Time line</title>',
+		`<style>${pageStyle}</style></head><body>`,
+		'<h1>Time line</h1>',
+		`<p>${describeContent(lines, requests.length)}</p>`,
+		...offsets.size === 0 ? [] : [`<p>${escapeText(describeOffsets(offsets))}</p>`],
+		`<p class="legend">${legend.map(([name, text]) => `<span><svg viewBox="0 0 10 10"><circle class="${name}" cx="5" cy="5" r="4"/></svg> ${text}</span>`).join('')}</p>`,
+		drawOverview(lines.slice(0, mostOverviewLines), new Set(requests.map(([id]) => id))),
+		...ordered,
+		'</body></html>\n',
+	].join('\n');
+}
+
+function describeContent(lines: readonly TimedLine[], requestCount: number): string {
+	const all = new Set(lines.flatMap(({requestId}) => typeof requestId === 'string' ? [requestId] : [])).size;
+	const start = lines[0] === undefined ? '' : ` from ${new Date(lines[0].atMs).toISOString()}`;
+	const cut = lines.length > mostOverviewLines ? ` The overview draws the first ${mostOverviewLines}.` : '';
+	const hint = requestCount < all ? ` ${requestCount} of ${all} requests can be followed here: those with the most attempts and refusals; filter to see others.` : '';
+	return `${lines.length} entries${start}.${cut}${hint} Choose an entry to follow its request.`;
+}
+
+function describeOffsets(offsets: MergedTimeline['offsets']): string {
+	const parts = [...offsets].map(([key, offset]) => `${key.split(' ', 2).join(' ')} by ${Math.round(-offset)} ms`);
+	return `Clocks were moved so that no answer comes before its request: ${parts.join(', ')}.`;
+}
+
+/** Chooses the requests that are drawn one by one, the one to show first in front. */
+function chooseRequests(lines: readonly TimedLine[], followedId: string | undefined): Array<[string, TimedLine[]]> {
+	const groups = new Map<string, TimedLine[]>();
+	for (const line of lines) {
+		if (typeof line.requestId === 'string') {
+			const group = groups.get(line.requestId) ?? [];
+			group.push(line);
+			groups.set(line.requestId, group);
+		}
+	}
+
+	const computeWeight = ([id, group]: [string, TimedLine[]]) => {
+		const refused = group.some(({kind}) => kind === timelineKind.requestRefused) ? refusedWeight : 0;
+		return id === followedId ? Number.POSITIVE_INFINITY : group.length + refused;
+	};
+
+	const weighed = [...groups].map(group => ({group, weight: computeWeight(group)}));
+	weighed.sort((a, b) => b.weight - a.weight);
+	return weighed.slice(0, mostFollowedRequests).map(({group}) => group);
+}
+
+function drawOverview(lines: readonly TimedLine[], followable: ReadonlySet<string>): string {
+	const layout = createLayout(lines, overviewLaneHeight);
+	const paths = new Map<string, string[]>();
+	const dots: string[] = [];
+	for (const line of lines) {
+		const x = computeX(layout, line.atMs).toFixed(1);
+		const {y} = layout.lanes.get(line.processKey)!;
+		const id = typeof line.requestId === 'string' ? line.requestId : undefined;
+		if (id !== undefined) {
+			const path = paths.get(id) ?? [];
+			path.push(`${x},${y}`);
+			paths.set(id, path);
+		}
+
+		const dot = `<circle class="${findClass(line)}" cx="${x}" cy="${y}" r="3"><title>${escapeText(describeLine(line))}</title></circle>`;
+		dots.push(id !== undefined && followable.has(id) ? `<a href="#${createAnchor(id)}">${dot}</a>` : dot);
+	}
+
+	const drawnPaths = [...paths.values()].map(points => `<polyline class="path" points="${points.join(' ')}"/>`);
+	return drawFrame(layout, [...drawnPaths, ...dots]);
+}
+
+function drawRequest(id: string, lines: readonly TimedLine[], isFirst: boolean): string {
+	const layout = createLayout(lines, detailLaneHeight);
+	const places = placeNumbers(layout, lines);
+	const points = places.map(({x, y}) => `${x.toFixed(1)},${y.toFixed(1)}`).join(' ');
+	const dots = lines.map((line, index) => {
+		const {x, y} = places[index]!;
+		const circle = `<circle class="${findClass(line)}" cx="${x.toFixed(1)}" cy="${y.toFixed(1)}" r="${numberRadius}"/>`;
+		return `<g>${circle}<text class="number" x="${x.toFixed(1)}" y="${(y + 3.5).toFixed(1)}">${index + 1}</text><title>${escapeText(describeLine(line))}</title></g>`;
+	});
+	return [
+		`<section id="${createAnchor(id)}"${isFirst ? ' class="first"' : ''}>`,
+		`<h2>Request ${escapeText(id)}</h2>`,
+		`<p>${escapeText(describeRequest(lines))}</p>`,
+		drawFrame(layout, [`<polyline class="followed" points="${points}"/>`, ...dots]),
+		drawTable(layout, lines),
+		'</section>',
+	].join('\n');
+}
+
+type Place = {readonly x: number; readonly y: number};
+
+/** Places numbers side by side where entries of one lane are close in time. */
+function placeNumbers(layout: LaneLayout, lines: readonly TimedLine[]): Place[] {
+	const lastX = new Map<string, number>();
+	return lines.map(({processKey, atMs}) => {
+		const free = (lastX.get(processKey) ?? Number.NEGATIVE_INFINITY) + (numberRadius * 2) + 1;
+		const x = Math.max(computeX(layout, atMs), free);
+		lastX.set(processKey, x);
+		return {x: Math.min(x, layout.width - numberRadius), y: layout.lanes.get(processKey)!.y};
+	});
+}
+
+function drawTable(layout: LaneLayout, lines: readonly TimedLine[]): string {
+	const rows = lines.map((line, index) => {
+		const {name} = (layout.lanes.get(line.processKey)!);
+		const cells = [name, line.kind, describeDetail(line)].map(text => `<td>${escapeText(text)}</td>`);
+		return `<tr><td class="right">${index + 1}</td><td class="right">${(line.atMs - layout.fromMs).toFixed(1)} ms</td>${cells.join('')}</tr>`;
+	});
+	return `<table><tr><th></th><th>after</th><th>process</th><th>entry</th><th>detail</th></tr>${rows.join('')}</table>`;
+}
+
+function drawFrame({width, height, ...rest}: LaneLayout, parts: readonly string[]): string {
+	return `<svg viewBox="0 0 ${width} ${height}" role="img">${drawLanes({width, height, ...rest})}${parts.join('')}</svg>`;
+}
+
+function describeRequest(lines: readonly TimedLine[]): string {
+	const findText = (field: string) => lines.map(line => line[field]).find(value => typeof value === 'string') ?? 'unknown';
+	return `Route ${findText('route')}, client account ${findText('account')}, chat ${findText('chatKey')}.`;
+}
+
+function describeDetail(line: TimedLine): string {
+	const target = line.kind === timelineKind.requestDispatched && typeof line.targetId === 'string' ? `to ${line.targetId}` : '';
+	const detail = typeof line.detail === 'string' ? line.detail : '';
+	return [target, detail].filter(part => part !== '').join('; ');
+}
+
+function describeLine(line: TimedLine): string {
+	return `${line.instanceId}: ${line.kind} ${describeDetail(line)}`.trim();
+}
+
+function createAnchor(id: string): string {
+	return `request-${encodeURIComponent(id).replaceAll('%', '_').replaceAll('\'', '_')}`;
+}
--- /dev/null
+++ b/packages/cli/src/lib/timeline/merge-timeline.ts
@@ -0,0 +1,27 @@
+/**
+ * Merges the lines of many processes into one time line.
+ */
+import type {TimelineLine} from '@sequoiatally/runtime';
+import {estimateOffsets} from './clock-offsets.js';
+import {placeLines, type TimedLine} from './timed-line.js';
+
+export type MergedTimeline = {
+	/** Oldest first, on one clock. */
+	readonly lines: readonly TimedLine[];
+	/** Correction of each process's clock that is not zero, in milliseconds. */
+	readonly offsets: ReadonlyMap<string, number>;
+};
+
+/** Merges lines; those given twice are kept once. */
+export function mergeTimeline(lines: readonly TimelineLine[]): MergedTimeline {
+	const placed = placeLines(removeDoubles(lines));
+	const offsets = estimateOffsets(placed);
+	const corrected = placed.map(line => ({...line, atMs: line.atMs - (offsets.get(line.processKey) ?? 0)}));
+	corrected.sort((a, b) => a.atMs - b.atMs);
+	return {lines: corrected, offsets: new Map([...offsets].filter(([, offset]) => offset !== 0))};
+}
+
+function removeDoubles(lines: readonly TimelineLine[]): TimelineLine[] {
+	const byText = new Map(lines.map(line => [JSON.stringify(line), line]));
+	return [...byText.values()];
+}
--- /dev/null
+++ b/packages/cli/src/lib/timeline/timed-line.ts
@@ -0,0 +1,39 @@
+/**
+ * Lines of the time line on one clock.
+ */
+import type {TimelineLine} from '@sequoiatally/runtime';
+
+/** A line with the process that wrote it and its place on the common clock. */
+export type TimedLine = TimelineLine & {
+	readonly processKey: string;
+	/** Milliseconds since 1970, corrected. */
+	readonly atMs: number;
+};
+
+/**
+ * Places the lines of each process by its monotonic clock, so that a step of
+ * its wall clock does not change their order.
+ */
+export function placeLines(lines: readonly TimelineLine[]): TimedLine[] {
+	const byProcess = new Map<string, TimelineLine[]>();
+	for (const line of lines) {
+		const key = describeProcess(line);
+		const group = byProcess.get(key) ?? [];
+		group.push(line);
+		byProcess.set(key, group);
+	}
+
+	return [...byProcess].flatMap(([processKey, group]) => {
+		const base = computeMedian(group.map(({wallMs, monotonicMs}) => wallMs - monotonicMs));
+		return group.map(line => ({...line, processKey, atMs: base + line.monotonicMs}));
+	});
+}
+
+function describeProcess({process, instanceId, incarnation}: TimelineLine): string {
+	return `${process} ${instanceId} ${incarnation}`;
+}
+
+function computeMedian(values: readonly number[]): number {
+	const sorted = [...values].sort((a, b) => a - b);
+	return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
--- /dev/null
+++ b/packages/cli/src/test/commands_test.ts
@@ -0,0 +1,71 @@
+/**
+ * The command line without instances: usage, help, and the check of tables.
+ */
+import assert from 'node:assert/strict';
+import {readFile} from 'node:fs/promises';
+import {test} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {
+	checkText, createCommands, exitCode, runCommands,
+} from '../index.js';
+
+const rungwrightPath = fileURLToPath(new URL('../../../../examples/rungwright.json', import.meta.url));
+
+async function run(...args: string[]): Promise<{code: number; text: string; errorText: string}> {
+	let text = '';
+	let errorText = '';
+	const code = await runCommands(createCommands(), {argv: ['node', 'sequoiatally', ...args], env: {}}, {
+		print(part) {
+			text += part;
+		},
+		printError(part) {
+			errorText += part;
+		},
+	});
+	return {code, text, errorText};
+}
+
+test('every command has help with its exit codes', async () => {
+	for (const {name} of createCommands()) {
+		const {code, text} = await run(name, '--help');
+		assert.equal(code, exitCode.ok);
+		assert.match(text, /Exit codes:/);
+	}
+});
+
+test('bad flags do nothing and name every fault', async () => {
+	const {code, errorText} = await run('status', '--addresses', 'nowhere', '--colour', 'red');
+	assert.equal(code, exitCode.usage);
+	for (const part of ['--addresses', '--token', '--colour']) {
+		assert.ok(errorText.includes(part), part);
+	}
+
+	const unknown = await run('destroy');
+	assert.equal(unknown.code, exitCode.usage);
+});
+
+test('check accepts the example tables and sums them up', async () => {
+	const {code, text} = await run('check', rungwrightPath, '--json');
+	assert.equal(code, exitCode.ok);
+	const {isValid, summary} = JSON.parse(text) as {isValid: boolean; summary: Record<string, unknown>};
+	assert.deepEqual([isValid, summary.routes, summary.notRepeatableRoutes], [true, 4, ['fieldbook-booking']]);
+});
+
+test('check names every fault with its place', async () => {
+	const document = JSON.parse(await readFile(rungwrightPath, 'utf8')) as {routes: Array<Record<string, unknown>>; pools: Array<Record<string, unknown>>};
+	document.routes[0]!.pool = 'nowhere';
+	document.pools.push({...document.pools[0]});
+	const {exitCode: code, json} = checkText('file', JSON.stringify(document));
+	assert.equal(code, exitCode.bad);
+	const {faults} = json as {faults: Array<{kind: string; place: string}>};
+	assert.deepEqual(faults.map(({kind, place}) => [kind, place]), [['duplicate-name', 'pools.2.name'], ['unknown-pool', 'routes.0.pool']]);
+});
+
+test('what cannot be read or parsed is said so', async () => {
+	const missing = await run('check', '/nonexistent/file.json');
+	assert.equal(missing.code, exitCode.unreachable);
+	assert.equal(checkText('file', '{').exitCode, exitCode.bad);
+	assert.equal(checkText('file', JSON.stringify({filler: 'x'.repeat(1024 * 1024)})).exitCode, exitCode.bad);
+	const line = await run('timeline', '/nonexistent/file.jsonl');
+	assert.equal(line.code, exitCode.unreachable);
+});
--- /dev/null
+++ b/packages/cli/src/test/timeline_test.ts
@@ -0,0 +1,133 @@
+/**
+ * Merging and drawing of time lines: torn lines, wrong clocks and odd text.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {timelineKind} from '@sequoiatally/core';
+import type {TimelineLine} from '@sequoiatally/runtime';
+import fc from 'fast-check';
+import {drawTimeline, mergeTimeline, parseLines} from '../index.js';
+
+/** The entries of one request in the order in which they happen, each with who writes it. */
+const requestSteps = [
+	['caller', timelineKind.callerSent],
+	['router', timelineKind.requestReceived],
+	['router', timelineKind.requestDispatched],
+	['engine', timelineKind.targetReceived],
+	['router', timelineKind.attemptEnded],
+	['router', timelineKind.requestCompleted],
+	['caller', timelineKind.callerAnswered],
+] as const;
+
+/** Which entries certainly come before which; a router may note an end after its caller has seen it. */
+const certainOrders = [
+	[timelineKind.callerSent, timelineKind.requestReceived],
+	[timelineKind.requestReceived, timelineKind.requestDispatched],
+	[timelineKind.requestDispatched, timelineKind.targetReceived],
+	[timelineKind.targetReceived, timelineKind.attemptEnded],
+	[timelineKind.attemptEnded, timelineKind.requestCompleted],
+	[timelineKind.requestReceived, timelineKind.callerAnswered],
+] as const;
+
+type Clocks = Readonly<Record<string, number>>;
+
+/** Creates the lines of one request that starts at `startMs`, with a step every `stepMs`. */
+function createRequestLines(requestId: string, startMs: number, stepMs: number, clocks: Clocks): TimelineLine[] {
+	return requestSteps.map(([process, kind], index) => {
+		const atMs = startMs + (index * stepMs);
+		const wallMs = atMs + (clocks[process] ?? 0);
+		return {
+			wallMs, monotonicMs: atMs, process, instanceId: `${process}-1`, incarnation: 'i1', kind, cause: requestId, requestId, targetId: 'engine-1',
+		};
+	});
+}
+
+function listKinds(lines: ReadonlyArray<{readonly kind: string}>): string[] {
+	return lines.map(({kind}) => kind);
+}
+
+const rightOrder = requestSteps.map(([, kind]) => kind);
+
+test('torn and foreign lines are counted and left out', () => {
+	const [line] = createRequestLines('r1', 0, 10, {});
+	const whole = JSON.stringify(line);
+	const {lines, torn} = parseLines('file', `${whole}\n${whole.slice(0, 40)}\n\n{"a":1}\nnull\n${whole.slice(0, -1)}`);
+	assert.equal(lines.length, 1);
+	assert.deepEqual(torn.map(({lineNumber}) => lineNumber), [2, 4, 5, 6]);
+});
+
+test('a line that two sources hold is kept once', () => {
+	const lines = createRequestLines('r1', 1000, 10, {});
+	assert.equal(mergeTimeline([...lines, ...lines]).lines.length, lines.length);
+});
+
+test('a step of the wall clock does not change the order within a process', () => {
+	const lines = createRequestLines('r1', 1000, 10, {});
+	const stepped = lines.map(line => line.kind === timelineKind.requestCompleted ? {...line, wallMs: line.wallMs - 60_000} : line);
+	assert.deepEqual(listKinds(mergeTimeline(stepped).lines), rightOrder);
+});
+
+test('clocks that are right are left alone', () => {
+	assert.equal(mergeTimeline(createRequestLines('r1', 1000, 10, {})).offsets.size, 0);
+});
+
+test('whatever the offsets of the clocks, no entry comes before its cause', () => {
+	const offset = fc.integer({min: -100_000, max: 100_000});
+	fc.assert(fc.property(offset, offset, fc.integer({min: 1, max: 50}), fc.integer({min: 1, max: 5}), (caller, engine, stepMs, count) => {
+		const lines = Array.from({length: count}, (_, index) => createRequestLines(`r${index}`, 1_000_000 + (index * 1000), stepMs, {caller, engine})).flat();
+		const merged = mergeTimeline(lines).lines;
+		for (let index = 0; index < count; index++) {
+			const kinds = listKinds(merged.filter(({requestId}) => requestId === `r${index}`));
+			for (const [cause, effect] of certainOrders) {
+				assert.ok(kinds.indexOf(cause) < kinds.indexOf(effect), `${cause} before ${effect}: ${kinds.join(', ')}`);
+			}
+		}
+	}), {seed: 64, numRuns: 300});
+});
+
+test('a page holds every lane and entry, and loads nothing', () => {
+	const lines = [...createRequestLines('r1', 1000, 10, {}), ...createRequestLines('r2', 1500, 10, {})];
+	const page = drawTimeline(mergeTimeline(lines), 'r2');
+	for (const name of ['caller-1', 'router-1', 'engine-1']) {
+		assert.ok(page.includes(`>${name}</text>`), name);
+	}
+
+	assert.doesNotMatch(page, /<script|src=|@import|https?:/);
+	assert.match(page, /<section id="request-r2" class="first">/);
+	assert.equal(page.match(/<circle [^>]*r="3"/g)?.length, lines.length);
+});
+
+test('no text of an entry becomes part of the page\'s markup', () => {
+	const text = fc.oneof(fc.string(), fc.constantFrom('<script>alert(1)</script>', '"><img src=x>', '\'"&', '</svg></section>'));
+	fc.assert(fc.property(text, text, text, (requestId, detail, instanceId) => {
+		const lines = createRequestLines(requestId, 1000, 10, {}).map(line => ({...line, detail, instanceId: `i${instanceId}`}));
+		const page = drawTimeline(mergeTimeline(lines), requestId);
+		const tags = new Set(page.match(/<[a-z!][^\s>/]*/gi));
+		const known = new Set([
+			'<!doctype',
+			'<html',
+			'<head',
+			'<meta',
+			'<title',
+			'<style',
+			'<body',
+			'<h1',
+			'<p',
+			'<span',
+			'<svg',
+			'<circle',
+			'<line',
+			'<text',
+			'<polyline',
+			'<a',
+			'<section',
+			'<h2',
+			'<g',
+			'<table',
+			'<tr',
+			'<th',
+			'<td',
+		]);
+		assert.deepEqual([...tags].filter(tag => !known.has(tag)), []);
+	}), {seed: 65, numRuns: 300});
+});
--- a/packages/load/src/bin/demo.ts
+++ b/packages/load/src/bin/demo.ts
@@ -7,10 +7,14 @@
 import {
 	mkdir, readFile, readdir, rm, writeFile,
 } from 'node:fs/promises';
+import {randomUUID} from 'node:crypto';
 import process from 'node:process';
 import {uniformInt, xoroshiro128plus} from '../lib/random.js';
+import {drawTimeline, mergeTimeline, parseLines} from '@sequoiatally/cli';
+import {TimelineWriter} from '@sequoiatally/runtime';
 import {request} from 'undici';
 import {answerKind, Caller, type Answer} from '../lib/caller.js';
+import {recordAnswer} from '../lib/record-answer.js';
 import {Fleet} from '../lib/fleet.js';
 
 const seed = 20_261_204;
@@ -34,6 +38,11 @@
 	routerCount: 6, zones: ['scot-central-a', 'scot-central-b', 'scot-central-c'], modelPool: 'fitbrain', engineCount: 13, plainPool: 'fieldbook', plainCount: 3, configurationText, timelineDirectory: resultDirectory,
 });
 
+/** Time line of each client account's callers. */
+const timelines = new Map(accounts.map(({name}) => [name, new TimelineWriter({
+	process: 'caller', instanceId: `caller-${name}`, incarnation: randomUUID(),
+}, `${resultDirectory}/caller-${name}.jsonl`)]));
+
 type Kept = {readonly account: string; readonly sentKind: 'chat' | 'booking' | 'open'; readonly answer: Answer};
 const kept: Kept[] = [];
 let exitCode = 0;
@@ -47,14 +56,15 @@
 	await fleet.stop();
 }
 
-await mergeTimeline();
+await Promise.all([...timelines.values()].map(async timeline => timeline.close()));
+await writeTimeline();
 process.exitCode = exitCode;
 
 async function sendTraffic(): Promise<void> {
 	const endAt = performance.now() + trafficMs;
 	await Promise.all(keyed.map(async (account, index) => sendAccountTraffic(account, index, endAt)));
 	const open = new Caller();
-	kept.push({account: 'public', sentKind: 'open', answer: await open.callPlain(fleet.routers[0]!.callerAddress, {method: 'GET', path: '/public/notices'})});
+	await keepAnswer('public', 'open', open.callPlain(fleet.routers[0]!.callerAddress, {method: 'GET', path: '/public/notices'}));
 	await open.close();
 }
 
@@ -86,7 +96,9 @@
 }
 
 async function keepAnswer(account: string, sentKind: Kept['sentKind'], call: Promise<Answer>): Promise<void> {
-	kept.push({account, sentKind, answer: await call});
+	const answer = await call;
+	kept.push({account, sentKind, answer});
+	recordAnswer(timelines.get(account)!, answer);
 }
 
 async function printSummary(): Promise<void> {
@@ -131,18 +143,14 @@
 	exitCode = doubled + keySightings > 0 ? 1 : exitCode;
 }
 
-async function mergeTimeline(): Promise<void> {
-	const allNames = await readdir(resultDirectory);
-	const names = allNames.filter(name => name.startsWith('router-'));
-	const texts = await Promise.all(names.map(async name => readFile(`${resultDirectory}/${name}`, 'utf8')));
-	const lines = texts.flatMap(text => text.split('\n').filter(line => line !== ''));
-	const timed = lines.map(line => {
-		const {wallMs} = JSON.parse(line) as {wallMs: number};
-		return {line, wallMs};
-	});
-	timed.sort((a, b) => a.wallMs - b.wallMs);
-	await writeFile(`${resultDirectory}/timeline.jsonl`, `${timed.map(({line}) => line).join('\n')}\n`);
-	print(`time line           ${timed.length} entries in ${resultDirectory}/timeline.jsonl`);
+/** Merges the files of all processes, and draws them as a page. */
+async function writeTimeline(): Promise<void> {
+	const names = await readdir(resultDirectory);
+	const parts = await Promise.all(names.map(async name => parseLines(name, await readFile(`${resultDirectory}/${name}`, 'utf8'))));
+	const merged = mergeTimeline(parts.flatMap(({lines}) => lines));
+	await writeFile(`${resultDirectory}/timeline.jsonl`, merged.lines.map(line => `${JSON.stringify(line)}\n`).join(''));
+	await writeFile(`${resultDirectory}/timeline.html`, drawTimeline(merged));
+	print(`time line           ${merged.lines.length} entries of ${names.length} processes in ${resultDirectory}/timeline.jsonl, drawn in timeline.html`);
 }
 
 function countBy(values: readonly string[]): Map<string, number> {
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -201,7 +201,7 @@
 		const pool = isEngine ? plan.modelPool : plan.plainPool;
 		const id = `${pool}-${isEngine ? index + 1 : index - plan.engineCount + 1}`;
 		const address = `${host}:${port}`;
-		const flags = ['--address', address, '--id', id, ...(isEngine ? plan.engineFlags ?? [] : [])];
+		const flags = ['--address', address, '--id', id, '--timeline-path', `${plan.timelineDirectory}/${id}.jsonl`, ...(isEngine ? plan.engineFlags ?? [] : [])];
 		this.targets.push({
 			id, pool, address, zone: plan.zones[index % plan.zones.length]!, isLeaving: false,
 			process: this.#spawn(isEngine ? 'engine' : 'plain-service', '@sequoiatally/stand-ins', flags),
--- a/packages/stand-ins/src/bin/engine.ts
+++ b/packages/stand-ins/src/bin/engine.ts
@@ -5,9 +5,10 @@
 import {randomUUID} from 'node:crypto';
 import {Command} from 'commander';
 import {
-	createLogger, defineAddress, defineInteger, defineText, LifecycleManager, parseSettingsOrExit, readMonotonicMs,
+	createLogger, defineAddress, defineInteger, defineText, LifecycleManager, makeOptional, parseSettingsOrExit, readMonotonicMs, TimelineWriter,
 } from '@sequoiatally/runtime';
 import {createEngineApp, Engine} from '../lib/engine.js';
+import {recordRequests} from '../lib/record-requests.js';
 import {serveApp} from '../lib/serve.js';
 
 const settings = parseSettingsOrExit(new Command('sequoiatally-stand-in-engine').description('Stand-in for a model engine.'), {
@@ -20,11 +21,16 @@
 	warmAfterMs: defineInteger(0, 600_000, {flag: 'warm-after-ms', description: 'Milliseconds until the engine is warm', defaultText: '2000'}),
 	coldSlots: defineInteger(1, 10_000, {flag: 'cold-slots', description: 'Requests borne while cold', defaultText: '2'}),
 	slots: defineInteger(1, 10_000, {flag: 'slots', description: 'Requests borne when warm', defaultText: '32'}),
+	timelinePath: makeOptional(defineText({flag: 'timeline-path', description: 'File or pipe to which time line entries are appended'})),
 });
 
 const logger = createLogger(`stand-in-engine-${settings.id}`, 'info');
 const lifecycle = new LifecycleManager(logger);
 const engine = new Engine({...settings, bootId: randomUUID()}, readMonotonicMs());
-await serveApp(createEngineApp(engine, readMonotonicMs), settings.address, lifecycle);
+const timeline = new TimelineWriter({
+	process: 'engine', instanceId: settings.id, incarnation: randomUUID(),
+}, settings.timelinePath);
+lifecycle.own('time line', async () => timeline.close());
+await serveApp(recordRequests(createEngineApp(engine, readMonotonicMs), timeline), settings.address, lifecycle);
 lifecycle.handleSignals(async () => lifecycle.closeAll());
 logger.info({event: 'listening', ...settings.address});
