Share ledger: loans of rate, tokens and slots between instances

Cause: a static share refuses wrongly as soon as callers are skewed. Ruled out: estimates of use by gossip, an elected counter (both can overrun). Change: a ledger of lent and borrowed share by limit identifier. The lender subtracts before it answers and takes back after the term and a margin; the borrower counts from before it asked.

--- a/packages/core/src/lib/allowance/allowance-state.ts
+++ b/packages/core/src/lib/allowance/allowance-state.ts
@@ -3,9 +3,12 @@
  * The shares of all instances that may exist at once add up to the limit at
  * most, so that no agreement is needed.
  */
-import type {Account} from '../configuration/configuration.js';
 import type {SpareShare} from '../message.js';
 import type {Step} from '../state.js';
+import {createDemandMeter, recordDemand, type DemandMeter} from './demand-meter.js';
+import {describeAccountLimitId} from './limit.js';
+import {computeNetShare, LoanBook} from './share-ledger.js';
+import type {LoanAsk, ShareWant} from './share-want.js';
 import {
 	createBucket, resizeBucket, tryTakeTokens, type TokenBucket,
 } from './token-bucket.js';
@@ -13,51 +16,84 @@
 export type AllowanceState = {
 	/** Bucket by client account. */
 	buckets: Map<string, TokenBucket>;
+	/** Recent demand by client account. */
+	meters: Map<string, DemandMeter>;
+	/** Requests that wait for a token, by client account. */
+	waitingCounts: Map<string, number>;
+	/** Loans given to peers. */
+	lent: LoanBook;
+	/** Loans taken from peers. */
+	borrowed: LoanBook;
+	/** Wanted rate by limit. */
+	rateWants: Map<string, ShareWant>;
+	/** Wanted tokens or slots by limit. */
+	roomWants: Map<string, ShareWant>;
+	/** Requests for loans that are not answered yet, by loan. */
+	asks: Map<string, LoanAsk>;
+	nextLoanNumber: number;
 };
 
 export function createAllowanceState(): AllowanceState {
-	return {buckets: new Map()};
-}
-
-/** Fraction of every limit that this instance owns. */
-export function computeOwnedFraction(step: Step): number {
-	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY;
-	return 1 / ceiling;
+	return {
+		buckets: new Map(),
+		meters: new Map(),
+		waitingCounts: new Map(),
+		lent: new LoanBook(),
+		borrowed: new LoanBook(),
+		rateWants: new Map(),
+		roomWants: new Map(),
+		asks: new Map(),
+		nextLoanNumber: 1,
+	};
 }
 
 /** Gives every account in the tables a bucket of its present share. */
 export function updateBuckets(step: Step): void {
-	const {state, now} = step;
-	const fraction = computeOwnedFraction(step);
-	const accounts = state.tables.configuration?.accounts ?? [];
-	const names = new Set(accounts.map(account => account.name));
-	for (const name of state.allowances.buckets.keys()) {
-		if (!names.has(name)) {
-			state.allowances.buckets.delete(name);
+	const {allowances, tables} = step.state;
+	for (const name of allowances.buckets.keys()) {
+		if (!tables.accountByName.has(name)) {
+			allowances.buckets.delete(name);
+			allowances.meters.delete(name);
 		}
 	}
 
-	for (const account of accounts) {
-		updateBucket(state.allowances, account, fraction, now);
+	for (const name of tables.accountByName.keys()) {
+		updateBucket(step, name);
 	}
 }
 
-function updateBucket(allowances: AllowanceState, account: Account, fraction: number, now: number): void {
-	const rate = account.rate * fraction;
-	const room = account.burst * fraction;
-	const bucket = allowances.buckets.get(account.name);
-	if (bucket === undefined) {
-		allowances.buckets.set(account.name, createBucket(rate, room, now));
-		return;
-	}
-
-	resizeBucket(bucket, rate, room, now);
+/** Brings one account's bucket to its present share. */
+export function updateBucket(step: Step, account: string): TokenBucket {
+	const {rate, room} = computeNetShare(step, describeAccountLimitId(account));
+	const {buckets} = step.state.allowances;
+	const bucket = buckets.get(account) ?? createBucket(rate, room, step.now);
+	resizeBucket(bucket, rate, room, step.now);
+	buckets.set(account, bucket);
+	return bucket;
 }
 
 /** Takes one request's token from an account's share. */
 export function tryAdmit(step: Step, account: string): boolean {
-	const bucket = step.state.allowances.buckets.get(account);
-	return bucket !== undefined && tryTakeTokens(bucket, 1, step.now);
+	if (!step.state.tables.accountByName.has(account)) {
+		return false;
+	}
+
+	return tryTakeTokens(updateBucket(step, account), 1, step.now);
+}
+
+/** Records that a client account asked for one request. */
+export function recordAccountDemand({state, now}: Step, account: string): void {
+	const meter = state.allowances.meters.get(account) ?? createDemandMeter(now);
+	recordDemand(meter, 1, now);
+	state.allowances.meters.set(account, meter);
+}
+
+/** Counts a request that waits for a token; the count starts anew whenever all of them are tried. */
+export function countWaiting({state}: Step, account: string): number {
+	const {waitingCounts} = state.allowances;
+	const count = (waitingCounts.get(account) ?? 0) + 1;
+	waitingCounts.set(account, count);
+	return count;
 }
 
 /** Describes what this instance could lend. */
--- /dev/null
+++ b/packages/core/src/lib/allowance/lend-share.ts
@@ -0,0 +1,150 @@
+/**
+ * Lends share to peers. What is lent is subtracted here before the answer
+ * goes out, and comes back when the loan's term and a margin have passed.
+ */
+import {effectKind} from '../effect.js';
+import type {BorrowRequested, LoanGivenBack} from '../event.js';
+import type {BorrowRequest, LoanAmount} from '../message.js';
+import {recordEntry, type Step} from '../state.js';
+import {timelineKind} from '../timeline-entry.js';
+import {updateBucket} from './allowance-state.js';
+import {computeDemandRate} from './demand-meter.js';
+import {
+	computeSlotsInUse, findLimit, findLimitAccount, findLimitTarget,
+} from './limit.js';
+import {computeLendableShare, loanMarginMs} from './share-ledger.js';
+
+/** Time within which the answer has to leave the process, in milliseconds. */
+const answerWithinMs = 200;
+/** Rate kept for this instance's own demand, as a multiple of the demand. */
+const keptDemandMultiple = 1.15;
+/** Smallest amount worth a loan. */
+const smallestLoan = 1e-3;
+
+/** Answers a peer's request for a loan of one limit. */
+export function applyBorrowRequest(step: Step, {callId, request}: BorrowRequested): void {
+	const amount = lendShare(step, request);
+	step.effects.push({
+		kind: effectKind.answerBorrow, callId, loanId: request.loanId, amounts: amount === undefined ? [] : [amount], notAfter: step.now + answerWithinMs,
+	});
+}
+
+/** Takes a loan back that its borrower returned early; its tokens count as spent. */
+export function applyGivenBack(step: Step, {loanId}: LoanGivenBack): void {
+	const {lent} = step.state.allowances;
+	const loan = lent.get(loanId);
+	if (loan === undefined) {
+		return;
+	}
+
+	updateLimit(step, loan.limitId);
+	lent.remove(loanId);
+	updateLimit(step, loan.limitId);
+}
+
+function lendShare(step: Step, request: BorrowRequest): LoanAmount | undefined {
+	const [asked] = request.amounts;
+	const termLimit = step.state.tables.configuration?.fleet.loanTermMs ?? 0;
+	if (asked === undefined || request.termMs > termLimit || findLimit(step, asked.limitId) === undefined) {
+		return undefined;
+	}
+
+	updateLimit(step, asked.limitId);
+	const known = step.state.allowances.lent.get(request.loanId);
+	if (known !== undefined && known.endsAt > step.now) {
+		return extendLoan(step, request, known);
+	}
+
+	const amount = findLimitAccount(asked.limitId) === undefined ? lendSlots(step, asked) : lendTokens(step, asked);
+	if (amount === undefined) {
+		return undefined;
+	}
+
+	const {loanId, instanceId, termMs} = request;
+	step.state.allowances.lent.add({
+		loanId,
+		peerId: instanceId,
+		limitId: asked.limitId,
+		rate: amount.rate,
+		room: amount.room,
+		extendedAt: step.now,
+		endsAt: step.now + termMs + loanMarginMs,
+	});
+	updateLimit(step, asked.limitId);
+	recordEntry(step, {
+		kind: timelineKind.loanGiven, cause: loanId, peerId: instanceId, account: findLimitAccount(asked.limitId), detail: describeAmount(amount),
+	});
+	return amount;
+}
+
+/** Extends a loan unless its rate is needed here; it never shrinks, so repeated requests do no harm. */
+function extendLoan(step: Step, {loanId, termMs}: BorrowRequest, known: {limitId: string; rate: number; room: number}): LoanAmount | undefined {
+	const account = findLimitAccount(known.limitId);
+	if (account !== undefined && computeSpareRate(step, known.limitId, account) + known.rate < smallestLoan) {
+		return undefined;
+	}
+
+	const {lent} = step.state.allowances;
+	const loan = lent.get(loanId)!;
+	loan.endsAt = Math.max(loan.endsAt, step.now + termMs + loanMarginMs);
+	return {
+		limitId: known.limitId, rate: known.rate, room: known.room, tokens: 0,
+	};
+}
+
+function lendTokens(step: Step, asked: LoanAmount): LoanAmount | undefined {
+	const account = findLimitAccount(asked.limitId)!;
+	const bucket = updateBucket(step, account);
+	const lendable = computeLendableShare(step, asked.limitId);
+	const largestRoom = Math.min(lendable.room, bucket.room);
+	if (asked.rate > 0) {
+		const limit = findLimit(step, asked.limitId)!;
+		const rate = Math.min(asked.rate, computeSpareRate(step, asked.limitId, account));
+		const room = Math.min(largestRoom, rate * limit.room / limit.rate);
+		return takeFromBucket(bucket, {...asked, rate}, room, bucket.tokens * room / Math.max(bucket.room, smallestLoan));
+	}
+
+	const waiting = step.state.allowances.waitingCounts.get(account) ?? 0;
+	const spareTokens = Math.max(0, bucket.tokens - waiting);
+	const tokens = Math.min(asked.tokens, spareTokens, largestRoom);
+	return takeFromBucket(bucket, {...asked, rate: 0}, tokens, tokens);
+}
+
+function takeFromBucket(bucket: {tokens: number}, {limitId, rate}: LoanAmount, room: number, tokens: number): LoanAmount | undefined {
+	if (rate < smallestLoan && tokens < smallestLoan) {
+		return undefined;
+	}
+
+	bucket.tokens -= tokens;
+	return {
+		limitId, rate, room, tokens,
+	};
+}
+
+/** Slots are lent whole: a part of a slot serves no request. */
+function lendSlots(step: Step, asked: LoanAmount): LoanAmount | undefined {
+	const inUse = computeSlotsInUse(step, findLimitTarget(step, asked.limitId)!);
+	const room = Math.min(asked.room, computeLendableShare(step, asked.limitId).room - inUse);
+	return room < smallestLoan
+		? undefined
+		: {
+			limitId: asked.limitId, rate: 0, room, tokens: 0,
+		};
+}
+
+function computeSpareRate(step: Step, limitId: string, account: string): number {
+	const demand = computeDemandRate(step.state.allowances.meters.get(account), step.now);
+	return computeLendableShare(step, limitId).rate - (demand * keptDemandMultiple);
+}
+
+/** Brings the account's bucket up to now, so that a change of share counts from now on. */
+function updateLimit(step: Step, limitId: string): void {
+	const account = findLimitAccount(limitId);
+	if (account !== undefined && step.state.tables.accountByName.has(account)) {
+		updateBucket(step, account);
+	}
+}
+
+function describeAmount({rate, room, tokens}: LoanAmount): string {
+	return `Rate ${rate.toFixed(3)} a second, room ${room.toFixed(3)}, tokens ${tokens.toFixed(3)}.`;
+}
--- /dev/null
+++ b/packages/core/src/lib/allowance/share-ledger.ts
@@ -0,0 +1,140 @@
+/**
+ * The share ledger: what this instance lent and borrowed of every limit.
+ *
+ * Shares are conserved without agreement. A lender subtracts before it answers
+ * and takes back only after the term and a margin on its own clock, or when
+ * the borrower returns the loan. A borrower counts the term from before it
+ * asked. A lost message therefore loses share for a term and never doubles it.
+ */
+import {computeOwnedFraction} from '../membership/owned-fraction.js';
+import type {Step} from '../state.js';
+import {findLimit} from './limit.js';
+
+/**
+ * Time beyond a loan's term after which its lender takes it back, in
+ * milliseconds. It covers a dispatch that was decided at the end of the term
+ * and sent within its `notAfter`, and the drift of clocks over a term.
+ */
+export const loanMarginMs = 1000;
+
+/** Part of a limit. */
+export type Share = {
+	/** Tokens per second. */
+	readonly rate: number;
+	/** Bucket room in tokens, or slots. */
+	readonly room: number;
+};
+
+export const emptyShare: Share = {rate: 0, room: 0};
+
+/** A loan of one limit, at the lender or at the borrower. */
+export type Loan = Share & {
+	readonly loanId: string;
+	readonly peerId: string;
+	readonly limitId: string;
+	/** Time at which it ends, on this process's clock. */
+	endsAt: number;
+	/** Time of the last request to extend it; borrower only. */
+	extendedAt: number;
+};
+
+/** Loans by identifier, and by limit for the sums. */
+export class LoanBook {
+	readonly #byId = new Map<string, Loan>();
+	readonly #byLimit = new Map<string, Set<Loan>>();
+
+	get(loanId: string): Loan | undefined {
+		return this.#byId.get(loanId);
+	}
+
+	/** Adds a loan, in place of one with the same identifier. */
+	add(loan: Loan): void {
+		this.remove(loan.loanId);
+		this.#byId.set(loan.loanId, loan);
+		const loans = this.#byLimit.get(loan.limitId) ?? new Set();
+		loans.add(loan);
+		this.#byLimit.set(loan.limitId, loans);
+	}
+
+	remove(loanId: string): void {
+		const loan = this.#byId.get(loanId);
+		if (loan === undefined) {
+			return;
+		}
+
+		this.#byId.delete(loanId);
+		const loans = this.#byLimit.get(loan.limitId)!;
+		loans.delete(loan);
+		if (loans.size === 0) {
+			this.#byLimit.delete(loan.limitId);
+		}
+	}
+
+	/** Removes the loans that have ended. */
+	removeEnded(now: number): void {
+		for (const loan of this.#byId.values()) {
+			if (loan.endsAt <= now) {
+				this.remove(loan.loanId);
+			}
+		}
+	}
+
+	values(): Iterable<Loan> {
+		return this.#byId.values();
+	}
+
+	/** Lists the loans of a limit that have not ended. */
+	* listOpen(limitId: string, now: number): Generator<Loan> {
+		for (const loan of this.#byLimit.get(limitId) ?? []) {
+			if (loan.endsAt > now) {
+				yield loan;
+			}
+		}
+	}
+
+	/** Computes the sum of the loans of a limit that have not ended. */
+	computeSum(limitId: string, now: number): Share {
+		let rate = 0;
+		let room = 0;
+		for (const loan of this.listOpen(limitId, now)) {
+			rate += loan.rate;
+			room += loan.room;
+		}
+
+		return {rate, room};
+	}
+}
+
+/** Computes the part of a limit that belongs to this instance, loans not counted. */
+export function computeOwnedShare(step: Step, limitId: string): Share {
+	const limit = findLimit(step, limitId);
+	if (limit === undefined) {
+		return emptyShare;
+	}
+
+	const fraction = computeOwnedFraction(step);
+	return {rate: limit.rate * fraction, room: limit.room * fraction};
+}
+
+/** Computes the part of a limit that this instance may use now: owned, and borrowed, less lent. */
+export function computeNetShare(step: Step, limitId: string): Share {
+	if (findLimit(step, limitId) === undefined) {
+		return emptyShare;
+	}
+
+	const {borrowed, lent} = step.state.allowances;
+	const owned = computeOwnedShare(step, limitId);
+	const plus = borrowed.computeSum(limitId, step.now);
+	const minus = lent.computeSum(limitId, step.now);
+	return {
+		rate: Math.max(0, owned.rate + plus.rate - minus.rate),
+		room: Math.max(0, owned.room + plus.room - minus.room),
+	};
+}
+
+/** Computes what is owned and not lent: no instance lends on what it borrowed. */
+export function computeLendableShare(step: Step, limitId: string): Share {
+	const owned = computeOwnedShare(step, limitId);
+	const minus = step.state.allowances.lent.computeSum(limitId, step.now);
+	return {rate: Math.max(0, owned.rate - minus.rate), room: Math.max(0, owned.room - minus.room)};
+}
--- a/packages/core/src/lib/allowance/token-bucket.ts
+++ b/packages/core/src/lib/allowance/token-bucket.ts
@@ -1,5 +1,10 @@
 /**
  * A token bucket as plain data. The present time is always an argument.
+ *
+ * A taken token counts as spent between the step that took it and the next
+ * event, because the process may pause before it sends. Until then it keeps
+ * its room, so that a pause never lets a bucket's burst go out late and whole
+ * while the bucket has filled up again behind it.
  */
 
 export type TokenBucket = {
@@ -8,6 +13,8 @@
 	/** Most tokens that the bucket holds. */
 	room: number;
 	tokens: number;
+	/** Tokens taken since `refilledAt`, which may not have been spent before the next event. */
+	unsettled: number;
 	/** Time at which `tokens` was true. */
 	refilledAt: number;
 };
@@ -15,23 +22,35 @@
 /** Creates an empty bucket, so that a replaced process cannot spend a burst twice. */
 export function createBucket(rate: number, room: number, now: number): TokenBucket {
 	return {
-		rate, room, tokens: 0, refilledAt: now,
+		rate, room, tokens: 0, unsettled: 0, refilledAt: now,
 	};
 }
 
-/** Adds the tokens that came since the last refill. */
+/** Adds the tokens that came since the last refill; room of unsettled tokens does not fill. */
 export function refillBucket(bucket: TokenBucket, now: number): void {
-	const elapsedSeconds = Math.max(0, now - bucket.refilledAt) / 1000;
-	bucket.tokens = Math.min(bucket.room, bucket.tokens + (bucket.rate * elapsedSeconds));
-	bucket.refilledAt = Math.max(bucket.refilledAt, now);
+	if (now <= bucket.refilledAt) {
+		return;
+	}
+
+	const elapsedSeconds = (now - bucket.refilledAt) / 1000;
+	const limit = Math.max(0, bucket.room - bucket.unsettled);
+	bucket.tokens = Math.min(limit, bucket.tokens + (bucket.rate * elapsedSeconds));
+	bucket.unsettled = 0;
+	bucket.refilledAt = now;
 }
 
-/** Changes rate and room; tokens beyond the new room are lost, none are created. */
+/**
+ * Changes rate and room; tokens beyond the new room are lost, none are created.
+ * The time since the last refill counts at the lower of both rates, because the
+ * change may have been due at any moment of it.
+ */
 export function resizeBucket(bucket: TokenBucket, rate: number, room: number, now: number): void {
+	bucket.rate = Math.min(bucket.rate, rate);
+	bucket.room = Math.min(bucket.room, room);
+	bucket.tokens = Math.min(bucket.tokens, bucket.room);
 	refillBucket(bucket, now);
 	bucket.rate = rate;
 	bucket.room = room;
-	bucket.tokens = Math.min(bucket.tokens, room);
 }
 
 /** Takes tokens if there are enough. */
@@ -42,6 +61,7 @@
 	}
 
 	bucket.tokens -= amount;
+	bucket.unsettled += amount;
 	return true;
 }
 
--- /dev/null
+++ b/packages/core/src/lib/membership/owned-fraction.ts
@@ -0,0 +1,10 @@
+/**
+ * The fraction of every limit that this instance owns.
+ */
+import type {Step} from '../state.js';
+
+/** Computes the fraction: the limit divided by the most instances that may exist. */
+export function computeOwnedFraction(step: Step): number {
+	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY;
+	return 1 / ceiling;
+}
--- a/packages/core/src/lib/membership/reduce-membership.ts
+++ b/packages/core/src/lib/membership/reduce-membership.ts
@@ -8,6 +8,7 @@
 import {recordEntry, type Step} from '../state.js';
 import {timelineKind} from '../timeline-entry.js';
 import {describeSummary} from './describe-summary.js';
+import {findPeerAddress} from './peers.js';
 
 /** Time between two exchanges with the same peer, in milliseconds. */
 const exchangeIntervalMs = 500;
@@ -77,7 +78,3 @@
 		});
 	}
 }
-
-function findPeerAddress(step: Step, peerId: string): string | undefined {
-	return step.state.membership.list?.instances.find(instance => instance.id === peerId)?.peerAddress;
-}
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -3,6 +3,8 @@
  * event and the present time. It does no input or output and reads no clock.
  */
 import {updateBuckets} from './allowance/allowance-state.js';
+import {applyLoan, applyLoanFailure, borrowRates} from './allowance/borrow-share.js';
+import {applyBorrowRequest, applyGivenBack} from './allowance/lend-share.js';
 import {effectKind, type Effect} from './effect.js';
 import {
 	documentKind, eventKind, type DocumentUnchanged, type Event,
@@ -102,9 +104,25 @@
 		}
 
 		case eventKind.borrowRequested: {
-			step.effects.push({
-				kind: effectKind.answerBorrow, callId: event.callId, loanId: event.request.loanId, amounts: [], notAfter: step.now,
-			});
+			applyBorrowRequest(step, event);
+			break;
+		}
+
+		case eventKind.loanGranted: {
+			applyLoan(step, event);
+			advanceWaiting(step);
+			break;
+		}
+
+		case eventKind.loanFailed: {
+			applyLoanFailure(step, event);
+			advanceWaiting(step);
+			break;
+		}
+
+		case eventKind.loanGivenBack: {
+			applyGivenBack(step, event);
+			advanceWaiting(step);
 			break;
 		}
 
@@ -123,15 +141,10 @@
 			startDueReads(step);
 			exchangeWithPeers(step);
 			updateBuckets(step);
+			borrowRates(step);
 			advanceWaiting(step);
 			break;
 		}
-
-		case eventKind.loanGranted:
-		case eventKind.loanFailed:
-		case eventKind.loanGivenBack: {
-			break;
-		}
 	}
 }
 
--- a/packages/core/src/lib/requests/reduce-requests.ts
+++ b/packages/core/src/lib/requests/reduce-requests.ts
@@ -1,7 +1,9 @@
 /**
  * Reduces events about requests: admission, waiting, dispatch, retry, end.
  */
-import {tryAdmit} from '../allowance/allowance-state.js';
+import {countWaiting, recordAccountDemand, tryAdmit} from '../allowance/allowance-state.js';
+import {giveBackTokens, requestShare} from '../allowance/borrow-share.js';
+import {describeAccountLimitId} from '../allowance/limit.js';
 import {type Pool, routeKind} from '../configuration/configuration.js';
 import {effectKind} from '../effect.js';
 import {
@@ -35,6 +37,7 @@
 	}
 
 	const {route, account, priority} = admission.value;
+	recordAccountDemand(step, account);
 	const request: PendingRequest = {
 		requestId: event.requestId,
 		route,
@@ -59,6 +62,7 @@
 /** Moves every waiting request forward that can be; called at each tick and after each end. */
 export function advanceWaiting(step: Step): void {
 	const {pending, waiting} = step.state.requests;
+	step.state.allowances.waitingCounts.clear();
 	for (const requestId of waiting) {
 		const request = pending.get(requestId);
 		if (request === undefined) {
@@ -68,6 +72,8 @@
 
 		advanceRequest(step, request);
 	}
+
+	giveBackTokens(step);
 }
 
 /** Takes the end of an attempt: the request is finished, tried again, or refused. */
@@ -171,6 +177,8 @@
 	}
 
 	step.state.requests.waiting.add(request.requestId);
+	const tokens = countWaiting(step, request.account) - (step.state.allowances.buckets.get(request.account)?.tokens ?? 0);
+	requestShare(step, describeAccountLimitId(request.account), {rate: 0, room: tokens, tokens});
 	return false;
 }
 
--- a/packages/core/src/lib/state.ts
+++ b/packages/core/src/lib/state.ts
@@ -4,7 +4,7 @@
  * reference to any part of it beyond a call.
  */
 import {createAllowanceState, type AllowanceState} from './allowance/allowance-state.js';
-import type {Configuration} from './configuration/configuration.js';
+import type {Account, Configuration} from './configuration/configuration.js';
 import {createMembershipState, type MembershipState} from './membership/membership-state.js';
 import {createWatchState, type WatchState} from './watch.js';
 import {createRequestState, type RequestState} from './requests/request-state.js';
@@ -32,6 +32,7 @@
 	text: string;
 	/** Client account by key digest. */
 	accountByDigest: Map<string, string>;
+	accountByName: Map<string, Account>;
 	/** Latest time at which the tables were certainly current. */
 	currentAt?: number;
 	/** Highest version heard of from anybody, in force here or not. */
@@ -56,7 +57,9 @@
 	return {
 		self,
 		policies,
-		tables: {text: '', accountByDigest: new Map(), highestVersion: 0},
+		tables: {
+			text: '', accountByDigest: new Map(), accountByName: new Map(), highestVersion: 0,
+		},
 		watches: createWatchState(),
 		membership: createMembershipState(),
 		allowances: createAllowanceState(),
--- a/packages/core/src/lib/tables.ts
+++ b/packages/core/src/lib/tables.ts
@@ -24,6 +24,7 @@
 	tables.configuration = event.configuration;
 	tables.text = event.text;
 	tables.accountByDigest = indexDigests(event);
+	tables.accountByName = new Map(event.configuration.accounts.map(account => [account.name, account]));
 	recordEntry(step, {
 		kind: timelineKind.configurationApplied, cause: `configuration-${version}`, peerId: event.source.peerId, detail: `Version ${version} is in force.`,
 	});
