Owned share by fresh list; currency relayed by few watchers

Cause: dividing by the ceiling leaves an eighth of each limit idle at seven instances, and every instance watched the service by itself. Ruled out: dividing by the largest count of recent lists: an instance that vanished while another joined is counted once, so the union of recent members is taken. Counting ages from the arrival of a request: its way may have been long, so only answers prove an age. Tables alone as proof of currency: a replica that stands still cannot be told from them. Change: list history with the members of recent lists, those held back after they vanished, and inheritance of that knowledge by joiners; watchers per zone; a starting instance serves after it has heard its peers (2 s at most).

--- a/packages/core/src/lib/allowance/lend-share.ts
+++ b/packages/core/src/lib/allowance/lend-share.ts
@@ -12,7 +12,8 @@
 import {
 	computeSlotsInUse, findLimit, findLimitAccount, findLimitTarget,
 } from './limit.js';
-import {computeLendableShare, loanMarginMs} from './share-ledger.js';
+import {loanMarginMs} from './loan-margin.js';
+import {computeLendableShare} from './share-ledger.js';
 
 /** Time within which the answer has to leave the process, in milliseconds. */
 const answerWithinMs = 200;
--- a/packages/core/src/lib/allowance/share-ledger.ts
+++ b/packages/core/src/lib/allowance/share-ledger.ts
@@ -10,13 +10,6 @@
 import type {Step} from '../state.js';
 import {findLimit} from './limit.js';
 
-/**
- * Time beyond a loan's term after which its lender takes it back, in
- * milliseconds. It covers a dispatch that was decided at the end of the term
- * and sent within its `notAfter`, and the drift of clocks over a term.
- */
-export const loanMarginMs = 1000;
-
 /** Part of a limit. */
 export type Share = {
 	/** Tokens per second. */
--- a/packages/core/src/lib/event.ts
+++ b/packages/core/src/lib/event.ts
@@ -142,6 +142,11 @@
 	readonly summary: Summary;
 	/** Start of the exchange that brought it: ages count from here. */
 	readonly startedAt: number;
+	/**
+	 * True: it answers an exchange that this instance started at `startedAt`. Only
+	 * then are its ages proof: nobody knows how long a request was on its way.
+	 */
+	readonly isAnswer?: boolean;
 };
 
 /** A call to a peer failed. */
--- a/packages/core/src/lib/membership/describe-summary.ts
+++ b/packages/core/src/lib/membership/describe-summary.ts
@@ -5,6 +5,7 @@
 import type {State} from '../state.js';
 import {describeTargetLoads} from '../targets/target-state.js';
 import {describeSpare} from '../allowance/allowance-state.js';
+import {isHistoryComplete, isListFresh, listHeldBack} from './list-history.js';
 
 /** Builds the summary that goes out in an exchange at `now`. */
 export function describeSummary(state: State, now: number): Summary {
@@ -20,9 +21,23 @@
 		draining: membership.isDraining,
 		targets: describeTargetLoads(state.targets, now),
 		spare: describeSpare(state.allowances, now),
+		listHash: membership.listHash,
+		...describeHistory(state, now),
 	};
 }
 
+function describeHistory({tables, membership}: State, now: number): Pick<Summary, 'isHistoryComplete' | 'absent'> {
+	const fleet = tables.configuration?.fleet;
+	const {history} = membership;
+	if (fleet === undefined || !isHistoryComplete(history, fleet, now) || !isListFresh(history, fleet, now)) {
+		return {isHistoryComplete: false, absent: []};
+	}
+
+	const absent = listHeldBack(history, fleet, now)
+		.map(({id, since, absentSince}) => ({id, since, absentMs: Math.floor(now - absentSince!)}));
+	return {isHistoryComplete: true, absent};
+}
+
 function computeAge(currentAt: number | undefined, now: number): number | undefined {
 	return currentAt === undefined ? undefined : Math.ceil(now - currentAt);
 }
--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -5,6 +5,9 @@
  */
 import type {InstanceList} from '../configuration/instance-list.js';
 import type {Summary} from '../message.js';
+import {createListHistory, type ListHistory} from './list-history.js';
+import type {OwnedFraction} from './owned-fraction.js';
+import type {ExchangePartner} from './peers.js';
 
 /** A peer as this instance last heard it. */
 export type PeerState = {
@@ -15,8 +18,24 @@
 
 export type MembershipState = {
 	list?: InstanceList;
+	/** Hash of the list without its `asOf`: equal lists need not be sent. */
+	listHash: number;
 	/** Latest time at which the list was certainly current, lag not counted. */
 	listCurrentAt?: number;
+	history: ListHistory;
+	owned: OwnedFraction;
+	/** Time of the first list. */
+	listedAt?: number;
+	/** Peers that answered an exchange, or failed to, since the start. */
+	askedPeers: Set<string>;
+	/** True: this instance has heard from its peers what version is in force, or waited long enough. */
+	mayServe: boolean;
+	/** True: the list shows so many instances that this one owns no share. */
+	isBeyondCeiling: boolean;
+	/** Peers to exchange with, and what they were chosen from. */
+	partners?: {readonly listHash: number; readonly mayServe: boolean; readonly partners: readonly ExchangePartner[]};
+	/** Time of the last request for a list, to ask for one at a time. */
+	fetchedAt: number;
 	peers: Map<string, PeerState>;
 	/** Time of the last exchange started with each peer. */
 	exchangedAt: Map<string, number>;
@@ -30,6 +49,16 @@
 
 export function createMembershipState(): MembershipState {
 	return {
-		peers: new Map(), exchangedAt: new Map(), isDraining: false, lastEventAt: 0,
+		listHash: 0,
+		history: createListHistory(),
+		owned: {at: Number.NaN, value: 0},
+		askedPeers: new Set(),
+		mayServe: false,
+		isBeyondCeiling: false,
+		fetchedAt: Number.NEGATIVE_INFINITY,
+		peers: new Map(),
+		exchangedAt: new Map(),
+		isDraining: false,
+		lastEventAt: 0,
 	};
 }
--- a/packages/core/src/lib/membership/owned-fraction.ts
+++ b/packages/core/src/lib/membership/owned-fraction.ts
@@ -1,10 +1,78 @@
 /**
- * The fraction of every limit that this instance owns.
+ * The fraction of every limit that this instance owns. The fractions of all
+ * instances that run at one time add up to one at most, although nobody agrees
+ * on who they are.
+ *
+ * Assumed: at most `fleet.ceiling` instances run at once; a read whose `asOf`
+ * advanced shows the list as it was at most `fleet.listLagMs` before the read
+ * began; clocks run alike within the margins; an instance that the list showed
+ * as leaving has stopped when it vanishes.
  */
+import type {Fleet} from '../configuration/configuration.js';
 import type {Step} from '../state.js';
+import {
+	computeSettleMs, countRecentMembers, isHistoryComplete, isListFresh, listHeldBack,
+} from './list-history.js';
 
-/** Computes the fraction: the limit divided by the most instances that may exist. */
+/** What the fraction was last computed from, so that one event computes it once. */
+export type OwnedFraction = {at: number; value: number};
+
+/** Computes the fraction of every limit that this instance owns now. */
 export function computeOwnedFraction(step: Step): number {
-	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY;
-	return 1 / ceiling;
+	const {state, now} = step;
+	const {owned} = state.membership;
+	if (owned.at !== now) {
+		owned.value = computeFraction(step);
+		owned.at = now;
+	}
+
+	return owned.value;
+}
+
+/** Makes the next computation start anew; to be called when the list or the tables change. */
+export function forgetOwnedFraction({state}: Step): void {
+	state.membership.owned.at = Number.NaN;
+}
+
+/** Finds the place of this instance in the list's order of start; undefined: it is not listed. */
+export function findOwnRank({state}: Step): number | undefined {
+	const instances = [...state.membership.list?.instances ?? []];
+	instances.sort((a, b) => a.since - b.since || (a.id < b.id ? -1 : 1));
+	const rank = instances.findIndex(({id}) => id === state.self.instanceId);
+	return rank === -1 ? undefined : rank;
+}
+
+function computeFraction(step: Step): number {
+	const {state, now} = step;
+	const fleet = state.tables.configuration?.fleet;
+	const {history} = state.membership;
+	if (fleet === undefined || !history.hasJoined) {
+		return 0;
+	}
+
+	const rank = findOwnRank(step);
+	const isExpired = now - (history.ownCurrentAt ?? 0) > fleet.staleLimitMs;
+	if (isExpired || (rank !== undefined && rank >= fleet.ceiling)) {
+		return 0;
+	}
+
+	const smallest = 1 / fleet.ceiling;
+	return isSettled(step, fleet) ? Math.max(smallest, computeByList(step, fleet)) : smallest;
+}
+
+/** True: this instance knows of everybody that may own share, and everybody knows of it. */
+function isSettled({state, now}: Step, fleet: Fleet): boolean {
+	const {history} = state.membership;
+	const settleMs = computeSettleMs(fleet);
+	return isListFresh(history, fleet, now)
+		&& now - (history.freshSince ?? now) > settleMs
+		&& now - (history.presentSince ?? now) > settleMs
+		&& isHistoryComplete(history, fleet, now);
+}
+
+function computeByList({state, now}: Step, fleet: Fleet): number {
+	const {history} = state.membership;
+	const settleMs = computeSettleMs(fleet);
+	const heldBack = listHeldBack(history, fleet, now).filter(({absentSince}) => now - absentSince! > settleMs).length;
+	return (1 - (heldBack / fleet.ceiling)) / countRecentMembers(history, fleet, now);
 }
--- a/packages/core/src/lib/membership/peers.ts
+++ b/packages/core/src/lib/membership/peers.ts
@@ -1,17 +1,35 @@
 /**
- * Which peers can be called: those on the list that were heard lately.
+ * Which peers this instance talks to. A few watchers in each availability zone
+ * read the configuration service; the others hear from them.
  */
-import type {Step} from '../state.js';
+import {listedState, type ListedInstance} from '../configuration/instance-list.js';
+import {hashText} from '../hash.js';
+import type {State, Step} from '../state.js';
 
 /** Time without a summary after which a peer is not asked for anything, in milliseconds. */
 const heardWithinMs = 4000;
+/** Time between two exchanges with a watcher, in milliseconds. */
+const watcherIntervalMs = 800;
+/** Time between two exchanges with any other peer, in milliseconds. */
+const peerIntervalMs = 3000;
+/** Time between two exchanges until a starting instance may serve, in milliseconds. */
+const startIntervalMs = 300;
+/** Fewest watchers in an availability zone. */
+const smallestWatcherCount = 2;
+/** Instances for which one watcher reads; it bounds the exchanges of a watcher. */
+const instancesPerWatcher = 12;
+/** Peers other than watchers with which an instance exchanges at most. */
+const largestPeerCount = 8;
+
+/** A peer to exchange with, and how often. */
+export type ExchangePartner = {readonly id: string; readonly address: string; readonly intervalMs: number};
 
 /** Finds the address of a peer on the list. */
 export function findPeerAddress({state}: Step, peerId: string): string | undefined {
 	return state.membership.list?.instances.find(instance => instance.id === peerId)?.peerAddress;
 }
 
-/** Lists the peers on the list that were heard lately and are not known to have failed since. */
+/** Lists the peers on the list that were heard lately. */
 export function listHeardPeers({state, now}: Step): string[] {
 	const {membership, self} = state;
 	const heard: string[] = [];
@@ -24,3 +42,48 @@
 
 	return heard;
 }
+
+/** True: this instance is one of those that watch the configuration service for its zone. */
+export function isWatcher(state: State): boolean {
+	const {self} = state;
+	return listWatchers(state).some(({id}) => id === self.instanceId);
+}
+
+/** Lists the peers to exchange with: two watchers often, a bounded number of others seldom. */
+export function listExchangePartners({state}: Step): readonly ExchangePartner[] {
+	const {membership, self} = state;
+	const {list} = membership;
+	if (list === undefined) {
+		return [];
+	}
+
+	const known = membership.partners;
+	if (known?.listHash === membership.listHash && known.mayServe === membership.mayServe) {
+		return known.partners;
+	}
+
+	const watchers = orderFor(self.instanceId, listWatchers(state)).slice(0, smallestWatcherCount);
+	const others = orderFor(self.instanceId, list.instances)
+		.filter(instance => !watchers.includes(instance))
+		.slice(0, largestPeerCount);
+	const describePartner = (intervalMs: number) => ({id, peerAddress}: ListedInstance): ExchangePartner =>
+		({id, address: peerAddress, intervalMs: membership.mayServe ? intervalMs : startIntervalMs});
+	const partners = [...watchers.map(describePartner(watcherIntervalMs)), ...others.map(describePartner(peerIntervalMs))]
+		.filter(({id}) => id !== self.instanceId);
+	membership.partners = {listHash: membership.listHash, mayServe: membership.mayServe, partners};
+	return partners;
+}
+
+function listWatchers({membership, self}: State): ListedInstance[] {
+	const inZone = membership.list?.instances.filter(({zone, state}) => zone === self.zone && state === listedState.live) ?? [];
+	const count = Math.max(smallestWatcherCount, Math.ceil(inZone.length / instancesPerWatcher));
+	return orderFor(self.zone, inZone).slice(0, count);
+}
+
+/** Orders instances by rendezvous hashing, so that everybody finds the same ones for a key. */
+function orderFor(key: string, instances: readonly ListedInstance[]): ListedInstance[] {
+	return instances
+		.map(instance => ({instance, score: hashText(`${key}/${instance.id}`)}))
+		.sort((a, b) => b.score - a.score)
+		.map(({instance}) => instance);
+}
--- a/packages/core/src/lib/membership/reduce-membership.ts
+++ b/packages/core/src/lib/membership/reduce-membership.ts
@@ -1,17 +1,28 @@
 /**
  * Reduces events about the list, the peers and draining.
  */
+import {advanceTablesCurrency, isVersionKnown} from '../tables.js';
 import {effectKind} from '../effect.js';
 import {
 	documentKind, type ListRead, type PeerFailed, type SummaryReceived,
 } from '../event.js';
+import type {InstanceList} from '../configuration/instance-list.js';
+import {hashText} from '../hash.js';
 import {recordEntry, type Step} from '../state.js';
 import {timelineKind} from '../timeline-entry.js';
 import {describeSummary} from './describe-summary.js';
-import {findPeerAddress} from './peers.js';
+import {
+	forgetMembers, inheritHistory, recordList, recordPlatformTime, updateJoined,
+} from './list-history.js';
+import {findOwnRank, forgetOwnedFraction} from './owned-fraction.js';
+import {findPeerAddress, listExchangePartners} from './peers.js';
 
-/** Time between two exchanges with the same peer, in milliseconds. */
-const exchangeIntervalMs = 500;
+/** Longest time after its first list that a starting instance waits to hear from its peers, in milliseconds. */
+const hearPeersWithinMs = 2000;
+/** Time between two requests for a peer's list, in milliseconds. */
+const fetchIntervalMs = 300;
+/** Values that the second part of a list's hash takes. */
+const secondHashRange = 2_097_152;
 
 /** Takes a list unless it is older than the one in force. */
 export function applyList(step: Step, event: ListRead): void {
@@ -21,12 +32,12 @@
 		return;
 	}
 
+	const before = membership.list?.instances.length ?? 0;
 	if (event.list.asOf > knownAsOf) {
-		membership.listCurrentAt = event.currentAt;
+		membership.listHash = computeListHash(event.list);
+		takeList(step, event.list, event.currentAt);
 	}
 
-	const before = membership.list?.instances.length ?? 0;
-	membership.list = event.list;
 	if (event.list.instances.length !== before) {
 		recordEntry(step, {
 			kind: timelineKind.membershipChanged,
@@ -36,9 +47,32 @@
 	}
 }
 
+/** Takes the word of the service or of a peer that the list was unchanged at a later time. */
+export function applyListUnchanged(step: Step, asOf: number, currentAt: number): void {
+	const {list} = step.state.membership;
+	if (list !== undefined && asOf > list.asOf) {
+		takeList(step, {...list, asOf}, currentAt);
+	}
+}
+
+/** Brings what follows from the list and the time up to date; called at each tick. */
+export function updateMembership(step: Step): void {
+	const {state, now} = step;
+	const {membership, tables} = state;
+	const fleet = tables.configuration?.fleet;
+	if (fleet === undefined) {
+		return;
+	}
+
+	updateJoined(membership.history, fleet, now);
+	forgetMembers(membership.history, fleet, now);
+	membership.mayServe ||= hasHeardPeers(step) && isVersionKnown(step);
+	checkCeiling(step, fleet.ceiling);
+}
+
 /** Takes a peer's summary and fetches what it has newer. */
 export function applySummary(step: Step, event: SummaryReceived): void {
-	const {state, now, effects} = step;
+	const {state, now} = step;
 	const {summary} = event;
 	if (summary.instanceId === state.self.instanceId) {
 		return;
@@ -46,35 +80,118 @@
 
 	state.membership.peers.set(summary.instanceId, {summary, heardAt: now});
 	state.tables.highestVersion = Math.max(state.tables.highestVersion, summary.tablesVersion);
-	const address = findPeerAddress(step, summary.instanceId);
-	if (address === undefined) {
-		return;
+	applyPeerList(step, event);
+	if (event.isAnswer === true) {
+		state.membership.askedPeers.add(summary.instanceId);
+		applyPeerCurrency(step, event);
 	}
 
-	if (summary.tablesVersion > (state.tables.configuration?.version ?? 0)) {
-		effects.push({
-			kind: effectKind.fetchDocument, document: documentKind.tables, peerId: summary.instanceId, address,
-		});
+	if (!isVersionKnown(step) && summary.tablesVersion > (state.tables.configuration?.version ?? 0)) {
+		fetchDocument(step, documentKind.tables, summary.instanceId);
 	}
 }
 
-/** Forgets when the peer was last asked, so that it is asked again at the next tick. */
+/** Counts a failed exchange; the peer is asked again when the next is due. */
 export function applyPeerFailure(step: Step, event: PeerFailed): void {
-	step.state.membership.exchangedAt.set(event.peerId, step.now);
+	const {membership} = step.state;
+	membership.exchangedAt.set(event.peerId, step.now);
+	membership.askedPeers.add(event.peerId);
 }
 
 /** Starts the exchanges that are due. */
 export function exchangeWithPeers(step: Step): void {
 	const {state, now, effects} = step;
-	for (const {id, peerAddress} of state.membership.list?.instances ?? []) {
+	for (const {id, address, intervalMs} of listExchangePartners(step)) {
 		const last = state.membership.exchangedAt.get(id) ?? Number.NEGATIVE_INFINITY;
-		if (id === state.self.instanceId || now - last < exchangeIntervalMs) {
+		if (now - last < intervalMs) {
 			continue;
 		}
 
 		state.membership.exchangedAt.set(id, now);
 		effects.push({
-			kind: effectKind.exchange, peerId: id, address: peerAddress, summary: describeSummary(state, now),
+			kind: effectKind.exchange, peerId: id, address, summary: describeSummary(state, now),
 		});
 	}
 }
+
+function takeList(step: Step, list: InstanceList, currentAt: number): void {
+	const {state, now} = step;
+	const {membership, tables} = state;
+	membership.list = list;
+	membership.listedAt ??= now;
+	recordList(membership.history, list, currentAt, {ownId: state.self.instanceId, fleet: tables.configuration?.fleet, now});
+	membership.listCurrentAt = membership.history.currentAt;
+	forgetOwnedFraction(step);
+	advanceTablesCurrency(step);
+}
+
+function applyPeerList(step: Step, {summary, startedAt, isAnswer}: SummaryReceived): void {
+	const {state, now} = step;
+	const {membership} = state;
+	const {history} = membership;
+	recordPlatformTime(history, summary.listAsOf, now);
+	const isNewer = summary.listAsOf > (membership.list?.asOf ?? -1);
+	const isSame = summary.listHash === membership.listHash;
+	if (isNewer && !isSame && now - membership.fetchedAt >= fetchIntervalMs) {
+		membership.fetchedAt = now;
+		fetchDocument(step, documentKind.list, summary.instanceId);
+	}
+
+	if (isNewer && isSame && isAnswer === true && summary.listAgeMs !== undefined) {
+		applyListUnchanged(step, summary.listAsOf, startedAt - summary.listAgeMs);
+	}
+
+	if (summary.isHistoryComplete === true) {
+		inheritHistory(history, summary.absent ?? [], summary.listAsOf, now);
+		forgetOwnedFraction(step);
+	}
+}
+
+function applyPeerCurrency(step: Step, {summary, startedAt}: SummaryReceived): void {
+	const {tables} = step.state;
+	const isSameVersion = summary.tablesVersion === tables.configuration?.version;
+	if (isSameVersion && summary.tablesAgeMs !== undefined) {
+		const currentAt = startedAt - summary.tablesAgeMs;
+		tables.currentAt = Math.max(tables.currentAt ?? Number.NEGATIVE_INFINITY, currentAt);
+	}
+}
+
+function fetchDocument(step: Step, document: typeof documentKind[keyof typeof documentKind], peerId: string): void {
+	const address = findPeerAddress(step, peerId);
+	if (address !== undefined) {
+		step.effects.push({
+			kind: effectKind.fetchDocument, document, peerId, address,
+		});
+	}
+}
+
+/** True: every listed peer answered or failed, or the wait is over. */
+function hasHeardPeers({state, now}: Step): boolean {
+	const {membership, self} = state;
+	if (membership.list === undefined) {
+		return false;
+	}
+
+	const isOver = now - (membership.listedAt ?? now) >= hearPeersWithinMs;
+	return isOver || membership.list.instances.every(({id}) => id === self.instanceId || membership.askedPeers.has(id));
+}
+
+function checkCeiling(step: Step, ceiling: number): void {
+	const {membership} = step.state;
+	const isBeyond = (findOwnRank(step) ?? 0) >= ceiling;
+	if (isBeyond && !membership.isBeyondCeiling) {
+		recordEntry(step, {
+			kind: timelineKind.alarmRaised,
+			cause: 'ceiling',
+			detail: `The list shows more instances than fleet.ceiling (${ceiling}); this one owns no share. Raise the ceiling or stop instances.`,
+		});
+	}
+
+	membership.isBeyondCeiling = isBeyond;
+}
+
+function computeListHash({instances, targets}: InstanceList): number {
+	const text = JSON.stringify([instances, targets]);
+	// One hash of 32 bits and 21 bits of another are what a number holds exactly.
+	return (hashText(text) * secondHashRange) + (hashText(text, 1) % secondHashRange);
+}
--- a/packages/core/src/lib/message.ts
+++ b/packages/core/src/lib/message.ts
@@ -36,6 +36,20 @@
 	readonly draining: boolean;
 	readonly targets: readonly TargetLoad[];
 	readonly spare: readonly SpareShare[];
+	/** Hash of the list without its `asOf`. */
+	readonly listHash?: number;
+	/** True: `absent` names every vanished instance that may still own share, up to `listAsOf`. */
+	readonly isHistoryComplete?: boolean;
+	readonly absent?: readonly AbsentInstance[];
+};
+
+/** An instance that vanished from the list without having been shown as leaving. */
+export type AbsentInstance = {
+	readonly id: string;
+	/** Platform time of its start, in milliseconds. */
+	readonly since: number;
+	/** Time for which the sender's lists have been without it, in milliseconds. */
+	readonly absentMs: number;
 };
 
 /** Part of one limit that moves from a lender to a borrower for a term. */
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -10,13 +10,13 @@
 	documentKind, eventKind, type DocumentUnchanged, type Event,
 } from './event.js';
 import {
-	applyList, applyPeerFailure, applySummary, exchangeWithPeers,
+	applyList, applyListUnchanged, applyPeerFailure, applySummary, exchangeWithPeers, updateMembership,
 } from './membership/reduce-membership.js';
 import {
 	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft,
 } from './requests/reduce-requests.js';
 import {recordEntry, type State, type Step} from './state.js';
-import {applyConfiguration, rejectConfiguration} from './tables.js';
+import {applyConfiguration, applyTablesUnchanged, rejectConfiguration} from './tables.js';
 import {applyListedTargets, applyLoadReport} from './targets/target-state.js';
 import {timelineKind} from './timeline-entry.js';
 import {endRead, startDueReads} from './watch.js';
@@ -138,6 +138,7 @@
 		}
 
 		case eventKind.tick: {
+			updateMembership(step);
 			startDueReads(step);
 			exchangeWithPeers(step);
 			updateBuckets(step);
@@ -149,15 +150,10 @@
 }
 
 function applyUnchanged(step: Step, {document, asOf, currentAt}: DocumentUnchanged): void {
-	const {tables, membership} = step.state;
 	if (document === documentKind.tables) {
-		tables.currentAt = Math.max(tables.currentAt ?? 0, currentAt);
-		return;
-	}
-
-	if (membership.list !== undefined && asOf !== undefined && asOf > membership.list.asOf) {
-		membership.list = {...membership.list, asOf};
-		membership.listCurrentAt = currentAt;
+		applyTablesUnchanged(step, currentAt);
+	} else if (asOf !== undefined) {
+		applyListUnchanged(step, asOf, currentAt);
 	}
 }
 
--- a/packages/core/src/lib/requests/admit-request.ts
+++ b/packages/core/src/lib/requests/admit-request.ts
@@ -17,7 +17,7 @@
 export function admitRequest(step: Step, event: RequestArrived): Result<Admission, Refusal> {
 	const {state, now} = step;
 	const {configuration, currentAt} = state.tables;
-	if (configuration === undefined || currentAt === undefined) {
+	if (configuration === undefined || currentAt === undefined || !state.membership.mayServe) {
 		return err(createNotRun(refusalReason.notReady, 'This instance has no configuration yet; try again.', otherInstanceRetryMs));
 	}
 
--- a/packages/core/src/lib/state.ts
+++ b/packages/core/src/lib/state.ts
@@ -35,6 +35,8 @@
 	accountByName: Map<string, Account>;
 	/** Latest time at which the tables were certainly current. */
 	currentAt?: number;
+	/** Start of the latest read of the tables, whether or not the service was current then. */
+	readAt?: number;
 	/** Highest version heard of from anybody, in force here or not. */
 	highestVersion: number;
 };
--- a/packages/router/src/lib/peer-client.ts
+++ b/packages/router/src/lib/peer-client.ts
@@ -50,7 +50,9 @@
 		await this.#call(effect, async client => {
 			const {summary} = await client.exchange({summary: toWireSummary(effect.summary)}, {timeoutMs: exchangeTimeoutMs});
 			if (summary !== undefined) {
-				this.#emit({kind: eventKind.summaryReceived, summary: fromWireSummary(summary), startedAt});
+				this.#emit({
+					kind: eventKind.summaryReceived, summary: fromWireSummary(summary), startedAt, isAnswer: true,
+				});
 			}
 		}, () => {
 			this.#emit({kind: eventKind.peerFailed, peerId: effect.peerId});
--- a/packages/router/src/lib/peer-mapping.ts
+++ b/packages/router/src/lib/peer-mapping.ts
@@ -4,7 +4,7 @@
 import {create} from '@bufbuild/protobuf';
 import type {BorrowRequest, LoanAmount, Summary} from '@sequoiatally/core';
 import {
-	BorrowRequestSchema, LoanAmountSchema, SummarySchema,
+	AbsentInstanceSchema, BorrowRequestSchema, LoanAmountSchema, SummarySchema,
 	type BorrowRequest as WireBorrowRequest, type LoanAmount as WireLoanAmount, type Summary as WireSummary,
 } from '@sequoiatally/peer';
 
@@ -15,11 +15,13 @@
 	return create(SummarySchema, {
 		...summary,
 		tablesVersion: BigInt(summary.tablesVersion),
-		listAsOf: BigInt(Math.round(summary.listAsOf)),
+		listAsOf: BigInt(Math.floor(summary.listAsOf)),
 		tablesAgeMs: toWireAge(summary.tablesAgeMs),
 		listAgeMs: toWireAge(summary.listAgeMs),
 		targets: summary.targets.map(target => ({...target, uptimeMs: BigInt(target.uptimeMs)})),
 		spare: [...summary.spare],
+		listHash: BigInt(summary.listHash ?? 0),
+		absent: (summary.absent ?? []).map(({id, since, absentMs}) => create(AbsentInstanceSchema, {id, since, absentMs: BigInt(absentMs)})),
 	});
 }
 
@@ -41,6 +43,9 @@
 			evidenceAgeMs: target.evidenceAgeMs,
 		})),
 		spare: wire.spare.map(({limitId, tokens, rate}) => ({limitId, tokens, rate})),
+		listHash: Number(wire.listHash),
+		isHistoryComplete: wire.isHistoryComplete,
+		absent: wire.absent.map(({id, since, absentMs}) => ({id, since, absentMs: Number(absentMs)})),
 	};
 }
 
--- a/packages/scenarios/src/lib/reducer-fleet.ts
+++ b/packages/scenarios/src/lib/reducer-fleet.ts
@@ -373,7 +373,9 @@
 			this.emit(to, {kind: eventKind.summaryReceived, summary: effect.summary, startedAt: receivedAt});
 			const summary = describeSummary(to.state, receivedAt);
 			return () => {
-				this.emit(from, {kind: eventKind.summaryReceived, summary, startedAt});
+				this.emit(from, {
+					kind: eventKind.summaryReceived, summary, startedAt, isAnswer: true,
+				});
 			};
 		}, () => {
 			this.emit(from, {kind: eventKind.peerFailed, peerId: effect.peerId});
--- /dev/null
+++ b/packages/scenarios/src/lib/share-workload.ts
@@ -0,0 +1,134 @@
+/**
+ * A workload over the limits of client accounts: Poisson arrivals, skewed
+ * towards one instance, and what of them was refused wrongly or sent beyond
+ * the limit.
+ */
+import {uniformInt, xoroshiro128plus} from '@sequoiatally/load';
+import type {Configuration} from '@sequoiatally/core';
+import {createExampleConfiguration, describeExampleKey, exampleModelRoute} from './example-configuration.js';
+import {admitExactly, computeOverrun} from './exact-bucket.js';
+import {ReducerFleet, type FleetInstance, type ReducerFleetOptions} from './reducer-fleet.js';
+
+/** A client account, and what it asks for as a multiple of its rate. */
+export type AccountLoad = {readonly name: string; readonly rate: number; readonly burst: number; readonly demandMultiple: number};
+
+export type ShareWorkloadOptions = {
+	readonly seed: number;
+	readonly accounts: readonly AccountLoad[];
+	readonly instanceCount: number;
+	readonly fleet?: Partial<Configuration['fleet']>;
+	readonly network?: ReducerFleetOptions['network'];
+	/** Part of each account's requests that come in at its one instance. */
+	readonly skew: number;
+	readonly listLagMs?: number;
+};
+
+type Arrival = {readonly at: number; readonly account: string; readonly requestId: string};
+
+/** How one account fared in a window. */
+export type AccountOutcome = {
+	readonly name: string;
+	readonly offered: number;
+	readonly sent: number;
+	/** Requests that one exact bucket admits. */
+	readonly exact: number;
+	readonly refusedWrongly: number;
+	/** Most requests beyond rate and burst over any window of the whole run. */
+	readonly overrun: number;
+};
+
+/** Runs the workload and keeps account of it. */
+export class ShareWorkload {
+	readonly fleet: ReducerFleet;
+	readonly arrivals: Arrival[] = [];
+	readonly #random;
+	readonly #options: ShareWorkloadOptions;
+	#nextRequest = 0;
+	#nextInstance = 0;
+
+	constructor(options: ShareWorkloadOptions) {
+		this.#options = options;
+		this.#random = xoroshiro128plus(options.seed + 1);
+		const configuration = createExampleConfiguration(options.accounts.map(({name, rate, burst}) => ({name, rate, burst})), options.fleet, {
+			slotsPerTarget: 10_000, loadMultiple: 100, queueLimit: 10_000,
+		});
+		this.fleet = new ReducerFleet({
+			seed: options.seed, configuration, network: options.network, listLagMs: options.listLagMs ?? 500, serviceMs: 10,
+		});
+		this.fleet.changeList(list => ({
+			...list,
+			targets: Array.from({length: 8}, (_, index) => ({
+				id: `fitbrain-${index}`, pool: 'fitbrain', address: '', zone: 'zone-a', state: 'live' as const, since: 0,
+			})),
+		}));
+		for (let index = 0; index < options.instanceCount; index++) {
+			this.startInstance();
+		}
+	}
+
+	/** Starts one more instance and returns its identifier. */
+	startInstance(): string {
+		const id = `router-${this.#nextInstance}`;
+		this.fleet.start(id, `zone-${'abc'[this.#nextInstance % 3]}`);
+		this.#nextInstance++;
+		return id;
+	}
+
+	/** Sends the accounts' requests for a while. */
+	run(durationMs: number, demandMultiples: Readonly<Record<string, number>> = {}): void {
+		const arrivals: Array<{at: number; account: AccountLoad}> = [];
+		for (const account of this.#options.accounts) {
+			const rate = account.rate * (demandMultiples[account.name] ?? account.demandMultiple);
+			for (let at = this.#drawGap(rate); at < durationMs; at += this.#drawGap(rate)) {
+				arrivals.push({at, account});
+			}
+		}
+
+		const startedAt = this.fleet.now;
+		for (const {at, account} of arrivals.sort((a, b) => a.at - b.at)) {
+			this.fleet.runFor(startedAt + at - this.fleet.now);
+			this.#send(account);
+		}
+
+		this.fleet.runFor(startedAt + durationMs - this.fleet.now);
+	}
+
+	/** Describes how an account fared from `from` to `to`; the exact bucket sees all arrivals from the first on. */
+	describeOutcome(name: string, from = 0, to = Number.POSITIVE_INFINITY): AccountOutcome {
+		const account = this.#options.accounts.find(other => other.name === name)!;
+		const arrivals = this.arrivals.filter(arrival => arrival.account === name);
+		const admitted = admitExactly(arrivals.map(({at}) => at), account.rate, account.burst);
+		const sentIds = new Set(this.fleet.sent.map(({requestId}) => requestId));
+		const inWindow = (at: number) => at >= from && at < to;
+		const exact = admitted.filter((isAdmitted, index) => isAdmitted && inWindow(arrivals[index]!.at)).length;
+		const offered = arrivals.filter(({at}) => inWindow(at));
+		const sent = offered.filter(({requestId}) => sentIds.has(requestId)).length;
+		const times = this.fleet.sent.filter(request => request.account === name).map(({at}) => at);
+		return {
+			name, sent, offered: offered.length, exact, refusedWrongly: Math.max(0, exact - sent), overrun: computeOverrun(times, account.rate, account.burst),
+		};
+	}
+
+	#send(account: AccountLoad): void {
+		const requestId = `r${this.#nextRequest++}`;
+		const instanceId = this.#chooseInstance(account);
+		this.arrivals.push({at: this.fleet.now, account: account.name, requestId});
+		this.fleet.request(instanceId, requestId, {account: account.name, keyDigest: describeExampleKey(account.name).digest, ...exampleModelRoute});
+	}
+
+	/** The balancer: sticky to one live instance for a part of the requests, any live one for the rest. */
+	#chooseInstance({name}: AccountLoad): string {
+		const isOffered = ({isAlive, frozenUntil, state}: FleetInstance) =>
+			isAlive && frozenUntil <= this.fleet.now && state.membership.mayServe && !state.membership.isDraining;
+		const live = [...this.fleet.instances.values()].filter(instance => isOffered(instance));
+		const index = this.#options.accounts.findIndex(account => account.name === name);
+		const isSticky = uniformInt(this.#random, 0, 999) < this.#options.skew * 1000;
+		const chosen = isSticky ? index % live.length : uniformInt(this.#random, 0, live.length - 1);
+		return live[chosen]!.id;
+	}
+
+	#drawGap(ratePerSecond: number): number {
+		const unit = (uniformInt(this.#random, 0, 999_999) + 1) / 1_000_001;
+		return -Math.log(unit) * 1000 / ratePerSecond;
+	}
+}
