Targets: bounded rendezvous, load multiple from own mean, cold until fresh evidence

Cause: the choice hashed and sorted every target per request, each router allowed itself one request at any target whatever the others did, and a cold target was treated as a warm one.

Change: one pass over precomputed hashes; the load multiple holds per router against its own mean and adds up over the fleet, with a floor of whole slots and the peers' reports as a further bound; one slot share per target that counts for coldSlots / slotsPerTarget of itself while the target is cold. A target is warm only by evidence of its boot that is younger than 3 s and dated to when it was asked for; old evidence is renewed by a probe, which takes no slot.

Ruled out: periods of grace after a restart (nobody knows of a silent restart, so only the age of evidence bounds it); separate ledgers for cold and warm slots (a share gathered while cold would not be covered once warm).

The slot shares are static until loans of slots exist.

--- a/packages/core/src/lib/configuration/configuration.ts
+++ b/packages/core/src/lib/configuration/configuration.ts
@@ -42,6 +42,8 @@
 	name: nameSchema,
 	/** Highest load of one target as a multiple of the pool's mean load. */
 	loadMultiple: z.number().min(1).max(100).default(1.5),
+	/** Requests in flight up to which a target may go, over the whole fleet, however small the mean load is. */
+	loadFloor: z.number().int().min(0).max(10_000).default(8),
 	/** Requests in flight that one target bears, over the whole fleet. */
 	slotsPerTarget: z.number().int().min(1).max(10_000).default(32),
 	/** Requests in flight that a cold target bears, over the whole fleet. */
--- a/packages/core/src/lib/effect.ts
+++ b/packages/core/src/lib/effect.ts
@@ -13,6 +13,7 @@
 	dispatch: 'dispatch',
 	refuse: 'refuse',
 	cancel: 'cancel',
+	probe: 'probe',
 	readDocument: 'read-document',
 	fetchDocument: 'fetch-document',
 	exchange: 'exchange',
@@ -49,6 +50,9 @@
 /** Stop an attempt and close its connection. */
 export type Cancel = {readonly kind: typeof effectKind.cancel; readonly requestId: string; readonly attemptId: number};
 
+/** Ask a target for its boot and load; costs it no slot, and the answer comes back as a load report. */
+export type Probe = {readonly kind: typeof effectKind.probe; readonly targetId: string; readonly address: string};
+
 /** Read a document from the configuration service, waiting for one newer than `after`. */
 export type ReadDocument = {
 	readonly kind: typeof effectKind.readDocument;
@@ -104,5 +108,5 @@
 export type FinishDrain = {readonly kind: typeof effectKind.finishDrain};
 
 export type Effect =
-	| Dispatch | Refuse | Cancel | ReadDocument | FetchDocument | Exchange
+	| Dispatch | Refuse | Cancel | Probe | ReadDocument | FetchDocument | Exchange
 	| Borrow | AnswerBorrow | GiveBack | RecordEntry | FinishDrain;
--- a/packages/core/src/lib/event.ts
+++ b/packages/core/src/lib/event.ts
@@ -178,6 +178,8 @@
 	readonly bootId?: string;
 	readonly uptimeMs?: number;
 	readonly inFlight?: number;
+	/** Time before the request that brought the report was sent: the report is not older. */
+	readonly askedAt?: number;
 };
 
 export type DrainRequested = {readonly kind: typeof eventKind.drainRequested; readonly by: string};
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -15,7 +15,8 @@
 } from './requests/reduce-requests.js';
 import {recordEntry, type State, type Step} from './state.js';
 import {applyConfiguration, rejectConfiguration} from './tables.js';
-import {applyListedTargets, applyLoadReport} from './targets/target-state.js';
+import {applyLoadReport, applyPeerEvidence} from './targets/target-boot.js';
+import {applyListedTargets} from './targets/target-state.js';
 import {timelineKind} from './timeline-entry.js';
 import {endRead, startDueReads} from './watch.js';
 
@@ -88,6 +89,7 @@
 
 		case eventKind.summaryReceived: {
 			applySummary(step, event);
+			applyPeerEvidence(step, event);
 			break;
 		}
 
@@ -98,6 +100,7 @@
 
 		case eventKind.loadReported: {
 			applyLoadReport(step, event);
+			advanceWaiting(step);
 			break;
 		}
 
--- a/packages/core/src/lib/requests/reduce-requests.ts
+++ b/packages/core/src/lib/requests/reduce-requests.ts
@@ -12,6 +12,7 @@
 } from '../refusal.js';
 import {recordEntry, type Step} from '../state.js';
 import {chooseTarget, listEligibleTargets} from '../targets/choose-target.js';
+import {applyTargetFailure} from '../targets/target-boot.js';
 import {timelineKind, type TimelineKind} from '../timeline-entry.js';
 import {admitRequest, findAccount} from './admit-request.js';
 import {requestPhase, type PendingRequest} from './request-state.js';
@@ -95,6 +96,7 @@
 		const target = state.targets.targets.get(targetId);
 		if (target !== undefined) {
 			target.avoidUntil = now + avoidAfterFailureMs;
+			applyTargetFailure(target);
 		}
 	}
 
--- a/packages/core/src/lib/targets/choose-target.ts
+++ b/packages/core/src/lib/targets/choose-target.ts
@@ -1,20 +1,39 @@
 /**
- * Chooses the target of a request: which targets may take new work now, then
- * the first of them, in the chat's own order, that has room.
+ * Chooses the target of a request: which targets may take new work now, which
+ * of them have room, and which of those the chat prefers.
  */
 import type {Pool} from '../configuration/configuration.js';
 import {listedState} from '../configuration/instance-list.js';
 import type {Step} from '../state.js';
+import {computePoolLoad, isWithinMultiple, type PoolLoad} from './load-multiple.js';
+import {recordPlacement} from './moved-chats.js';
+import {computeUsableSlots} from './slot-share.js';
+import {isProbeOpen, probeIfDue} from './target-boot.js';
+import {Room} from './target-choice.js';
 import type {Target} from './target-state.js';
 
 /** Finds a target with room for one more request; undefined: none has room now. */
 export function chooseTarget(step: Step, pool: Pool, chatKey: string, avoidIds: ReadonlySet<string>): Target | undefined {
+	const {targets, policies, self} = step.state;
 	const eligible = listEligibleTargets(step, pool.name);
 	const preferred = eligible.filter(target => !avoidIds.has(target.listed.id));
 	const candidates = preferred.length > 0 ? preferred : eligible;
-	const ordered = step.state.policies.targetChoice.orderTargets([...candidates], {chatKey, zone: step.state.self.zone});
-	const inFlight = eligible.reduce((sum, target) => sum + target.inFlight, 0);
-	return ordered.find(target => hasRoom(step, pool, target, inFlight, eligible.length));
+	const room = new PoolRoom(step, pool, computePoolLoad(step, pool, eligible));
+	const request = {chatKey, zone: self.zone, lastTargetId: targets.movedChats.get(chatKey)};
+	const {target, home} = policies.targetChoice.chooseTarget(candidates, request, room);
+	if (home !== undefined) {
+		probeIfDue(step, home, pool);
+	}
+
+	if (home !== undefined && home !== target && isProbeOpen(home, pool, step.now)) {
+		return undefined;
+	}
+
+	if (target !== undefined) {
+		recordPlacement(targets.movedChats, chatKey, target.listed.id, home?.listed.id);
+	}
+
+	return target;
 }
 
 /** Lists the pool's targets that may take new work: live, in no drained zone, not failing. */
@@ -36,10 +55,25 @@
 	return eligible;
 }
 
-function hasRoom(step: Step, pool: Pool, target: Target, poolInFlight: number, targetCount: number): boolean {
-	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? 1;
-	const ownSlots = Math.max(1, Math.floor(pool.slotsPerTarget / ceiling));
-	const meanAfter = (poolInFlight + 1) / targetCount;
-	const bound = Math.max(1, Math.floor(pool.loadMultiple * meanAfter));
-	return target.inFlight < Math.min(ownSlots, bound);
+/** Room at the targets of one pool, for one decision. */
+class PoolRoom extends Room {
+	readonly #step: Step;
+	readonly #pool: Pool;
+	readonly #load: PoolLoad;
+
+	constructor(step: Step, pool: Pool, load: PoolLoad) {
+		super();
+		this.#step = step;
+		this.#pool = pool;
+		this.#load = load;
+	}
+
+	override hasSlot(target: Target): boolean {
+		probeIfDue(this.#step, target, this.#pool);
+		return target.inFlight < computeUsableSlots(this.#step, this.#pool, target);
+	}
+
+	override isWithinMultiple(target: Target): boolean {
+		return isWithinMultiple(this.#step, this.#pool, target, this.#load);
+	}
 }
--- /dev/null
+++ b/packages/core/src/lib/targets/load-multiple.ts
@@ -0,0 +1,79 @@
+/**
+ * The load multiple: no target carries more than a set multiple of the mean.
+ *
+ * The load of a target is the number of requests in flight there, over the
+ * fleet; the mean is taken over the pool's targets that may take new work and
+ * are warm. Each instance keeps its own requests under the multiple of its own
+ * mean, or under its whole part of the pool's floor, whichever is more. These
+ * bounds add up over the instances without any message between them. What peers
+ * say they have in flight only tightens the bound.
+ */
+import type {Pool} from '../configuration/configuration.js';
+import type {Step} from '../state.js';
+import {isWarm} from './target-boot.js';
+import type {Target} from './target-state.js';
+
+/** Time after which a peer's load report no longer counts, in milliseconds. */
+const peerLoadLimitMs = 2000;
+
+/** Loads of a pool, of this instance and as estimated for the fleet. */
+export type PoolLoad = {
+	readonly warmCount: number;
+	/** Requests of this instance in flight at warm targets. */
+	readonly ownInFlight: number;
+	/** Requests of peers by target, as they last said. */
+	readonly peerInFlight: ReadonlyMap<string, number>;
+	/** Requests of peers at warm targets. */
+	readonly peerTotal: number;
+};
+
+/** Sums the loads of a pool's eligible targets. */
+export function computePoolLoad(step: Step, pool: Pool, eligible: readonly Target[]): PoolLoad {
+	const peerInFlight = sumPeerLoads(step);
+	let warmCount = 0;
+	let ownInFlight = 0;
+	let peerTotal = 0;
+	for (const target of eligible) {
+		if (isWarm(target, pool, step.now)) {
+			warmCount += 1;
+			ownInFlight += target.inFlight;
+			peerTotal += peerInFlight.get(target.listed.id) ?? 0;
+		}
+	}
+
+	return {
+		warmCount, ownInFlight, peerInFlight, peerTotal,
+	};
+}
+
+/** True when one more request keeps the target under the multiple, here and as far as is known in the fleet. */
+export function isWithinMultiple(step: Step, pool: Pool, target: Target, load: PoolLoad): boolean {
+	if (!isWarm(target, pool, step.now)) {
+		// A cold target is bounded by its few slots.
+		return true;
+	}
+
+	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY;
+	const ownAfter = target.inFlight + 1;
+	const ownMean = (load.ownInFlight + 1) / load.warmCount;
+	const ownBound = Math.max(Math.floor(pool.loadFloor / ceiling), pool.loadMultiple * ownMean);
+	const fleetAfter = ownAfter + (load.peerInFlight.get(target.listed.id) ?? 0);
+	const fleetMean = (load.ownInFlight + load.peerTotal + 1) / load.warmCount;
+	const fleetBound = Math.max(pool.loadFloor, pool.loadMultiple * fleetMean);
+	return ownAfter <= ownBound && fleetAfter <= fleetBound;
+}
+
+function sumPeerLoads({state, now}: Step): Map<string, number> {
+	const sums = new Map<string, number>();
+	for (const {summary, heardAt} of state.membership.peers.values()) {
+		if (now - heardAt > peerLoadLimitMs) {
+			continue;
+		}
+
+		for (const {targetId, inFlight} of summary.targets) {
+			sums.set(targetId, (sums.get(targetId) ?? 0) + inFlight);
+		}
+	}
+
+	return sums;
+}
--- /dev/null
+++ b/packages/core/src/lib/targets/moved-chats.ts
@@ -0,0 +1,23 @@
+/**
+ * Remembers where chats went that could not go to their home. Everything else
+ * follows from the hash, so only these exceptions cost memory, and only so many.
+ */
+
+/** Chats remembered; the least recently placed is forgotten first. */
+const movedChatsLimit = 4096;
+
+/** Target by chat key, least recently placed first. */
+export type MovedChats = Map<string, string>;
+
+/** Remembers where a chat went, or forgets it when that is its home. */
+export function recordPlacement(movedChats: MovedChats, chatKey: string, targetId: string, homeId: string | undefined): void {
+	movedChats.delete(chatKey);
+	if (targetId === homeId) {
+		return;
+	}
+
+	movedChats.set(chatKey, targetId);
+	if (movedChats.size > movedChatsLimit) {
+		movedChats.delete(movedChats.keys().next().value!);
+	}
+}
--- a/packages/core/src/lib/targets/target-state.ts
+++ b/packages/core/src/lib/targets/target-state.ts
@@ -3,30 +3,36 @@
  * flight there itself, and the latest evidence of each target's boot.
  */
 import {listedState, type ListedTarget} from '../configuration/instance-list.js';
-import type {LoadReported} from '../event.js';
+import {hashText} from '../hash.js';
 import type {TargetLoad} from '../message.js';
 import type {Step} from '../state.js';
+import type {MovedChats} from './moved-chats.js';
 
 export type Target = {
 	listed: ListedTarget;
+	/** Hash of the identifier, for ranking. */
+	readonly hash: number;
 	/** Requests that this instance has in flight there. */
 	inFlight: number;
 	/** The engine's boot identifier by the latest evidence. */
 	bootId: string;
 	/** Time of that boot, on this process's clock; undefined: not known. */
 	bootedAt?: number;
-	/** Time of the latest evidence. */
+	/** Time at which the latest evidence was certainly true; undefined: none, or a failure came after it. */
 	evidenceAt?: number;
+	/** Time of the latest probe. */
+	probedAt?: number;
 	/** Time until which failed connects keep new work away. */
 	avoidUntil: number;
 };
 
 export type TargetState = {
 	targets: Map<string, Target>;
+	movedChats: MovedChats;
 };
 
 export function createTargetState(): TargetState {
-	return {targets: new Map()};
+	return {targets: new Map(), movedChats: new Map()};
 }
 
 /** Takes the targets of a new list; a target that it no longer names is forgotten once idle. */
@@ -46,7 +52,7 @@
 		const known = targets.get(listed.id);
 		if (known === undefined) {
 			targets.set(listed.id, {
-				listed, inFlight: 0, bootId: '', avoidUntil: 0,
+				listed, hash: hashText(listed.id), inFlight: 0, bootId: '', avoidUntil: 0,
 			});
 		} else {
 			known.listed = listed;
@@ -54,18 +60,6 @@
 	}
 }
 
-/** Takes evidence of a target's boot. */
-export function applyLoadReport(step: Step, event: LoadReported): void {
-	const target = step.state.targets.targets.get(event.targetId);
-	if (target === undefined || event.bootId === undefined) {
-		return;
-	}
-
-	target.bootId = event.bootId;
-	target.bootedAt = step.now - (event.uptimeMs ?? 0);
-	target.evidenceAt = step.now;
-}
-
 /** Describes the targets on which this instance has requests in flight. */
 export function describeTargetLoads({targets}: TargetState, now: number): TargetLoad[] {
 	const loads: TargetLoad[] = [];
--- a/packages/router/src/lib/router.ts
+++ b/packages/router/src/lib/router.ts
@@ -4,7 +4,7 @@
 import {randomUUID} from 'node:crypto';
 import {
 	createState, eventKind, RendezvousChoice, timelineKind, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Event,
-	type Exchange, type FetchDocument, type GiveBack, type ReadDocument, type Refuse, type TimelineEntry,
+	type Exchange, type FetchDocument, type GiveBack, type Probe, type ReadDocument, type Refuse, type TimelineEntry,
 } from '@sequoiatally/core';
 import {
 	readMonotonicMs, TimelineWriter, type LifecycleManager, type Logger, type SocketAddress,
@@ -74,6 +74,10 @@
 		this.targets.cancel(attemptId);
 	}
 
+	override probe(effect: Probe): void {
+		void this.targets.probe(effect);
+	}
+
 	override readDocument(effect: ReadDocument): void {
 		void this.platform.read(effect);
 	}
--- a/packages/router/src/lib/runner.ts
+++ b/packages/router/src/lib/runner.ts
@@ -4,7 +4,7 @@
  */
 import {
 	effectKind, reduce, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Effect, type Event,
-	type Exchange, type FetchDocument, type GiveBack, type ReadDocument, type Refuse, type State, type TimelineEntry,
+	type Exchange, type FetchDocument, type GiveBack, type Probe, type ReadDocument, type Refuse, type State, type TimelineEntry,
 } from '@sequoiatally/core';
 
 /**
@@ -15,6 +15,7 @@
 	abstract dispatch(effect: Dispatch): void;
 	abstract refuse(effect: Refuse): void;
 	abstract cancel(effect: Cancel): void;
+	abstract probe(effect: Probe): void;
 	abstract readDocument(effect: ReadDocument): void;
 	abstract fetchDocument(effect: FetchDocument): void;
 	abstract exchange(effect: Exchange): void;
@@ -78,6 +79,11 @@
 				break;
 			}
 
+			case effectKind.probe: {
+				handler.probe(effect);
+				break;
+			}
+
 			case effectKind.readDocument: {
 				handler.readDocument(effect);
 				break;
--- a/packages/router/src/lib/target-client.ts
+++ b/packages/router/src/lib/target-client.ts
@@ -4,7 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	attemptOutcome, eventKind, type AttemptOutcome, type Dispatch, type Event,
+	attemptOutcome, eventKind, type AttemptOutcome, type Dispatch, type Event, type Probe,
 } from '@sequoiatally/core';
 import {describeError, type LifecycleManager} from '@sequoiatally/runtime';
 import {createParser} from 'eventsource-parser';
@@ -16,6 +16,10 @@
 /** Time without a byte after which an answer's connection counts as lost, in milliseconds. */
 const silenceMs = 5000;
 const connectTimeoutMs = 1000;
+/** Longest time that a probe may take, in milliseconds. */
+const probeTimeoutMs = 1000;
+/** Path at which a model target reports its boot and load. */
+const loadReportPath = '/load';
 /** Largest plain answer that is forwarded. */
 const largestPlainAnswerBytes = 8 * 1024 * 1024;
 const endMark = '[DONE]';
@@ -75,6 +79,18 @@
 		});
 	}
 
+	/** Asks a target for its load report; a target that does not answer sends none. */
+	async probe({targetId, address}: Probe): Promise<void> {
+		const askedAt = this.#readClock();
+		try {
+			const response = await request(`http://${address}${loadReportPath}`, {dispatcher: this.#agent, signal: AbortSignal.timeout(probeTimeoutMs)});
+			this.#reportLoad(targetId, response, askedAt);
+			await response.body.dump();
+		} catch {
+			// Without a report the target's evidence ages, and it counts as cold.
+		}
+	}
+
 	/** Stops an attempt and closes its connection. */
 	cancel(attemptId: number): void {
 		this.#abortByAttempt.get(attemptId)?.abort();
@@ -82,7 +98,8 @@
 
 	async #attempt(effect: Dispatch, open: OpenRequest, agent: Agent, signal: AbortSignal): Promise<AttemptResult> {
 		const {content} = open;
-		const remainingMs = Math.max(1, effect.deadlineAt - this.#readClock());
+		const askedAt = this.#readClock();
+		const remainingMs = Math.max(1, effect.deadlineAt - askedAt);
 		const response = await request(`http://${effect.address}${content.target}`, {
 			method: content.method,
 			headers: {
@@ -96,7 +113,7 @@
 			dispatcher: agent,
 			signal: AbortSignal.any([signal, AbortSignal.timeout(Math.ceil(remainingMs))]),
 		});
-		this.#reportLoad(effect.targetId, response);
+		this.#reportLoad(effect.targetId, response, askedAt);
 		await checkMatch(response, content.requestId);
 		if (response.statusCode === 503 && response.headers['x-not-started'] === 'true') {
 			await response.body.dump();
@@ -108,11 +125,16 @@
 			: deliverPlain(response, open);
 	}
 
-	#reportLoad(targetId: string, {headers}: Dispatcher.ResponseData): void {
+	#reportLoad(targetId: string, {headers}: Dispatcher.ResponseData, askedAt: number): void {
 		const bootId = headers['x-engine-boot'];
 		if (typeof bootId === 'string') {
 			this.#emit({
-				kind: eventKind.loadReported, targetId, bootId, uptimeMs: Number(headers['x-engine-uptime-ms'] ?? 0), inFlight: Number(headers['x-engine-load'] ?? 0),
+				kind: eventKind.loadReported,
+				targetId,
+				bootId,
+				uptimeMs: Number(headers['x-engine-uptime-ms'] ?? 0),
+				inFlight: Number(headers['x-engine-load'] ?? 0),
+				askedAt,
 			});
 		}
 	}
--- a/packages/scenarios/src/lib/reducer-fleet.ts
+++ b/packages/scenarios/src/lib/reducer-fleet.ts
@@ -10,7 +10,7 @@
 import {
 	attemptOutcome, createState, describeSummary, documentKind, effectKind, eventKind, reduce, RendezvousChoice,
 	type AnswerBorrow, type Borrow, type Configuration, type Dispatch, type Effect, type Event, type Exchange, type FetchDocument,
-	type GiveBack, type InstanceList, type ReadDocument, type Refusal, type State, type TargetChoice, type TimelineEntry,
+	type GiveBack, type InstanceList, type Probe, type ReadDocument, type Refusal, type State, type TargetChoice, type TimelineEntry,
 } from '@sequoiatally/core';
 import {uniformInt, xoroshiro128plus} from '@sequoiatally/load';
 
@@ -18,6 +18,8 @@
 const exchangeTimeoutMs = 1000;
 const borrowTimeoutMs = 300;
 const readTimeoutMs = 2000;
+/** Boot of targets that have been up for long. */
+const longUpSince = -1_000_000;
 
 /** How the network behaves; probabilities are from 0 to 1. */
 export type NetworkFaults = {
@@ -60,6 +62,12 @@
 export type SentRequest = {readonly at: number; readonly instanceId: string; readonly account: string; readonly targetId: string; readonly requestId: string};
 export type RefusedRequest = {readonly at: number; readonly instanceId: string; readonly requestId: string; readonly refusal: Refusal};
 
+/** One start of a target; its cache and its requests in flight end with it. */
+export type TargetBoot = {readonly bootId: string; readonly bootedAt: number};
+
+/** `sentAt` is on the instance's own clock. */
+type RunningAttempt = {readonly instance: FleetInstance; readonly effect: Dispatch; readonly sentAt: number};
+
 type Delivery = {readonly at: number; readonly order: number; readonly instance?: FleetInstance; readonly run: () => void};
 
 export type ReducerFleetOptions = {
@@ -88,6 +96,10 @@
 	readonly timeline: Array<TimelineEntry & {readonly at: number; readonly instanceId: string}> = [];
 	/** Requests in flight by target, over the whole fleet. */
 	readonly inFlight = new Map<string, number>();
+	/** Latest boot by target; a target that is not named has been up for long. */
+	readonly boots = new Map<string, TargetBoot>();
+	/** Probes that reached a target. */
+	probeCount = 0;
 	/** Messages sent between instances. */
 	messageCount = 0;
 	/** Calls to the configuration service. */
@@ -100,6 +112,8 @@
 	readonly #shownLists: Array<{readonly at: number; readonly list: InstanceList}> = [];
 	readonly #borrowAnswers = new Map<number, (effect: AnswerBorrow) => void>();
 	readonly #accountByRequest = new Map<string, string>();
+	/** Attempts under way by target. */
+	readonly #running = new Map<string, Set<RunningAttempt>>();
 	#order = 0;
 	#nextCallId = 1;
 
@@ -144,7 +158,9 @@
 
 	/** Ends a process at once, without notice. */
 	kill(id: string, isUnlisted = true): void {
-		this.instances.get(id)!.isAlive = false;
+		const instance = this.instances.get(id)!;
+		instance.isAlive = false;
+		this.#endAttempts(attempt => attempt.instance === instance);
 		if (isUnlisted) {
 			this.changeList(list => ({...list, instances: list.instances.filter(other => other.id !== id)}));
 		}
@@ -187,9 +203,26 @@
 		}
 	}
 
-	/** Ends an attempt as the target client would. */
+	/** Restarts a target: what it had in flight is lost, and its boot is another. */
+	restartTarget(targetId: string): void {
+		this.boots.set(targetId, {bootId: `${targetId}@${this.now}`, bootedAt: this.now});
+		this.#endAttempts(({effect}) => effect.targetId === targetId);
+	}
+
+	/** Ends an attempt as the target client would; one that has ended already stays as it is. */
 	endAttempt(instance: FleetInstance, effect: Dispatch, outcome: typeof attemptOutcome[keyof typeof attemptOutcome]): void {
+		const running = this.#running.get(effect.targetId);
+		const attempt = [...running ?? []].find(other => other.effect === effect);
+		if (attempt === undefined) {
+			return;
+		}
+
+		running!.delete(attempt);
 		this.inFlight.set(effect.targetId, (this.inFlight.get(effect.targetId) ?? 0) - 1);
+		if (outcome === attemptOutcome.complete) {
+			this.#reportLoad(instance, effect.targetId, attempt.sentAt);
+		}
+
 		this.emit(instance, {
 			kind: eventKind.attemptEnded, requestId: effect.requestId, attemptId: effect.attemptId, outcome, deliveredCount: 0,
 		});
@@ -254,6 +287,11 @@
 				break;
 			}
 
+			case effectKind.probe: {
+				this.#probe(instance, effect);
+				break;
+			}
+
 			case effectKind.readDocument: {
 				this.#read(instance, effect);
 				break;
@@ -301,9 +339,36 @@
 			at: this.now, instanceId: instance.id, account: this.#accountByRequest.get(requestId) ?? '', targetId, requestId,
 		});
 		this.inFlight.set(targetId, (this.inFlight.get(targetId) ?? 0) + 1);
+		const running = this.#running.get(targetId) ?? new Set();
+		running.add({instance, effect, sentAt: this.now - instance.startedAt});
+		this.#running.set(targetId, running);
 		this.onDispatch(instance, effect);
 	}
 
+	#endAttempts(isEnded: (attempt: RunningAttempt) => boolean): void {
+		for (const running of this.#running.values()) {
+			for (const attempt of [...running].filter(other => isEnded(other))) {
+				this.endAttempt(attempt.instance, attempt.effect, attemptOutcome.unknown);
+			}
+		}
+	}
+
+	#probe(instance: FleetInstance, {targetId}: Probe): void {
+		const askedAt = this.now - instance.startedAt;
+		this.#scheduleFor(instance, this.#drawDelay(), () => {
+			this.probeCount++;
+			this.#reportLoad(instance, targetId, askedAt);
+		});
+	}
+
+	/** The report is of now, and it is dated to when it was asked for. */
+	#reportLoad(instance: FleetInstance, targetId: string, askedAt: number): void {
+		const {bootId, bootedAt} = this.boots.get(targetId) ?? {bootId: targetId, bootedAt: longUpSince};
+		this.emit(instance, {
+			kind: eventKind.loadReported, targetId, bootId, uptimeMs: this.now - bootedAt, askedAt,
+		});
+	}
+
 	#read(instance: FleetInstance, {document, after, waitMs}: ReadDocument): void {
 		this.platformCallCount++;
 		const startedAt = this.now - instance.startedAt;
--- a/packages/stand-ins/src/lib/engine.ts
+++ b/packages/stand-ins/src/lib/engine.ts
@@ -3,7 +3,7 @@
  * request alone, keeps the prefixes of recent chats in limited memory, is cold
  * after its start, and can fail on command.
  */
-import {Hono} from 'hono';
+import {Hono, type Context} from 'hono';
 import {streamSSE} from 'hono/streaming';
 
 export type EngineOptions = {
@@ -132,6 +132,13 @@
 	return `${chatId}:${index} `;
 }
 
+/** Writes the engine's boot and load to the headers of an answer. */
+function writeLoadReport(c: Context, engine: Engine, now: number): void {
+	c.header('x-engine-boot', engine.bootId);
+	c.header('x-engine-uptime-ms', String(engine.computeUptimeMs(now)));
+	c.header('x-engine-load', String(engine.stats.inFlight));
+}
+
 const wait = async (ms: number) => new Promise<void>(resolve => {
 	setTimeout(resolve, ms);
 });
@@ -161,9 +168,7 @@
 		const echoedId = fault === engineFault.cross ? `${requestId}-other` : requestId;
 		c.header('x-request-id', echoedId);
 		c.header('x-engine-id', engine.options.id);
-		c.header('x-engine-boot', engine.bootId);
-		c.header('x-engine-uptime-ms', String(engine.computeUptimeMs(readClock())));
-		c.header('x-engine-load', String(engine.stats.inFlight));
+		writeLoadReport(c, engine, readClock());
 		c.header('x-cache', isCached ? 'hit' : 'miss');
 		return streamSSE(c, async stream => {
 			const state = {isCancelled: false};
@@ -210,6 +215,10 @@
 			}
 		});
 	});
+	app.get('/load', c => {
+		writeLoadReport(c, engine, readClock());
+		return c.json({inFlight: engine.stats.inFlight});
+	});
 	app.get('/control/stats', c => c.json(engine.stats));
 	app.post('/control/fault', async c => {
 		const {fault} = await c.req.json<{fault: string}>();
