--- a/packages/router/src/lib/admin-server.ts
+++ b/packages/router/src/lib/admin-server.ts
@@ -13,7 +13,7 @@
 
 /** Says whether callers may be sent here. */
 export function isReady({tables, membership}: State): boolean {
-	return tables.configuration !== undefined && membership.list !== undefined && !membership.isDraining;
+	return tables.configuration !== undefined && membership.mayServe && membership.history.hasJoined && !membership.isDraining;
 }
 
 /** What the administration server needs. */
