Drawn time line: first the request that passed through the most processes

Cause: seen in a browser, the page opened on a refusal with two lanes, the paths hid the lanes, and a followed line ran backwards where entries of two lanes are close.

--- a/packages/cli/src/lib/timeline/draw-timeline.ts
+++ b/packages/cli/src/lib/timeline/draw-timeline.ts
@@ -76,7 +76,16 @@
 
 	const weighed = [...groups].map(group => ({group, weight: computeWeight(group)}));
 	weighed.sort((a, b) => b.weight - a.weight);
-	return weighed.slice(0, mostFollowedRequests).map(({group}) => group);
+	const chosen = weighed.slice(0, mostFollowedRequests).map(({group}) => group);
+	return chosen[0]?.[0] === followedId ? chosen : moveWidestToFront(chosen);
+}
+
+/** Moves the request that passed through the most processes to the front. */
+function moveWidestToFront(requests: ReadonlyArray<[string, TimedLine[]]>): Array<[string, TimedLine[]]> {
+	const countProcesses = ([, lines]: [string, TimedLine[]]) => new Set(lines.map(({processKey}) => processKey)).size;
+	const most = Math.max(...requests.map(request => countProcesses(request)));
+	const widest = requests.find(request => countProcesses(request) === most);
+	return widest === undefined ? [] : [widest, ...requests.filter(request => request !== widest)];
 }
 
 function drawOverview(lines: readonly TimedLine[], followable: ReadonlySet<string>): string {
@@ -122,14 +131,15 @@
 
 type Place = {readonly x: number; readonly y: number};
 
-/** Places numbers side by side where entries of one lane are close in time. */
+/** Places numbers side by side where entries of one lane are close in time, and never further left than the one before. */
 function placeNumbers(layout: LaneLayout, lines: readonly TimedLine[]): Place[] {
 	const lastX = new Map<string, number>();
+	let previousX = 0;
 	return lines.map(({processKey, atMs}) => {
 		const free = (lastX.get(processKey) ?? Number.NEGATIVE_INFINITY) + (numberRadius * 2) + 1;
-		const x = Math.max(computeX(layout, atMs), free);
-		lastX.set(processKey, x);
-		return {x: Math.min(x, layout.width - numberRadius), y: layout.lanes.get(processKey)!.y};
+		previousX = Math.max(computeX(layout, atMs), free, previousX);
+		lastX.set(processKey, previousX);
+		return {x: Math.min(previousX, layout.width - numberRadius), y: layout.lanes.get(processKey)!.y};
 	});
 }
 
@@ -139,7 +149,7 @@
 		const cells = [name, line.kind, describeDetail(line)].map(text => `<td>${escapeText(text)}</td>`);
 		return `<tr><td class="right">${index + 1}</td><td class="right">${(line.atMs - layout.fromMs).toFixed(1)} ms</td>${cells.join('')}</tr>`;
 	});
-	return `<table><tr><th></th><th>after</th><th>process</th><th>entry</th><th>detail</th></tr>${rows.join('')}</table>`;
+	return `<table><tr><th class="right"></th><th class="right">after</th><th>process</th><th>entry</th><th>detail</th></tr>${rows.join('')}</table>`;
 }
 
 function drawFrame({width, height, ...rest}: LaneLayout, parts: readonly string[]): string {
--- a/packages/cli/src/lib/timeline/lane-layout.ts
+++ b/packages/cli/src/lib/timeline/lane-layout.ts
@@ -7,7 +7,7 @@
 /** Width of the drawing and of the column with the lanes' names, in pixels. */
 const drawingWidth = 1200;
 const nameWidth = 150;
-const rightMargin = 20;
+const rightMargin = 60;
 const axisHeight = 26;
 /** Most divisions of the axis. */
 const mostTicks = 10;
