--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,3 +18,5 @@
 export type {Target} from './lib/targets/target-state.js';
 export type {TokenBucket} from './lib/allowance/token-bucket.js';
 export type {PendingRequest} from './lib/requests/request-state.js';
+export {describeAccountLimitId} from './lib/allowance/limit.js';
+export {computeNetShare, type Share} from './lib/allowance/share-ledger.js';
--- a/packages/scenarios/src/lib/reducer-fleet.ts
+++ b/packages/scenarios/src/lib/reducer-fleet.ts
@@ -44,6 +44,8 @@
 	side: number;
 	/** True: it cannot reach the configuration service. */
 	isCutFromPlatform: boolean;
+	/** True: it reads a replica of the configuration service that stands still. */
+	readsStaleReplica: boolean;
 };
 
 /** What a caller sends. */
@@ -60,6 +62,15 @@
 export type SentRequest = {readonly at: number; readonly instanceId: string; readonly account: string; readonly targetId: string; readonly requestId: string};
 export type RefusedRequest = {readonly at: number; readonly instanceId: string; readonly requestId: string; readonly refusal: Refusal};
 
+type ReadAnswer = {
+	readonly after: number;
+	readonly revision: number;
+	readonly asOf: number;
+	readonly list: InstanceList;
+	readonly configuration: Configuration;
+	readonly currentAt: number;
+};
+
 type Delivery = {readonly at: number; readonly order: number; readonly instance?: FleetInstance; readonly run: () => void};
 
 export type ReducerFleetOptions = {
@@ -80,6 +91,8 @@
 	configuration: Configuration;
 	/** True: every read of the configuration service fails. */
 	isPlatformDown = false;
+	/** Time and tables at which the stale replica stands still. */
+	staleReplica?: {readonly at: number; readonly configuration: Configuration};
 	/** What the platform shows now; readers get it after the lag. */
 	list: InstanceList = {asOf: 0, instances: [], targets: []};
 	readonly instances = new Map<string, FleetInstance>();
@@ -129,6 +142,7 @@
 			frozenUntil: 0,
 			side: 0,
 			isCutFromPlatform: false,
+			readsStaleReplica: false,
 		};
 		this.instances.set(id, instance);
 		if (isListed) {
@@ -318,9 +332,11 @@
 				return;
 			}
 
-			const asOf = Math.max(0, this.now - (this.#options.listLagMs ?? 0));
+			const replica = instance.readsStaleReplica ? this.staleReplica : undefined;
+			const asOf = Math.max(0, (replica?.at ?? this.now) - (this.#options.listLagMs ?? 0));
+			const configuration = replica?.configuration ?? this.configuration;
 			const list = this.#findShownList(asOf);
-			const revision = document === documentKind.tables ? this.configuration.version : list.revision;
+			const revision = document === documentKind.tables ? configuration.version : list.revision;
 			if (revision <= after && waitedMs < waitMs) {
 				this.#scheduleFor(instance, tickMs, () => {
 					answer(waitedMs + tickMs);
@@ -329,7 +345,7 @@
 			}
 
 			const event = this.#describeRead(document, {
-				after, revision, asOf, list: list.list, currentAt: startedAt + waitedMs,
+				after, revision, asOf, list: list.list, configuration, currentAt: startedAt + waitedMs,
 			});
 			this.#scheduleFor(instance, this.#drawDelay(), () => {
 				this.emit(instance, event);
@@ -341,9 +357,9 @@
 		});
 	}
 
-	#describeRead(document: ReadDocument['document'], read: {after: number; revision: number; asOf: number; list: InstanceList; currentAt: number}): Event {
+	#describeRead(document: ReadDocument['document'], read: ReadAnswer): Event {
 		const {
-			after, revision, asOf, currentAt,
+			after, revision, asOf, currentAt, configuration,
 		} = read;
 		if (revision <= after) {
 			return {
@@ -354,7 +370,7 @@
 		const source = {revision};
 		return document === documentKind.tables
 			? {
-				kind: eventKind.configurationRead, configuration: this.configuration, text: JSON.stringify(this.configuration), currentAt, source,
+				kind: eventKind.configurationRead, configuration, text: JSON.stringify(configuration), currentAt, source,
 			}
 			: {
 				kind: eventKind.listRead, list: {...read.list, asOf}, currentAt, source,
--- a/packages/scenarios/src/lib/share-workload.ts
+++ b/packages/scenarios/src/lib/share-workload.ts
@@ -4,7 +4,9 @@
  * the limit.
  */
 import {uniformInt, xoroshiro128plus} from '@sequoiatally/load';
-import type {Configuration} from '@sequoiatally/core';
+import {
+	computeNetShare, describeAccountLimitId, type Configuration, type Share,
+} from '@sequoiatally/core';
 import {createExampleConfiguration, describeExampleKey, exampleModelRoute} from './example-configuration.js';
 import {admitExactly, computeOverrun} from './exact-bucket.js';
 import {ReducerFleet, type FleetInstance, type ReducerFleetOptions} from './reducer-fleet.js';
@@ -67,9 +69,9 @@
 	}
 
 	/** Starts one more instance and returns its identifier. */
-	startInstance(): string {
+	startInstance(zone = `zone-${'abc'[this.#nextInstance % 3]}`): string {
 		const id = `router-${this.#nextInstance}`;
-		this.fleet.start(id, `zone-${'abc'[this.#nextInstance % 3]}`);
+		this.fleet.start(id, zone);
 		this.#nextInstance++;
 		return id;
 	}
@@ -93,6 +95,21 @@
 		this.fleet.runFor(startedAt + durationMs - this.fleet.now);
 	}
 
+	/** Computes the sum of what all running instances may use of an account's limit now. */
+	computeShareSum(name: string): Share {
+		let rate = 0;
+		let room = 0;
+		for (const {isAlive, state, startedAt} of this.fleet.instances.values()) {
+			if (isAlive) {
+				const share = computeNetShare({state, now: this.fleet.now - startedAt, effects: []}, describeAccountLimitId(name));
+				rate += share.rate;
+				room += share.room;
+			}
+		}
+
+		return {rate, room};
+	}
+
 	/** Describes how an account fared from `from` to `to`; the exact bucket sees all arrivals from the first on. */
 	describeOutcome(name: string, from = 0, to = Number.POSITIVE_INFINITY): AccountOutcome {
 		const account = this.#options.accounts.find(other => other.name === name)!;
@@ -120,7 +137,9 @@
 	#chooseInstance({name}: AccountLoad): string {
 		const isOffered = ({isAlive, frozenUntil, state}: FleetInstance) =>
 			isAlive && frozenUntil <= this.fleet.now && state.membership.mayServe && !state.membership.isDraining;
-		const live = [...this.fleet.instances.values()].filter(instance => isOffered(instance));
+		const alive = [...this.fleet.instances.values()].filter(({isAlive}) => isAlive);
+		const offered = alive.filter(instance => isOffered(instance));
+		const live = offered.length > 0 ? offered : alive;
 		const index = this.#options.accounts.findIndex(account => account.name === name);
 		const isSticky = uniformInt(this.#random, 0, 999) < this.#options.skew * 1000;
 		const chosen = isSticky ? index % live.length : uniformInt(this.#random, 0, live.length - 1);
