--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,8 @@
 export * from './lib/hash.js';
 export * from './lib/message.js';
 export * from './lib/refusal.js';
+export * from './lib/requests/reduce-tickets.js';
+export * from './lib/requests/ticket.js';
 export * from './lib/reducer.js';
 export * from './lib/state.js';
 export * from './lib/timeline-entry.js';
--- a/packages/core/src/lib/effect.ts
+++ b/packages/core/src/lib/effect.ts
@@ -13,6 +13,9 @@
 	dispatch: 'dispatch',
 	refuse: 'refuse',
 	cancel: 'cancel',
+	forward: 'forward',
+	rememberAnswer: 'remember-answer',
+	replay: 'replay',
 	readDocument: 'read-document',
 	fetchDocument: 'fetch-document',
 	exchange: 'exchange',
@@ -49,6 +52,28 @@
 /** Stop an attempt and close its connection. */
 export type Cancel = {readonly kind: typeof effectKind.cancel; readonly requestId: string; readonly attemptId: number};
 
+/** Pass a request on to the process that its ticket names. */
+export type Forward = {
+	readonly kind: typeof effectKind.forward;
+	readonly requestId: string;
+	readonly attemptId: number;
+	readonly peerId: string;
+	readonly address: string;
+	readonly ticket: string;
+	readonly keyDigest?: string;
+	readonly priority: number;
+	/** Time after which nothing may be sent any more. */
+	readonly notAfter: number;
+	/** Time at which the answer has to be whole. */
+	readonly deadlineAt: number;
+};
+
+/** Keep the answer that was delivered for a request, for repeats under its ticket. */
+export type RememberAnswer = {readonly kind: typeof effectKind.rememberAnswer; readonly requestId: string; readonly ticketRecordId: string};
+
+/** Answer a request with the answer that was kept for its ticket. */
+export type Replay = {readonly kind: typeof effectKind.replay; readonly requestId: string; readonly ticketRecordId: string};
+
 /** Read a document from the configuration service, waiting for one newer than `after`. */
 export type ReadDocument = {
 	readonly kind: typeof effectKind.readDocument;
@@ -104,5 +129,5 @@
 export type FinishDrain = {readonly kind: typeof effectKind.finishDrain};
 
 export type Effect =
-	| Dispatch | Refuse | Cancel | ReadDocument | FetchDocument | Exchange
+	| Dispatch | Refuse | Cancel | Forward | RememberAnswer | Replay | ReadDocument | FetchDocument | Exchange
 	| Borrow | AnswerBorrow | GiveBack | RecordEntry | FinishDrain;
--- a/packages/core/src/lib/event.ts
+++ b/packages/core/src/lib/event.ts
@@ -8,10 +8,12 @@
 import type {Configuration} from './configuration/configuration.js';
 import type {InstanceList} from './configuration/instance-list.js';
 import type {BorrowRequest, LoanAmount, Summary} from './message.js';
+import type {Refusal} from './refusal.js';
 
 export const eventKind = {
 	requestArrived: 'request-arrived',
 	attemptEnded: 'attempt-ended',
+	forwardEnded: 'forward-ended',
 	callerLeft: 'caller-left',
 	configurationRead: 'configuration-read',
 	configurationRejected: 'configuration-rejected',
@@ -45,6 +47,10 @@
 	/** 0 (lowest) to 9; cut to the account's highest. */
 	readonly priority: number;
 	readonly idempotencyKey?: string;
+	/** Digest of method, path and body; a ticket counts for one of them. */
+	readonly contentDigest?: string;
+	/** True: a peer passed it on to the process that its ticket names. */
+	readonly isForwarded?: boolean;
 	/** Time that the caller allows, in milliseconds from now. */
 	readonly deadlineMs?: number;
 };
@@ -77,6 +83,17 @@
 	readonly retryAfterMs?: number;
 };
 
+/** A request that was passed on to a peer is over. */
+export type ForwardEnded = {
+	readonly kind: typeof eventKind.forwardEnded;
+	readonly requestId: string;
+	readonly attemptId: number;
+	/** False: the peer could not be reached or its answer was lost. */
+	readonly isAnswered: boolean;
+	/** The peer's refusal; undefined with an answer: it was delivered. */
+	readonly refusal?: Refusal;
+};
+
 /** The caller closed its connection before the answer was whole. */
 export type CallerLeft = {readonly kind: typeof eventKind.callerLeft; readonly requestId: string};
 
@@ -187,7 +204,7 @@
 export type Tick = {readonly kind: typeof eventKind.tick};
 
 export type Event =
-	| RequestArrived | AttemptEnded | CallerLeft
+	| RequestArrived | AttemptEnded | ForwardEnded | CallerLeft
 	| ConfigurationRead | ConfigurationRejected | ListRead | DocumentUnchanged | ReadFailed
 	| SummaryReceived | PeerFailed
 	| BorrowRequested | LoanGranted | LoanFailed | LoanGivenBack
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -11,8 +11,9 @@
 	applyList, applyPeerFailure, applySummary, exchangeWithPeers,
 } from './membership/reduce-membership.js';
 import {
-	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft,
+	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft, applyForwardEnd,
 } from './requests/reduce-requests.js';
+import {releaseTickets} from './requests/reduce-tickets.js';
 import {recordEntry, type State, type Step} from './state.js';
 import {applyConfiguration, rejectConfiguration} from './tables.js';
 import {applyListedTargets, applyLoadReport} from './targets/target-state.js';
@@ -46,6 +47,12 @@
 			break;
 		}
 
+		case eventKind.forwardEnded: {
+			applyForwardEnd(step, event);
+			finishDrainIfIdle(step);
+			break;
+		}
+
 		case eventKind.callerLeft: {
 			applyCallerLeft(step, event);
 			advanceWaiting(step);
@@ -124,6 +131,7 @@
 			exchangeWithPeers(step);
 			updateBuckets(step);
 			advanceWaiting(step);
+			releaseTickets(step);
 			break;
 		}
 
--- a/packages/core/src/lib/refusal.ts
+++ b/packages/core/src/lib/refusal.ts
@@ -27,6 +27,12 @@
 	answerLost: 'answer-lost',
 	deadlineExceeded: 'deadline-exceeded',
 	duplicate: 'duplicate',
+	ticketRequired: 'ticket-required',
+	ticketLost: 'ticket-lost',
+	ticketExpired: 'ticket-expired',
+	ticketMismatch: 'ticket-mismatch',
+	answerNotKept: 'answer-not-kept',
+	stopped: 'stopped',
 } as const;
 export type RefusalReason = typeof refusalReason[keyof typeof refusalReason];
 
@@ -34,6 +40,8 @@
 export type Refusal = {
 	readonly reason: RefusalReason;
 	readonly outcome: RunOutcome;
+	/** Outcome of this call alone, where another call with the same ticket may have run. */
+	readonly callOutcome?: RunOutcome;
 	/** HTTP status code. */
 	readonly status: number;
 	/** What happened and what to do, in one or two sentences. */
@@ -57,6 +65,12 @@
 	[refusalReason.answerLost]: 502,
 	[refusalReason.deadlineExceeded]: 504,
 	[refusalReason.duplicate]: 409,
+	[refusalReason.ticketRequired]: 428,
+	[refusalReason.ticketLost]: 409,
+	[refusalReason.ticketExpired]: 409,
+	[refusalReason.ticketMismatch]: 422,
+	[refusalReason.answerNotKept]: 409,
+	[refusalReason.stopped]: 503,
 };
 
 /** Creates a refusal of a request that cannot have run. */
--- a/packages/core/src/lib/requests/reduce-requests.ts
+++ b/packages/core/src/lib/requests/reduce-requests.ts
@@ -5,7 +5,7 @@
 import {type Pool, routeKind} from '../configuration/configuration.js';
 import {effectKind} from '../effect.js';
 import {
-	attemptOutcome, type AttemptEnded, type CallerLeft, type RequestArrived,
+	attemptOutcome, type AttemptEnded, type CallerLeft, type ForwardEnded, type RequestArrived,
 } from '../event.js';
 import {
 	createNotRun, createUnknown, refusalReason, runOutcome, type Refusal,
@@ -13,8 +13,10 @@
 import {recordEntry, type Step} from '../state.js';
 import {chooseTarget, listEligibleTargets} from '../targets/choose-target.js';
 import {timelineKind, type TimelineKind} from '../timeline-entry.js';
-import {admitRequest, findAccount} from './admit-request.js';
+import {admitRequest, findAccount, type Admission} from './admit-request.js';
+import {claimTicket, describeForTicket, finishTicket} from './reduce-tickets.js';
 import {requestPhase, type PendingRequest} from './request-state.js';
+import {parseTicket, type Ticket} from './ticket.js';
 
 /** Time within which a dispatch has to leave the process, in milliseconds. */
 const dispatchWithinMs = 500;
@@ -22,6 +24,10 @@
 const tokenWaitMs = 100;
 /** Attempts at one request, the first included. */
 const maxAttempts = 3;
+/** Calls to the process that a ticket names. */
+const maxForwards = 2;
+const ticketRequiredMessage = 'This route takes a ticket as its Idempotency-Key: get one by POST /.sequoiatally/tickets; a key of your own is not accepted.';
+const ticketLostMessage = 'The process that holds this ticket cannot be reached; repeat the call with the same ticket.';
 /** Time that a target is left alone after a failed attempt, in milliseconds. */
 const avoidAfterFailureMs = 1000;
 /** Time after which a request that waited in vain may be repeated, in milliseconds. */
@@ -29,15 +35,43 @@
 
 /** Admits or refuses a request that has arrived. */
 export function applyArrival(step: Step, event: RequestArrived): void {
-	const {state, now} = step;
+	const {state} = step;
+	const ticket = parseTicket(event.idempotencyKey ?? '').unwrapOr(undefined);
 	const admission = admitRequest(step, event);
 	if (admission.isErr()) {
-		refuseRequest(step, event.requestId, undefined, admission.error);
+		refuseRequest(step, event.requestId, undefined, ticket === undefined ? admission.error : describeForTicket(admission.error));
+		return;
+	}
+
+	const {route, account} = admission.value;
+	if (route.repeatable || event.idempotencyKey === undefined) {
+		startRequest(step, event, admission.value);
+		return;
+	}
+
+	if (ticket === undefined) {
+		refuseRequest(step, event.requestId, undefined, createNotRun(refusalReason.ticketRequired, ticketRequiredMessage));
+		return;
+	}
+
+	if (ticket.instanceId !== state.self.instanceId && event.isForwarded !== true) {
+		startRequest(step, event, admission.value, {foreignTicket: ticket});
 		return;
 	}
 
-	const {route, account, priority} = admission.value;
+	claimTicket(step, event, account, ticket)?.match(record => {
+		startRequest(step, event, admission.value, {ticketRecordId: record.id});
+	}, refusal => {
+		refuseRequest(step, event.requestId, undefined, refusal);
+	});
+}
+
+type TicketFields = Pick<PendingRequest, 'ticketRecordId' | 'foreignTicket'>;
+
+function startRequest(step: Step, event: RequestArrived, {route, account, priority}: Admission, ticketFields: TicketFields = {}): void {
+	const {state, now} = step;
 	const request: PendingRequest = {
+		...ticketFields,
 		requestId: event.requestId,
 		route,
 		account,
@@ -56,7 +90,61 @@
 	};
 	state.requests.pending.set(request.requestId, request);
 	recordRequest(step, timelineKind.requestReceived, request);
-	advanceRequest(step, request);
+	if (request.foreignTicket === undefined) {
+		advanceRequest(step, request);
+	} else {
+		forwardRequest(step, request, request.foreignTicket);
+	}
+}
+
+function forwardRequest(step: Step, request: PendingRequest, ticket: Ticket): void {
+	const {state, now, effects} = step;
+	const owner = state.membership.list?.instances.find(({id}) => id === ticket.instanceId);
+	if (owner === undefined) {
+		refuseRequest(step, request.requestId, request, describeForTicket(createNotRun(refusalReason.ticketLost, ticketLostMessage, refusalRetryMs)));
+		return;
+	}
+
+	request.phase = requestPhase.forwarded;
+	request.attemptId = state.requests.nextAttemptId++;
+	request.attemptCount += 1;
+	effects.push({
+		kind: effectKind.forward,
+		requestId: request.requestId,
+		attemptId: request.attemptId,
+		peerId: owner.id,
+		address: owner.peerAddress,
+		ticket: ticket.text,
+		keyDigest: request.keyDigest,
+		priority: request.priority,
+		notAfter: Math.min(now + dispatchWithinMs, request.deadlineAt),
+		deadlineAt: request.deadlineAt,
+	});
+	recordEntry(step, {
+		kind: timelineKind.requestForwarded, cause: request.requestId, requestId: request.requestId, account: request.account, peerId: owner.id,
+	});
+}
+
+/** Takes the end of a request that was passed on; a lost call is repeated once, which its ticket makes safe. */
+export function applyForwardEnd(step: Step, event: ForwardEnded): void {
+	const request = step.state.requests.pending.get(event.requestId);
+	if (request?.attemptId !== event.attemptId || request.foreignTicket === undefined) {
+		return;
+	}
+
+	if (event.isAnswered && event.refusal === undefined) {
+		finishRequest(step, request);
+		recordRequest(step, timelineKind.requestCompleted, request);
+		return;
+	}
+
+	if (event.refusal !== undefined) {
+		refuseRequest(step, request.requestId, request, event.refusal);
+	} else if (request.attemptCount < maxForwards && step.now < request.deadlineAt) {
+		forwardRequest(step, request, request.foreignTicket);
+	} else {
+		refuseRequest(step, request.requestId, request, createUnknown(refusalReason.ticketLost, ticketLostMessage, refusalRetryMs));
+	}
 }
 
 /** Moves every waiting request forward that can be; called at each tick and after each end. */
@@ -90,6 +178,7 @@
 
 	if (event.outcome === attemptOutcome.complete) {
 		finishRequest(step, request);
+		finishTicket(step, request);
 		recordRequest(step, timelineKind.requestCompleted, request);
 		return;
 	}
@@ -108,7 +197,8 @@
 /** Takes the caller's departure: the work is cancelled. */
 export function applyCallerLeft(step: Step, event: CallerLeft): void {
 	const request = step.state.requests.pending.get(event.requestId);
-	if (request === undefined) {
+	if (request === undefined || request.ticketRecordId !== undefined) {
+		// Under a ticket the run goes on: a repeat of the call gets its answer.
 		return;
 	}
 
@@ -149,7 +239,7 @@
 }
 
 function advanceRequest(step: Step, request: PendingRequest): void {
-	if (request.phase === requestPhase.running) {
+	if (request.phase === requestPhase.running || request.phase === requestPhase.forwarded) {
 		return;
 	}
 
@@ -266,6 +356,7 @@
 	const refusal = request?.mayHaveRun ? {...decided, outcome: runOutcome.unknown} : decided;
 	if (request !== undefined) {
 		finishRequest(step, request);
+		finishTicket(step, request, refusal);
 	}
 
 	step.effects.push({kind: effectKind.refuse, requestId, refusal});
--- a/packages/core/src/lib/requests/request-state.ts
+++ b/packages/core/src/lib/requests/request-state.ts
@@ -2,6 +2,8 @@
  * Requests that this instance is responsible for, from arrival to their end.
  */
 import type {Route} from '../configuration/configuration.js';
+import type {Ticket} from './ticket.js';
+import {createTicketLedger, type TicketLedger} from './ticket-ledger.js';
 
 export const requestPhase = {
 	/** Waits for a token of its client account. */
@@ -10,6 +12,8 @@
 	waitsForTarget: 'waits-for-target',
 	/** An attempt is under way. */
 	running: 'running',
+	/** The process that its ticket names has it. */
+	forwarded: 'forwarded',
 } as const;
 
 export type PendingRequest = {
@@ -33,6 +37,10 @@
 	deliveredCount: number;
 	/** True once an attempt ended without proof that it had no effect. */
 	mayHaveRun: boolean;
+	/** The record of its ticket, where this process runs it. */
+	readonly ticketRecordId?: string;
+	/** Its ticket, where another process runs it. */
+	readonly foreignTicket?: Ticket;
 };
 
 export type RequestState = {
@@ -40,8 +48,13 @@
 	/** Waiting requests in the order of their arrival. */
 	waiting: Set<string>;
 	nextAttemptId: number;
+	ledger: TicketLedger;
+	/** Time of the next pass over the ledger. */
+	releaseTicketsAt: number;
 };
 
 export function createRequestState(): RequestState {
-	return {pending: new Map(), waiting: new Set(), nextAttemptId: 1};
+	return {
+		pending: new Map(), waiting: new Set(), nextAttemptId: 1, ledger: createTicketLedger(), releaseTicketsAt: 0,
+	};
 }
--- a/packages/core/src/lib/timeline-entry.ts
+++ b/packages/core/src/lib/timeline-entry.ts
@@ -10,6 +10,8 @@
 	requestWaits: 'request-waits',
 	requestDispatched: 'request-dispatched',
 	attemptEnded: 'attempt-ended',
+	requestForwarded: 'request-forwarded',
+	ticketReplayed: 'ticket-replayed',
 	requestCompleted: 'request-completed',
 	requestRefused: 'request-refused',
 	callerLeft: 'caller-left',
--- a/packages/router/src/bin/router.ts
+++ b/packages/router/src/bin/router.ts
@@ -2,13 +2,17 @@
 /**
  * Starts one router.
  */
+import process from 'node:process';
 import {eventKind} from '@sequoiatally/core';
 import {
-	createLogger, defineAddress, defineChoice, defineText, LifecycleManager, logLevels, makeOptional, parseSettingsOrExit,
+	createLogger, defineAddress, defineChoice, defineInteger, defineText, LifecycleManager, logLevels, makeOptional, parseSettingsOrExit,
 } from '@sequoiatally/runtime';
 import {Command} from 'commander';
 import {startRouter} from '../lib/router.js';
 
+/** Time for the typed errors of cut requests to leave, in milliseconds. */
+const cutFlushMs = 200;
+
 const settings = parseSettingsOrExit(new Command('sequoiatally-router').description('Routes callers\' requests to targets.'), {
 	instanceId: defineText({
 		flag: 'instance-id', description: 'Name of this instance on the platform\'s list', pattern: /^[\w.-]{1,128}$/, allowed: '1 to 128 letters, digits, ".", "_" or "-"',
@@ -25,13 +29,37 @@
 		flag: 'admin-token', description: 'Token that operators show', pattern: /^.{16,}$/, allowed: 'at least 16 characters', isSecret: true,
 	}),
 	timelinePath: makeOptional(defineText({flag: 'timeline-path', description: 'File or pipe to which time line entries are appended'})),
+	callerSilenceMs: defineInteger(100, 600_000, {
+		flag: 'caller-silence-ms', description: 'Milliseconds in which a caller has to take some of the bytes that wait for it', defaultText: '20000',
+	}),
+	targetSilenceMs: defineInteger(100, 600_000, {
+		flag: 'target-silence-ms', description: 'Milliseconds without a byte after which a target\'s answer counts as lost', defaultText: '5000',
+	}),
+	drainLimitMs: defineInteger(0, 86_400_000, {
+		flag: 'drain-limit-ms', description: 'Milliseconds after which a graceful stop cuts what is still open', defaultText: '150000',
+	}),
 	logLevel: defineChoice(logLevels, {flag: 'log-level', description: 'Least severe level that is logged', defaultText: 'info'}),
 });
 
 const logger = createLogger('router', settings.logLevel, {instanceId: settings.instanceId});
 const lifecycle = new LifecycleManager(logger);
-const runner = await startRouter(settings, logger, lifecycle);
+const {runner, cutOpenRequests} = await startRouter(settings, logger, lifecycle);
+
+/** Ends at once: callers get a typed error, and the log says whose answers were cut. */
+const stopAtOnce = async (reason: string) => {
+	const requestIds = cutOpenRequests();
+	logger.warn({
+		event: 'requests-cut', reason, count: requestIds.length, requestIds,
+	});
+	await new Promise(resolve => {
+		setTimeout(resolve, cutFlushMs);
+	});
+
+	process.exit(requestIds.length > 0 ? 1 : 0);
+};
+
 lifecycle.handleSignals(() => {
 	runner.handle({kind: eventKind.drainRequested, by: 'signal'});
-});
+	setTimeout(async () => stopAtOnce('drain limit'), settings.drainLimitMs).unref();
+}, async () => stopAtOnce('second signal'));
 logger.info({event: 'started', callerPort: settings.callerAddress.port});
--- a/packages/router/src/lib/caller-server.ts
+++ b/packages/router/src/lib/caller-server.ts
@@ -3,44 +3,89 @@
  * the answers. Keys are digested at once and forwarded nowhere.
  */
 import {Buffer} from 'node:buffer';
-import {createHash, randomUUID} from 'node:crypto';
-import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {randomUUID} from 'node:crypto';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
 import {getRequestListener} from '@hono/node-server';
 import {
-	createNotRun, eventKind, refusalReason, type RequestArrived,
+	createNotRun, createTicket, createUnknown, eventKind, refusalReason, type Refusal, type RequestArrived,
 } from '@sequoiatally/core';
 import type {LifecycleManager, SocketAddress} from '@sequoiatally/runtime';
 import {Hono, type Context} from 'hono';
-import {createRefusalResponse, OpenRequest, type RequestContent} from './open-request.js';
+import {computeKeyDigest, findKey, isKeyShown} from './key-guard.js';
+import {
+	computeContentDigest, createRefusalBody, createRefusalResponse, OpenRequest, outcomeHeader, requestIdHeader, type RequestContent,
+} from './open-request.js';
 import type {Runner} from './runner.js';
 
 /** Largest body that is taken from a caller. */
 const largestBodyBytes = 1024 * 1024;
 /** Time for a caller to send its head and its body, in milliseconds. */
 const callerSendMs = 10_000;
+/** Time after which the system probes a connection on which nothing moves, in milliseconds. */
+const keepAliveProbeMs = 10_000;
+/** Path at which tickets are issued. */
+const ticketPath = '/.sequoiatally/tickets';
 /** Headers that are forwarded; everything else stays here, keys and cookies included. */
 const forwardedHeaders = ['content-type', 'accept', 'accept-language'];
+/** Headers that may come once; of two, another reader might take the other one. */
+const singleHeaders = ['authorization', 'idempotency-key', 'host', 'x-chat-id'];
+/** Encoded separators and dots, which a target may read as another path than the route's. */
+const ambiguousPath = /%(?:2e|2f|5c|00)/i;
 
 /** Requests that are open at this instance, by identifier. */
 export type OpenRequests = Map<string, OpenRequest>;
 
+type CallerEnv = {Bindings: {incoming: IncomingMessage}};
+
+export type CallerServerOptions = {
+	/** Time in which a caller has to take some of the bytes that wait for it, in milliseconds. */
+	readonly callerSilenceMs: number;
+	/** Reads the monotonic clock. */
+	readonly readClock: () => number;
+};
+
 /** Serves the callers' port. */
 export class CallerServer {
 	readonly #runner: Runner;
 	readonly #openRequests: OpenRequests;
+	readonly #options: CallerServerOptions;
+	/** Answers whose last byte has not left yet. */
+	readonly #unsent = new Set<ServerResponse>();
+	#server?: Server;
+	#wakeIdle?: () => void;
 
-	constructor(runner: Runner, openRequests: OpenRequests) {
+	constructor(runner: Runner, openRequests: OpenRequests, options: CallerServerOptions) {
 		this.#runner = runner;
 		this.#openRequests = openRequests;
+		this.#options = options;
 	}
 
 	/** Starts to listen. */
-	async listen({host, port}: SocketAddress, lifecycle: LifecycleManager): Promise<Server> {
-		const app = new Hono<{Bindings: {incoming: IncomingMessage}}>();
+	async listen({host, port}: SocketAddress, lifecycle: LifecycleManager): Promise<void> {
+		const app = new Hono<CallerEnv>();
+		app.post(ticketPath, c => this.#issueTicket(c));
 		app.all('*', async c => this.#answer(c));
+		app.onError(() => createRefusalResponse(randomUUID(), createNotRun(refusalReason.badRequest, 'The request could not be read.')));
 
 		const listener = getRequestListener(app.fetch, {overrideGlobalObjects: false});
-		const server = createServer({requestTimeout: callerSendMs, headersTimeout: callerSendMs}, listener);
+		const server = createServer({
+			requestTimeout: callerSendMs, headersTimeout: callerSendMs, keepAlive: true, keepAliveInitialDelay: keepAliveProbeMs,
+		}, listener);
+		this.#server = server;
+		server.timeout = this.#options.callerSilenceMs;
+		server.on('timeout', socket => {
+			// A socket without bytes to send waits for a target, which has its own limits.
+			if (socket.writableLength > 0) {
+				socket.destroy();
+			}
+		});
+		server.on('clientError', answerUnreadable);
+		server.prependListener('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
+			this.#track(incoming, outgoing);
+		});
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
 			server.listen(port, host, resolve);
@@ -49,10 +94,58 @@
 			server.close();
 			server.closeAllConnections();
 		});
-		return server;
 	}
 
-	async #answer(c: Context): Promise<Response> {
+	/** Stops to listen and waits until the last byte of every answer has left. */
+	async finish(): Promise<void> {
+		this.#server?.close();
+		this.#server?.closeIdleConnections();
+		if (this.#unsent.size > 0) {
+			await new Promise<void>(resolve => {
+				this.#wakeIdle = resolve;
+			});
+		}
+	}
+
+	/** Ends every open request with a typed error; returns their identifiers. */
+	cutOpenRequests(): string[] {
+		const requestIds = [...this.#openRequests.keys()];
+		for (const open of this.#openRequests.values()) {
+			open.refuse(createUnknown(refusalReason.stopped, 'This instance was told to stop at once; the request may have run.'));
+		}
+
+		return requestIds;
+	}
+
+	#track({socket}: IncomingMessage, outgoing: ServerResponse): void {
+		const {membership} = this.#runner.state;
+		this.#unsent.add(outgoing);
+		if (membership.isDraining) {
+			outgoing.shouldKeepAlive = false;
+		}
+
+		outgoing.once('close', () => {
+			this.#unsent.delete(outgoing);
+			if (membership.isDraining) {
+				socket.end();
+			}
+
+			if (this.#unsent.size === 0) {
+				this.#wakeIdle?.();
+			}
+		});
+	}
+
+	#issueTicket(c: Context): Response {
+		const key = findKey(c.req.header('authorization'));
+		const step = {state: this.#runner.state, now: this.#options.readClock()};
+		return createTicket(step, key === undefined ? undefined : computeKeyDigest(key), randomUUID()).match(
+			issued => c.json(issued, 201),
+			refusal => createRefusalResponse(randomUUID(), refusal),
+		);
+	}
+
+	async #answer(c: Context<CallerEnv>): Promise<Response> {
 		const requestId = randomUUID();
 		const body = await readBody(c.req.raw);
 		if (body === undefined) {
@@ -60,10 +153,15 @@
 		}
 
 		const url = new URL(c.req.url);
-		const arrival = describeArrival(c, requestId, url.pathname, body);
+		const arrival = describeArrival(c, requestId, url, body);
 		const content: RequestContent = {
 			requestId, method: c.req.method, target: url.pathname + url.search, headers: selectHeaders(c), body, chatKey: arrival.chatKey,
 		};
+		const refusal = this.#checkContent(c, content);
+		if (refusal !== undefined) {
+			return createRefusalResponse(requestId, refusal);
+		}
+
 		const open = new OpenRequest(content, () => {
 			this.#runner.handle({kind: eventKind.callerLeft, requestId});
 		});
@@ -74,6 +172,49 @@
 		this.#runner.handle(arrival);
 		return open.response;
 	}
+
+	/** Refuses what could be read in two ways, and keys in places that are forwarded. */
+	#checkContent(c: Context<CallerEnv>, content: RequestContent): Refusal | undefined {
+		const names = c.env.incoming.rawHeaders.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase());
+		if (singleHeaders.some(single => names.indexOf(single) !== names.lastIndexOf(single))) {
+			return createNotRun(refusalReason.badRequest, 'A header that may come once came twice; send each key once.');
+		}
+
+		if (ambiguousPath.test(content.target.split('?')[0]!)) {
+			return createNotRun(refusalReason.badRequest, 'The path holds encoded separators or dots; send them plainly.');
+		}
+
+		const shown = {target: content.target, values: [...Object.values(content.headers), content.chatKey], body: content.body};
+		const {accountByDigest} = this.#runner.state.tables;
+		return isKeyShown(shown, findKey(c.req.header('authorization')), digest => accountByDigest.has(digest))
+			? createNotRun(refusalReason.badRequest, 'The request shows a key outside its Authorization header; send it there alone, and replace the key.')
+			: undefined;
+	}
+}
+
+type ParserError = Error & {readonly code?: string};
+
+/** Answers bytes that are no HTTP request, before any of it is acted on. */
+function answerUnreadable(error: ParserError, socket: Duplex): void {
+	if (!socket.writable || error.code === 'ECONNRESET') {
+		socket.destroy();
+		return;
+	}
+
+	const requestId = randomUUID();
+	const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+	const refusal = createNotRun(refusalReason.badRequest, 'The request is not valid HTTP, or its head is too large.');
+	const body = createRefusalBody(requestId, refusal);
+	socket.end([
+		`HTTP/1.1 ${status}`,
+		'content-type: application/json',
+		`${requestIdHeader}: ${requestId}`,
+		`${outcomeHeader}: ${refusal.outcome}`,
+		`content-length: ${Buffer.byteLength(body)}`,
+		'connection: close',
+		'',
+		body,
+	].join('\r\n'));
 }
 
 async function readBody(request: Request): Promise<Uint8Array | undefined> {
@@ -95,19 +236,20 @@
 	return Buffer.concat(chunks);
 }
 
-function describeArrival(c: Context, requestId: string, path: string, body: Uint8Array): RequestArrived {
-	const key = /^Bearer (\S+)$/.exec(c.req.header('authorization') ?? '')?.[1];
+function describeArrival(c: Context, requestId: string, {pathname, search}: URL, body: Uint8Array): RequestArrived {
+	const key = findKey(c.req.header('authorization'));
 	const deadlineMs = Number(c.req.header('x-deadline-ms') ?? Number.NaN);
 	return {
 		kind: eventKind.requestArrived,
 		requestId,
 		method: c.req.method,
-		path,
+		path: pathname,
 		model: readModel(body),
-		keyDigest: key === undefined ? undefined : createHash('sha256').update(key).digest('hex'),
+		keyDigest: key === undefined ? undefined : computeKeyDigest(key),
 		chatKey: (c.req.header('x-chat-id') ?? requestId).slice(0, 256),
 		priority: Number(/^\d$/.exec(c.req.header('x-priority') ?? '')?.[0] ?? 0),
 		idempotencyKey: c.req.header('idempotency-key'),
+		contentDigest: computeContentDigest(c.req.method, pathname + search, body),
 		deadlineMs: Number.isFinite(deadlineMs) && deadlineMs > 0 ? deadlineMs : undefined,
 	};
 }
--- a/packages/router/src/lib/open-request.ts
+++ b/packages/router/src/lib/open-request.ts
@@ -3,10 +3,11 @@
  * delivered. Writing waits while the caller reads slowly, so that a stream
  * holds a bounded amount of memory.
  */
+import {createHash} from 'node:crypto';
 import type {Refusal} from '@sequoiatally/core';
 
-/** Bytes that a stream may hold for a slow caller. */
-const streamBufferBytes = 64 * 1024;
+/** Bytes that a stream may hold for a slow caller; times the open streams, this is the memory they take. */
+const streamBufferBytes = 16 * 1024;
 
 export type RequestContent = {
 	readonly requestId: string;
@@ -18,19 +19,40 @@
 	readonly chatKey: string;
 };
 
+/** A whole answer that is no stream. */
+export type PlainAnswer = {
+	/** Identifier of the run that gave it. */
+	readonly requestId: string;
+	readonly status: number;
+	readonly contentType: string;
+	readonly body: Uint8Array;
+	/** True: an earlier call with the same ticket ran, and this is its answer. */
+	readonly isReplayed?: boolean;
+};
+
+/** How a request that is no stream ended. */
+export type PlainEnd = {readonly answer: PlainAnswer} | {readonly refusal: Refusal};
+
 /** Header that names the request in answers of every kind. */
 export const requestIdHeader = 'x-request-id';
 /** Header that says whether a refused request may have run. */
 export const outcomeHeader = 'x-outcome';
+/** Header that marks the answer of an earlier call with the same ticket. */
+export const replayedHeader = 'x-replayed';
+
+/** Computes the digest of what a request asks for; a ticket counts for one of them. */
+export function computeContentDigest(method: string, target: string, body: Uint8Array): string {
+	return createHash('sha256').update(`${method} ${target}\n`).update(body).digest('hex');
+}
 
 /** Creates the body of a refusal, the same in answers and at the end of streams. */
 export function createRefusalBody(requestId: string, refusal: Refusal): string {
 	const {
-		reason, outcome, message, retryAfterMs,
+		reason, outcome, callOutcome, message, retryAfterMs,
 	} = refusal;
 	return JSON.stringify({
 		error: {
-			type: reason, outcome, message, requestId, retryAfterMs,
+			type: reason, outcome, callOutcome, message, requestId, retryAfterMs,
 		},
 	});
 }
@@ -47,14 +69,31 @@
 	return new Response(createRefusalBody(requestId, refusal), {status: refusal.status, headers});
 }
 
+/** Statuses whose answers have no body. */
+const statusesWithoutBody = new Set([204, 205, 304]);
+
+function createPlainResponse({
+	requestId, status, contentType, body, isReplayed,
+}: PlainAnswer): Response {
+	return new Response(statusesWithoutBody.has(status) ? null : body, {
+		status,
+		headers: {'content-type': contentType, [requestIdHeader]: requestId, ...(isReplayed ? {[replayedHeader]: 'true'} : {})},
+	});
+}
+
 /** One caller's request. */
 export class OpenRequest {
 	/** Resolves with the answer as soon as its head is known. */
 	readonly response: Promise<Response>;
+	/** Resolves with the end of a request that is no stream. */
+	readonly plainEnd: Promise<PlainEnd>;
+	/** Answer that the target gave, kept even if the caller has left. */
+	answer?: PlainAnswer;
 	deliveredCount = 0;
 	readonly #encoder = new TextEncoder();
 	readonly #onCallerLeft: () => void;
 	#resolve!: (response: Response) => void;
+	#resolveEnd!: (end: PlainEnd) => void;
 	#controller?: ReadableStreamDefaultController<Uint8Array>;
 	#wakeWriter?: () => void;
 	#isFinished = false;
@@ -64,6 +103,9 @@
 		this.response = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
+		this.plainEnd = new Promise(resolve => {
+			this.#resolveEnd = resolve;
+		});
 	}
 
 	/** True once the answer is whole, refused, or no longer wanted. */
@@ -71,6 +113,11 @@
 		return this.#isFinished;
 	}
 
+	/** True once the head of a streamed answer has been sent. */
+	get hasStarted(): boolean {
+		return this.#controller !== undefined;
+	}
+
 	/** Starts a streamed answer unless it has started already. */
 	startStream(headers: Readonly<Record<string, string>>): void {
 		if (this.#controller !== undefined) {
@@ -82,7 +129,7 @@
 				this.#controller = controller;
 			},
 			pull: () => {
-				this.#wakeWriter?.();
+				this.releaseWriter();
 			},
 			cancel: () => {
 				this.leave();
@@ -110,6 +157,12 @@
 		}
 	}
 
+	/** Lets a waiting `writeEvent` go on, because there is room or the attempt is over. */
+	releaseWriter(): void {
+		this.#wakeWriter?.();
+		this.#wakeWriter = undefined;
+	}
+
 	/** Ends a stream whose last event was delivered. */
 	finishStream(): void {
 		if (this.#isFinished) {
@@ -122,10 +175,12 @@
 	}
 
 	/** Delivers a whole plain answer. */
-	finishPlain(response: Response): void {
+	finishPlain(answer: PlainAnswer): void {
+		this.answer = answer;
 		if (!this.#isFinished) {
 			this.#isFinished = true;
-			this.#resolve(response);
+			this.#resolve(createPlainResponse(answer));
+			this.#resolveEnd({answer});
 		}
 	}
 
@@ -136,6 +191,7 @@
 		}
 
 		this.#isFinished = true;
+		this.#resolveEnd({refusal});
 		if (this.#controller === undefined) {
 			this.#resolve(createRefusalResponse(this.content.requestId, refusal));
 			return;
@@ -143,14 +199,14 @@
 
 		this.#controller.enqueue(this.#encoder.encode(`event: error\ndata: ${createRefusalBody(this.content.requestId, refusal)}\n\n`));
 		this.#controller.close();
-		this.#wakeWriter?.();
+		this.releaseWriter();
 	}
 
 	/** Notes that the caller is gone. */
 	leave(): void {
 		if (!this.#isFinished) {
 			this.#isFinished = true;
-			this.#wakeWriter?.();
+			this.releaseWriter();
 			this.#onCallerLeft();
 		}
 	}
--- a/packages/router/src/lib/peer-client.ts
+++ b/packages/router/src/lib/peer-client.ts
@@ -5,21 +5,25 @@
 import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {
-	documentKind, eventKind, type Borrow, type Event, type Exchange, type FetchDocument, type GiveBack,
+	documentKind, eventKind, type Borrow, type Event, type Exchange, type FetchDocument, type Forward, type GiveBack,
 } from '@sequoiatally/core';
 import {DocumentKind, PeerService} from '@sequoiatally/peer';
 import {describeError, type LifecycleManager, type Logger} from '@sequoiatally/runtime';
 import {
 	fromWireAmount, fromWireSummary, toWireBorrowRequest, toWireSummary,
 } from './peer-mapping.js';
+import type {OpenRequest} from './open-request.js';
 import {PeerSession} from './peer-session.js';
 import {createDocumentEvent} from './platform-client.js';
+import {fromWireEnd, toWireTicketed} from './ticket-mapping.js';
 
 /** Header that carries the fleet's secret. */
 export const secretHeader = 'x-fleet-secret';
 const exchangeTimeoutMs = 1000;
 const borrowTimeoutMs = 300;
 const fetchTimeoutMs = 2000;
+/** Largest message that a peer may answer with; a plain answer is the largest. */
+const largestAnswerBytes = 9 * 1024 * 1024;
 
 type Connection = {readonly client: Client<typeof PeerService>; readonly session: PeerSession};
 
@@ -92,6 +96,38 @@
 		});
 	}
 
+	/**
+	 * Passes a request on and delivers the answer. Each call has a connection of
+	 * its own, so that a failure of other calls does not end it.
+	 */
+	async forward(effect: Forward, open: OpenRequest): Promise<void> {
+		const {requestId, attemptId, peerId, address} = effect;
+		const connection = this.#open(address, true);
+		try {
+			const now = this.#readClock();
+			const end = now > effect.notAfter
+				? undefined
+				: fromWireEnd(await connection.client.runTicketed(
+					toWireTicketed(effect, open.content, effect.deadlineAt - now),
+					{timeoutMs: Math.max(1, effect.deadlineAt - now)},
+				));
+			if (end !== undefined && 'answer' in end) {
+				open.finishPlain(end.answer);
+			}
+
+			this.#emit({
+				kind: eventKind.forwardEnded, requestId, attemptId, isAnswered: end !== undefined, refusal: end !== undefined && 'refusal' in end ? end.refusal : undefined,
+			});
+		} catch (error) {
+			this.#logger.debug({event: 'forward-failed', peerId, error: describeError(error)});
+			this.#emit({
+				kind: eventKind.forwardEnded, requestId, attemptId, isAnswered: false,
+			});
+		} finally {
+			connection.session.close();
+		}
+	}
+
 	async #call(peer: Peer, run: (client: Client<typeof PeerService>) => Promise<void>, fail: () => void): Promise<void> {
 		const {peerId, address} = peer;
 		try {
@@ -109,19 +145,23 @@
 			return known;
 		}
 
+		const connection = this.#open(address, false);
+		this.#connections.set(address, connection);
+		return connection;
+	}
+
+	#open(address: string, isWatched: boolean): Connection {
 		const addSecret: Interceptor = next => async call => {
 			call.header.set(secretHeader, this.#secret);
 			return next(call);
 		};
 
 		const baseUrl = `http://${address}`;
-		const session = new PeerSession(baseUrl);
+		const session = new PeerSession(baseUrl, isWatched);
 		const transport = createConnectTransport({
-			baseUrl, httpVersion: '2', sessionManager: session, interceptors: [addSecret],
+			baseUrl, httpVersion: '2', sessionManager: session, interceptors: [addSecret], readMaxBytes: largestAnswerBytes,
 		});
-		const connection = {client: createClient(PeerService, transport), session};
-		this.#connections.set(address, connection);
-		return connection;
+		return {client: createClient(PeerService, transport), session};
 	}
 
 	#disconnect(address: string): void {
--- a/packages/router/src/lib/peer-server.ts
+++ b/packages/router/src/lib/peer-server.ts
@@ -3,7 +3,9 @@
  * its message is looked at.
  */
 import {createHash, timingSafeEqual} from 'node:crypto';
-import {createServer, type ServerHttp2Session} from 'node:http2';
+import {
+	createServer, type Http2ServerRequest, type Http2ServerResponse, type ServerHttp2Session,
+} from 'node:http2';
 import {
 	Code, ConnectError, type ConnectRouter, type HandlerContext, type ServiceImpl,
 } from '@connectrpc/connect';
@@ -11,16 +13,21 @@
 import {
 	describeSummary, eventKind, type AnswerBorrow, type LoanAmount,
 } from '@sequoiatally/core';
-import {DocumentKind, PeerService} from '@sequoiatally/peer';
+import {
+	DocumentKind, PeerService, type RunTicketedRequest, type RunTicketedResponse,
+} from '@sequoiatally/peer';
 import type {LifecycleManager, SocketAddress} from '@sequoiatally/runtime';
+import type {OpenRequests} from './caller-server.js';
 import {secretHeader} from './peer-client.js';
 import {
 	fromWireBorrowRequest, fromWireSummary, toWireAmount, toWireSummary,
 } from './peer-mapping.js';
+import {computeContentDigest, OpenRequest} from './open-request.js';
 import type {Runner} from './runner.js';
+import {fromWireContent, toWireEnd} from './ticket-mapping.js';
 
-/** Largest message that a peer may send. */
-const largestMessageBytes = 256 * 1024;
+/** Largest message that a peer may send; a forwarded request with the largest body fits. */
+const largestMessageBytes = 1280 * 1024;
 
 /** Answers peers' calls from the reducer. */
 export class PeerServer {
@@ -28,10 +35,15 @@
 	readonly #secretDigest: Uint8Array;
 	readonly #readClock: () => number;
 	readonly #answers = new Map<number, (effect: AnswerBorrow) => void>();
+	readonly #openRequests: OpenRequests;
+	/** Answers to peers whose last byte has not left yet. */
+	readonly #unsent = new Set<Http2ServerResponse>();
+	#wakeIdle?: () => void;
 	#nextCallId = 1;
 
-	constructor(runner: Runner, secret: string, readClock: () => number) {
+	constructor(runner: Runner, openRequests: OpenRequests, secret: string, readClock: () => number) {
 		this.#runner = runner;
+		this.#openRequests = openRequests;
 		this.#secretDigest = computeDigest(secret);
 		this.#readClock = readClock;
 	}
@@ -42,7 +54,18 @@
 			router.service(PeerService, this.#createService());
 		};
 
-		const server = createServer(connectNodeAdapter({routes, readMaxBytes: largestMessageBytes}));
+		const answer = connectNodeAdapter({routes, readMaxBytes: largestMessageBytes});
+		const server = createServer((incoming: Http2ServerRequest, outgoing: Http2ServerResponse) => {
+			if (!this.#isSecretRight(String(incoming.headers[secretHeader] ?? ''))) {
+				// Nothing of the message is read.
+				outgoing.writeHead(401, {'content-type': 'application/json'});
+				outgoing.end(JSON.stringify({code: 'unauthenticated', message: 'The fleet secret is missing or wrong.'}));
+				return;
+			}
+
+			this.#track(outgoing);
+			answer(incoming, outgoing);
+		});
 		const sessions = new Set<ServerHttp2Session>();
 		server.on('session', session => {
 			sessions.add(session);
@@ -61,12 +84,31 @@
 		});
 	}
 
+	/** Waits until the last byte of every answer to a peer has left. */
+	async finish(): Promise<void> {
+		if (this.#unsent.size > 0) {
+			await new Promise<void>(resolve => {
+				this.#wakeIdle = resolve;
+			});
+		}
+	}
+
 	/** Hands the reducer's answer to the call that waits for it. */
 	answerBorrow(effect: AnswerBorrow): void {
 		this.#answers.get(effect.callId)?.(effect);
 		this.#answers.delete(effect.callId);
 	}
 
+	#track(outgoing: Http2ServerResponse): void {
+		this.#unsent.add(outgoing);
+		outgoing.once('close', () => {
+			this.#unsent.delete(outgoing);
+			if (this.#unsent.size === 0) {
+				this.#wakeIdle?.();
+			}
+		});
+	}
+
 	#createService(): ServiceImpl<typeof PeerService> {
 		return {
 			exchange: (request, context) => {
@@ -92,9 +134,37 @@
 				this.#runner.handle({kind: eventKind.loanGivenBack, loanId: request.loanId});
 				return {};
 			},
+			runTicketed: async (request, context) => {
+				this.#checkSecret(context);
+				return this.#runTicketed(request);
+			},
 		};
 	}
 
+	/** Runs a request that a peer passed on, as if its caller were connected here. */
+	async #runTicketed(request: RunTicketedRequest): Promise<RunTicketedResponse> {
+		const {requestId} = request;
+		const open = new OpenRequest(fromWireContent(request), () => {
+			// Under a ticket the run goes on without its caller.
+		});
+		const url = new URL(request.target, 'http://target.invalid');
+		this.#openRequests.set(requestId, open);
+		this.#runner.handle({
+			kind: eventKind.requestArrived,
+			requestId,
+			method: request.method,
+			path: url.pathname,
+			keyDigest: request.keyDigest === '' ? undefined : request.keyDigest,
+			chatKey: request.chatKey,
+			priority: request.priority,
+			idempotencyKey: request.ticket,
+			contentDigest: computeContentDigest(request.method, request.target, request.body),
+			deadlineMs: request.deadlineMs,
+			isForwarded: true,
+		});
+		return toWireEnd(await open.plainEnd);
+	}
+
 	/** Asks the reducer, which subtracts before it answers; a late answer lends nothing. */
 	#lend(request: Parameters<typeof fromWireBorrowRequest>[0]): readonly LoanAmount[] {
 		const callId = this.#nextCallId++;
@@ -122,9 +192,12 @@
 		};
 	}
 
+	#isSecretRight(shown: string): boolean {
+		return timingSafeEqual(computeDigest(shown), this.#secretDigest);
+	}
+
 	#checkSecret(context: HandlerContext): void {
-		const shown = computeDigest(context.requestHeader.get(secretHeader) ?? '');
-		if (!timingSafeEqual(shown, this.#secretDigest)) {
+		if (!this.#isSecretRight(context.requestHeader.get(secretHeader) ?? '')) {
 			throw new ConnectError('The fleet secret is missing or wrong.', Code.Unauthenticated);
 		}
 	}
--- a/packages/router/src/lib/peer-session.ts
+++ b/packages/router/src/lib/peer-session.ts
@@ -14,11 +14,21 @@
 type TransportOptions = Parameters<typeof createConnectTransport>[0];
 type SessionManager = NonNullable<Extract<TransportOptions, {sessionManager?: unknown}>['sessionManager']>;
 
+/** Time between two pings on a connection that is watched, in milliseconds. */
+const pingIntervalMs = 1000;
+/** Time without an answer to a ping after which a connection counts as lost, in milliseconds. */
+const pingSilenceMs = 3000;
+
 /** Keeps one session open, and replaces it when it is lost. */
 export class PeerSession implements SessionManager {
 	#session?: ClientHttp2Session;
 
-	constructor(readonly authority: string) {}
+	readonly #isWatched: boolean;
+
+	/** With `isWatched`, pings notice a connection that has gone silent while a long call waits on it. */
+	constructor(readonly authority: string, isWatched = false) {
+		this.#isWatched = isWatched;
+	}
 
 	/** Opens a stream, on a new connection if there is none. */
 	async request(
@@ -61,6 +71,31 @@
 			session.close();
 		});
 		this.#session = session;
+		if (this.#isWatched) {
+			watchSession(session);
+		}
+
 		return session;
 	}
 }
+
+/** Destroys a session, and with it the calls on it, once pings stay unanswered. */
+function watchSession(session: ClientHttp2Session): void {
+	let unanswered = 0;
+	const timer = setInterval(() => {
+		if (unanswered * pingIntervalMs >= pingSilenceMs) {
+			session.destroy();
+			return;
+		}
+
+		unanswered++;
+		if (!session.closed && !session.connecting) {
+			session.ping(() => {
+				unanswered = 0;
+			});
+		}
+	}, pingIntervalMs);
+	session.on('close', () => {
+		clearInterval(timer);
+	});
+}
--- a/packages/router/src/lib/router.ts
+++ b/packages/router/src/lib/router.ts
@@ -3,13 +3,15 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	createState, eventKind, RendezvousChoice, timelineKind, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Event,
-	type Exchange, type FetchDocument, type GiveBack, type ReadDocument, type Refuse, type TimelineEntry,
+	createState, createUnknown, eventKind, refusalReason, RendezvousChoice, timelineKind, type AnswerBorrow,
+	type Borrow, type Cancel, type Dispatch, type Event,
+	type Exchange, type FetchDocument, type Forward, type GiveBack, type ReadDocument, type Refuse, type RememberAnswer, type Replay, type TimelineEntry,
 } from '@sequoiatally/core';
 import {
 	readMonotonicMs, TimelineWriter, type LifecycleManager, type Logger, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {listenAdmin} from './admin-server.js';
+import {AnswerStore} from './answer-store.js';
 import {CallerServer, type OpenRequests} from './caller-server.js';
 import {Metrics} from './metrics.js';
 import {PeerClient} from './peer-client.js';
@@ -32,6 +34,17 @@
 	readonly fleetSecret: string;
 	readonly adminToken: string;
 	readonly timelinePath: string | undefined;
+	/** Time in which a caller has to take some of the bytes that wait for it, in milliseconds. */
+	readonly callerSilenceMs: number;
+	/** Time without a byte after which a target's answer counts as lost, in milliseconds. */
+	readonly targetSilenceMs: number;
+};
+
+/** A router that serves. */
+export type StartedRouter = {
+	readonly runner: Runner;
+	/** Ends every open request with a typed error; returns their identifiers. */
+	readonly cutOpenRequests: () => string[];
 };
 
 class RouterEffects extends EffectHandler {
@@ -43,6 +56,7 @@
 	readonly metrics: Metrics;
 	readonly timeline: TimelineWriter;
 	readonly runner: Runner;
+	readonly answers: AnswerStore;
 	readonly onDrained: () => void;
 
 	constructor(parts: Omit<RouterEffects, keyof EffectHandler>) {
@@ -55,6 +69,7 @@
 		this.metrics = parts.metrics;
 		this.timeline = parts.timeline;
 		this.runner = parts.runner;
+		this.answers = parts.answers;
 		this.onDrained = parts.onDrained;
 	}
 
@@ -74,6 +89,31 @@
 		this.targets.cancel(attemptId);
 	}
 
+	override forward(effect: Forward): void {
+		const open = this.openRequests.get(effect.requestId);
+		if (open !== undefined) {
+			void this.peerClient.forward(effect, open);
+		}
+	}
+
+	override rememberAnswer({requestId, ticketRecordId}: RememberAnswer): void {
+		const answer = this.openRequests.get(requestId)?.answer;
+		if (answer !== undefined) {
+			this.answers.add(ticketRecordId, answer);
+		}
+	}
+
+	override replay({requestId, ticketRecordId}: Replay): void {
+		const answer = this.answers.read(ticketRecordId);
+		const open = this.openRequests.get(requestId);
+		this.openRequests.delete(requestId);
+		if (answer === undefined) {
+			open?.refuse(createUnknown(refusalReason.answerNotKept, 'The request ran under this ticket; its answer is no longer kept.'));
+		} else {
+			open?.finishPlain({...answer, isReplayed: true});
+		}
+	}
+
 	override readDocument(effect: ReadDocument): void {
 		void this.platform.read(effect);
 	}
@@ -113,7 +153,7 @@
 }
 
 /** Starts a router; it stops when it has drained, or when the lifecycle closes. */
-export async function startRouter(settings: RouterSettings, logger: Logger, lifecycle: LifecycleManager): Promise<Runner> {
+export async function startRouter(settings: RouterSettings, logger: Logger, lifecycle: LifecycleManager): Promise<StartedRouter> {
 	const {instanceId, zone} = settings;
 	const incarnation = randomUUID();
 	const timeline = new TimelineWriter({
@@ -130,30 +170,45 @@
 
 	const openRequests: OpenRequests = new Map();
 	const metrics = new Metrics(runner);
-	const peerServer = new PeerServer(runner, settings.fleetSecret, readMonotonicMs);
+	const peerServer = new PeerServer(runner, openRequests, settings.fleetSecret, readMonotonicMs);
+	const callerServer = new CallerServer(runner, openRequests, {callerSilenceMs: settings.callerSilenceMs, readClock: readMonotonicMs});
+	const close = async () => {
+		// The reducer is done with a request before its last byte has left.
+		await callerServer.finish();
+		await peerServer.finish();
+		timeline.write({kind: timelineKind.drainEnded, cause: 'drain'});
+		await lifecycle.closeAll();
+	};
+
+	let isDrained = false;
+	const startClosing = () => {
+		void close();
+		return true;
+	};
+
 	runner.connect(new RouterEffects({
 		openRequests,
-		targets: new TargetClient(emit, readMonotonicMs, lifecycle),
+		targets: new TargetClient(emit, readMonotonicMs, settings.targetSilenceMs, lifecycle),
 		platform: new PlatformClient(settings.platformAddress, emit, readMonotonicMs, logger, lifecycle),
 		peerClient: new PeerClient(settings.fleetSecret, emit, readMonotonicMs, logger, lifecycle),
 		peerServer,
 		metrics,
 		timeline,
 		runner,
+		answers: new AnswerStore(),
 		onDrained() {
-			timeline.write({kind: timelineKind.drainEnded, cause: 'drain'});
-			void lifecycle.closeAll();
+			isDrained ||= startClosing();
 		},
 	}));
 	await peerServer.listen(settings.peerAddress, lifecycle);
 	await listenAdmin({
 		runner, metrics, timeline, token: settings.adminToken,
 	}, settings.adminAddress, lifecycle);
-	await new CallerServer(runner, openRequests).listen(settings.callerAddress, lifecycle);
+	await callerServer.listen(settings.callerAddress, lifecycle);
 	lifecycle.ownInterval('tick', tickIntervalMs, () => {
 		emit({kind: eventKind.tick});
 	});
 	timeline.write({kind: timelineKind.processStarted, cause: instanceId});
 	emit({kind: eventKind.tick});
-	return runner;
+	return {runner, cutOpenRequests: () => callerServer.cutOpenRequests()};
 }
--- a/packages/router/src/lib/runner.ts
+++ b/packages/router/src/lib/runner.ts
@@ -3,8 +3,10 @@
  * events pass through here, one after the other, on one thread.
  */
 import {
-	effectKind, reduce, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Effect, type Event,
-	type Exchange, type FetchDocument, type GiveBack, type ReadDocument, type Refuse, type State, type TimelineEntry,
+	effectKind, reduce, type AnswerBorrow,
+	type Borrow, type Cancel, type Dispatch, type Effect, type Event,
+	type Exchange, type FetchDocument, type Forward, type GiveBack, type ReadDocument, type Refuse,
+	type RememberAnswer, type Replay, type State, type TimelineEntry,
 } from '@sequoiatally/core';
 
 /**
@@ -15,6 +17,9 @@
 	abstract dispatch(effect: Dispatch): void;
 	abstract refuse(effect: Refuse): void;
 	abstract cancel(effect: Cancel): void;
+	abstract forward(effect: Forward): void;
+	abstract rememberAnswer(effect: RememberAnswer): void;
+	abstract replay(effect: Replay): void;
 	abstract readDocument(effect: ReadDocument): void;
 	abstract fetchDocument(effect: FetchDocument): void;
 	abstract exchange(effect: Exchange): void;
@@ -78,6 +83,21 @@
 				break;
 			}
 
+			case effectKind.forward: {
+				handler.forward(effect);
+				break;
+			}
+
+			case effectKind.rememberAnswer: {
+				handler.rememberAnswer(effect);
+				break;
+			}
+
+			case effectKind.replay: {
+				handler.replay(effect);
+				break;
+			}
+
 			case effectKind.readDocument: {
 				handler.readDocument(effect);
 				break;
--- a/packages/router/src/lib/target-client.ts
+++ b/packages/router/src/lib/target-client.ts
@@ -7,64 +7,57 @@
 	attemptOutcome, eventKind, type AttemptOutcome, type Dispatch, type Event,
 } from '@sequoiatally/core';
 import {describeError, type LifecycleManager} from '@sequoiatally/runtime';
-import {createParser} from 'eventsource-parser';
-import {
-	Agent, request, type Dispatcher,
-} from 'undici';
+import {Agent, request, type Dispatcher} from 'undici';
+import {AttemptError, type AttemptResult} from './attempt-result.js';
+import {deliverStream, isEventStream} from './deliver-stream.js';
 import {requestIdHeader, type OpenRequest} from './open-request.js';
 
-/** Time without a byte after which an answer's connection counts as lost, in milliseconds. */
-const silenceMs = 5000;
 const connectTimeoutMs = 1000;
 /** Largest plain answer that is forwarded. */
 const largestPlainAnswerBytes = 8 * 1024 * 1024;
-const endMark = '[DONE]';
 
 /** Errors that are raised before a connection stands. */
 const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
-/** How an attempt ended. */
-type AttemptResult = {readonly outcome: AttemptOutcome; readonly detail?: string; readonly retryAfterMs?: number};
-
-/** Ends an attempt with a typed result. */
-class AttemptError extends Error {
-	readonly result: AttemptResult;
-
-	constructor(result: AttemptResult) {
-		super(result.detail);
-		this.name = 'AttemptError';
-		this.result = result;
-	}
-}
-
 /** Sends requests to targets and reports how each attempt ended. */
 export class TargetClient {
 	readonly #agent: Agent;
 	readonly #emit: (event: Event) => void;
 	readonly #readClock: () => number;
+	readonly #silenceMs: number;
 	readonly #abortByAttempt = new Map<number, AbortController>();
+	readonly #timerByAttempt = new Map<number, NodeJS.Timeout>();
 
-	constructor(emit: (event: Event) => void, readClock: () => number, lifecycle: LifecycleManager) {
+	/** `silenceMs` is the time without a byte after which an answer's connection counts as lost. */
+	constructor(emit: (event: Event) => void, readClock: () => number, silenceMs: number, lifecycle: LifecycleManager) {
 		this.#emit = emit;
 		this.#readClock = readClock;
-		this.#agent = createAgent();
+		this.#silenceMs = silenceMs;
+		this.#agent = createAgent(silenceMs);
 		lifecycle.own('target connections', async () => this.#agent.destroy());
 	}
 
 	/** Runs one attempt; its end comes back as an event. */
 	async run(effect: Dispatch, open: OpenRequest): Promise<void> {
-		const abort = new AbortController();
-		this.#abortByAttempt.set(effect.attemptId, abort);
-		const agent = effect.useFreshConnection ? createAgent() : this.#agent;
+		const abort = this.#openAttempt(effect, open);
+		const agent = effect.useFreshConnection ? createAgent(this.#silenceMs) : this.#agent;
+		let hasConnected = !effect.useFreshConnection;
+		agent.once('connect', () => {
+			hasConnected = true;
+		});
 		let result: AttemptResult;
 		try {
 			result = this.#readClock() > effect.notAfter
 				? {outcome: attemptOutcome.expired, detail: 'the process paused before the request was sent'}
 				: await this.#attempt(effect, open, agent, abort.signal);
 		} catch (error) {
-			result = error instanceof AttemptError ? error.result : classifyError(error, open.deliveredCount > effect.resumeFrom);
+			result = error instanceof AttemptError
+				? error.result
+				: classifyError(error, {hasConnected, hasDelivered: open.deliveredCount > effect.resumeFrom});
 		}
 
+		clearTimeout(this.#timerByAttempt.get(effect.attemptId));
+		this.#timerByAttempt.delete(effect.attemptId);
 		this.#abortByAttempt.delete(effect.attemptId);
 		if (agent !== this.#agent) {
 			void agent.destroy();
@@ -80,9 +73,21 @@
 		this.#abortByAttempt.get(attemptId)?.abort();
 	}
 
+	/** Bounds an attempt by its deadline; a writer that waits for a slow caller is released with it. */
+	#openAttempt({attemptId, deadlineAt}: Dispatch, open: OpenRequest): AbortController {
+		const abort = new AbortController();
+		abort.signal.addEventListener('abort', () => {
+			open.releaseWriter();
+		});
+		this.#abortByAttempt.set(attemptId, abort);
+		this.#timerByAttempt.set(attemptId, setTimeout(() => {
+			abort.abort();
+		}, Math.max(1, Math.ceil(deadlineAt - this.#readClock()))));
+		return abort;
+	}
+
 	async #attempt(effect: Dispatch, open: OpenRequest, agent: Agent, signal: AbortSignal): Promise<AttemptResult> {
 		const {content} = open;
-		const remainingMs = Math.max(1, effect.deadlineAt - this.#readClock());
 		const response = await request(`http://${effect.address}${content.target}`, {
 			method: content.method,
 			headers: {
@@ -93,19 +98,22 @@
 				...(effect.resumeFrom > 0 ? {'x-resume-from': String(effect.resumeFrom)} : {}),
 			},
 			body: content.body.length > 0 ? content.body : null,
+			reset: effect.useFreshConnection,
 			dispatcher: agent,
-			signal: AbortSignal.any([signal, AbortSignal.timeout(Math.ceil(remainingMs))]),
+			signal,
 		});
 		this.#reportLoad(effect.targetId, response);
-		await checkMatch(response, content.requestId);
+		checkMatch(response, content.requestId);
 		if (response.statusCode === 503 && response.headers['x-not-started'] === 'true') {
-			await response.body.dump();
-			return {outcome: attemptOutcome.notRun, detail: 'the target said that it did not start'};
+			closeBody(response);
+			return {outcome: attemptOutcome.notRun, detail: 'the target said that it did not start', retryAfterMs: readRetryAfter(response)};
+		}
+
+		if (effect.isStream && isEventStream(response)) {
+			return deliverStream(response, open, effect.targetId);
 		}
 
-		return effect.isStream && response.statusCode === 200
-			? deliverStream(response, open, effect)
-			: deliverPlain(response, open);
+		return deliverPlain(response, open);
 	}
 
 	#reportLoad(targetId: string, {headers}: Dispatcher.ResponseData): void {
@@ -118,26 +126,44 @@
 	}
 }
 
-function createAgent(): Agent {
+function createAgent(silenceMs: number): Agent {
 	return new Agent({
 		connect: {timeout: connectTimeoutMs}, pipelining: 1, headersTimeout: silenceMs, bodyTimeout: silenceMs, keepAliveTimeout: 4000,
 	});
 }
 
+/** Closes the connection of an answer that is not read to its end. */
+function closeBody({body}: Dispatcher.ResponseData): void {
+	body.on('error', () => {
+		// The connection is closed on purpose.
+	});
+	body.destroy();
+}
+
 /** Drops an answer that does not echo the request's identifier, and closes its connection. */
-async function checkMatch(response: Dispatcher.ResponseData, requestId: string): Promise<void> {
-	if (response.headers[requestIdHeader] === requestId) {
-		return;
+function checkMatch(response: Dispatcher.ResponseData, requestId: string): void {
+	if (response.headers[requestIdHeader] !== requestId) {
+		closeBody(response);
+		throw new AttemptError({outcome: attemptOutcome.unknown, detail: 'the answer belongs to another request'});
 	}
+}
 
-	response.body.on('error', () => {
-		// The connection is closed on purpose.
-	});
-	response.body.destroy();
-	throw new AttemptError({outcome: attemptOutcome.unknown, detail: 'the answer belongs to another request'});
+function readRetryAfter({headers}: Dispatcher.ResponseData): number | undefined {
+	const seconds = Number(headers['retry-after'] ?? Number.NaN);
+	return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1000 : undefined;
+}
+
+/** Says whether the end of an answer can be told from a broken connection. */
+function isFramed({statusCode, headers}: Dispatcher.ResponseData): boolean {
+	return statusCode === 204 || statusCode === 304 || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
 async function deliverPlain(response: Dispatcher.ResponseData, open: OpenRequest): Promise<AttemptResult> {
+	if (open.hasStarted || !isFramed(response)) {
+		closeBody(response);
+		throw new AttemptError({outcome: attemptOutcome.unknown, detail: `the answer with status ${response.statusCode} does not continue the stream, or has no end`});
+	}
+
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
@@ -150,70 +176,23 @@
 	}
 
 	const contentType = response.headers['content-type'];
-	open.finishPlain(new Response(Buffer.concat(chunks), {
+	open.finishPlain({
+		requestId: open.content.requestId,
 		status: response.statusCode,
-		headers: {'content-type': typeof contentType === 'string' ? contentType : 'application/octet-stream', [requestIdHeader]: open.content.requestId},
-	}));
-	return {outcome: attemptOutcome.complete};
-}
-
-type StreamEvent = {readonly id?: unknown; readonly index?: unknown};
-
-/** Delivers a stream in order; a doubled event is dropped, a gap or a foreign event ends the attempt. */
-async function deliverStream(response: Dispatcher.ResponseData, open: OpenRequest, effect: Dispatch): Promise<AttemptResult> {
-	const cache = response.headers['x-cache'];
-	open.startStream(typeof cache === 'string' ? {'x-cache': cache, 'x-target': effect.targetId} : {'x-target': effect.targetId});
-	const received: string[] = [];
-	const parser = createParser({
-		onEvent({data}) {
-			received.push(data);
-		},
+		contentType: typeof contentType === 'string' ? contentType : 'application/octet-stream',
+		body: Buffer.concat(chunks),
 	});
-	const decoder = new TextDecoder();
-	for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
-		parser.feed(decoder.decode(chunk, {stream: true}));
-		for (const data of received.splice(0)) {
-			if (data === endMark) {
-				open.finishStream();
-				return {outcome: attemptOutcome.complete};
-			}
-
-			if (isNextEvent(data, open)) {
-				await open.writeEvent(data);
-			}
-		}
-	}
-
-	throw new AttemptError({outcome: attemptOutcome.interrupted, detail: 'the stream stopped without its end mark'});
-}
-
-function isNextEvent(data: string, open: OpenRequest): boolean {
-	const {id, index} = parseStreamEvent(data);
-	if (id !== open.content.requestId) {
-		throw new AttemptError({outcome: attemptOutcome.interrupted, detail: 'an event belongs to another request'});
-	}
-
-	if (typeof index !== 'number' || index > open.deliveredCount) {
-		throw new AttemptError({outcome: attemptOutcome.interrupted, detail: 'an event of the stream is missing'});
-	}
-
-	return index === open.deliveredCount;
+	return {outcome: attemptOutcome.complete};
 }
 
-function parseStreamEvent(data: string): StreamEvent {
-	try {
-		const value: unknown = JSON.parse(data);
-		return typeof value === 'object' && value !== null ? value : {};
-	} catch {
-		return {};
-	}
-}
+/** What is known of an attempt when it fails. */
+type AttemptProgress = {readonly hasConnected: boolean; readonly hasDelivered: boolean};
 
 /** Says what an error proves about the request. */
-function classifyError(error: unknown, hasDelivered: boolean): AttemptResult {
+function classifyError(error: unknown, {hasConnected, hasDelivered}: AttemptProgress): AttemptResult {
 	const detail = describeError(error);
 	const {code, syscall} = error as {code?: string; syscall?: string};
-	if (syscall === 'connect' || connectErrorCodes.has(code ?? '')) {
+	if (!hasConnected || syscall === 'connect' || connectErrorCodes.has(code ?? '')) {
 		return {outcome: attemptOutcome.notRun, detail};
 	}
 
--- /dev/null
+++ b/packages/router/src/lib/ticket-mapping.ts
@@ -0,0 +1,75 @@
+/**
+ * Maps requests that carry a ticket, and their ends, to and from the wire.
+ */
+import {create} from '@bufbuild/protobuf';
+import {
+	refusalReason, runOutcome, type Forward, type Refusal,
+} from '@sequoiatally/core';
+import {
+	RunTicketedRequestSchema, RunTicketedResponseSchema, type RunTicketedRequest, type RunTicketedResponse,
+} from '@sequoiatally/peer';
+import type {PlainEnd, RequestContent} from './open-request.js';
+
+export function toWireTicketed(effect: Forward, content: RequestContent, deadlineMs: number): RunTicketedRequest {
+	return create(RunTicketedRequestSchema, {
+		ticket: effect.ticket,
+		// Each call has an identifier of its own at the process that runs it.
+		requestId: `${content.requestId}.${effect.attemptId}`,
+		method: content.method,
+		target: content.target,
+		headers: {...content.headers},
+		body: content.body,
+		keyDigest: effect.keyDigest ?? '',
+		chatKey: content.chatKey,
+		priority: effect.priority,
+		deadlineMs: Math.max(1, Math.floor(deadlineMs)),
+	});
+}
+
+export function fromWireContent(wire: RunTicketedRequest): RequestContent {
+	const {
+		requestId, method, target, headers, body, chatKey,
+	} = wire;
+	return {
+		requestId, method, target, headers, body, chatKey,
+	};
+}
+
+export function toWireEnd(end: PlainEnd): RunTicketedResponse {
+	return create(RunTicketedResponseSchema, {
+		result: 'answer' in end
+			? {case: 'answer', value: {...end.answer, replayed: end.answer.isReplayed ?? false}}
+			: {case: 'refusal', value: end.refusal},
+	});
+}
+
+/** Undefined: the peer sent neither an answer nor a refusal that this program knows. */
+export function fromWireEnd({result}: RunTicketedResponse): PlainEnd | undefined {
+	if (result.case === 'answer') {
+		const {
+			requestId, status, contentType, body, replayed,
+		} = result.value;
+		return {
+			answer: {
+				requestId, status, contentType, body, isReplayed: replayed,
+			},
+		};
+	}
+
+	const refusal = result.case === 'refusal' ? fromWireRefusal(result.value) : undefined;
+	return refusal === undefined ? undefined : {refusal};
+}
+
+type WireRefusal = Extract<RunTicketedResponse['result'], {case: 'refusal'}>['value'];
+
+function fromWireRefusal(wire: WireRefusal): Refusal | undefined {
+	const reason = Object.values(refusalReason).find(value => value === wire.reason);
+	const outcome = Object.values(runOutcome).find(value => value === wire.outcome);
+	const callOutcome = Object.values(runOutcome).find(value => value === wire.callOutcome);
+	const {status, message, retryAfterMs} = wire;
+	return reason === undefined || outcome === undefined
+		? undefined
+		: {
+			reason, outcome, callOutcome, status, message, retryAfterMs,
+		};
+}
--- a/packages/runtime/src/lib/lifecycle-manager.ts
+++ b/packages/runtime/src/lib/lifecycle-manager.ts
@@ -46,14 +46,19 @@
 	}
 
 	/**
-	 * Calls `stop` at the first SIGTERM or SIGINT and ends the process at the
-	 * second, saying so in the log.
+	 * Calls `stop` at the first SIGTERM or SIGINT, and at the second
+	 * `stopAtOnce`, or ends the process if there is none.
 	 */
-	handleSignals(stop: () => void): void {
+	handleSignals(stop: () => void, stopAtOnce?: () => void): void {
 		let isStopping = false;
 		const handle = (signal: string) => {
 			if (isStopping) {
 				this.#logger.warn({event: 'second-signal', signal, message: 'Ends at once; open requests are cut.'});
+				if (stopAtOnce !== undefined) {
+					stopAtOnce();
+					return;
+				}
+
 				// eslint-disable-next-line unicorn/no-process-exit
 				process.exit(1);
 			}
--- a/packages/scenarios/src/lib/reducer-fleet.ts
+++ b/packages/scenarios/src/lib/reducer-fleet.ts
@@ -9,8 +9,8 @@
  */
 import {
 	attemptOutcome, createState, describeSummary, documentKind, effectKind, eventKind, reduce, RendezvousChoice,
-	type AnswerBorrow, type Borrow, type Configuration, type Dispatch, type Effect, type Event, type Exchange, type FetchDocument,
-	type GiveBack, type InstanceList, type ReadDocument, type Refusal, type State, type TargetChoice, type TimelineEntry,
+	timelineKind, type AnswerBorrow, type Borrow, type Configuration, type Dispatch, type Effect, type Event, type Exchange, type FetchDocument,
+	type Forward, type GiveBack, type InstanceList, type ReadDocument, type Refusal, type State, type TargetChoice, type TimelineEntry,
 } from '@sequoiatally/core';
 import {uniformInt, xoroshiro128plus} from '@sequoiatally/load';
 
@@ -18,6 +18,7 @@
 const exchangeTimeoutMs = 1000;
 const borrowTimeoutMs = 300;
 const readTimeoutMs = 2000;
+const forwardTimeoutMs = 5000;
 
 /** How the network behaves; probabilities are from 0 to 1. */
 export type NetworkFaults = {
@@ -54,6 +55,8 @@
 	readonly model?: string;
 	readonly chatKey?: string;
 	readonly method?: string;
+	readonly idempotencyKey?: string;
+	readonly isForwarded?: boolean;
 };
 
 /** A request that was admitted, as the outside sees it. */
@@ -85,6 +88,8 @@
 	readonly instances = new Map<string, FleetInstance>();
 	readonly sent: SentRequest[] = [];
 	readonly refused: RefusedRequest[] = [];
+	/** Requests that were answered from the kept answer of their ticket. */
+	readonly replayed: string[] = [];
 	readonly timeline: Array<TimelineEntry & {readonly at: number; readonly instanceId: string}> = [];
 	/** Requests in flight by target, over the whole fleet. */
 	readonly inFlight = new Map<string, number>();
@@ -100,6 +105,9 @@
 	readonly #shownLists: Array<{readonly at: number; readonly list: InstanceList}> = [];
 	readonly #borrowAnswers = new Map<number, (effect: AnswerBorrow) => void>();
 	readonly #accountByRequest = new Map<string, string>();
+	readonly #fieldsByRequest = new Map<string, CallerFields>();
+	/** Hands the end of a forwarded request back to the process that passed it on. */
+	readonly #forwardAnswers = new Map<string, (refusal?: Refusal) => void>();
 	#order = 0;
 	#nextCallId = 1;
 
@@ -164,8 +172,9 @@
 	/** Sends a caller's request to an instance. */
 	request(instanceId: string, requestId: string, fields: CallerFields): void {
 		this.#accountByRequest.set(requestId, fields.account);
+		this.#fieldsByRequest.set(requestId, fields);
 		this.emit(this.instances.get(instanceId)!, {
-			kind: eventKind.requestArrived, requestId, method: fields.method ?? 'POST', path: fields.path, model: fields.model, keyDigest: fields.keyDigest, chatKey: fields.chatKey ?? requestId, priority: 0,
+			kind: eventKind.requestArrived, requestId, method: fields.method ?? 'POST', path: fields.path, model: fields.model, keyDigest: fields.keyDigest, chatKey: fields.chatKey ?? requestId, priority: 0, idempotencyKey: fields.idempotencyKey, isForwarded: fields.isForwarded,
 		});
 	}
 
@@ -226,6 +235,10 @@
 
 	#scheduleEffect(instance: FleetInstance, effect: Effect): void {
 		if (effect.kind === effectKind.record) {
+			if (effect.entry.kind === timelineKind.requestCompleted) {
+				this.#answerForward(instance, effect.entry.requestId!);
+			}
+
 			this.timeline.push({...effect.entry, at: this.now, instanceId: instance.id});
 			return;
 		}
@@ -247,7 +260,22 @@
 				break;
 			}
 
+			case effectKind.forward: {
+				this.#forward(instance, effect);
+				break;
+			}
+
+			case effectKind.replay: {
+				this.replayed.push(effect.requestId);
+				this.#answerForward(instance, effect.requestId);
+				break;
+			}
+
 			case effectKind.refuse: {
+				if (this.#answerForward(instance, effect.requestId, effect.refusal)) {
+					break;
+				}
+
 				this.refused.push({
 					at: this.now, instanceId: instance.id, requestId: effect.requestId, refusal: effect.refusal,
 				});
@@ -282,6 +310,7 @@
 			case effectKind.answerBorrow:
 			case effectKind.record:
 			case effectKind.cancel:
+			case effectKind.rememberAnswer:
 			case effectKind.finishDrain: {
 				break;
 			}
@@ -427,6 +456,51 @@
 		});
 	}
 
+	/** The owner answers when its run ends, so the call stays open until then or until the deadline. */
+	#forward(from: FleetInstance, effect: Forward): void {
+		const {requestId, attemptId, peerId, ticket, deadlineAt} = effect;
+		const fields = this.#fieldsByRequest.get(requestId)!;
+		const end = (isAnswered: boolean, refusal?: Refusal) => {
+			this.emit(from, {
+				kind: eventKind.forwardEnded, requestId, attemptId, isAnswered, refusal,
+			});
+		};
+
+		const remoteId = `${requestId}.${attemptId}`;
+		const copies = this.#drawChance(this.network.doubleProbability) ? 2 : 1;
+		const to = this.instances.get(peerId);
+		const canReach = () => to?.isAlive === true && to.side === from.side;
+		for (let copy = 0; copy < copies; copy++) {
+			if (to === undefined || !canReach() || this.#drawChance(this.network.lossProbability)) {
+				continue;
+			}
+
+			this.#scheduleFor(to, this.#drawDelay(), () => {
+				this.#forwardAnswers.set(`${to.id}/${remoteId}`, refusal => {
+					if (canReach() && !this.#drawChance(this.network.lossProbability)) {
+						this.#scheduleFor(from, this.#drawDelay(), () => {
+							end(true, refusal);
+						});
+					}
+				});
+				this.request(to.id, remoteId, {...fields, idempotencyKey: ticket, isForwarded: true});
+			});
+		}
+
+		this.#scheduleFor(from, Math.max(0, Math.min(forwardTimeoutMs, deadlineAt - (this.now - from.startedAt))), () => {
+			end(false);
+		});
+	}
+
+	/** Ends a forwarded request at its owner; says whether it was one. */
+	#answerForward(owner: FleetInstance, requestId: string, refusal?: Refusal): boolean {
+		const id = `${owner.id}/${requestId}`;
+		const answer = this.#forwardAnswers.get(id);
+		this.#forwardAnswers.delete(id);
+		answer?.(refusal);
+		return answer !== undefined;
+	}
+
 	#giveBack(from: FleetInstance, {peerId, loanId}: GiveBack): void {
 		this.#call(from, peerId, borrowTimeoutMs, to => {
 			this.emit(to, {kind: eventKind.loanGivenBack, loanId});
