Load and experiment tool: plans, open-loop schedules, faults, reports

Cause: load could only be sent by the demonstration, without faults, without returning chats on a schedule and without a report.

Change: sequoiatally-load checks and runs JSON plans (Poisson arrivals by a seed, chats that return after pauses with a long tail, surges, sticky entry, eleven kinds of fault), measures from the intended time of each send, and renders one self-contained page per run and one for two runs side by side. Fleet gained freezing, links that can be cut, restarted targets and openRouters (ready and not leaving).

Ruled out: a first run lost 115 requests, 107 of them in the rolling replacement, all with a refused connect: the tool sent callers to routers that had not yet said that they were ready. Fixed in the tool by openRouters.

Proofs fail first: with the doubled-run count, the false "not run" count, the exact counter or the check of fault times switched off, their tests fail; with pauses or surges ignored, the schedule's tests are to fail too.

--- /dev/null
+++ b/packages/load/src/lib/call-schedule.ts
@@ -0,0 +1,153 @@
+/**
+ * The schedule of a run: every request with the time at which it is to be
+ * sent, computed before anything is sent. Arrivals are open-loop: they depend
+ * on the seed alone, never on how fast the answers come.
+ */
+import type {LoadPlan, Surge} from './load-plan.js';
+import {RandomSource} from './random.js';
+
+/** What kind of request is sent. */
+export const callKind = {
+	/** A chat's turn, answered by a stream. */
+	chat: 'chat',
+	/** A plain request that may not be repeated. */
+	booking: 'booking',
+	/** A plain request that may be repeated. */
+	read: 'read',
+} as const;
+export type CallKind = typeof callKind[keyof typeof callKind];
+
+/** A client account's limits, as the configuration has them. */
+export type AccountLimit = {readonly name: string; readonly rate: number; readonly burst: number};
+
+/** One request of the schedule. */
+export type PlannedCall = {
+	readonly kind: CallKind;
+	readonly account: string;
+	/** Time from the start of the traffic, in milliseconds. */
+	readonly atMs: number;
+	readonly chatId: string;
+	/** 1 for the first turn of a chat. */
+	readonly turn: number;
+	readonly maxTokens: number;
+	readonly priority: number;
+	/** Number from 0 to 1 that chooses the router among those that are up. */
+	readonly entry: number;
+};
+
+export type CallSchedule = {
+	/** In the order of their times. */
+	readonly calls: readonly PlannedCall[];
+	/** Requests that the plan's limit left out. */
+	readonly omittedCount: number;
+};
+
+type Traffic = LoadPlan['traffic'];
+
+/** Creates the schedule of all accounts; the same plan gives the same schedule. */
+export function createCallSchedule(plan: LoadPlan, accounts: readonly AccountLimit[]): CallSchedule {
+	const calls = accounts.flatMap((account, index) => createAccountCalls(plan, account, index));
+	calls.sort((a, b) => a.atMs - b.atMs);
+	return {calls: calls.slice(0, plan.requestLimit), omittedCount: Math.max(0, calls.length - plan.requestLimit)};
+}
+
+/** Draws the arrival times of a Poisson process whose rate surges at times. */
+export function drawArrivalTimes(random: RandomSource, ratePerSecond: number, durationMs: number, surges: readonly Surge[]): number[] {
+	const highest = Math.max(1, ...surges.map(({multiple}) => multiple));
+	const meanGapMs = 1000 / (ratePerSecond * highest);
+	const times: number[] = [];
+	// Candidates come at the highest rate; each stays with the ratio of the present rate to it.
+	for (let time = random.drawExponential(meanGapMs); time < durationMs; time += random.drawExponential(meanGapMs)) {
+		const surge = surges.find(({atMs, durationMs: length}) => time >= atMs && time < atMs + length);
+		if (random.drawChance((surge?.multiple ?? 1) / highest)) {
+			times.push(time);
+		}
+	}
+
+	return times;
+}
+
+function createAccountCalls({seed, durationMs, traffic}: LoadPlan, {name, rate}: AccountLimit, index: number): PlannedCall[] {
+	const random = new RandomSource(seed + (index * 7919));
+	const surges = traffic.surges.filter(({account}) => account === name);
+	const times = drawArrivalTimes(random, rate * traffic.rateMultiple, durationMs, surges);
+	const chats = new ChatBook(name, traffic, random);
+	const usualEntry = random.drawUnit();
+	return times.map(atMs => {
+		const kind = drawKind(traffic, random);
+		const {chatId, turn} = kind === callKind.chat ? chats.takeTurn(atMs) : {chatId: `${name}-${kind}`, turn: 1};
+		return {
+			kind,
+			account: name,
+			atMs,
+			chatId,
+			turn,
+			maxTokens: random.drawInteger(traffic.fewestTokens, traffic.mostTokens),
+			priority: random.drawChance(traffic.urgentFraction) ? traffic.urgentPriority : 0,
+			entry: random.drawChance(traffic.stickyFraction) ? usualEntry : random.drawUnit(),
+		};
+	});
+}
+
+function drawKind({bookingFraction, readFraction}: Traffic, random: RandomSource): CallKind {
+	const drawn = random.drawUnit();
+	if (drawn < bookingFraction) {
+		return callKind.booking;
+	}
+
+	return drawn < bookingFraction + readFraction ? callKind.read : callKind.chat;
+}
+
+type PausedChat = {readonly chatId: string; readonly turn: number; readonly dueAt: number};
+
+/** Exponent of the long tail of pauses: finite mean, unbounded variance. */
+const longTailShape = 1.5;
+
+/**
+ * The chats of one account. An arrival takes the turn of the chat whose pause
+ * ended first; when none has ended, a new chat begins.
+ */
+class ChatBook {
+	readonly #account: string;
+	readonly #chats: Traffic['chats'];
+	readonly #random: RandomSource;
+	/** Paused chats, the one that is due first at the end. */
+	readonly #paused: PausedChat[] = [];
+	#nextNumber = 1;
+
+	constructor(account: string, {chats}: Traffic, random: RandomSource) {
+		this.#account = account;
+		this.#chats = chats;
+		this.#random = random;
+	}
+
+	takeTurn(now: number): {readonly chatId: string; readonly turn: number} {
+		const first = this.#paused.at(-1);
+		const isDue = first !== undefined && first.dueAt <= now;
+		const chatId = isDue ? first.chatId : `${this.#account}-chat-${this.#nextNumber++}`;
+		const turn = isDue ? first.turn + 1 : 1;
+		if (isDue) {
+			this.#paused.pop();
+		}
+
+		if (!this.#random.drawChance(1 / this.#chats.meanTurns)) {
+			this.#pause({chatId, turn, dueAt: now + this.#drawPauseMs()});
+		}
+
+		return {chatId, turn};
+	}
+
+	#drawPauseMs(): number {
+		const {longFraction, longPauseMs, pauseMs} = this.#chats;
+		return this.#random.drawChance(longFraction) ? this.#random.drawPareto(longPauseMs, longTailShape) : this.#random.drawExponential(pauseMs);
+	}
+
+	#pause(chat: PausedChat): void {
+		let index = this.#paused.length;
+		while (index > 0 && this.#paused[index - 1]!.dueAt < chat.dueAt) {
+			index--;
+		}
+
+		this.#paused.splice(index, 0, chat);
+	}
+}
--- a/packages/load/src/lib/caller.ts
+++ b/packages/load/src/lib/caller.ts
@@ -9,6 +9,9 @@
 /** Field of the chat interface that limits the answer's tokens. */
 const tokenLimitField = 'max_tokens';
 
+/** Codes of errors that mean a broken or refused connection. */
+const lossCodes = new Set(['UND_ERR_SOCKET', 'UND_ERR_DESTROYED', 'UND_ERR_CLOSED', 'UND_ERR_ABORTED', 'ECONNRESET', 'ECONNREFUSED', 'EPIPE']);
+
 /** How a request ended, as the caller sees it. */
 export const answerKind = {
 	whole: 'whole',
@@ -30,10 +33,21 @@
 	readonly firstTokenMs?: number;
 	readonly totalMs: number;
 	readonly detail?: string;
+	/** True: the connection broke before the answer was whole, so that nothing was said about the request. */
+	readonly isConnectionLost?: boolean;
 };
 
-export type ChatCall = {readonly key?: string; readonly model: string; readonly chatId: string; readonly maxTokens: number; readonly priority?: number};
-export type PlainCall = {readonly key?: string; readonly method: string; readonly path: string; readonly idempotencyKey?: string};
+/** When a request was to be sent; undefined: when it is sent. Latencies count from here. */
+type IntendedTime = {readonly intendedAt?: number};
+
+export type ChatCall = IntendedTime & {
+	readonly key?: string;
+	readonly model: string;
+	readonly chatId: string;
+	readonly maxTokens: number;
+	readonly priority?: number;
+};
+export type PlainCall = {readonly key?: string; readonly method: string; readonly path: string; readonly idempotencyKey?: string} & IntendedTime;
 
 type ErrorBody = {error?: {type?: string; outcome?: string; requestId?: string}};
 
@@ -45,9 +59,14 @@
 		await this.#agent.close();
 	}
 
+	/** Closes at once; requests that are open end as if their connections broke. */
+	async destroy(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
 	/** Sends a chat request and reads its stream to the end. */
 	async callChat(address: string, call: ChatCall): Promise<Answer> {
-		const startedAt = performance.now();
+		const startedAt = call.intendedAt ?? performance.now();
 		try {
 			const response = await request(`http://${address}/v1/chat/completions`, {
 				method: 'POST',
@@ -63,13 +82,13 @@
 
 			return await readStream(response, call, startedAt);
 		} catch (error) {
-			return {kind: answerKind.wrong, totalMs: performance.now() - startedAt, detail: (error as Error).message};
+			return describeLoss(error, startedAt);
 		}
 	}
 
 	/** Sends a plain request and reads its answer. */
 	async callPlain(address: string, call: PlainCall): Promise<Answer> {
-		const startedAt = performance.now();
+		const startedAt = call.intendedAt ?? performance.now();
 		try {
 			const response = await request(`http://${address}${call.path}`, {
 				method: call.method as 'GET',
@@ -85,7 +104,7 @@
 			const isRight = requestId === response.headers['x-request-id'];
 			return {kind: isRight ? answerKind.whole : answerKind.wrong, requestId, totalMs: performance.now() - startedAt};
 		} catch (error) {
-			return {kind: answerKind.wrong, totalMs: performance.now() - startedAt, detail: (error as Error).message};
+			return describeLoss(error, startedAt);
 		}
 	}
 }
@@ -100,6 +119,13 @@
 	return key === undefined ? {} : {authorization: `Bearer ${key}`};
 }
 
+function describeLoss(error: unknown, startedAt: number): Answer {
+	const {code, message} = error as Error & {code?: string};
+	return {
+		kind: answerKind.wrong, totalMs: performance.now() - startedAt, detail: message, isConnectionLost: code !== undefined && lossCodes.has(code),
+	};
+}
+
 function describeRefusal(text: string, startedAt: number): Answer {
 	const totalMs = performance.now() - startedAt;
 	try {
--- /dev/null
+++ b/packages/load/src/lib/fault-runner.ts
@@ -0,0 +1,279 @@
+/**
+ * Carries out the faults of a plan on a fleet, each at its time. Each kind of
+ * fault is a class of its own, chosen once when the plan is read.
+ */
+import {setTimeout as wait} from 'node:timers/promises';
+import {serviceMode} from '@sequoiatally/stand-ins';
+import type {Configuration} from '@sequoiatally/core';
+import type {Fleet, FleetRouter, FleetTarget} from './fleet.js';
+import {faultKind, type PlannedFault} from './load-plan.js';
+import {linkState} from './tcp-relay.js';
+
+/** Pause between two steps of a rolling replacement, in milliseconds. */
+const replacementPauseMs = 500;
+
+/** A fault as the report names it. */
+export type InjectedFault = {
+	readonly kind: PlannedFault['kind'];
+	/** What was done, in a few words. */
+	readonly label: string;
+	/** Time from the start of the traffic, in milliseconds. */
+	readonly atMs: number;
+	/** Time at which it was over; undefined: it has no end of its own. */
+	endMs?: number;
+};
+
+/** What a fault acts on. */
+export type FaultScene = {
+	readonly fleet: Fleet;
+	/** Routers in the order of the plan, whatever became of them. */
+	readonly routers: readonly FleetRouter[];
+	/** Publishes the configuration with a change, under the next version. */
+	readonly publishChange: (change: (configuration: Configuration) => Configuration) => Promise<void>;
+};
+
+/** Base class of all faults. */
+abstract class Fault {
+	abstract readonly label: string;
+
+	/** Does it, and undoes it if it has an end. */
+	abstract run(scene: FaultScene): Promise<void>;
+}
+
+type FaultOf<K extends PlannedFault['kind']> = Extract<PlannedFault, {kind: K}>;
+
+class KillRouter extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'kill-router'> | FaultOf<'replace-router'>) {
+		super();
+		this.label = `router ${fault.router} ${fault.kind === faultKind.killRouter ? 'killed' : 'killed and replaced'}`;
+	}
+
+	override async run({fleet, routers}: FaultScene): Promise<void> {
+		const router = routers[this.fault.router]!;
+		if (fleet.routers.includes(router)) {
+			await fleet.killRouter(router);
+		}
+
+		if (this.fault.kind === faultKind.replaceRouter) {
+			await fleet.waitUntilReady([await fleet.startRouter()]);
+		}
+	}
+}
+
+class ReplaceAllRouters extends Fault {
+	override readonly label = 'rolling replacement';
+
+	override async run({fleet}: FaultScene): Promise<void> {
+		for (const router of fleet.routers) {
+			const added = await fleet.startRouter();
+			await fleet.waitUntilReady([added]);
+			if (fleet.routers.includes(router)) {
+				await fleet.drainRouter(router);
+			}
+
+			await wait(replacementPauseMs);
+		}
+	}
+}
+
+class FreezeRouter extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'freeze-router'>) {
+		super();
+		this.label = `router ${fault.router} frozen`;
+	}
+
+	override async run({fleet, routers}: FaultScene): Promise<void> {
+		const router = routers[this.fault.router]!;
+		fleet.freezeRouter(router);
+		await wait(this.fault.durationMs);
+		fleet.resumeRouter(router);
+	}
+}
+
+class CutRouter extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'cut-router'>) {
+		super();
+		this.label = `router ${fault.router} cut off`;
+	}
+
+	override async run({fleet, routers}: FaultScene): Promise<void> {
+		const router = routers[this.fault.router]!;
+		fleet.setLinks(router, linkState.cut);
+		await wait(this.fault.durationMs);
+		fleet.setLinks(router, linkState.up);
+	}
+}
+
+class RestartTarget extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'restart-target'>) {
+		super();
+		this.label = `${fault.target} killed and restarted`;
+	}
+
+	override async run({fleet}: FaultScene): Promise<void> {
+		const target = findTarget(fleet, this.fault.target);
+		await fleet.killTarget(target);
+		await wait(this.fault.durationMs);
+		await fleet.restartTarget(target);
+	}
+}
+
+class TurnTargetCold extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'turn-target-cold'>) {
+		super();
+		this.label = `${fault.target} turned cold`;
+	}
+
+	override async run({fleet}: FaultScene): Promise<void> {
+		await fleet.control(findTarget(fleet, this.fault.target).address, 'cold');
+	}
+}
+
+class BreakTarget extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'break-target'>) {
+		super();
+		this.label = `${fault.target} fails: ${fault.fault}`;
+	}
+
+	override async run({fleet}: FaultScene): Promise<void> {
+		const {address} = findTarget(fleet, this.fault.target);
+		await fleet.control(address, 'fault', {fault: this.fault.fault});
+		await wait(this.fault.durationMs);
+		await fleet.control(address, 'fault', {fault: 'none'});
+	}
+}
+
+class DrainZone extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'drain-zone'>) {
+		super();
+		this.label = `zone ${fault.zone} out`;
+	}
+
+	override async run({publishChange}: FaultScene): Promise<void> {
+		const {zone, durationMs} = this.fault;
+		await publishChange(configuration => ({...configuration, drainedZones: [...configuration.drainedZones, zone]}));
+		await wait(durationMs);
+		await publishChange(configuration => ({...configuration, drainedZones: configuration.drainedZones.filter(name => name !== zone)}));
+	}
+}
+
+class ChangePlatform extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'change-platform'>) {
+		super();
+		this.label = `configuration service ${fault.mode}`;
+	}
+
+	override async run({fleet}: FaultScene): Promise<void> {
+		await fleet.control(fleet.platformAddress, 'mode', {mode: this.fault.mode});
+		await wait(this.fault.durationMs);
+		await fleet.control(fleet.platformAddress, 'mode', {mode: serviceMode.up});
+	}
+}
+
+class WithdrawKey extends Fault {
+	readonly label;
+
+	constructor(readonly fault: FaultOf<'withdraw-key'>) {
+		super();
+		this.label = `key of ${fault.account} withdrawn`;
+	}
+
+	override async run({publishChange}: FaultScene): Promise<void> {
+		await publishChange(configuration => ({
+			...configuration,
+			accounts: configuration.accounts.map(account => account.name === this.fault.account ? {...account, keyDigests: []} : account),
+		}));
+	}
+}
+
+function createFault(fault: PlannedFault): Fault {
+	switch (fault.kind) {
+		case faultKind.killRouter:
+		case faultKind.replaceRouter: {
+			return new KillRouter(fault);
+		}
+
+		case faultKind.replaceAllRouters: {
+			return new ReplaceAllRouters();
+		}
+
+		case faultKind.freezeRouter: {
+			return new FreezeRouter(fault);
+		}
+
+		case faultKind.cutRouter: {
+			return new CutRouter(fault);
+		}
+
+		case faultKind.restartTarget: {
+			return new RestartTarget(fault);
+		}
+
+		case faultKind.turnTargetCold: {
+			return new TurnTargetCold(fault);
+		}
+
+		case faultKind.breakTarget: {
+			return new BreakTarget(fault);
+		}
+
+		case faultKind.drainZone: {
+			return new DrainZone(fault);
+		}
+
+		case faultKind.changePlatform: {
+			return new ChangePlatform(fault);
+		}
+
+		case faultKind.withdrawKey: {
+			return new WithdrawKey(fault);
+		}
+	}
+}
+
+/**
+ * Runs every fault at its time, counted from `startedAt` on this process's
+ * clock, and calls `onFault` as each begins. Resolves when all are over.
+ */
+export async function runFaults(
+	faults: readonly PlannedFault[],
+	scene: FaultScene,
+	startedAt: number,
+	onFault: (fault: InjectedFault) => void,
+): Promise<void> {
+	await Promise.all(faults.map(async planned => {
+		const fault = createFault(planned);
+		await wait(Math.max(0, startedAt + planned.atMs - performance.now()));
+		const injected: InjectedFault = {kind: planned.kind, label: fault.label, atMs: Math.round(performance.now() - startedAt)};
+		onFault(injected);
+		await fault.run(scene);
+		injected.endMs = 'durationMs' in planned || planned.kind === faultKind.replaceAllRouters
+			? Math.round(performance.now() - startedAt)
+			: undefined;
+	}));
+}
+
+function findTarget(fleet: Fleet, id: string): FleetTarget {
+	const found = fleet.targets.find(target => target.id === id);
+	if (found === undefined) {
+		throw new Error(`The fleet has no target "${id}".`);
+	}
+
+	return found;
+}
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -4,10 +4,12 @@
  * product's own processes start no others.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
+import {openSync} from 'node:fs';
 import {createServer} from 'node:net';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {request} from 'undici';
+import {linkState, TcpRelay, type LinkState} from './tcp-relay.js';
 
 const host = '127.0.0.1';
 const startTimeoutMs = 20_000;
@@ -30,6 +32,10 @@
 	readonly timelineDirectory: string;
 	/** Further flags of every engine stand-in. */
 	readonly engineFlags?: readonly string[];
+	/** File that takes the processes' logs; undefined: this process's error stream. */
+	readonly logPath?: string;
+	/** True: links to the configuration service and between routers pass through relays that count and cut. */
+	readonly usesRelays?: boolean;
 };
 
 export type FleetProcess = {
@@ -40,12 +46,20 @@
 };
 
 export type FleetTarget = {
-	readonly id: string; readonly pool: string; readonly address: string; readonly zone: string; readonly process: FleetProcess; isLeaving: boolean;
+	readonly id: string; readonly pool: string; readonly address: string; readonly zone: string; process: FleetProcess; isLeaving: boolean;
 };
 
+/** Links of one router that the fleet can cut. */
+export type RouterLinks = {readonly platform: TcpRelay; readonly peers: TcpRelay};
+
 export type FleetRouter = {
 	readonly id: string; readonly zone: string; readonly callerAddress: string; readonly peerAddress: string; readonly adminAddress: string;
+	/** Address that the list shows to other routers: the router's own, or its relay's. */
+	readonly listedPeerAddress: string;
+	readonly links?: RouterLinks;
 	readonly timelinePath: string; readonly process: FleetProcess; isLeaving: boolean;
+	/** True once it has said that callers may be sent to it. */
+	isReady: boolean;
 };
 
 /** Finds free ports on loopback. */
@@ -70,10 +84,17 @@
 	readonly targets: FleetTarget[] = [];
 	platformAddress = '';
 	readonly #processes: FleetProcess[] = [];
+	readonly #relays: TcpRelay[] = [];
+	#logFile?: number;
 	#nextRouter = 1;
 
 	constructor(readonly plan: FleetPlan) {}
 
+	/** Routers to which a balancer would send callers. */
+	get openRouters(): FleetRouter[] {
+		return this.routers.filter(({isReady, isLeaving}) => isReady && !isLeaving);
+	}
+
 	/** Starts every process and waits until all routers are ready. */
 	async start(): Promise<void> {
 		const {plan} = this;
@@ -101,8 +122,9 @@
 		const [callerPort, peerPort, adminPort] = await findFreePorts(3);
 		const addresses = {callerAddress: `${host}:${callerPort}`, peerAddress: `${host}:${peerPort}`, adminAddress: `${host}:${adminPort}`};
 		const timelinePath = `${this.plan.timelineDirectory}/${id}.jsonl`;
-		const router = {
-			id, zone, ...addresses, timelinePath, isLeaving: false,
+		const links = this.plan.usesRelays ? await this.#startLinks(peerPort!) : undefined;
+		const router: FleetRouter = {
+			id, zone, ...addresses, links, listedPeerAddress: links?.peers.address ?? addresses.peerAddress, timelinePath, isLeaving: false, isReady: false,
 			process: this.#spawn('router', '@sequoiatally/router', [
 				'--instance-id',
 				id,
@@ -115,7 +137,7 @@
 				'--admin-address',
 				addresses.adminAddress,
 				'--platform-address',
-				this.platformAddress,
+				links?.platform.address ?? this.platformAddress,
 				'--timeline-path',
 				timelinePath,
 				'--fleet-secret',
@@ -135,7 +157,10 @@
 	}
 
 	async waitUntilReady(routers: readonly FleetRouter[] = this.routers): Promise<void> {
-		await Promise.all(routers.map(async ({adminAddress}) => waitUntil(async () => isOk(`http://${adminAddress}/readyz`))));
+		await Promise.all(routers.map(async router => {
+			await waitUntil(async () => isOk(`http://${router.adminAddress}/readyz`));
+			router.isReady = true;
+		}));
 	}
 
 	async publishConfiguration(text: string): Promise<void> {
@@ -147,9 +172,9 @@
 		const describeState = (isLeaving: boolean) => isLeaving ? 'leaving' : 'live';
 		const content = {
 			instances: this.routers.map(({
-				id, peerAddress, zone, isLeaving,
+				id, listedPeerAddress, zone, isLeaving,
 			}) => ({
-				id, peerAddress, zone, state: describeState(isLeaving), since: 0,
+				id, peerAddress: listedPeerAddress, zone, state: describeState(isLeaving), since: 0,
 			})),
 			targets: this.targets.map(({
 				id, pool, address, zone, isLeaving,
@@ -179,6 +204,39 @@
 		return code;
 	}
 
+	/** Stops a router's process without ending it; `resumeRouter` lets it go on. */
+	freezeRouter(router: FleetRouter): void {
+		router.process.child.kill('SIGSTOP');
+	}
+
+	resumeRouter(router: FleetRouter): void {
+		router.process.child.kill('SIGCONT');
+	}
+
+	/** Changes a router's links; the fleet has to use relays. */
+	setLinks({links}: FleetRouter, state: LinkState): void {
+		links?.platform.setState(state);
+		links?.peers.setState(state);
+	}
+
+	/** Ends a target at once; the list goes on showing it. */
+	async killTarget(target: FleetTarget): Promise<void> {
+		target.process.child.kill('SIGKILL');
+		await target.process.exited;
+	}
+
+	/** Starts a killed target again at its address; it is cold, and its cache is empty. */
+	async restartTarget(target: FleetTarget): Promise<void> {
+		target.process = this.#spawnTarget(target);
+		await waitUntil(async () => isOk(`http://${target.address}/control/stats`));
+	}
+
+	/** Posts to a control route of a stand-in. */
+	async control(address: string, path: string, content: Readonly<Record<string, unknown>> = {}): Promise<void> {
+		const {body} = await request(`http://${address}/control/${path}`, {method: 'POST', body: JSON.stringify(content)});
+		await body.dump();
+	}
+
 	/** Stops everything that this fleet started. */
 	async stop(): Promise<void> {
 		for (const {child} of this.#processes) {
@@ -193,6 +251,18 @@
 		}, stopTimeoutMs);
 		await Promise.all(this.#processes.map(async ({exited}) => exited));
 		clearTimeout(timer);
+		await Promise.all(this.#relays.map(async relay => relay.close()));
+	}
+
+	async #startLinks(peerPort: number): Promise<RouterLinks> {
+		const platform = new TcpRelay(Number(this.platformAddress.split(':')[1]));
+		const peers = new TcpRelay(peerPort);
+		for (const relay of [platform, peers]) {
+			await relay.listen();
+			this.#relays.push(relay);
+		}
+
+		return {platform, peers};
 	}
 
 	#startTarget(index: number, port: number): void {
@@ -201,16 +271,24 @@
 		const pool = isEngine ? plan.modelPool : plan.plainPool;
 		const id = `${pool}-${isEngine ? index + 1 : index - plan.engineCount + 1}`;
 		const address = `${host}:${port}`;
-		const flags = ['--address', address, '--id', id, ...(isEngine ? plan.engineFlags ?? [] : [])];
+		const zone = plan.zones[index % plan.zones.length]!;
 		this.targets.push({
-			id, pool, address, zone: plan.zones[index % plan.zones.length]!, isLeaving: false,
-			process: this.#spawn(isEngine ? 'engine' : 'plain-service', '@sequoiatally/stand-ins', flags),
+			id, pool, address, zone, isLeaving: false, process: this.#spawnTarget({id, pool, address}),
 		});
 	}
 
+	#spawnTarget({id, pool, address}: Pick<FleetTarget, 'id' | 'pool' | 'address'>): FleetProcess {
+		const {modelPool, engineFlags = []} = this.plan;
+		const isEngine = pool === modelPool;
+		const flags = ['--address', address, '--id', id, ...(isEngine ? engineFlags : [])];
+		return this.#spawn(isEngine ? 'engine' : 'plain-service', '@sequoiatally/stand-ins', flags);
+	}
+
 	#spawn(binary: string, packageName: string, flags: readonly string[]): FleetProcess {
 		const path = fileURLToPath(new URL(`bin/${binary}.js`, import.meta.resolve(packageName)));
-		const child = spawn(process.execPath, [path, ...flags], {stdio: ['ignore', 'ignore', 'inherit']});
+		const {logPath} = this.plan;
+		this.#logFile ??= logPath === undefined ? undefined : openSync(logPath, 'a');
+		const child = spawn(process.execPath, [path, ...flags], {stdio: ['ignore', 'ignore', this.#logFile ?? 'inherit']});
 		const exited = new Promise<number | undefined>(resolve => {
 			child.on('exit', code => {
 				resolve(code ?? undefined);
--- /dev/null
+++ b/packages/load/src/lib/load-run.ts
@@ -0,0 +1,262 @@
+/**
+ * A run: starts the plan's deployment, sends its schedule at the intended
+ * times, carries out its faults, and records what became of every request.
+ */
+import {mkdir, readFile} from 'node:fs/promises';
+import path from 'node:path';
+import {setTimeout as wait} from 'node:timers/promises';
+import {parseConfiguration, type Configuration} from '@sequoiatally/core';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	describeOutcome, recordOutcome, type AnswerRecord, type LoadSeries, type RecordOutcome, type TargetReport,
+} from './answer-record.js';
+import {
+	callKind, createCallSchedule, type AccountLimit, type CallSchedule, type PlannedCall,
+} from './call-schedule.js';
+import {Caller, type Answer} from './caller.js';
+import {runFaults, type FaultScene, type InjectedFault} from './fault-runner.js';
+import {Fleet, type FleetRouter} from './fleet.js';
+import {faultKind, type LoadPlan} from './load-plan.js';
+import {TargetObserver} from './target-observer.js';
+
+/** Longest time that the run waits for the last answers, in milliseconds. */
+const lastAnswersMs = 30_000;
+/** Time between two reports of progress, in milliseconds. */
+const progressIntervalMs = 2000;
+
+/** A run that could not begin. */
+export type RunFault = {readonly kind: 'bad-configuration'; readonly path: string; readonly message: string};
+
+/** All that a run leaves behind. */
+export type RunRecord = {
+	readonly plan: LoadPlan;
+	readonly accounts: readonly AccountLimit[];
+	readonly records: readonly AnswerRecord[];
+	readonly omittedCount: number;
+	readonly faults: readonly InjectedFault[];
+	readonly targets: readonly TargetReport[];
+	readonly loads: LoadSeries;
+};
+
+/** How far a run is. */
+export type RunProgress = {
+	readonly elapsedMs: number;
+	readonly sentCount: number;
+	readonly openCount: number;
+	readonly counts: Readonly<Record<RecordOutcome, number>>;
+	/** A fault that has just begun. */
+	readonly fault?: InjectedFault;
+};
+
+export type RunOptions = {
+	/** Directory of the plan, to which its configuration's path is relative. */
+	readonly planDirectory: string;
+	readonly resultDirectory: string;
+	readonly onProgress?: (progress: RunProgress) => void;
+};
+
+/** Runs a plan from start to stop; every process that it starts is stopped. */
+export async function runLoad(plan: LoadPlan, options: RunOptions): Promise<Result<RunRecord, RunFault>> {
+	const configurationPath = path.resolve(options.planDirectory, plan.deployment.configuration);
+	const configurationText = await readFile(configurationPath, 'utf8');
+	const configuration = parseConfiguration(configurationText);
+	if (configuration.isErr()) {
+		return err({kind: 'bad-configuration', path: configurationPath, message: configuration.error.map(({place, message}) => `${place}: ${message}`).join('; ')});
+	}
+
+	await mkdir(options.resultDirectory, {recursive: true});
+	const run = new LoadRun(plan, configuration.value, configurationText, options);
+	return ok(await run.run());
+}
+
+class LoadRun {
+	readonly #plan: LoadPlan;
+	readonly #options: RunOptions;
+	readonly #fleet: Fleet;
+	readonly #accounts: readonly AccountLimit[];
+	readonly #schedule: CallSchedule;
+	readonly #records: AnswerRecord[] = [];
+	readonly #faults: InjectedFault[] = [];
+	readonly #counts: Record<RecordOutcome, number> = {
+		whole: 0, refused: 0, lost: 0, wrong: 0, unanswered: 0, unsent: 0,
+	};
+
+	readonly #callers = new Map<string, Caller>();
+	readonly #open = new Set<Promise<void>>();
+	#configuration: Configuration;
+	#startedAt = 0;
+	#sentCount = 0;
+	#isOver = false;
+
+	constructor(plan: LoadPlan, configuration: Configuration, configurationText: string, options: RunOptions) {
+		this.#plan = plan;
+		this.#options = options;
+		this.#configuration = configuration;
+		this.#accounts = configuration.accounts.filter(({keyDigests}) => keyDigests.length > 0);
+		this.#schedule = createCallSchedule(plan, this.#accounts);
+		this.#fleet = new Fleet({
+			...plan.deployment,
+			configurationText,
+			timelineDirectory: options.resultDirectory,
+			logPath: path.join(options.resultDirectory, 'processes.log'),
+			usesRelays: plan.faults.some(({kind}) => kind === faultKind.cutRouter),
+		});
+	}
+
+	async run(): Promise<RunRecord> {
+		try {
+			await this.#fleet.start();
+			await wait(this.#plan.settleMs);
+			return await this.#runTraffic();
+		} finally {
+			await Promise.all([...this.#callers.values()].map(async caller => caller.destroy()));
+			await this.#fleet.stop();
+		}
+	}
+
+	async #runTraffic(): Promise<RunRecord> {
+		const observer = new TargetObserver(this.#fleet);
+		observer.start();
+		const progress = setInterval(() => {
+			this.#reportProgress();
+		}, progressIntervalMs);
+		this.#startedAt = performance.now();
+		try {
+			await Promise.all([this.#sendCalls(), this.#runFaults()]);
+			await this.#waitForLastAnswers();
+		} finally {
+			clearInterval(progress);
+		}
+
+		return {
+			plan: this.#plan,
+			accounts: this.#accounts,
+			records: this.#records,
+			omittedCount: this.#schedule.omittedCount,
+			faults: this.#faults,
+			targets: await observer.stop(),
+			loads: observer.loads,
+		};
+	}
+
+	async #runFaults(): Promise<void> {
+		const {faults} = this.#plan;
+		const scene: FaultScene = {
+			fleet: this.#fleet, routers: [...this.#fleet.routers], publishChange: async change => this.#publishChange(change),
+		};
+		await runFaults(faults, scene, this.#startedAt, fault => {
+			this.#faults.push(fault);
+			this.#reportProgress(fault);
+		});
+	}
+
+	async #publishChange(change: (configuration: Configuration) => Configuration): Promise<void> {
+		this.#configuration = {...change(this.#configuration), version: this.#configuration.version + 1};
+		await this.#fleet.publishConfiguration(JSON.stringify(this.#configuration));
+	}
+
+	async #sendCalls(): Promise<void> {
+		for (const [index, call] of this.#schedule.calls.entries()) {
+			const delayMs = this.#startedAt + call.atMs - performance.now();
+			if (delayMs > 0) {
+				await wait(delayMs);
+			}
+
+			this.#startCall(call, index);
+		}
+	}
+
+	#startCall(call: PlannedCall, index: number): void {
+		const router = this.#chooseRouter(call.entry);
+		if (router === undefined || this.#open.size >= this.#plan.openLimit) {
+			this.#record({
+				call, routerId: router?.id ?? '', outcome: recordOutcome.unsent, endMs: this.#readElapsedMs(),
+			});
+			return;
+		}
+
+		this.#sentCount++;
+		const running = this.#runCall(call, index, router);
+		this.#open.add(running);
+		void this.#forgetWhenOver(running);
+	}
+
+	/** Chooses as a balancer with sticky sources does, among the routers that are up. */
+	#chooseRouter(entry: number): FleetRouter | undefined {
+		const {openRouters} = this.#fleet;
+		return openRouters[Math.floor(entry * openRouters.length)];
+	}
+
+	async #forgetWhenOver(running: Promise<void>): Promise<void> {
+		await running;
+		this.#open.delete(running);
+	}
+
+	async #runCall(call: PlannedCall, index: number, router: FleetRouter): Promise<void> {
+		const idempotencyKey = call.kind === callKind.booking ? `${this.#plan.name}-${index}` : undefined;
+		const answer = await this.#call(call, router, idempotencyKey);
+		const outcome = this.#isOver ? recordOutcome.unanswered : describeOutcome(answer);
+		this.#record({
+			call, routerId: router.id, outcome, endMs: this.#readElapsedMs(), idempotencyKey, answer,
+		});
+	}
+
+	async #call(call: PlannedCall, {callerAddress}: FleetRouter, idempotencyKey: string | undefined): Promise<Answer> {
+		const {traffic, deployment} = this.#plan;
+		const caller = this.#findCaller(call.account);
+		const key = `${deployment.keyPrefix}${call.account}`;
+		const intendedAt = this.#startedAt + call.atMs;
+		if (call.kind === callKind.chat) {
+			const {chatId, maxTokens, priority} = call;
+			return caller.callChat(callerAddress, {
+				key, model: deployment.model, chatId, maxTokens, priority, intendedAt,
+			});
+		}
+
+		return call.kind === callKind.booking
+			? caller.callPlain(callerAddress, {
+				key, method: 'POST', path: traffic.bookingPath, idempotencyKey, intendedAt,
+			})
+			: caller.callPlain(callerAddress, {
+				key, method: 'GET', path: traffic.readPath, intendedAt,
+			});
+	}
+
+	#findCaller(account: string): Caller {
+		const known = this.#callers.get(account);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const caller = new Caller();
+		this.#callers.set(account, caller);
+		return caller;
+	}
+
+	async #waitForLastAnswers(): Promise<void> {
+		const ended = Promise.all(this.#open);
+		const limit = setTimeout(() => {
+			this.#isOver = true;
+			for (const caller of this.#callers.values()) {
+				void caller.destroy();
+			}
+		}, lastAnswersMs);
+		await ended;
+		clearTimeout(limit);
+	}
+
+	#record(record: AnswerRecord): void {
+		this.#records.push(record);
+		this.#counts[record.outcome]++;
+	}
+
+	#reportProgress(fault?: InjectedFault): void {
+		this.#options.onProgress?.({
+			elapsedMs: this.#readElapsedMs(), sentCount: this.#sentCount, openCount: this.#open.size, counts: this.#counts, fault,
+		});
+	}
+
+	#readElapsedMs(): number {
+		return performance.now() - this.#startedAt;
+	}
+}
--- /dev/null
+++ b/packages/load/src/lib/result-rows.ts
@@ -0,0 +1,69 @@
+/**
+ * The figures of a result as rows of text, for the terminal, the page of one
+ * run and the page that compares two.
+ */
+import {findPercentile} from './latency.js';
+import type {AccountResult, RunResult} from './run-result.js';
+
+/** A figure of a run. */
+export type ResultRow = {readonly name: string; readonly value: number; readonly text: string};
+
+/** Formats a fraction as a percentage; a fraction of nothing says so. */
+export function formatFraction(part: number, whole: number): string {
+	return whole === 0 ? 'none' : `${(part / whole * 100).toFixed(2)}% (${part} of ${whole})`;
+}
+
+/** Formats milliseconds. */
+export function formatMs(value: number): string {
+	return `${value.toFixed(value < 10 ? 2 : 1)} ms`;
+}
+
+/** Finds the account whose requests inside its rate fared worst; undefined: none sent any. */
+export function findWorstServed(accounts: readonly AccountResult[]): AccountResult | undefined {
+	const computeFraction = ({insideWhole, inside}: AccountResult) => insideWhole / inside;
+	return accounts
+		.filter(({inside}) => inside > 0)
+		.sort((a, b) => computeFraction(a) - computeFraction(b))[0];
+}
+
+/** Computes the highest load of a model target over the mean of its pool, by answers. */
+export function computeSkew({targets}: RunResult): number {
+	const answers = targets.map(target => target.answers).filter(count => count > 0);
+	const mean = answers.reduce((sum, count) => sum + count, 0) / Math.max(1, answers.length);
+	return answers.length === 0 ? 0 : Math.max(...answers) / mean;
+}
+
+/** Lists the figures of a run, the most important first. */
+export function listResultRows(result: RunResult): ResultRow[] {
+	const {counts, reuse, accounts, targets} = result;
+	const sent = Object.values(counts).reduce((sum, count) => sum + count, 0) - counts.unsent;
+	const worst = findWorstServed(accounts);
+	const overrun = targets.reduce((sum, {overrunCount}) => sum + overrunCount, 0);
+	const createCountRow = (name: string, value: number): ResultRow => ({name, value, text: String(value)});
+	const createLatencyRow = (name: string, value: number): ResultRow => ({name, value, text: formatMs(value)});
+	return [
+		createCountRow('requests sent', sent),
+		{name: 'whole answers', value: counts.whole / Math.max(1, sent), text: formatFraction(counts.whole, sent)},
+		createCountRow('refused, with type and outcome', counts.refused),
+		createCountRow('lost with their router', counts.lost),
+		createCountRow('wrong answers', counts.wrong),
+		createCountRow('unanswered', counts.unanswered),
+		createCountRow('not sent: too many open', counts.unsent),
+		{name: 'refused although inside the rate', value: result.wrongful / Math.max(1, result.inside), text: formatFraction(result.wrongful, result.inside)},
+		createCountRow('ran although refused as "not run"', result.falseNotRun),
+		createCountRow('ran twice although not repeatable', result.doubledRuns),
+		createCountRow('keys seen by targets', result.keySightings),
+		createCountRow('requests beyond what a target bears', overrun),
+		{name: 'cache reuse by returning chats', value: reuse.hits / Math.max(1, reuse.returning), text: formatFraction(reuse.hits, reuse.returning)},
+		{
+			name: 'worst-served client account',
+			value: worst === undefined ? 0 : worst.insideWhole / worst.inside,
+			text: worst === undefined ? 'none' : `${worst.name}: ${formatFraction(worst.insideWhole, worst.inside)} of its requests inside the rate`,
+		},
+		{name: 'busiest model target over the mean', value: computeSkew(result), text: computeSkew(result).toFixed(2)},
+		createLatencyRow('first token, median', findPercentile(result.firstToken, 50)),
+		createLatencyRow('first token, 95 in 100', findPercentile(result.firstToken, 95)),
+		createLatencyRow('first token, 99 in 100', findPercentile(result.firstToken, 99)),
+		createLatencyRow('plain answer, 95 in 100', findPercentile(result.plain, 95)),
+	];
+}
--- /dev/null
+++ b/packages/load/src/lib/target-observer.ts
@@ -0,0 +1,74 @@
+/**
+ * Watches the targets of a fleet during a run: samples what each has in flight,
+ * and keeps the latest that each said of itself, also of one that was killed.
+ */
+import {request} from 'undici';
+import type {TargetReport} from './answer-record.js';
+import type {Fleet, FleetTarget} from './fleet.js';
+
+/** Time between two samples, in milliseconds. */
+export const sampleIntervalMs = 500;
+/** Time after which a target that does not answer counts as silent, in milliseconds. */
+const sampleTimeoutMs = 400;
+
+type Stats = Partial<Omit<TargetReport, 'id' | 'pool'>> & {readonly inFlight?: number};
+
+/** Samples the targets until it is stopped. */
+export class TargetObserver {
+	/** Requests in flight by target, one number per sample. */
+	readonly loads: Record<string, number[]> = {};
+	readonly #fleet: Fleet;
+	/** Reports by target and boot: counts start anew when a target restarts. */
+	readonly #reports = new Map<string, TargetReport>();
+	#timer?: NodeJS.Timeout;
+
+	constructor(fleet: Fleet) {
+		this.#fleet = fleet;
+	}
+
+	start(): void {
+		this.#timer = setInterval(() => {
+			void this.sample();
+		}, sampleIntervalMs);
+	}
+
+	/** Stops and lists the final reports. */
+	async stop(): Promise<TargetReport[]> {
+		clearInterval(this.#timer);
+		await this.sample();
+		return [...this.#reports.values()];
+	}
+
+	async sample(): Promise<void> {
+		await Promise.all(this.#fleet.targets.map(async target => this.#sampleTarget(target)));
+	}
+
+	async #sampleTarget(target: FleetTarget): Promise<void> {
+		const {id, pool, process} = target;
+		this.loads[id] ??= [];
+		const series = this.loads[id];
+		const index = series.push(0) - 1;
+		const stats = await readStats(target);
+		if (stats === undefined) {
+			return;
+		}
+
+		const {
+			inFlight = 0, keySightings = 0, highestInFlight = 0, overrunCount = 0, runs = {},
+		} = stats;
+		series[index] = inFlight;
+		this.#reports.set(`${id}/${process.child.pid}`, {
+			id, pool, keySightings, highestInFlight, overrunCount, runs,
+		});
+	}
+}
+
+async function readStats({address}: FleetTarget): Promise<Stats | undefined> {
+	try {
+		const {body} = await request(`http://${address}/control/stats`, {signal: AbortSignal.timeout(sampleTimeoutMs)});
+		return await body.json() as Stats;
+	} catch {
+		// A killed or frozen target says nothing; the sample counts no load.
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/load/src/lib/tcp-relay.ts
@@ -0,0 +1,119 @@
+/**
+ * A relay in front of one address: counts the bytes that pass, and can cut the
+ * link or let it fall silent. It stands for the network between the processes
+ * of a fleet on loopback.
+ */
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
+
+const host = '127.0.0.1';
+
+/** What a relay does with the bytes that come. */
+export const linkState = {
+	up: 'up',
+	/** Connections are closed and new ones refused. */
+	cut: 'cut',
+	/** Connections stay open, and nothing passes. */
+	silent: 'silent',
+} as const;
+export type LinkState = typeof linkState[keyof typeof linkState];
+
+/** Relays TCP connections to one port on loopback. */
+export class TcpRelay {
+	/** Bytes towards the relayed port. */
+	bytesIn = 0;
+	/** Bytes back from it. */
+	bytesOut = 0;
+	/** Connections accepted. */
+	connectionCount = 0;
+	#state: LinkState = linkState.up;
+	readonly #targetPort: number;
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+
+	constructor(targetPort: number) {
+		this.#targetPort = targetPort;
+		this.#server = createServer(socket => {
+			this.#accept(socket);
+		});
+	}
+
+	/** Address that reaches the relayed port through here. */
+	get address(): string {
+		return `${host}:${(this.#server.address() as {port: number}).port}`;
+	}
+
+	async listen(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, host, resolve);
+		});
+	}
+
+	setState(state: LinkState): void {
+		this.#state = state;
+		if (state === linkState.cut) {
+			this.#destroySockets();
+			return;
+		}
+
+		for (const socket of this.#sockets) {
+			if (state === linkState.silent) {
+				socket.pause();
+			} else {
+				socket.resume();
+			}
+		}
+	}
+
+	async close(): Promise<void> {
+		this.#destroySockets();
+		await new Promise(resolve => {
+			this.#server.close(resolve);
+		});
+	}
+
+	#accept(socket: Socket): void {
+		if (this.#state === linkState.cut) {
+			socket.destroy();
+			return;
+		}
+
+		this.connectionCount++;
+		const onward = connect({port: this.#targetPort, host});
+		this.#join(socket, onward, byteCount => {
+			this.bytesIn += byteCount;
+		});
+		this.#join(onward, socket, byteCount => {
+			this.bytesOut += byteCount;
+		});
+	}
+
+	#join(from: Socket, to: Socket, count: (byteCount: number) => void): void {
+		this.#sockets.add(from);
+		from.setNoDelay(true);
+		from.on('data', chunk => {
+			count(chunk.length);
+			to.write(chunk);
+		});
+		from.on('end', () => {
+			to.end();
+		});
+		from.on('error', () => {
+			to.destroy();
+		});
+		from.on('close', () => {
+			this.#sockets.delete(from);
+			to.destroy();
+		});
+		if (this.#state === linkState.silent) {
+			from.pause();
+		}
+	}
+
+	#destroySockets(): void {
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/packages/load/src/test/call-schedule_test.ts
@@ -0,0 +1,56 @@
+/**
+ * Tests of the schedule: arrivals, surges, returning chats and bounds.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {callKind, createCallSchedule, drawArrivalTimes} from '../lib/call-schedule.js';
+import {RandomSource} from '../lib/random.js';
+import {createExamplePlan} from './example-plan.js';
+
+const accounts = [{name: 'large', rate: 100, burst: 200}, {name: 'small', rate: 10, burst: 20}];
+
+void test('arrivals are those of a Poisson process, and surge on schedule', () => {
+	const surge = {
+		account: 'large', atMs: 100_000, durationMs: 100_000, multiple: 5,
+	};
+	const times = drawArrivalTimes(new RandomSource(1), 20, 300_000, [surge]);
+	const countWithin = (from: number, to: number) => times.filter(time => time >= from && time < to).length;
+	// The standard deviation of a count of 2000 is 45, of one of 10,000 it is 100.
+	assert.ok(Math.abs(countWithin(0, 100_000) - 2000) < 200);
+	assert.ok(Math.abs(countWithin(100_000, 200_000) - 10_000) < 400);
+	const gaps = times.slice(1, 1500).map((time, index) => time - times[index]!);
+	const mean = gaps.reduce((sum, gap) => sum + gap, 0) / gaps.length;
+	const variance = gaps.reduce((sum, gap) => sum + ((gap - mean) ** 2), 0) / gaps.length;
+	assert.ok(Math.abs((Math.sqrt(variance) / mean) - 1) < 0.15, 'gaps are exponential: their deviation equals their mean');
+});
+
+void test('the same plan gives the same schedule, another seed another', () => {
+	const plan = createExamplePlan();
+	assert.deepEqual(createCallSchedule(plan, accounts), createCallSchedule(plan, accounts));
+	assert.notDeepEqual(createCallSchedule(plan, accounts), createCallSchedule({...plan, seed: 8}, accounts));
+});
+
+void test('a chat returns turn by turn, and only after a pause', () => {
+	const plan = createExamplePlan({durationMs: 60_000, traffic: {chats: {pauseMs: 500, longFraction: 0.2, longPauseMs: 3000}}});
+	const chats = createCallSchedule(plan, accounts).calls.filter(({kind}) => kind === callKind.chat);
+	const turns = new Map<string, number>();
+	for (const {chatId, turn} of chats) {
+		assert.equal(turn, (turns.get(chatId) ?? 0) + 1);
+		turns.set(chatId, turn);
+	}
+
+	const returning = chats.filter(({turn}) => turn > 1).length;
+	assert.ok(returning / chats.length > 0.5, 'most requests belong to a chat that returns');
+});
+
+void test('sticky entry sends the stated part of an account to one place, and the limit is kept and told', () => {
+	const plan = createExamplePlan({durationMs: 60_000, traffic: {stickyFraction: 0.5}});
+	const {calls} = createCallSchedule(plan, accounts);
+	const entries = calls.filter(({account}) => account === 'large').map(({entry}) => entry);
+	const usual = entries.filter(entry => entries.indexOf(entry) !== entries.lastIndexOf(entry)).length;
+	assert.ok(Math.abs((usual / entries.length) - 0.5) < 0.05);
+
+	const limited = createCallSchedule({...plan, requestLimit: 100}, accounts);
+	assert.equal(limited.calls.length, 100);
+	assert.equal(limited.omittedCount, calls.length - 100);
+});
--- /dev/null
+++ b/packages/load/src/test/load-plan_test.ts
@@ -0,0 +1,57 @@
+/**
+ * Tests of plans: the examples are valid, and every fault is named with its place.
+ */
+import assert from 'node:assert/strict';
+import {readFile} from 'node:fs/promises';
+import {test} from 'node:test';
+import {checkLoadPlan, parseLoadPlan, planFaultKind} from '../lib/load-plan.js';
+import {examplePlan} from './example-plan.js';
+
+const rootDirectory = new URL('../../../../', import.meta.url);
+
+for (const name of ['rungwright', 'hoang-lien']) {
+	void test(`the example plan "${name}" is valid`, async () => {
+		const text = await readFile(new URL(`examples/${name}-plan.json`, rootDirectory), 'utf8');
+		assert.deepEqual(parseLoadPlan(text).isOk(), true);
+	});
+}
+
+void test('every fault of a plan is reported with its place', () => {
+	const checked = checkLoadPlan({
+		...examplePlan,
+		traffic: {
+			fewestTokens: 9, mostTokens: 8, surges: [{
+				account: 'a', atMs: 5000, durationMs: 1, multiple: 2,
+			}],
+		},
+		faults: [
+			{kind: 'kill-router', atMs: 10, router: 2},
+			{
+				kind: 'drain-zone', atMs: 10, zone: 'zone-x', durationMs: 10,
+			},
+			{kind: 'turn-target-cold', atMs: 10, target: 'model-3'},
+			{kind: 'replace-all-routers', atMs: 2000},
+		],
+	});
+	assert.ok(checked.isErr());
+	assert.deepEqual(checked.error.map(({kind, place}) => [kind, place]), [
+		[planFaultKind.badRange, 'traffic.fewestTokens'],
+		[planFaultKind.outsideRun, 'traffic.surges.0.atMs'],
+		[planFaultKind.unknownRouter, 'faults.0.router'],
+		[planFaultKind.unknownZone, 'faults.1.zone'],
+		[planFaultKind.unknownTarget, 'faults.2.target'],
+		[planFaultKind.outsideRun, 'faults.3.atMs'],
+	]);
+});
+
+void test('a plan of the wrong shape is refused, unknown fields and faults included', () => {
+	for (const wrong of [{...examplePlan, extra: 1}, {...examplePlan, faults: [{kind: 'explode', atMs: 1}]}, {...examplePlan, durationMs: 1e9}]) {
+		const checked = checkLoadPlan(wrong);
+		assert.ok(checked.isErr());
+		assert.ok(checked.error.every(({kind}) => kind === planFaultKind.schema));
+	}
+
+	const parsed = parseLoadPlan('{');
+	assert.ok(parsed.isErr());
+	assert.equal(parsed.error[0]!.kind, planFaultKind.notJson);
+});
