--- a/packages/load/src/test/call-schedule_test.ts
+++ b/packages/load/src/test/call-schedule_test.ts
@@ -33,12 +33,20 @@
 void test('a chat returns turn by turn, and only after a pause', () => {
 	const plan = createExamplePlan({durationMs: 60_000, traffic: {chats: {pauseMs: 500, longFraction: 0.2, longPauseMs: 3000}}});
 	const chats = createCallSchedule(plan, accounts).calls.filter(({kind}) => kind === callKind.chat);
-	const turns = new Map<string, number>();
-	for (const {chatId, turn} of chats) {
-		assert.equal(turn, (turns.get(chatId) ?? 0) + 1);
-		turns.set(chatId, turn);
+	const last = new Map<string, {turn: number; atMs: number}>();
+	const pauses: number[] = [];
+	for (const {chatId, turn, atMs} of chats) {
+		const before = last.get(chatId);
+		assert.equal(turn, (before?.turn ?? 0) + 1);
+		pauses.push(...(before === undefined ? [] : [atMs - before.atMs]));
+		last.set(chatId, {turn, atMs});
 	}
 
+	pauses.sort((a, b) => a - b);
+	// The usual pause has a median of 350 ms; a fifth comes from the tail, 3000 ms at least.
+	assert.ok(pauses[Math.floor(pauses.length / 2)]! > 350);
+	assert.ok(pauses[Math.floor(pauses.length * 0.85)]! > 3000);
+
 	const returning = chats.filter(({turn}) => turn > 1).length;
 	assert.ok(returning / chats.length > 0.5, 'most requests belong to a chat that returns');
 });
