Demonstration on the pieces of the load tool

Cause: the demonstration had its own traffic, summary and merge of time lines, and its traffic began while the targets were cold.

It writes the report page beside the merged time line. The limit for the start of a fleet's process is 60 s, since 20 s failed once on a busy machine.

--- a/packages/load/src/bin/load.ts
+++ b/packages/load/src/bin/load.ts
@@ -10,6 +10,7 @@
 import {Command} from 'commander';
 import {parseLoadPlan, type LoadPlan} from '../lib/load-plan.js';
 import {runLoad, type RunProgress} from '../lib/load-run.js';
+import {mergeTimelines} from '../lib/merge-timeline.js';
 import {renderComparisonPage, renderReportPage} from '../lib/report-page.js';
 import {listResultRows} from '../lib/result-rows.js';
 import {createRunResult, hasBrokenPromise, type RunResult} from '../lib/run-result.js';
@@ -91,6 +92,7 @@
 	await writeFile(path.join(resultDirectory, 'result.json'), `${JSON.stringify(result)}\n`);
 	await writeFile(path.join(resultDirectory, 'answers.jsonl'), record.value.records.map(answer => `${JSON.stringify(answer)}\n`).join(''));
 	await writeFile(path.join(resultDirectory, 'report.html'), renderReportPage(result));
+	await mergeTimelines(resultDirectory);
 	for (const {name, text} of listResultRows(result)) {
 		print(`${name.padEnd(40)}${text}`);
 	}
--- a/packages/load/src/lib/call-schedule.ts
+++ b/packages/load/src/lib/call-schedule.ts
@@ -14,6 +14,8 @@
 	booking: 'booking',
 	/** A plain request that may be repeated. */
 	read: 'read',
+	/** A plain request without a key, to a route that is open to all. */
+	open: 'open',
 } as const;
 export type CallKind = typeof callKind[keyof typeof callKind];
 
@@ -45,8 +47,11 @@
 type Traffic = LoadPlan['traffic'];
 
 /** Creates the schedule of all accounts; the same plan gives the same schedule. */
-export function createCallSchedule(plan: LoadPlan, accounts: readonly AccountLimit[]): CallSchedule {
-	const calls = accounts.flatMap((account, index) => createAccountCalls(plan, account, index));
+export function createCallSchedule(plan: LoadPlan, accounts: readonly AccountLimit[], openAccount?: AccountLimit): CallSchedule {
+	const calls = [
+		...accounts.flatMap((account, index) => createAccountCalls(plan, account, index)),
+		...createOpenCalls(plan, openAccount),
+	];
 	calls.sort((a, b) => a.atMs - b.atMs);
 	return {calls: calls.slice(0, plan.requestLimit), omittedCount: Math.max(0, calls.length - plan.requestLimit)};
 }
@@ -89,6 +94,17 @@
 	});
 }
 
+function createOpenCalls({seed, durationMs, traffic}: LoadPlan, account: AccountLimit | undefined): PlannedCall[] {
+	if (account === undefined || traffic.openRate === 0) {
+		return [];
+	}
+
+	const random = new RandomSource(seed - 1);
+	return drawArrivalTimes(random, traffic.openRate, durationMs, []).map(atMs => ({
+		kind: callKind.open, account: account.name, atMs, chatId: '', turn: 1, maxTokens: 1, priority: 0, entry: random.drawUnit(),
+	}));
+}
+
 function drawKind({bookingFraction, readFraction}: Traffic, random: RandomSource): CallKind {
 	const drawn = random.drawUnit();
 	if (drawn < bookingFraction) {
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -12,7 +12,7 @@
 import {linkState, TcpRelay, type LinkState} from './tcp-relay.js';
 
 const host = '127.0.0.1';
-const startTimeoutMs = 20_000;
+const startTimeoutMs = 60_000;
 const stopTimeoutMs = 5000;
 const fleetSecret = 'loopback-fleet-secret';
 /** Token of the administration API in fleets on loopback. */
--- a/packages/load/src/lib/load-plan.ts
+++ b/packages/load/src/lib/load-plan.ts
@@ -118,6 +118,9 @@
 	/** Part of the requests that are plain and repeatable. */
 	readFraction: fractionSchema.default(0),
 	readPath: z.string().startsWith('/').default('/v1/records'),
+	/** Requests per second without a key, to a route that is open to all. */
+	openRate: z.number().min(0).max(100_000).default(0),
+	openPath: z.string().startsWith('/').default('/public/notices'),
 	/** Part of the requests that have a priority above 0. */
 	urgentFraction: fractionSchema.default(0.1),
 	urgentPriority: z.number().int().min(0).max(9).default(5),
--- a/packages/load/src/lib/load-run.ts
+++ b/packages/load/src/lib/load-run.ts
@@ -92,8 +92,11 @@
 		this.#plan = plan;
 		this.#options = options;
 		this.#configuration = configuration;
-		this.#accounts = configuration.accounts.filter(({keyDigests}) => keyDigests.length > 0);
-		this.#schedule = createCallSchedule(plan, this.#accounts);
+		const keyed = configuration.accounts.filter(({keyDigests}) => keyDigests.length > 0);
+		const openName = configuration.routes.find(({open}) => open)?.openAccount;
+		const openAccount = plan.traffic.openRate > 0 ? configuration.accounts.find(({name}) => name === openName) : undefined;
+		this.#accounts = openAccount === undefined ? keyed : [...keyed, openAccount];
+		this.#schedule = createCallSchedule(plan, keyed, openAccount);
 		this.#fleet = new Fleet({
 			...plan.deployment,
 			configurationText,
@@ -213,13 +216,14 @@
 			});
 		}
 
-		return call.kind === callKind.booking
-			? caller.callPlain(callerAddress, {
-				key, method: 'POST', path: traffic.bookingPath, idempotencyKey, intendedAt,
-			})
-			: caller.callPlain(callerAddress, {
-				key, method: 'GET', path: traffic.readPath, intendedAt,
-			});
+		const plainCalls = {
+			[callKind.booking]: {
+				key, method: 'POST', path: traffic.bookingPath, idempotencyKey,
+			},
+			[callKind.read]: {key, method: 'GET', path: traffic.readPath},
+			[callKind.open]: {method: 'GET', path: traffic.openPath},
+		};
+		return caller.callPlain(callerAddress, {...plainCalls[call.kind], intendedAt});
 	}
 
 	#findCaller(account: string): Caller {
