--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -13,8 +13,9 @@
 	applyList, applyListUnchanged, applyPeerFailure, applySummary, exchangeWithPeers, updateMembership,
 } from './membership/reduce-membership.js';
 import {
-	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft,
+	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft, applyForwardEnd,
 } from './requests/reduce-requests.js';
+import {releaseTickets} from './requests/reduce-tickets.js';
 import {recordEntry, type State, type Step} from './state.js';
 import {applyConfiguration, applyTablesUnchanged, rejectConfiguration} from './tables.js';
 import {applyLoadReport, applyPeerEvidence} from './targets/target-boot.js';
@@ -49,6 +50,12 @@
 			break;
 		}
 
+		case eventKind.forwardEnded: {
+			applyForwardEnd(step, event);
+			finishDrainIfIdle(step);
+			break;
+		}
+
 		case eventKind.callerLeft: {
 			applyCallerLeft(step, event);
 			advanceWaiting(step);
@@ -147,6 +154,7 @@
 			updateBuckets(step);
 			borrowRates(step);
 			advanceWaiting(step);
+			releaseTickets(step);
 			break;
 		}
 	}
--- a/packages/router/src/lib/metrics.ts
+++ b/packages/router/src/lib/metrics.ts
@@ -23,9 +23,16 @@
 	[timelineKind.callerLeft]: 'caller-left',
 };
 
-/** Effects that send a message to a peer or the configuration service. */
+/** Effects that send a message to a peer, a target or the configuration service, beside requests. */
 const controlEffects: ReadonlyArray<Effect['kind']> = [
-	effectKind.readDocument, effectKind.fetchDocument, effectKind.exchange, effectKind.borrow, effectKind.answerBorrow, effectKind.giveBack,
+	effectKind.readDocument,
+	effectKind.fetchDocument,
+	effectKind.exchange,
+	effectKind.borrow,
+	effectKind.answerBorrow,
+	effectKind.giveBack,
+	effectKind.forward,
+	effectKind.probe,
 ];
 
 /** Metrics of one router. */
--- a/packages/router/src/lib/router.ts
+++ b/packages/router/src/lib/router.ts
@@ -3,14 +3,17 @@
  */
 import {randomUUID} from 'node:crypto';
 import {
-	createState, eventKind, RendezvousChoice, timelineKind, type AnswerBorrow, type Borrow, type Cancel, type Dispatch, type Effect, type Event,
-	type Exchange, type FetchDocument, type GiveBack, type Probe, type ReadDocument, type Refuse, type TimelineEntry,
+	createState, createUnknown, eventKind, refusalReason, RendezvousChoice, timelineKind, type AnswerBorrow,
+	type Borrow, type Cancel, type Dispatch, type Effect, type Event,
+	type Exchange, type FetchDocument, type Forward, type GiveBack, type Probe, type ReadDocument, type Refuse,
+	type RememberAnswer, type Replay, type TimelineEntry,
 } from '@sequoiatally/core';
 import {
 	readMonotonicMs, readWallMs, TimelineWriter, type LifecycleManager, type Logger, type NamedToken, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {AlarmWatch} from './alarm-watch.js';
 import {listenAdmin} from './admin-server.js';
+import {AnswerStore} from './answer-store.js';
 import {CallerServer, type OpenRequests} from './caller-server.js';
 import {Metrics} from './metrics.js';
 import {PeerClient} from './peer-client.js';
@@ -37,6 +40,17 @@
 	/** Operators' tokens with their holders' names. */
 	readonly adminTokens: readonly NamedToken[];
 	readonly timelinePath: string | undefined;
+	/** Time in which a caller has to take some of the bytes that wait for it, in milliseconds. */
+	readonly callerSilenceMs: number;
+	/** Time without a byte after which a target's answer counts as lost, in milliseconds. */
+	readonly targetSilenceMs: number;
+};
+
+/** A router that serves. */
+export type StartedRouter = {
+	readonly runner: Runner;
+	/** Ends every open request with a typed error; returns their identifiers. */
+	readonly cutOpenRequests: () => string[];
 };
 
 class RouterEffects extends EffectHandler {
@@ -49,6 +63,7 @@
 	readonly refusals: RecentRefusals;
 	readonly timeline: TimelineWriter;
 	readonly runner: Runner;
+	readonly answers: AnswerStore;
 	readonly onDrained: () => void;
 
 	constructor(parts: Omit<RouterEffects, keyof EffectHandler>) {
@@ -62,6 +77,7 @@
 		this.refusals = parts.refusals;
 		this.timeline = parts.timeline;
 		this.runner = parts.runner;
+		this.answers = parts.answers;
 		this.onDrained = parts.onDrained;
 	}
 
@@ -87,6 +103,31 @@
 		this.targets.cancel(attemptId);
 	}
 
+	override forward(effect: Forward): void {
+		const open = this.openRequests.get(effect.requestId);
+		if (open !== undefined) {
+			void this.peerClient.forward(effect, open);
+		}
+	}
+
+	override rememberAnswer({requestId, ticketRecordId}: RememberAnswer): void {
+		const answer = this.openRequests.get(requestId)?.answer;
+		if (answer !== undefined) {
+			this.answers.add(ticketRecordId, answer);
+		}
+	}
+
+	override replay({requestId, ticketRecordId}: Replay): void {
+		const answer = this.answers.read(ticketRecordId);
+		const open = this.openRequests.get(requestId);
+		this.openRequests.delete(requestId);
+		if (answer === undefined) {
+			open?.refuse(createUnknown(refusalReason.answerNotKept, 'The request ran under this ticket; its answer is no longer kept.'));
+		} else {
+			open?.finishPlain({...answer, isReplayed: true});
+		}
+	}
+
 	override probe(effect: Probe): void {
 		void this.targets.probe(effect);
 	}
@@ -130,7 +171,7 @@
 }
 
 /** Starts a router; it stops when it has drained, or when the lifecycle closes. */
-export async function startRouter(settings: RouterSettings, logger: Logger, lifecycle: LifecycleManager): Promise<Runner> {
+export async function startRouter(settings: RouterSettings, logger: Logger, lifecycle: LifecycleManager): Promise<StartedRouter> {
 	const {instanceId, zone} = settings;
 	const incarnation = randomUUID();
 	const timeline = new TimelineWriter({
@@ -153,10 +194,25 @@
 	};
 
 	const openRequests: OpenRequests = new Map();
-	const peerServer = new PeerServer(runner, settings.fleetSecret, readMonotonicMs);
+	const peerServer = new PeerServer(runner, openRequests, settings.fleetSecret, readMonotonicMs);
+	const callerServer = new CallerServer(runner, openRequests, {callerSilenceMs: settings.callerSilenceMs, readClock: readMonotonicMs});
+	const close = async () => {
+		// The reducer is done with a request before its last byte has left.
+		await callerServer.finish();
+		await peerServer.finish();
+		timeline.write({kind: timelineKind.drainEnded, cause: 'drain'});
+		await lifecycle.closeAll();
+	};
+
+	let isDrained = false;
+	const startClosing = () => {
+		void close();
+		return true;
+	};
+
 	runner.connect(new RouterEffects({
 		openRequests,
-		targets: new TargetClient(emit, readMonotonicMs, lifecycle),
+		targets: new TargetClient(emit, readMonotonicMs, settings.targetSilenceMs, lifecycle),
 		platform: new PlatformClient(settings.platformAddress, emit, readMonotonicMs, logger, lifecycle),
 		peerClient: new PeerClient(settings.fleetSecret, emit, readMonotonicMs, logger, lifecycle),
 		peerServer,
@@ -164,16 +220,16 @@
 		refusals,
 		timeline,
 		runner,
+		answers: new AnswerStore(),
 		onDrained() {
-			timeline.write({kind: timelineKind.drainEnded, cause: 'drain'});
-			void lifecycle.closeAll();
+			isDrained ||= startClosing();
 		},
 	}));
 	await peerServer.listen(settings.peerAddress, lifecycle);
 	await listenAdmin({
 		runner, metrics, timeline, refusals, alarms, logger, tokens: settings.adminTokens,
 	}, settings.adminAddress, lifecycle);
-	await new CallerServer(runner, openRequests).listen(settings.callerAddress, lifecycle);
+	await callerServer.listen(settings.callerAddress, lifecycle);
 	lifecycle.ownInterval('tick', tickIntervalMs, () => {
 		emit({kind: eventKind.tick});
 	});
@@ -182,5 +238,5 @@
 	});
 	timeline.write({kind: timelineKind.processStarted, cause: instanceId});
 	emit({kind: eventKind.tick});
-	return runner;
+	return {runner, cutOpenRequests: () => callerServer.cutOpenRequests()};
 }
--- a/packages/router/src/test/admin-server_test.ts
+++ b/packages/router/src/test/admin-server_test.ts
@@ -18,31 +18,20 @@
 import {createAdminApp, type AdminParts} from '../lib/admin-server.js';
 import {Metrics} from '../lib/metrics.js';
 import {RecentRefusals} from '../lib/recent-refusals.js';
-import {EffectHandler, Runner} from '../lib/runner.js';
+import {Runner, type EffectHandler} from '../lib/runner.js';
 
 const keyDigest = 'ab'.repeat(32);
 const token = 'amina-token-0123456789';
 const tokens = [{name: 'amina', token}, {name: 'ci', token: 'ci-token-0123456789abc'}];
 
-/** Counts effects and carries none out. */
-class NoEffects extends EffectHandler {
-	readonly effects: Effect[] = [];
-	override observe(effect: Effect): void {
-		this.effects.push(effect);
-	}
+/** Keeps effects and carries none out, of whatever kinds there are. */
+function createObserver(seen: Effect[]): EffectHandler {
+	const ignore = () => {/* Nothing is carried out. */};
+	const observe = (effect: Effect) => {
+		seen.push(effect);
+	};
 
-	override dispatch(): void {/* Nothing is sent. */}
-	override refuse(): void {/* Nobody waits. */}
-	override probe(): void {/* Nothing is sent. */}
-	override cancel(): void {/* Nothing runs. */}
-	override readDocument(): void {/* There is no service. */}
-	override fetchDocument(): void {/* There are no peers. */}
-	override exchange(): void {/* There are no peers. */}
-	override borrow(): void {/* There are no peers. */}
-	override answerBorrow(): void {/* There are no peers. */}
-	override giveBack(): void {/* There are no peers. */}
-	override record(): void {/* The time line is written by hand. */}
-	override finishDrain(): void {/* The process stays. */}
+	return new Proxy({}, {get: (_, name) => name === 'observe' ? observe : ignore}) as EffectHandler;
 }
 
 /** The fields that the tests look at, whatever the route. */
@@ -56,12 +45,12 @@
 type Answer = {readonly status: number; readonly body: AnswerBody};
 
 let parts: AdminParts;
-let effects: NoEffects;
+let effects: Effect[];
 let logged: LogFields[];
 
 beforeEach(async () => {
 	logged = [];
-	effects = new NoEffects();
+	effects = [];
 	const log = (fields: LogFields) => {
 		logged.push(fields);
 	};
@@ -74,7 +63,7 @@
 		instanceId: 'router-1', incarnation: 'i1', zone: 'zone-a', startedAt: readMonotonicMs() - 60_000,
 	};
 	const runner = new Runner(createState(self, {targetChoice: new RendezvousChoice()}), readMonotonicMs);
-	runner.connect(effects);
+	runner.connect(createObserver(effects));
 	const alarms = new AlarmWatch(logger, () => {/* Not looked at here. */});
 	parts = {
 		runner, timeline, alarms, logger, tokens, refusals: new RecentRefusals(), metrics: new Metrics(runner, alarms),
@@ -200,11 +189,11 @@
 			assert.equal(JSON.stringify([...state.targets.targets, ...state.targets.movedChats]), before);
 			// Tokens are not what this is about.
 			state.allowances.buckets.get('ladders')!.tokens = 10;
-			effects.effects.length = 0;
+			effects.length = 0;
 			handle({
 				kind: eventKind.requestArrived, requestId: `r${index}`, method: 'POST', path: '/chat', model: 'm', keyDigest, chatKey: chatId, priority: 0,
 			});
-			const sent = effects.effects.find(effect => effect.kind === 'dispatch');
+			const sent = effects.find(effect => effect.kind === 'dispatch');
 			assert.equal(choice.chosenTargetId, sent?.targetId);
 			overflowCount += Number(sent !== undefined && choice.targets[0]?.targetId !== sent.targetId);
 		}
@@ -226,7 +215,7 @@
 	assert.equal(await readStatus(), 200);
 	const drained = await call('POST', '/v1/drain');
 	assert.deepEqual([drained.body, await readStatus()], [{isDraining: true, openRequests: 0}, 503]);
-	assert.ok(!effects.effects.some(({kind}) => kind === 'finish-drain'), 'the process stays');
+	assert.ok(!effects.some(({kind}) => kind === 'finish-drain'), 'the process stays');
 	const undrained = await call('POST', '/v1/undrain');
 	assert.deepEqual([undrained.body, await readStatus()], [{isDraining: false, openRequests: 0}, 200]);
 	assert.deepEqual(logged.map(({operator, action}) => [operator, action]), [['amina', 'drain'], ['amina', 'undrain']]);
@@ -242,7 +231,7 @@
 test('a signal ends a process that an operator has drained', async () => {
 	await call('POST', '/v1/drain');
 	handle({kind: eventKind.drainRequested, by: 'signal'});
-	assert.ok(effects.effects.some(({kind}) => kind === 'finish-drain'));
+	assert.ok(effects.some(({kind}) => kind === 'finish-drain'));
 });
 
 test('no answer holds a digest of a key', async () => {
--- a/packages/scenarios/src/lib/reducer-fleet.ts
+++ b/packages/scenarios/src/lib/reducer-fleet.ts
@@ -9,8 +9,8 @@
  */
 import {
 	attemptOutcome, createState, describeSummary, documentKind, effectKind, eventKind, reduce, RendezvousChoice,
-	type AnswerBorrow, type Borrow, type Configuration, type Dispatch, type Effect, type Event, type Exchange, type FetchDocument,
-	type GiveBack, type InstanceList, type Probe, type ReadDocument, type Refusal, type State, type TargetChoice, type TimelineEntry,
+	timelineKind, type AnswerBorrow, type Borrow, type Configuration, type Dispatch, type Effect, type Event, type Exchange, type FetchDocument,
+	type Forward, type GiveBack, type InstanceList, type Probe, type ReadDocument, type Refusal, type State, type TargetChoice, type TimelineEntry,
 } from '@sequoiatally/core';
 import {uniformInt, xoroshiro128plus} from '@sequoiatally/load';
 
@@ -18,6 +18,7 @@
 const exchangeTimeoutMs = 1000;
 const borrowTimeoutMs = 300;
 const readTimeoutMs = 2000;
+const forwardTimeoutMs = 5000;
 /** Boot of targets that have been up for long. */
 const longUpSince = -1_000_000;
 
@@ -46,6 +47,8 @@
 	side: number;
 	/** True: it cannot reach the configuration service. */
 	isCutFromPlatform: boolean;
+	/** True: it reads a replica of the configuration service that stands still. */
+	readsStaleReplica: boolean;
 };
 
 /** What a caller sends. */
@@ -56,12 +59,23 @@
 	readonly model?: string;
 	readonly chatKey?: string;
 	readonly method?: string;
+	readonly idempotencyKey?: string;
+	readonly isForwarded?: boolean;
 };
 
 /** A request that was admitted, as the outside sees it. */
 export type SentRequest = {readonly at: number; readonly instanceId: string; readonly account: string; readonly targetId: string; readonly requestId: string};
 export type RefusedRequest = {readonly at: number; readonly instanceId: string; readonly requestId: string; readonly refusal: Refusal};
 
+type ReadAnswer = {
+	readonly after: number;
+	readonly revision: number;
+	readonly asOf: number;
+	readonly list: InstanceList;
+	readonly configuration: Configuration;
+	readonly currentAt: number;
+};
+
 /** One start of a target; its cache and its requests in flight end with it. */
 export type TargetBoot = {readonly bootId: string; readonly bootedAt: number};
 
@@ -88,11 +102,15 @@
 	configuration: Configuration;
 	/** True: every read of the configuration service fails. */
 	isPlatformDown = false;
+	/** Time and tables at which the stale replica stands still. */
+	staleReplica?: {readonly at: number; readonly configuration: Configuration};
 	/** What the platform shows now; readers get it after the lag. */
 	list: InstanceList = {asOf: 0, instances: [], targets: []};
 	readonly instances = new Map<string, FleetInstance>();
 	readonly sent: SentRequest[] = [];
 	readonly refused: RefusedRequest[] = [];
+	/** Requests that were answered from the kept answer of their ticket. */
+	readonly replayed: string[] = [];
 	readonly timeline: Array<TimelineEntry & {readonly at: number; readonly instanceId: string}> = [];
 	/** Requests in flight by target, over the whole fleet. */
 	readonly inFlight = new Map<string, number>();
@@ -112,6 +130,9 @@
 	readonly #shownLists: Array<{readonly at: number; readonly list: InstanceList}> = [];
 	readonly #borrowAnswers = new Map<number, (effect: AnswerBorrow) => void>();
 	readonly #accountByRequest = new Map<string, string>();
+	readonly #fieldsByRequest = new Map<string, CallerFields>();
+	/** Hands the end of a forwarded request back to the process that passed it on. */
+	readonly #forwardAnswers = new Map<string, (refusal?: Refusal) => void>();
 	/** Attempts under way by target. */
 	readonly #running = new Map<string, Set<RunningAttempt>>();
 	#order = 0;
@@ -143,6 +164,7 @@
 			frozenUntil: 0,
 			side: 0,
 			isCutFromPlatform: false,
+			readsStaleReplica: false,
 		};
 		this.instances.set(id, instance);
 		if (isListed) {
@@ -180,8 +202,9 @@
 	/** Sends a caller's request to an instance. */
 	request(instanceId: string, requestId: string, fields: CallerFields): void {
 		this.#accountByRequest.set(requestId, fields.account);
+		this.#fieldsByRequest.set(requestId, fields);
 		this.emit(this.instances.get(instanceId)!, {
-			kind: eventKind.requestArrived, requestId, method: fields.method ?? 'POST', path: fields.path, model: fields.model, keyDigest: fields.keyDigest, chatKey: fields.chatKey ?? requestId, priority: 0,
+			kind: eventKind.requestArrived, requestId, method: fields.method ?? 'POST', path: fields.path, model: fields.model, keyDigest: fields.keyDigest, chatKey: fields.chatKey ?? requestId, priority: 0, idempotencyKey: fields.idempotencyKey, isForwarded: fields.isForwarded,
 		});
 	}
 
@@ -259,6 +282,10 @@
 
 	#scheduleEffect(instance: FleetInstance, effect: Effect): void {
 		if (effect.kind === effectKind.record) {
+			if (effect.entry.kind === timelineKind.requestCompleted) {
+				this.#answerForward(instance, effect.entry.requestId!);
+			}
+
 			this.timeline.push({...effect.entry, at: this.now, instanceId: instance.id});
 			return;
 		}
@@ -280,7 +307,22 @@
 				break;
 			}
 
+			case effectKind.forward: {
+				this.#forward(instance, effect);
+				break;
+			}
+
+			case effectKind.replay: {
+				this.replayed.push(effect.requestId);
+				this.#answerForward(instance, effect.requestId);
+				break;
+			}
+
 			case effectKind.refuse: {
+				if (this.#answerForward(instance, effect.requestId, effect.refusal)) {
+					break;
+				}
+
 				this.refused.push({
 					at: this.now, instanceId: instance.id, requestId: effect.requestId, refusal: effect.refusal,
 				});
@@ -320,6 +362,7 @@
 			case effectKind.answerBorrow:
 			case effectKind.record:
 			case effectKind.cancel:
+			case effectKind.rememberAnswer:
 			case effectKind.finishDrain: {
 				break;
 			}
@@ -383,9 +426,11 @@
 				return;
 			}
 
-			const asOf = Math.max(0, this.now - (this.#options.listLagMs ?? 0));
+			const replica = instance.readsStaleReplica ? this.staleReplica : undefined;
+			const asOf = Math.max(0, (replica?.at ?? this.now) - (this.#options.listLagMs ?? 0));
+			const configuration = replica?.configuration ?? this.configuration;
 			const list = this.#findShownList(asOf);
-			const revision = document === documentKind.tables ? this.configuration.version : list.revision;
+			const revision = document === documentKind.tables ? configuration.version : list.revision;
 			if (revision <= after && waitedMs < waitMs) {
 				this.#scheduleFor(instance, tickMs, () => {
 					answer(waitedMs + tickMs);
@@ -394,7 +439,7 @@
 			}
 
 			const event = this.#describeRead(document, {
-				after, revision, asOf, list: list.list, currentAt: startedAt + waitedMs,
+				after, revision, asOf, list: list.list, configuration, currentAt: startedAt + waitedMs,
 			});
 			this.#scheduleFor(instance, this.#drawDelay(), () => {
 				this.emit(instance, event);
@@ -406,9 +451,9 @@
 		});
 	}
 
-	#describeRead(document: ReadDocument['document'], read: {after: number; revision: number; asOf: number; list: InstanceList; currentAt: number}): Event {
+	#describeRead(document: ReadDocument['document'], read: ReadAnswer): Event {
 		const {
-			after, revision, asOf, currentAt,
+			after, revision, asOf, currentAt, configuration,
 		} = read;
 		if (revision <= after) {
 			return {
@@ -419,7 +464,7 @@
 		const source = {revision};
 		return document === documentKind.tables
 			? {
-				kind: eventKind.configurationRead, configuration: this.configuration, text: JSON.stringify(this.configuration), currentAt, source,
+				kind: eventKind.configurationRead, configuration, text: JSON.stringify(configuration), currentAt, source,
 			}
 			: {
 				kind: eventKind.listRead, list: {...read.list, asOf}, currentAt, source,
@@ -494,6 +539,51 @@
 		});
 	}
 
+	/** The owner answers when its run ends, so the call stays open until then or until the deadline. */
+	#forward(from: FleetInstance, effect: Forward): void {
+		const {requestId, attemptId, peerId, ticket, deadlineAt} = effect;
+		const fields = this.#fieldsByRequest.get(requestId)!;
+		const end = (isAnswered: boolean, refusal?: Refusal) => {
+			this.emit(from, {
+				kind: eventKind.forwardEnded, requestId, attemptId, isAnswered, refusal,
+			});
+		};
+
+		const remoteId = `${requestId}.${attemptId}`;
+		const copies = this.#drawChance(this.network.doubleProbability) ? 2 : 1;
+		const to = this.instances.get(peerId);
+		const canReach = () => to?.isAlive === true && to.side === from.side;
+		for (let copy = 0; copy < copies; copy++) {
+			if (to === undefined || !canReach() || this.#drawChance(this.network.lossProbability)) {
+				continue;
+			}
+
+			this.#scheduleFor(to, this.#drawDelay(), () => {
+				this.#forwardAnswers.set(`${to.id}/${remoteId}`, refusal => {
+					if (canReach() && !this.#drawChance(this.network.lossProbability)) {
+						this.#scheduleFor(from, this.#drawDelay(), () => {
+							end(true, refusal);
+						});
+					}
+				});
+				this.request(to.id, remoteId, {...fields, idempotencyKey: ticket, isForwarded: true});
+			});
+		}
+
+		this.#scheduleFor(from, Math.max(0, Math.min(forwardTimeoutMs, deadlineAt - (this.now - from.startedAt))), () => {
+			end(false);
+		});
+	}
+
+	/** Ends a forwarded request at its owner; says whether it was one. */
+	#answerForward(owner: FleetInstance, requestId: string, refusal?: Refusal): boolean {
+		const id = `${owner.id}/${requestId}`;
+		const answer = this.#forwardAnswers.get(id);
+		this.#forwardAnswers.delete(id);
+		answer?.(refusal);
+		return answer !== undefined;
+	}
+
 	#giveBack(from: FleetInstance, {peerId, loanId}: GiveBack): void {
 		this.#call(from, peerId, borrowTimeoutMs, to => {
 			this.emit(to, {kind: eventKind.loanGivenBack, loanId});
