--- a/packages/cli/src/lib/commands/explain-command.ts
+++ b/packages/cli/src/lib/commands/explain-command.ts
@@ -67,11 +67,11 @@
 		? ''
 		: `; ${account.name} holds ${account.share.tokens.toFixed(1)} tokens and ${account.share.heldRate.toFixed(1)} of ${account.rate} requests/s here`;
 	const rows = targets.map(({
-		targetId, zone, rank, standing, inFlight, usableSlots,
-	}) => [rank === undefined ? '-' : String(rank), targetId, zone, standing, `${inFlight} of ${usableSlots}`]);
+		targetId, zone, rank, standing, inFlight, usableSlots, isCold,
+	}) => [rank === undefined ? '-' : String(rank), targetId, zone, standing, `${inFlight} of ${usableSlots}${isCold ? ', cold' : ''}`]);
 	return [
 		`  route ${route} to pool ${pool}${share}`,
-		chosenTargetId === undefined ? '  no target has room now: the request would wait' : `  goes to ${chosenTargetId}`,
+		chosenTargetId === undefined ? '  no target has room now: the request would wait; a cold target is probed first' : `  goes to ${chosenTargetId}`,
 		...formatTable(['rank', 'target', 'zone', 'standing', 'in flight here'], rows).map(line => `  ${line}`),
 	];
 }
--- a/packages/core/src/lib/describe/describe-targets.ts
+++ b/packages/core/src/lib/describe/describe-targets.ts
@@ -5,6 +5,8 @@
 import type {Pool} from '../configuration/configuration.js';
 import {listedState} from '../configuration/instance-list.js';
 import type {State} from '../state.js';
+import {computeUsableSlots} from '../targets/slot-share.js';
+import {isWarm} from '../targets/target-boot.js';
 import type {Target} from '../targets/target-state.js';
 
 export type TargetDescription = {
@@ -19,7 +21,9 @@
 	readonly avoidedForMs: number;
 	/** Undefined: nothing is known of its boot. */
 	readonly uptimeMs?: number;
-	/** True: younger than the pool's warm-up, or of unknown age. */
+	/** Age of the latest evidence of its boot, in milliseconds; undefined: none, or a failure came after it. */
+	readonly evidenceAgeMs?: number;
+	/** True: younger than the pool's warm-up, or without fresh evidence of its age. */
 	readonly isCold: boolean;
 	/** Requests that this instance has in flight there. */
 	readonly inFlight: number;
@@ -27,6 +31,8 @@
 	readonly peerInFlight: number;
 	/** Requests that the target bears over the whole fleet in its present state. */
 	readonly fleetSlots: number;
+	/** Requests that this instance may have in flight there. */
+	readonly usableSlots: number;
 };
 
 /** Describes every known target. */
@@ -37,11 +43,12 @@
 }
 
 function describeTarget(state: State, target: Target, peerInFlight: number, now: number): TargetDescription {
-	const {listed, bootedAt, avoidUntil, inFlight} = target;
+	const {
+		listed, bootedAt, evidenceAt, avoidUntil, inFlight,
+	} = target;
 	const {configuration} = state.tables;
 	const pool = configuration?.pools.find(({name}) => name === listed.pool);
-	const uptimeMs = bootedAt === undefined ? undefined : Math.round(now - bootedAt);
-	const isCold = uptimeMs === undefined || uptimeMs < (pool?.warmAfterMs ?? 0);
+	const isCold = pool === undefined || !isWarm(target, pool, now);
 	return {
 		targetId: listed.id,
 		pool: listed.pool,
@@ -50,14 +57,20 @@
 		isLeaving: listed.state !== listedState.live,
 		isZoneDrained: configuration?.drainedZones.includes(listed.zone) ?? false,
 		avoidedForMs: Math.max(0, Math.round(avoidUntil - now)),
-		uptimeMs,
+		uptimeMs: computeAge(bootedAt, now),
+		evidenceAgeMs: computeAge(evidenceAt, now),
 		isCold,
 		inFlight,
 		peerInFlight,
 		fleetSlots: computeSlots(pool, isCold),
+		usableSlots: pool === undefined ? 0 : computeUsableSlots({state, now, effects: []}, pool, target),
 	};
 }
 
+function computeAge(since: number | undefined, now: number): number | undefined {
+	return since === undefined ? undefined : Math.round(now - since);
+}
+
 function computeSlots(pool: Pool | undefined, isCold: boolean): number {
 	if (pool === undefined) {
 		return 0;
--- a/packages/core/src/lib/describe/explain-choice.ts
+++ b/packages/core/src/lib/describe/explain-choice.ts
@@ -11,6 +11,7 @@
 import {chooseTarget, listEligibleTargets} from '../targets/choose-target.js';
 import {computePoolLoad, isWithinMultiple} from '../targets/load-multiple.js';
 import {computeUsableSlots} from '../targets/slot-share.js';
+import {isWarm} from '../targets/target-boot.js';
 import {Room} from '../targets/target-choice.js';
 import type {Target} from '../targets/target-state.js';
 import {describeAccount, type AccountDescription} from './describe-accounts.js';
@@ -53,6 +54,8 @@
 	readonly standing: typeof targetStanding[keyof typeof targetStanding];
 	/** Place in the chat's order, from 1; undefined: may not take new work, or stands far behind. */
 	readonly rank?: number;
+	/** True: bears only its cold slots until it is old enough, and fresh evidence says so. */
+	readonly isCold: boolean;
 	/** Requests that this instance has in flight there. */
 	readonly inFlight: number;
 	/** Requests that this instance may have in flight there. */
@@ -141,7 +144,13 @@
 	const standings = new Map(eligible.map(target => [target, describeStanding(target)]));
 	const chosen = chooseTarget(step, pool, chatKey, new Set());
 	const describe = (target: Target, standing: TargetExplanation['standing'], rank?: number) => ({
-		targetId: target.listed.id, zone: target.listed.zone, standing, rank, inFlight: target.inFlight, usableSlots: computeUsableSlots(step, pool, target),
+		targetId: target.listed.id,
+		zone: target.listed.zone,
+		standing,
+		rank,
+		isCold: !isWarm(target, pool, step.now),
+		inFlight: target.inFlight,
+		usableSlots: computeUsableSlots(step, pool, target),
 	});
 	const ranked = new Set(ordered);
 	const unranked = eligible.filter(target => !ranked.has(target));
--- a/packages/router/src/lib/admin/admin-routes.ts
+++ b/packages/router/src/lib/admin/admin-routes.ts
@@ -67,10 +67,12 @@
 	isZoneDrained: z.boolean(),
 	avoidedForMs: z.number(),
 	uptimeMs: ageSchema,
+	evidenceAgeMs: ageSchema,
 	isCold: z.boolean(),
 	inFlight: z.number(),
 	peerInFlight: z.number(),
 	fleetSlots: z.number(),
+	usableSlots: z.number(),
 });
 
 const shareSchema = z.object({
@@ -112,6 +114,7 @@
 		zone: z.string(),
 		standing: z.enum(Object.values(targetStanding)),
 		rank: z.number().optional(),
+		isCold: z.boolean(),
 		inFlight: z.number(),
 		usableSlots: z.number(),
 	})),
