Slots over the whole fleet as loans; load multiple with fleet aim; routing experiment

Change: slots are shares of the ledger, divided by the ceiling, lent for 15 s and taken back by the lender only after the term and the longest deadline; a request at a cold target takes up slotsPerTarget / coldSlots of them. The bound of the load is now floor part + multiple x own mean, and what peers report tightens it.

--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -11,7 +11,7 @@
 import {updateBucket} from './allowance-state.js';
 import {computeDemandRate} from './demand-meter.js';
 import {describeAccountLimitId, findLimit, findLimitAccount} from './limit.js';
-import {computeNetShare, type Loan} from './share-ledger.js';
+import {computeLoanTermMs, computeNetShare, type Loan} from './share-ledger.js';
 import {
 	createShareWant, recordAnswer, type LoanAsk, type ShareAmount, type ShareWant,
 } from './share-want.js';
@@ -220,7 +220,7 @@
 }
 
 function sendAsk(step: Step, ask: LoanAsk): void {
-	const {self, allowances, tables} = step.state;
+	const {self, allowances} = step.state;
 	const address = findPeerAddress(step, ask.peerId);
 	if (address === undefined) {
 		return;
@@ -235,7 +235,7 @@
 			loanId: ask.loanId,
 			instanceId: self.instanceId,
 			incarnation: self.incarnation,
-			termMs: tables.configuration?.fleet.loanTermMs ?? 0,
+			termMs: computeLoanTermMs(step, ask.limitId),
 			amounts: [{limitId: ask.limitId, ...ask.amount}],
 		},
 	});
@@ -296,3 +296,14 @@
 		updateBucket(step, account);
 	}
 }
+
+/** True when a fresh request for a loan of this limit is not answered yet. */
+export function isLoanExpected({state, now}: Step, limitId: string): boolean {
+	for (const ask of state.allowances.asks.values()) {
+		if (ask.limitId === limitId && !ask.isExtension && now - ask.askedAt < hedgeAfterMs) {
+			return true;
+		}
+	}
+
+	return false;
+}
--- a/packages/core/src/lib/allowance/lend-share.ts
+++ b/packages/core/src/lib/allowance/lend-share.ts
@@ -12,7 +12,7 @@
 import {
 	computeSlotsInUse, findLimit, findLimitAccount, findLimitTarget,
 } from './limit.js';
-import {computeLendableShare, loanMarginMs} from './share-ledger.js';
+import {computeLendableShare, computeLoanTailMs, computeLoanTermMs} from './share-ledger.js';
 
 /** Time within which the answer has to leave the process, in milliseconds. */
 const answerWithinMs = 200;
@@ -44,8 +44,7 @@
 
 function lendShare(step: Step, request: BorrowRequest): LoanAmount | undefined {
 	const [asked] = request.amounts;
-	const termLimit = step.state.tables.configuration?.fleet.loanTermMs ?? 0;
-	if (asked === undefined || request.termMs > termLimit || findLimit(step, asked.limitId) === undefined) {
+	if (asked === undefined || request.termMs > computeLoanTermMs(step, asked.limitId) || findLimit(step, asked.limitId) === undefined) {
 		return undefined;
 	}
 
@@ -68,7 +67,7 @@
 		rate: amount.rate,
 		room: amount.room,
 		extendedAt: step.now,
-		endsAt: step.now + termMs + loanMarginMs,
+		endsAt: step.now + termMs + computeLoanTailMs(step, asked.limitId),
 	});
 	updateLimit(step, asked.limitId);
 	recordEntry(step, {
@@ -86,7 +85,7 @@
 
 	const {lent} = step.state.allowances;
 	const loan = lent.get(loanId)!;
-	loan.endsAt = Math.max(loan.endsAt, step.now + termMs + loanMarginMs);
+	loan.endsAt = Math.max(loan.endsAt, step.now + termMs + computeLoanTailMs(step, known.limitId));
 	return {
 		limitId: known.limitId, rate: known.rate, room: known.room, tokens: 0,
 	};
--- a/packages/core/src/lib/allowance/limit.ts
+++ b/packages/core/src/lib/allowance/limit.ts
@@ -3,6 +3,7 @@
  * share ledger moves parts of them without knowing what they limit.
  */
 import type {Step} from '../state.js';
+import {computeShareOfRequest} from '../targets/target-boot.js';
 
 /** A rate of tokens and the room for them; slots have room alone. */
 export type Limit = {
@@ -68,7 +69,16 @@
 	return pool === undefined ? undefined : {slots: pool.slotsPerTarget, era: String(pool.slotsPerTarget)};
 }
 
-/** Computes the slots of a target that this instance uses now and cannot lend. */
-export function computeSlotsInUse({state}: Step, targetId: string): number {
-	return state.targets.targets.get(targetId)?.inFlight ?? 0;
+/** Computes the part of a target's slots that this instance's requests take up, and that it cannot lend. */
+export function computeSlotsInUse(step: Step, targetId: string): number {
+	const target = step.state.targets.targets.get(targetId);
+	const pool = step.state.tables.configuration?.pools.find(({name}) => name === target?.listed.pool);
+	return target === undefined || pool === undefined ? 0 : target.inFlight * computeShareOfRequest(step, pool, target);
+}
+
+/** Computes the longest time that a request may hold a slot of a target, in milliseconds. */
+export function computeLongestUseMs({state}: Step, targetId: string): number {
+	const poolName = state.targets.targets.get(targetId)?.listed.pool;
+	const routes = state.tables.configuration?.routes ?? [];
+	return Math.max(0, ...routes.filter(({pool}) => pool === poolName).map(({deadlineMs}) => deadlineMs));
 }
--- a/packages/core/src/lib/allowance/share-ledger.ts
+++ b/packages/core/src/lib/allowance/share-ledger.ts
@@ -6,9 +6,9 @@
  * the borrower returns the loan. A borrower counts the term from before it
  * asked. A lost message therefore loses share for a term and never doubles it.
  */
-import {computeOwnedFraction} from '../membership/owned-fraction.js';
+import {computeCeilingFraction, computeOwnedFraction} from '../membership/owned-fraction.js';
 import type {Step} from '../state.js';
-import {findLimit} from './limit.js';
+import {computeLongestUseMs, findLimit, findLimitTarget} from './limit.js';
 
 /**
  * Time beyond a loan's term after which its lender takes it back, in
@@ -16,6 +16,8 @@
  * and sent within its `notAfter`, and the drift of clocks over a term.
  */
 export const loanMarginMs = 1000;
+/** Longest term of a loan of slots, in milliseconds: in use they are kept much longer than tokens. */
+const slotLoanTermMs = 15_000;
 
 /** Part of a limit. */
 export type Share = {
@@ -112,7 +114,8 @@
 		return emptyShare;
 	}
 
-	const fraction = computeOwnedFraction(step);
+	// Requests in flight cannot be taken back when the list grows, so slots are divided by the ceiling alone.
+	const fraction = findLimitTarget(step, limitId) === undefined ? computeOwnedFraction(step) : computeCeilingFraction(step);
 	return {rate: limit.rate * fraction, room: limit.room * fraction};
 }
 
@@ -138,3 +141,17 @@
 	const minus = step.state.allowances.lent.computeSum(limitId, step.now);
 	return {rate: Math.max(0, owned.rate - minus.rate), room: Math.max(0, owned.room - minus.room)};
 }
+
+/** Computes the longest term of a loan of this limit, in milliseconds. */
+export function computeLoanTermMs(step: Step, limitId: string): number {
+	return findLimitTarget(step, limitId) === undefined ? step.state.tables.configuration?.fleet.loanTermMs ?? 0 : slotLoanTermMs;
+}
+
+/**
+ * Computes how long after its term a loan may still be in use, in milliseconds.
+ * A request that took a slot at the end of the term keeps it until its deadline.
+ */
+export function computeLoanTailMs(step: Step, limitId: string): number {
+	const targetId = findLimitTarget(step, limitId);
+	return loanMarginMs + (targetId === undefined ? 0 : computeLongestUseMs(step, targetId));
+}
--- a/packages/core/src/lib/configuration/configuration.ts
+++ b/packages/core/src/lib/configuration/configuration.ts
@@ -40,9 +40,9 @@
 
 export const poolSchema = z.object({
 	name: nameSchema,
-	/** Highest load of one target as a multiple of the pool's mean load. */
-	loadMultiple: z.number().min(1).max(100).default(1.5),
-	/** Requests in flight up to which a target may go, over the whole fleet, however small the mean load is. */
+	/** Highest load of one target as a multiple of the pool's mean load; `loadFloor` comes on top. */
+	loadMultiple: z.number().min(1).max(100).default(2),
+	/** Requests in flight at one target that do not count against the multiple, over the whole fleet. */
 	loadFloor: z.number().int().min(0).max(10_000).default(8),
 	/** Requests in flight that one target bears, over the whole fleet. */
 	slotsPerTarget: z.number().int().min(1).max(10_000).default(32),
--- a/packages/core/src/lib/membership/owned-fraction.ts
+++ b/packages/core/src/lib/membership/owned-fraction.ts
@@ -8,3 +8,8 @@
 	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY;
 	return 1 / ceiling;
 }
+
+/** Computes the fraction that every instance owns of a limit that does not follow the list. */
+export function computeCeilingFraction(step: Step): number {
+	return 1 / (step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY);
+}
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -17,6 +17,7 @@
 } from './requests/reduce-requests.js';
 import {recordEntry, type State, type Step} from './state.js';
 import {applyConfiguration, rejectConfiguration} from './tables.js';
+import {updateSlotLoans} from './targets/slot-share.js';
 import {applyLoadReport, applyPeerEvidence} from './targets/target-boot.js';
 import {applyListedTargets} from './targets/target-state.js';
 import {timelineKind} from './timeline-entry.js';
@@ -145,6 +146,7 @@
 			exchangeWithPeers(step);
 			updateBuckets(step);
 			borrowRates(step);
+			updateSlotLoans(step);
 			advanceWaiting(step);
 			break;
 		}
--- a/packages/core/src/lib/targets/choose-target.ts
+++ b/packages/core/src/lib/targets/choose-target.ts
@@ -7,7 +7,7 @@
 import type {Step} from '../state.js';
 import {computePoolLoad, isWithinMultiple, type PoolLoad} from './load-multiple.js';
 import {recordPlacement} from './moved-chats.js';
-import {computeUsableSlots} from './slot-share.js';
+import {hasFreeSlot, requestSlot} from './slot-share.js';
 import {isProbeOpen, probeIfDue} from './target-boot.js';
 import {Room} from './target-choice.js';
 import type {Target} from './target-state.js';
@@ -25,7 +25,7 @@
 		probeIfDue(step, home, pool);
 	}
 
-	if (home !== undefined && home !== target && isProbeOpen(home, pool, step.now)) {
+	if (home !== undefined && home !== target && mayHomeGetRoom(step, pool, home, room)) {
 		return undefined;
 	}
 
@@ -36,6 +36,15 @@
 	return target;
 }
 
+/** True when an answer that is on its way may give the home room: the chat waits for it. */
+function mayHomeGetRoom(step: Step, pool: Pool, home: Target, room: Room): boolean {
+	if (isProbeOpen(home, pool, step.now)) {
+		return true;
+	}
+
+	return !room.hasSlot(home) && room.isWithinMultiple(home) && requestSlot(step, pool, home);
+}
+
 /** Lists the pool's targets that may take new work: live, in no drained zone, not failing. */
 export function listEligibleTargets(step: Step, poolName: string): Target[] {
 	const {state, now} = step;
@@ -70,7 +79,7 @@
 
 	override hasSlot(target: Target): boolean {
 		probeIfDue(this.#step, target, this.#pool);
-		return target.inFlight < computeUsableSlots(this.#step, this.#pool, target);
+		return hasFreeSlot(this.#step, this.#pool, target);
 	}
 
 	override isWithinMultiple(target: Target): boolean {
--- a/packages/core/src/lib/targets/load-multiple.ts
+++ b/packages/core/src/lib/targets/load-multiple.ts
@@ -3,16 +3,20 @@
  *
  * The load of a target is the number of requests in flight there, over the
  * fleet; the mean is taken over the pool's targets that may take new work and
- * are warm. Each instance keeps its own requests under the multiple of its own
- * mean, or under its whole part of the pool's floor, whichever is more. These
- * bounds add up over the instances without any message between them. What peers
- * say they have in flight only tightens the bound.
+ * are warm. Each instance keeps its own requests at a target under the multiple of
+ * its own mean plus its part of the pool's floor. These bounds add up over the
+ * instances to the multiple of the mean plus the floor, whatever the instances
+ * know of each other. What peers say they have in flight only tightens the bound,
+ * so that in ordinary running the load stays well below it.
  */
 import type {Pool} from '../configuration/configuration.js';
 import type {Step} from '../state.js';
+import {computeSlotShare} from './slot-share.js';
 import {isWarm} from './target-boot.js';
 import type {Target} from './target-state.js';
 
+/** Part of the way from the mean to the multiple that peers' reports may fill; the rest is for what they do not show yet. */
+const aimedPart = 0.5;
 /** Time after which a peer's load report no longer counts, in milliseconds. */
 const peerLoadLimitMs = 2000;
 
@@ -53,14 +57,14 @@
 		return true;
 	}
 
-	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY;
 	const ownAfter = target.inFlight + 1;
 	const ownMean = (load.ownInFlight + 1) / load.warmCount;
-	const ownBound = Math.max(Math.floor(pool.loadFloor / ceiling), pool.loadMultiple * ownMean);
+	const ownFloor = pool.loadFloor * computeSlotShare(step, target) / pool.slotsPerTarget;
 	const fleetAfter = ownAfter + (load.peerInFlight.get(target.listed.id) ?? 0);
 	const fleetMean = (load.ownInFlight + load.peerTotal + 1) / load.warmCount;
-	const fleetBound = Math.max(pool.loadFloor, pool.loadMultiple * fleetMean);
-	return ownAfter <= ownBound && fleetAfter <= fleetBound;
+	const aim = 1 + ((pool.loadMultiple - 1) * aimedPart);
+	return ownAfter <= ownFloor + (pool.loadMultiple * ownMean)
+		&& fleetAfter <= Math.max(pool.loadFloor, aim * fleetMean);
 }
 
 function sumPeerLoads({state, now}: Step): Map<string, number> {
--- a/packages/core/src/lib/targets/target-boot.ts
+++ b/packages/core/src/lib/targets/target-boot.ts
@@ -26,6 +26,14 @@
 		|| (hasFreshEvidence(target, now) && target.bootedAt !== undefined && target.bootedAt + pool.warmAfterMs <= now);
 }
 
+/**
+ * Computes how much of a target's slots one request there takes up: more than
+ * one while the target is cold, so that all slots together bear `coldSlots`.
+ */
+export function computeShareOfRequest(step: Step, pool: Pool, target: Target): number {
+	return isWarm(target, pool, step.now) ? 1 : Math.max(1, pool.slotsPerTarget / pool.coldSlots);
+}
+
 /** True when a probe of the target may be answered soon, and the answer may show that it is warm. */
 export function isProbeOpen(target: Target, pool: Pool, now: number): boolean {
 	return pool.warmAfterMs > 0 && !hasFreshEvidence(target, now) && target.probedAt !== undefined && now - target.probedAt < probeWaitMs;
--- a/packages/core/src/lib/targets/target-state.ts
+++ b/packages/core/src/lib/targets/target-state.ts
@@ -22,6 +22,8 @@
 	evidenceAt?: number;
 	/** Time of the latest probe. */
 	probedAt?: number;
+	/** Time at which a slot was wanted last that this instance did not have. */
+	slotWantedAt?: number;
 	/** Time until which failed connects keep new work away. */
 	avoidUntil: number;
 };
--- /dev/null
+++ b/packages/scenarios/src/lib/baselines/target-choices.ts
@@ -0,0 +1,102 @@
+/**
+ * Choices that the routing experiment compares the product's with. All keep
+ * the slots of targets, which are a promise; none keeps the load multiple.
+ */
+import {
+	hashText, mixHashes, TargetChoice, type ChoiceRequest, type Chosen, type Room, type Target,
+} from '@sequoiatally/core';
+import {uniformInt, xoroshiro128plus} from '@sequoiatally/load';
+
+/** Any target with a slot, at random. */
+export class RandomChoice extends TargetChoice {
+	readonly #random;
+
+	constructor(seed: number) {
+		super();
+		this.#random = xoroshiro128plus(seed);
+	}
+
+	override chooseTarget(targets: readonly Target[], _request: ChoiceRequest, room: Room): Chosen {
+		const open = targets.filter(target => room.hasSlot(target));
+		return {target: open.length > 0 ? open[uniformInt(this.#random, 0, open.length - 1)] : undefined};
+	}
+}
+
+/** The next target with a slot, in turn. */
+export class RoundRobinChoice extends TargetChoice {
+	#next = 0;
+
+	override chooseTarget(targets: readonly Target[], _request: ChoiceRequest, room: Room): Chosen {
+		for (let offset = 0; offset < targets.length; offset++) {
+			const target = targets[(this.#next + offset) % targets.length]!;
+			if (room.hasSlot(target)) {
+				this.#next += offset + 1;
+				return {target};
+			}
+		}
+
+		return {};
+	}
+}
+
+/** The target with the fewest requests of this instance. */
+export class LeastLoadedChoice extends TargetChoice {
+	override chooseTarget(targets: readonly Target[], _request: ChoiceRequest, room: Room): Chosen {
+		let target: Target | undefined;
+		for (const candidate of targets) {
+			if (room.hasSlot(candidate) && (target === undefined || candidate.inFlight < target.inFlight)) {
+				target = candidate;
+			}
+		}
+
+		return {target};
+	}
+}
+
+/** Rendezvous hashing without a bound on the load. */
+export class PlainRendezvousChoice extends TargetChoice {
+	override chooseTarget(targets: readonly Target[], {chatKey}: ChoiceRequest, room: Room): Chosen {
+		const chatHash = hashText(chatKey);
+		const open = targets.filter(target => room.hasSlot(target));
+		const ranked = open.toSorted((a, b) => mixHashes(chatHash, b.hash) - mixHashes(chatHash, a.hash));
+		return {target: ranked[0]};
+	}
+}
+
+/** What an all-knowing router sees at once: the whole fleet's loads and every cache. */
+export abstract class FleetView {
+	abstract countInFlight(targetId: string): number;
+	abstract findCached(targetId: string, chatKey: string): number;
+	/** Requests that the target bears now. */
+	abstract countSlots(targetId: string): number;
+	abstract isWarm(targetId: string): boolean;
+}
+
+/** The upper bound: one router that sees every load and cache without delay, and keeps the load multiple exactly. */
+export class AllKnowingChoice extends TargetChoice {
+	constructor(readonly view: FleetView, readonly loadMultiple: number, readonly loadFloor: number) {
+		super();
+	}
+
+	override chooseTarget(targets: readonly Target[], {chatKey}: ChoiceRequest): Chosen {
+		const {view} = this;
+		const warm = targets.filter(({listed}) => view.isWarm(listed.id));
+		const total = warm.reduce((sum, {listed}) => sum + view.countInFlight(listed.id), 0);
+		const bound = this.loadFloor + (this.loadMultiple * (total + 1) / warm.length);
+		let best: {readonly target: Target; readonly cached: number; readonly load: number} | undefined;
+		for (const target of targets) {
+			const {id} = target.listed;
+			const load = view.countInFlight(id);
+			if (load + 1 > Math.min(view.countSlots(id), view.isWarm(id) ? bound : Number.POSITIVE_INFINITY)) {
+				continue;
+			}
+
+			const cached = view.findCached(id, chatKey);
+			if (best === undefined || cached > best.cached || (cached === best.cached && load < best.load)) {
+				best = {target, cached, load};
+			}
+		}
+
+		return {target: best?.target};
+	}
+}
--- a/packages/scenarios/src/lib/experiments/index.ts
+++ b/packages/scenarios/src/lib/experiments/index.ts
@@ -2,5 +2,8 @@
  * All experiments, in the order in which they are reported.
  */
 import type {Experiment} from '../experiment.js';
+import {RoutingExperiment} from './routing.js';
 
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [
+	new RoutingExperiment(),
+];
--- /dev/null
+++ b/packages/scenarios/src/lib/routing-run.ts
@@ -0,0 +1,260 @@
+/**
+ * One run of chats over a fleet of reducers and a model of prefix caches, with
+ * targets that leave, join, restart, and availability zones that go and return.
+ */
+import {
+	attemptOutcome, type Configuration, type ListedTarget, type TargetChoice,
+} from '@sequoiatally/core';
+import {FleetView} from './baselines/target-choices.js';
+import {createExampleConfiguration, describeExampleKey, exampleModelRoute} from './example-configuration.js';
+import {PrefixCaches} from './prefix-caches.js';
+import {ReducerFleet} from './reducer-fleet.js';
+
+const routerCount = 7;
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+const firstPromptTokens = 500;
+const tokensPerTurn = 300;
+/** Turns of a chat before another takes its place. */
+const turnsPerChat = 12;
+/** Memory of a target, in mean chats. */
+const cachedChatsPerTarget = 160;
+const stepMs = 5;
+/** Mean load from which load over mean says something. */
+const smallestSkewMean = 4;
+/** Time for the fleet to settle before any request, in milliseconds. */
+const settleMs = 15_000;
+
+/** Load and kind of a run. */
+export type RoutingOptions = {
+	readonly seed: number;
+	readonly createChoice: (run: RoutingRun) => TargetChoice;
+	/** Mean requests in flight per target. */
+	readonly meanLoad?: number;
+	/** Chats that return again and again. */
+	readonly chatCount?: number;
+	/** Part of all calls that enters at the first router; the others share the rest. */
+	readonly firstRouterPart?: number;
+	readonly pool?: Partial<Configuration['pools'][number]>;
+	readonly targetCount?: number;
+};
+
+/** Sums over a part of a run. */
+export type RoutingFigures = {
+	promptTokens: number;
+	reusedTokens: number;
+	requestCount: number;
+	servedCount: number;
+	refusedCount: number;
+	/** Highest load of a target over the mean, at a placement with a mean that is not small. */
+	highestSkew: number;
+	/** Highest load of a target over `floor + multiple × mean`, at a placement. */
+	highestBoundUse: number;
+	/** Requests in flight beyond the slots of a target. */
+	slotOverrun: number;
+	/** Requests in flight at a cold target beyond what it bears, once routers can know. */
+	coldOverrun: number;
+	/** The same within the time in which nobody can know of a restart. */
+	unknowableColdOverrun: number;
+};
+
+type Chat = {key: string; turn: number};
+
+/** One run; phases are driven from outside. */
+export class RoutingRun extends FleetView {
+	readonly fleet: ReducerFleet;
+	readonly caches: PrefixCaches;
+	readonly pool: Configuration['pools'][number];
+	figures = createFigures();
+	readonly #options: Required<Omit<RoutingOptions, 'pool' | 'createChoice'>>;
+	readonly #chats: Chat[];
+	readonly #digest = describeExampleKey('crew').digest;
+	readonly #promptByRequest = new Map<string, {readonly chatKey: string; readonly tokens: number}>();
+	#nextRequest = 0;
+	#nextChat = 0;
+	#refusedSeen = 0;
+
+	constructor(options: RoutingOptions) {
+		super();
+		this.#options = {
+			seed: options.seed,
+			meanLoad: options.meanLoad ?? 8,
+			chatCount: options.chatCount ?? 1500,
+			firstRouterPart: options.firstRouterPart ?? (1 / routerCount),
+			targetCount: options.targetCount ?? 13,
+		};
+		const configuration = createExampleConfiguration(
+			[{name: 'crew', rate: 100_000, burst: 100_000}],
+			{},
+			{warmAfterMs: 10_000, ...options.pool},
+		);
+		this.pool = configuration.pools[0]!;
+		const meanTokens = firstPromptTokens + (tokensPerTurn * turnsPerChat / 2);
+		this.caches = new PrefixCaches(cachedChatsPerTarget * meanTokens);
+		this.fleet = new ReducerFleet({
+			seed: options.seed, configuration, listLagMs: 500, createTargetChoice: () => options.createChoice(this),
+		});
+		this.#chats = Array.from({length: this.#options.chatCount}, () => this.#createChat());
+		this.#watchDispatches();
+		this.#start();
+	}
+
+	/** Lets requests come for a while. */
+	run(durationMs: number): void {
+		const {fleet} = this;
+		const endAt = fleet.now + durationMs;
+		const perStep = this.#options.meanLoad * this.#options.targetCount * stepMs / 1000;
+		let due = 0;
+		while (fleet.now < endAt) {
+			due += perStep;
+			for (; due >= 1; due--) {
+				this.#sendTurn();
+			}
+
+			fleet.runFor(stepMs);
+		}
+
+		const {length} = fleet.refused;
+		this.figures.refusedCount += length - this.#refusedSeen;
+		this.#refusedSeen = length;
+	}
+
+	/** Ends the figures so far and starts new ones. */
+	takeFigures(): RoutingFigures {
+		const {figures} = this;
+		this.figures = createFigures();
+		return figures;
+	}
+
+	/** Changes the tables; the version goes up. */
+	publish(change: Partial<Configuration>): void {
+		const {configuration} = this.fleet;
+		this.fleet.configuration = {...configuration, ...change, version: configuration.version + 1};
+	}
+
+	addTarget(id: string, zone: string): void {
+		this.fleet.boots.set(id, {bootId: `${id}@${this.fleet.now}`, bootedAt: this.fleet.now});
+		this.fleet.changeList(list => ({...list, targets: [...list.targets, createListed(id, zone, this.fleet.now)]}));
+	}
+
+	/** Shows the target as leaving. */
+	removeTarget(id: string): void {
+		this.fleet.changeList(list => ({...list, targets: list.targets.map(target => target.id === id ? {...target, state: 'leaving' as const} : target)}));
+	}
+
+	override countInFlight(targetId: string): number {
+		return this.fleet.inFlight.get(targetId) ?? 0;
+	}
+
+	override findCached(targetId: string, chatKey: string): number {
+		return this.caches.findCached(targetId, this.#findBoot(targetId), chatKey);
+	}
+
+	override countSlots(targetId: string): number {
+		return this.isWarm(targetId) ? this.pool.slotsPerTarget : this.pool.coldSlots;
+	}
+
+	override isWarm(targetId: string): boolean {
+		const bootedAt = this.fleet.boots.get(targetId)?.bootedAt;
+		return bootedAt === undefined || this.fleet.now - bootedAt >= this.pool.warmAfterMs;
+	}
+
+	#start(): void {
+		const {fleet} = this;
+		const targets = Array.from({length: this.#options.targetCount}, (_, index) => createListed(`fitbrain-${index}`, zones[index % zones.length]!, 0));
+		fleet.changeList(list => ({...list, targets}));
+		for (let index = 0; index < routerCount; index++) {
+			fleet.start(`router-${index}`, zones[index % zones.length]);
+		}
+
+		fleet.runFor(settleMs);
+	}
+
+	#watchDispatches(): void {
+		const {fleet} = this;
+		fleet.onDispatch = (instance, effect) => {
+			const {targetId, requestId} = effect;
+			const prompt = this.#promptByRequest.get(requestId)!;
+			this.figures.servedCount++;
+			this.figures.promptTokens += prompt.tokens;
+			this.figures.reusedTokens += this.caches.serve(targetId, this.#findBoot(targetId), prompt.chatKey, prompt.tokens);
+			this.#measureLoad(targetId);
+			fleet.schedule(fleet.draw(500, 1500), () => {
+				fleet.endAttempt(instance, effect, attemptOutcome.complete);
+			});
+		};
+	}
+
+	#measureLoad(targetId: string): void {
+		const {figures, pool, fleet} = this;
+		const load = this.countInFlight(targetId);
+		figures.slotOverrun = Math.max(figures.slotOverrun, load - pool.slotsPerTarget);
+		if (!this.isWarm(targetId)) {
+			const overrun = load - pool.coldSlots;
+			const age = fleet.now - fleet.boots.get(targetId)!.bootedAt;
+			const key = age > unknowableMs ? 'coldOverrun' : 'unknowableColdOverrun';
+			figures[key] = Math.max(figures[key], overrun);
+			return;
+		}
+
+		const open = fleet.list.targets.filter(target => target.state === 'live'
+			&& !fleet.configuration.drainedZones.includes(target.zone) && this.isWarm(target.id));
+		const mean = open.reduce((sum, {id}) => sum + this.countInFlight(id), 0) / open.length;
+		figures.highestBoundUse = Math.max(figures.highestBoundUse, load / (pool.loadFloor + (pool.loadMultiple * mean)));
+		if (mean >= smallestSkewMean) {
+			figures.highestSkew = Math.max(figures.highestSkew, load / mean);
+		}
+	}
+
+	#sendTurn(): void {
+		const {fleet} = this;
+		const index = fleet.draw(0, this.#chats.length - 1);
+		const chat = this.#chats[index]!;
+		chat.turn++;
+		const requestId = `r${this.#nextRequest++}`;
+		this.#promptByRequest.set(requestId, {chatKey: chat.key, tokens: firstPromptTokens + (tokensPerTurn * chat.turn)});
+		this.figures.requestCount++;
+		fleet.request(`router-${this.#drawRouter()}`, requestId, {
+			account: 'crew', keyDigest: this.#digest, chatKey: chat.key, ...exampleModelRoute,
+		});
+		if (chat.turn >= turnsPerChat) {
+			this.#chats[index] = this.#createChat(0);
+		}
+	}
+
+	#drawRouter(): number {
+		const isFirst = this.fleet.draw(0, 999_999) < this.#options.firstRouterPart * 1_000_000;
+		return isFirst ? 0 : this.fleet.draw(1, routerCount - 1);
+	}
+
+	#createChat(turn = this.fleet.draw(0, turnsPerChat - 1)): Chat {
+		return {key: `chat-${this.#nextChat++}`, turn};
+	}
+
+	#findBoot(targetId: string): string {
+		return this.fleet.boots.get(targetId)?.bootId ?? targetId;
+	}
+}
+
+/** Time after a silent restart within which no router has to know of it, in milliseconds: the age limit of evidence and of a dispatch. */
+export const unknowableMs = 3500;
+
+function createListed(id: string, zone: string, since: number): ListedTarget {
+	return {
+		id, pool: 'fitbrain', address: id, zone, state: 'live', since,
+	};
+}
+
+function createFigures(): RoutingFigures {
+	return {
+		promptTokens: 0,
+		reusedTokens: 0,
+		requestCount: 0,
+		servedCount: 0,
+		refusedCount: 0,
+		highestSkew: 0,
+		highestBoundUse: 0,
+		slotOverrun: 0,
+		coldOverrun: 0,
+		unknowableColdOverrun: 0,
+	};
+}
