Load multiple: room for what peers' reports do not show yet

Cause: with a fixed aim between the mean and the multiple either the load went over the multiple between two reports or reuse fell.

Change: the bound on the fleet's load keeps back what is likely to have started since the peers reported, from this instance's own turnover; the bound that holds without any report gets three times the floor.

--- a/packages/core/src/lib/targets/choose-target.ts
+++ b/packages/core/src/lib/targets/choose-target.ts
@@ -2,6 +2,7 @@
  * Chooses the target of a request: which targets may take new work now, which
  * of them have room, and which of those the chat prefers.
  */
+import {createDemandMeter, recordDemand} from '../allowance/demand-meter.js';
 import type {Pool} from '../configuration/configuration.js';
 import {listedState} from '../configuration/instance-list.js';
 import type {Step} from '../state.js';
@@ -31,11 +32,18 @@
 
 	if (target !== undefined) {
 		recordPlacement(targets.movedChats, chatKey, target.listed.id, home?.listed.id);
+		countPlacement(step, pool);
 	}
 
 	return target;
 }
 
+function countPlacement({state, now}: Step, pool: Pool): void {
+	const meter = state.targets.placements.get(pool.name) ?? createDemandMeter(now);
+	recordDemand(meter, 1, now);
+	state.targets.placements.set(pool.name, meter);
+}
+
 /** True when an answer that is on its way may give the home room: the chat waits for it. */
 function mayHomeGetRoom(step: Step, pool: Pool, home: Target, room: Room): boolean {
 	if (isProbeOpen(home, pool, step.now)) {
--- a/packages/core/src/lib/targets/load-multiple.ts
+++ b/packages/core/src/lib/targets/load-multiple.ts
@@ -9,22 +9,30 @@
  * know of each other. What peers say they have in flight only tightens the bound,
  * so that in ordinary running the load stays well below it.
  */
+import {computeDemandRate} from '../allowance/demand-meter.js';
 import type {Pool} from '../configuration/configuration.js';
 import type {Step} from '../state.js';
 import {computeSlotShare} from './slot-share.js';
 import {isWarm} from './target-boot.js';
 import type {Target} from './target-state.js';
 
-/** Part of the way from the mean to the multiple that peers' reports may fill; the rest is for what they do not show yet. */
-const aimedPart = 0.5;
+/** Longest time between two reports of a peer in ordinary running, in seconds. */
+const reportIntervalSeconds = 0.5;
+/** Room left for what peers' reports do not show yet, as a multiple of its likely size. */
+const unseenDeviations = 2;
 /** Time after which a peer's load report no longer counts, in milliseconds. */
 const peerLoadLimitMs = 2000;
 
+/** Floor of the bound that holds whatever the instances hear of each other, as a multiple of the pool's floor. */
+const unheardFloorMultiple = 3;
+
 /** Loads of a pool, of this instance and as estimated for the fleet. */
 export type PoolLoad = {
 	readonly warmCount: number;
 	/** Requests of this instance in flight at warm targets. */
 	readonly ownInFlight: number;
+	/** Requests per second that this instance places. */
+	readonly ownRate: number;
 	/** Requests of peers by target, as they last said. */
 	readonly peerInFlight: ReadonlyMap<string, number>;
 	/** Requests of peers at warm targets. */
@@ -46,7 +54,7 @@
 	}
 
 	return {
-		warmCount, ownInFlight, peerInFlight, peerTotal,
+		warmCount, ownInFlight, ownRate: computeDemandRate(step.state.targets.placements.get(pool.name), step.now), peerInFlight, peerTotal,
 	};
 }
 
@@ -59,12 +67,24 @@
 
 	const ownAfter = target.inFlight + 1;
 	const ownMean = (load.ownInFlight + 1) / load.warmCount;
-	const ownFloor = pool.loadFloor * computeSlotShare(step, target) / pool.slotsPerTarget;
+	const ownFloor = unheardFloorMultiple * pool.loadFloor * computeSlotShare(step, target) / pool.slotsPerTarget;
 	const fleetAfter = ownAfter + (load.peerInFlight.get(target.listed.id) ?? 0);
 	const fleetMean = (load.ownInFlight + load.peerTotal + 1) / load.warmCount;
-	const aim = 1 + ((pool.loadMultiple - 1) * aimedPart);
-	return ownAfter <= ownFloor + (pool.loadMultiple * ownMean)
-		&& fleetAfter <= Math.max(pool.loadFloor, aim * fleetMean);
+	const fleetBound = Math.max(pool.loadFloor, pool.loadMultiple * fleetMean) - estimateUnseen(load, fleetMean);
+	return ownAfter <= ownFloor + (pool.loadMultiple * ownMean) && fleetAfter <= Math.max(1, fleetBound);
+}
+
+/**
+ * Estimates how far a target's load may have grown since peers reported it: it
+ * changes by as many requests as start and end meanwhile, at random.
+ */
+function estimateUnseen({ownInFlight, ownRate, peerTotal}: PoolLoad, fleetMean: number): number {
+	if (ownInFlight === 0 || peerTotal === 0) {
+		return 0;
+	}
+
+	const turnover = ownRate / ownInFlight * reportIntervalSeconds;
+	return unseenDeviations * Math.sqrt(fleetMean * Math.min(1, turnover));
 }
 
 function sumPeerLoads({state, now}: Step): Map<string, number> {
--- a/packages/core/src/lib/targets/target-state.ts
+++ b/packages/core/src/lib/targets/target-state.ts
@@ -2,6 +2,7 @@
  * Targets as this instance knows them: what the list says, what it has in
  * flight there itself, and the latest evidence of each target's boot.
  */
+import type {DemandMeter} from '../allowance/demand-meter.js';
 import {listedState, type ListedTarget} from '../configuration/instance-list.js';
 import {hashText} from '../hash.js';
 import type {TargetLoad} from '../message.js';
@@ -31,10 +32,12 @@
 export type TargetState = {
 	targets: Map<string, Target>;
 	movedChats: MovedChats;
+	/** Recent placements by pool. */
+	placements: Map<string, DemandMeter>;
 };
 
 export function createTargetState(): TargetState {
-	return {targets: new Map(), movedChats: new Map()};
+	return {targets: new Map(), movedChats: new Map(), placements: new Map()};
 }
 
 /** Takes the targets of a new list; a target that it no longer names is forgotten once idle. */
--- a/packages/scenarios/src/lib/baselines/target-choices.ts
+++ b/packages/scenarios/src/lib/baselines/target-choices.ts
@@ -82,7 +82,7 @@
 		const {view} = this;
 		const warm = targets.filter(({listed}) => view.isWarm(listed.id));
 		const total = warm.reduce((sum, {listed}) => sum + view.countInFlight(listed.id), 0);
-		const bound = this.loadFloor + (this.loadMultiple * (total + 1) / warm.length);
+		const bound = Math.max(this.loadFloor, this.loadMultiple * (total + 1) / warm.length);
 		let best: {readonly target: Target; readonly cached: number; readonly load: number} | undefined;
 		for (const target of targets) {
 			const {id} = target.listed;
--- a/packages/scenarios/src/lib/experiments/routing.ts
+++ b/packages/scenarios/src/lib/experiments/routing.ts
@@ -10,7 +10,7 @@
 import {type RoutingFigures, type RoutingOptions, RoutingRun} from '../routing-run.js';
 
 const seed = 41;
-const warmUpMs = 30_000;
+const warmUpMs = 60_000;
 const phaseMs = 30_000;
 const churnEveryMs = 6000;
 
@@ -58,9 +58,10 @@
 }
 
 const loads: ReadonlyArray<{readonly title: string; readonly options: Partial<RoutingOptions>}> = [
-	{title: 'Even entry, mean load 8', options: {meanLoad: 8}},
-	{title: 'Half of the calls at one router, mean load 8', options: {meanLoad: 8, firstRouterPart: 0.5}},
-	{title: 'Even entry, mean load 2', options: {meanLoad: 2, chatCount: 1000}},
+	{title: 'Even entry, mean load 8, 4 s a request', options: {chatCount: 1200}},
+	{title: 'Half of the calls at one router, mean load 8, 4 s a request', options: {chatCount: 1200, firstRouterPart: 0.5}},
+	{title: 'Even entry, mean load 8, 1 s a request', options: {chatCount: 1200, serviceMs: 1000}},
+	{title: 'Even entry, mean load 2, 4 s a request', options: {chatCount: 300, meanLoad: 2}},
 ];
 
 /** Runs one way through one phase and returns the figures of the phase alone. */
--- a/packages/scenarios/src/lib/routing-run.ts
+++ b/packages/scenarios/src/lib/routing-run.ts
@@ -36,6 +36,8 @@
 	readonly firstRouterPart?: number;
 	readonly pool?: Partial<Configuration['pools'][number]>;
 	readonly targetCount?: number;
+	/** Mean time that a request takes, in milliseconds. */
+	readonly serviceMs?: number;
 };
 
 /** Sums over a part of a run. */
@@ -47,7 +49,7 @@
 	refusedCount: number;
 	/** Highest load of a target over the mean, at a placement with a mean that is not small. */
 	highestSkew: number;
-	/** Highest load of a target over `floor + multiple × mean`, at a placement. */
+	/** Highest load of a target over `max(floor, multiple × mean)`, at a placement. */
 	highestBoundUse: number;
 	/** Requests in flight beyond the slots of a target. */
 	slotOverrun: number;
@@ -81,6 +83,7 @@
 			chatCount: options.chatCount ?? 1500,
 			firstRouterPart: options.firstRouterPart ?? (1 / routerCount),
 			targetCount: options.targetCount ?? 13,
+			serviceMs: options.serviceMs ?? 4000,
 		};
 		const configuration = createExampleConfiguration(
 			[{name: 'crew', rate: 100_000, burst: 100_000}],
@@ -102,7 +105,7 @@
 	run(durationMs: number): void {
 		const {fleet} = this;
 		const endAt = fleet.now + durationMs;
-		const perStep = this.#options.meanLoad * this.#options.targetCount * stepMs / 1000;
+		const perStep = this.#options.meanLoad * this.#options.targetCount * stepMs / this.#options.serviceMs;
 		let due = 0;
 		while (fleet.now < endAt) {
 			due += perStep;
@@ -178,7 +181,7 @@
 			this.figures.promptTokens += prompt.tokens;
 			this.figures.reusedTokens += this.caches.serve(targetId, this.#findBoot(targetId), prompt.chatKey, prompt.tokens);
 			this.#measureLoad(targetId);
-			fleet.schedule(fleet.draw(500, 1500), () => {
+			fleet.schedule(fleet.draw(Math.round(this.#options.serviceMs / 2), Math.round(this.#options.serviceMs * 1.5)), () => {
 				fleet.endAttempt(instance, effect, attemptOutcome.complete);
 			});
 		};
@@ -199,7 +202,7 @@
 		const open = fleet.list.targets.filter(target => target.state === 'live'
 			&& !fleet.configuration.drainedZones.includes(target.zone) && this.isWarm(target.id));
 		const mean = open.reduce((sum, {id}) => sum + this.countInFlight(id), 0) / open.length;
-		figures.highestBoundUse = Math.max(figures.highestBoundUse, load / (pool.loadFloor + (pool.loadMultiple * mean)));
+		figures.highestBoundUse = Math.max(figures.highestBoundUse, load / Math.max(pool.loadFloor, pool.loadMultiple * mean));
 		if (mean >= smallestSkewMean) {
 			figures.highestSkew = Math.max(figures.highestSkew, load / mean);
 		}
