--- a/packages/core/src/lib/membership/owned-fraction.ts
+++ b/packages/core/src/lib/membership/owned-fraction.ts
@@ -76,3 +76,8 @@
 	const heldBack = listHeldBack(history, fleet, now).filter(({absentSince}) => now - absentSince! > settleMs).length;
 	return (1 - (heldBack / fleet.ceiling)) / countRecentMembers(history, fleet, now);
 }
+
+/** Computes the fraction that every instance owns of a limit that does not follow the list. */
+export function computeCeilingFraction(step: Step): number {
+	return 1 / (step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY);
+}
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -18,6 +18,7 @@
 import {releaseTickets} from './requests/reduce-tickets.js';
 import {recordEntry, type State, type Step} from './state.js';
 import {applyConfiguration, applyTablesUnchanged, rejectConfiguration} from './tables.js';
+import {updateSlotLoans} from './targets/slot-share.js';
 import {applyLoadReport, applyPeerEvidence} from './targets/target-boot.js';
 import {applyListedTargets} from './targets/target-state.js';
 import {timelineKind} from './timeline-entry.js';
@@ -153,6 +154,7 @@
 			exchangeWithPeers(step);
 			updateBuckets(step);
 			borrowRates(step);
+			updateSlotLoans(step);
 			advanceWaiting(step);
 			releaseTickets(step);
 			break;
