--- a/packages/core/src/lib/describe/describe-targets.ts
+++ b/packages/core/src/lib/describe/describe-targets.ts
@@ -5,9 +5,9 @@
 import type {Pool} from '../configuration/configuration.js';
 import {listedState} from '../configuration/instance-list.js';
 import type {State} from '../state.js';
-import {computeUsableSlots} from '../targets/slot-share.js';
 import {isWarm} from '../targets/target-boot.js';
 import type {Target} from '../targets/target-state.js';
+import {computeUsableSlots} from './usable-slots.js';
 
 export type TargetDescription = {
 	readonly targetId: string;
--- a/packages/core/src/lib/describe/explain-choice.ts
+++ b/packages/core/src/lib/describe/explain-choice.ts
@@ -10,11 +10,12 @@
 import type {State, Step} from '../state.js';
 import {chooseTarget, listEligibleTargets} from '../targets/choose-target.js';
 import {computePoolLoad, isWithinMultiple} from '../targets/load-multiple.js';
-import {computeUsableSlots} from '../targets/slot-share.js';
+import {hasFreeSlot} from '../targets/slot-share.js';
 import {isWarm} from '../targets/target-boot.js';
 import {Room} from '../targets/target-choice.js';
 import type {Target} from '../targets/target-state.js';
 import {describeAccount, type AccountDescription} from './describe-accounts.js';
+import {computeUsableSlots} from './usable-slots.js';
 
 /** The request that is asked about. */
 export type ChoiceQuestion = {
@@ -109,11 +110,18 @@
 	const targets = new Map([...state.targets.targets].map(([id, target]) => [id, {...target}]));
 	const lastTargetId = state.targets.movedChats.get(chatKey);
 	const movedChats = new Map(lastTargetId === undefined ? [] : [[chatKey, lastTargetId]]);
-	const {rateWants, roomWants} = state.allowances;
+	const {allowances} = state;
 	return {
 		...state,
-		targets: {...state.targets, targets, movedChats},
-		allowances: {...state.allowances, rateWants: new Map(rateWants), roomWants: new Map(roomWants)},
+		targets: {
+			...state.targets, targets, movedChats, placements: structuredClone(state.targets.placements),
+		},
+		allowances: {
+			...allowances,
+			rateWants: structuredClone(allowances.rateWants),
+			roomWants: structuredClone(allowances.roomWants),
+			asks: structuredClone(allowances.asks),
+		},
 	};
 }
 
@@ -134,7 +142,7 @@
 	const ordered = orderTargets(state, eligible, chatKey);
 	const load = computePoolLoad(step, pool, eligible);
 	const describeStanding = (target: Target) => {
-		if (target.inFlight >= computeUsableSlots(step, pool, target)) {
+		if (!hasFreeSlot(step, pool, target)) {
 			return targetStanding.noSlot;
 		}
 
--- a/packages/router/src/test/admin-server_test.ts
+++ b/packages/router/src/test/admin-server_test.ts
@@ -175,18 +175,28 @@
 	assert.equal(refused.body.refusal.reason, 'key-missing');
 });
 
+/** All that a choice can change. */
+function describeChoiceState(): string {
+	const {targets: {targets, movedChats, placements}, allowances} = parts.runner.state;
+	return JSON.stringify([[...targets], [...movedChats], [...placements], listEntries(allowances)]);
+}
+
+function listEntries(maps: Readonly<Record<string, unknown>>): Record<string, unknown> {
+	return Object.fromEntries(Object.entries(maps).map(([name, value]) => [name, value instanceof Map ? [...value] : value]));
+}
+
 test('explain agrees with where a real request goes, and changes nothing', async () => {
 	const {state} = parts.runner;
 	const chatKeys = fc.array(fc.constantFrom('c1', 'c2', 'c3', 'c4', 'c5', 'c6'), {minLength: 1, maxLength: 6});
 	let overflowCount = 0;
 	await fc.assert(fc.asyncProperty(chatKeys, async chatIds => {
 		for (const [index, chatId] of chatIds.entries()) {
-			const before = JSON.stringify([...state.targets.targets, ...state.targets.movedChats]);
+			const before = describeChoiceState();
 			const body = JSON.stringify({
 				path: '/chat', model: 'm', chatId, account: 'ladders',
 			});
 			const {body: choice} = await call('POST', '/v1/explain', {body});
-			assert.equal(JSON.stringify([...state.targets.targets, ...state.targets.movedChats]), before);
+			assert.equal(describeChoiceState(), before);
 			// Tokens are not what this is about.
 			state.allowances.buckets.get('ladders')!.tokens = 10;
 			effects.length = 0;
