--- a/packages/router/src/lib/admin/explain-request.ts
+++ b/packages/router/src/lib/admin/explain-request.ts
@@ -29,7 +29,7 @@
 		route: findText(entries, 'route'),
 		account: findText(entries, 'account'),
 		targetIds: dispatched.map(line => String(line.targetId)),
-		reason: findText([...entries].reverse(), 'detail'),
+		reason: last?.kind === timelineKind.requestCompleted ? undefined : findText([...entries].reverse(), 'detail'),
 		entries,
 	};
 }
