--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -142,8 +142,8 @@
 				timelinePath,
 				'--fleet-secret',
 				fleetSecret,
-				'--admin-token',
-				adminToken,
+				'--admin-tokens',
+				`loopback:${adminToken}`,
 				'--log-level',
 				'warn',
 			]),
@@ -280,7 +280,8 @@
 	#spawnTarget({id, pool, address}: Pick<FleetTarget, 'id' | 'pool' | 'address'>): FleetProcess {
 		const {modelPool, engineFlags = []} = this.plan;
 		const isEngine = pool === modelPool;
-		const flags = ['--address', address, '--id', id, ...(isEngine ? engineFlags : [])];
+		const timelinePath = `${this.plan.timelineDirectory}/${id}.jsonl`;
+		const flags = ['--address', address, '--id', id, '--timeline-path', timelinePath, ...(isEngine ? engineFlags : [])];
 		return this.#spawn(isEngine ? 'engine' : 'plain-service', '@sequoiatally/stand-ins', flags);
 	}
 
