--- a/packages/load/src/lib/caller.ts
+++ b/packages/load/src/lib/caller.ts
@@ -6,6 +6,8 @@
 import {createParser} from 'eventsource-parser';
 import {Agent, request} from 'undici';
 
+/** Path at which a router issues tickets. */
+const ticketPath = '/.sequoiatally/tickets';
 /** Field of the chat interface that limits the answer's tokens. */
 const tokenLimitField = 'max_tokens';
 
@@ -86,6 +88,19 @@
 		}
 	}
 
+	/** Obtains a ticket for a request that may not be repeated; undefined: none was issued. */
+	async fetchTicket(address: string, key: string): Promise<string | undefined> {
+		try {
+			const {statusCode, body} = await request(`http://${address}${ticketPath}`, {
+				method: 'POST', dispatcher: this.#agent, headers: describeKey(key),
+			});
+			const {ticket} = await body.json() as {ticket?: string};
+			return statusCode < 300 ? ticket : undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
 	/** Sends a plain request and reads its answer. */
 	async callPlain(address: string, call: PlainCall): Promise<Answer> {
 		const startedAt = call.intendedAt ?? performance.now();
--- a/packages/load/src/lib/load-run.ts
+++ b/packages/load/src/lib/load-run.ts
@@ -163,17 +163,17 @@
 	}
 
 	async #sendCalls(): Promise<void> {
-		for (const [index, call] of this.#schedule.calls.entries()) {
+		for (const call of this.#schedule.calls) {
 			const delayMs = this.#startedAt + call.atMs - performance.now();
 			if (delayMs > 0) {
 				await wait(delayMs);
 			}
 
-			this.#startCall(call, index);
+			this.#startCall(call);
 		}
 	}
 
-	#startCall(call: PlannedCall, index: number): void {
+	#startCall(call: PlannedCall): void {
 		const router = this.#chooseRouter(call.entry);
 		if (router === undefined || this.#open.size >= this.#plan.openLimit) {
 			this.#record({
@@ -183,7 +183,7 @@
 		}
 
 		this.#sentCount++;
-		const running = this.#runCall(call, index, router);
+		const running = this.#runCall(call, router);
 		this.#open.add(running);
 		void this.#forgetWhenOver(running);
 	}
@@ -199,8 +199,8 @@
 		this.#open.delete(running);
 	}
 
-	async #runCall(call: PlannedCall, index: number, router: FleetRouter): Promise<void> {
-		const idempotencyKey = call.kind === callKind.booking ? `${this.#plan.name}-${index}` : undefined;
+	async #runCall(call: PlannedCall, router: FleetRouter): Promise<void> {
+		const idempotencyKey = call.kind === callKind.booking ? await this.#fetchTicket(call, router) : undefined;
 		const answer = await this.#call(call, router, idempotencyKey);
 		const outcome = this.#isOver ? recordOutcome.unanswered : describeOutcome(answer);
 		this.#record({
@@ -230,6 +230,10 @@
 		return caller.callPlain(callerAddress, {...plainCalls[call.kind], intendedAt});
 	}
 
+	async #fetchTicket({account}: PlannedCall, {callerAddress}: FleetRouter): Promise<string | undefined> {
+		return this.#findCaller(account).fetchTicket(callerAddress, `${this.#plan.deployment.keyPrefix}${account}`);
+	}
+
 	#findCaller(account: string): Caller {
 		const known = this.#callers.get(account);
 		if (known !== undefined) {
