--- a/packages/router/src/lib/metrics.ts
+++ b/packages/router/src/lib/metrics.ts
@@ -45,7 +45,7 @@
 	readonly #effects: Counter<'kind'>;
 	readonly #control: Counter<'kind'>;
 
-	constructor(runner: Runner, alarms: AlarmWatch) {
+	constructor(runner: Runner, alarms: Pick<AlarmWatch, 'standing'>) {
 		collectDefaultMetrics({register: this.registry});
 		this.#entries = this.#createCounter('events_total', 'Time line entries by kind.', ['kind']);
 		this.#requests = this.#createCounter('requests_total', 'Finished requests by route and outcome.', ['route', 'outcome']);
@@ -127,7 +127,7 @@
 		this.#createGauge('share_tokens', 'Tokens that this instance holds, over all client accounts.', () => sumBuckets(state, 'tokens'));
 	}
 
-	#createAlarmGauge(alarms: AlarmWatch): void {
+	#createAlarmGauge(alarms: Pick<AlarmWatch, 'standing'>): void {
 		new Gauge({
 			name: `${prefix}alarm`, help: '1 for each alarm that stands.', labelNames: ['alarm', 'subject'], registers: [this.registry], collect() {
 				this.reset();
