Control bytes by link as a metric

Change: connections that a router opens to peers and to the configuration service are counted, closed ones included; forwarded requests are not.

--- a/packages/router/src/lib/metrics.ts
+++ b/packages/router/src/lib/metrics.ts
@@ -10,6 +10,7 @@
 } from 'prom-client';
 import type {AlarmWatch} from './alarm-watch.js';
 import type {Runner} from './runner.js';
+import type {TrafficMeter} from './traffic-meter.js';
 
 /** Prefix of every metric of the product; those of the process have the library's names. */
 const prefix = 'sequoiatally_';
@@ -44,6 +45,7 @@
 	readonly #attempts: Counter<'outcome'>;
 	readonly #effects: Counter<'kind'>;
 	readonly #control: Counter<'kind'>;
+	readonly #meters = new Map<string, TrafficMeter>();
 
 	constructor(runner: Runner, alarms: Pick<AlarmWatch, 'standing'>) {
 		collectDefaultMetrics({register: this.registry});
@@ -53,6 +55,7 @@
 		this.#attempts = this.#createCounter('attempts_total', 'Attempts at targets by outcome.', ['outcome']);
 		this.#effects = this.#createCounter('effects_total', 'Effects of the reducer by kind.', ['kind']);
 		this.#control = this.#createCounter('control_calls_total', 'Calls to peers and to the configuration service by kind.', ['kind']);
+		this.#createTrafficCounter();
 		for (const kind of controlEffects) {
 			this.#control.inc({kind}, 0);
 		}
@@ -91,6 +94,29 @@
 		}
 	}
 
+	/** Shows the bytes of a kind of links. */
+	addTraffic(link: string, meter: TrafficMeter): void {
+		this.#meters.set(link, meter);
+	}
+
+	#createTrafficCounter(): void {
+		const meters = this.#meters;
+		new Counter({
+			name: `${prefix}control_bytes_total`,
+			help: 'Bytes on connections that this instance opened for control, by link and direction.',
+			labelNames: ['link', 'direction'],
+			registers: [this.registry],
+			collect() {
+				this.reset();
+				for (const [link, meter] of meters) {
+					const {read, written} = meter.read();
+					this.inc({link, direction: 'read'}, read);
+					this.inc({link, direction: 'written'}, written);
+				}
+			},
+		}).reset();
+	}
+
 	#createCounter<L extends string>(name: string, help: string, labelNames: L[]): Counter<L> {
 		return new Counter({
 			name: prefix + name, help, labelNames, registers: [this.registry],
--- a/packages/router/src/lib/peer-client.ts
+++ b/packages/router/src/lib/peer-client.ts
@@ -14,6 +14,7 @@
 } from './peer-mapping.js';
 import type {OpenRequest} from './open-request.js';
 import {PeerSession} from './peer-session.js';
+import {TrafficMeter} from './traffic-meter.js';
 import {createDocumentEvent} from './platform-client.js';
 import {fromWireEnd, toWireTicketed} from './ticket-mapping.js';
 
@@ -31,6 +32,8 @@
 
 /** Calls peers for the reducer. */
 export class PeerClient {
+	/** Bytes of control calls; forwarded requests have connections of their own. */
+	readonly traffic = new TrafficMeter();
 	readonly #connections = new Map<string, Connection>();
 	readonly #secret: string;
 	readonly #emit: (event: Event) => void;
@@ -159,7 +162,7 @@
 		};
 
 		const baseUrl = `http://${address}`;
-		const session = new PeerSession(baseUrl, isWatched);
+		const session = new PeerSession(baseUrl, isWatched, isWatched ? undefined : this.traffic);
 		const transport = createConnectTransport({
 			baseUrl, httpVersion: '2', sessionManager: session, interceptors: [addSecret], readMaxBytes: largestAnswerBytes,
 		});
--- a/packages/router/src/lib/peer-session.ts
+++ b/packages/router/src/lib/peer-session.ts
@@ -10,6 +10,7 @@
 	connect, constants, type ClientHttp2Session, type ClientHttp2Stream, type ClientSessionRequestOptions, type OutgoingHttpHeaders,
 } from 'node:http2';
 import type {createConnectTransport} from '@connectrpc/connect-node';
+import type {TrafficMeter} from './traffic-meter.js';
 
 type TransportOptions = Parameters<typeof createConnectTransport>[0];
 type SessionManager = NonNullable<Extract<TransportOptions, {sessionManager?: unknown}>['sessionManager']>;
@@ -24,10 +25,12 @@
 	#session?: ClientHttp2Session;
 
 	readonly #isWatched: boolean;
+	readonly #traffic?: TrafficMeter;
 
 	/** With `isWatched`, pings notice a connection that has gone silent while a long call waits on it. */
-	constructor(readonly authority: string, isWatched = false) {
+	constructor(readonly authority: string, isWatched = false, traffic?: TrafficMeter) {
 		this.#isWatched = isWatched;
+		this.#traffic = traffic;
 	}
 
 	/** Opens a stream, on a new connection if there is none. */
@@ -64,6 +67,9 @@
 			}
 		};
 
+		session.once('connect', (_, socket) => {
+			this.#traffic?.watch(socket);
+		});
 		session.on('error', forget);
 		session.on('close', forget);
 		session.on('goaway', () => {
--- a/packages/router/src/lib/platform-client.ts
+++ b/packages/router/src/lib/platform-client.ts
@@ -7,10 +7,12 @@
 import {
 	describeError, type LifecycleManager, type Logger, type SocketAddress,
 } from '@sequoiatally/runtime';
-import {Agent, request} from 'undici';
+import {Agent, buildConnector, request} from 'undici';
+import {TrafficMeter} from './traffic-meter.js';
 
 /** Time beyond the agreed wait after which a read counts as failed, in milliseconds. */
 const readGraceMs = 1000;
+const connectTimeoutMs = 1000;
 /** Largest document that is read; the service holds values up to a megabyte. */
 const largestDocumentBytes = 1024 * 1024;
 
@@ -37,11 +39,26 @@
 		: {kind: eventKind.readFailed, document, source};
 }
 
+/** Connects as the library does, and counts the bytes. */
+function createCountedConnector(traffic: TrafficMeter): buildConnector.connector {
+	const connect = buildConnector({timeout: connectTimeoutMs});
+	return (options, callback) => {
+		connect(options, (...result) => {
+			if (result[1] !== null) {
+				traffic.watch(result[1]);
+			}
+
+			callback(...result);
+		});
+	};
+}
+
 /** Reads documents for the reducer. */
 export class PlatformClient {
 	/** Counts calls to the service, for the metrics. */
 	callCount = 0;
-	readonly #agent = new Agent({connect: {timeout: 1000}});
+	readonly traffic = new TrafficMeter();
+	readonly #agent = new Agent({connect: createCountedConnector(this.traffic)});
 	readonly #base: string;
 	readonly #emit: (event: Event) => void;
 	readonly #readClock: () => number;
--- a/packages/router/src/lib/router.ts
+++ b/packages/router/src/lib/router.ts
@@ -210,11 +210,15 @@
 		return true;
 	};
 
+	const platform = new PlatformClient(settings.platformAddress, emit, readMonotonicMs, logger, lifecycle);
+	const peerClient = new PeerClient(settings.fleetSecret, emit, readMonotonicMs, logger, lifecycle);
+	metrics.addTraffic('platform', platform.traffic);
+	metrics.addTraffic('peers', peerClient.traffic);
 	runner.connect(new RouterEffects({
 		openRequests,
 		targets: new TargetClient(emit, readMonotonicMs, settings.targetSilenceMs, lifecycle),
-		platform: new PlatformClient(settings.platformAddress, emit, readMonotonicMs, logger, lifecycle),
-		peerClient: new PeerClient(settings.fleetSecret, emit, readMonotonicMs, logger, lifecycle),
+		platform,
+		peerClient,
 		peerServer,
 		metrics,
 		refusals,
--- a/packages/scenarios/features/operators.feature
+++ b/packages/scenarios/features/operators.feature
@@ -21,6 +21,7 @@
     Then the answer came from the target that was named
     And the time line of router 1 names the operator of both actions
     And the metrics of router 1 count 3 completed requests and 1 refusal as "draining"
+    And the metrics of router 1 count bytes to peers and to the platform
     And the merged time line follows the request through its caller, router and target
 
   Scenario: A command with a wrong token learns nothing
--- a/packages/scenarios/src/test/operators_test.ts
+++ b/packages/scenarios/src/test/operators_test.ts
@@ -135,6 +135,16 @@
 		assert.ok(text.includes(`sequoiatally_requests_total{route="fitbrain",outcome="completed"} ${completed}\n`), text);
 		assert.ok(text.includes(`sequoiatally_refusals_total{reason="${reason}",outcome="not-run"} 1\n`), text);
 	}],
+	[/^the metrics of router (\d) count bytes to peers and to the platform$/, async (world, number) => {
+		const {body} = await request(`http://${world.findRouter(number).adminAddress}/metrics`);
+		const text = await body.text();
+		for (const link of ['peers', 'platform']) {
+			for (const direction of ['read', 'written']) {
+				const [, bytes] = new RegExp(`control_bytes_total{link="${link}",direction="${direction}"} (\\d+)`).exec(text) ?? [];
+				assert.ok(Number(bytes) > 100, `${link} ${direction}: ${bytes}`);
+			}
+		}
+	}],
 	[/^the merged time line follows the request through its caller, router and target$/, async world => {
 		await world.fleet.stop();
 		await world.timelines.close();
