Gather small limits; loans never extended beyond what is owned

Ruled out: longer token loans with an early return (more messages, locked room). Change: one rendezvous-chosen instance borrows small limits whole and lends tokens for 200 ms at a time, also from what it borrowed for longer; a lender extends nothing while it lent more than it owns; rate moves with half a second of room only; the default term of a loan is 1.5 s, the margin 0.6 s.

--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -2,6 +2,7 @@
  * Borrows share from peers: rate ahead of steady demand, tokens for bursts,
  * slots for targets.
  */
+import type {Account} from '../configuration/configuration.js';
 import {effectKind} from '../effect.js';
 import type {LoanFailed, LoanGranted} from '../event.js';
 import {hashText} from '../hash.js';
@@ -10,6 +11,7 @@
 import {timelineKind} from '../timeline-entry.js';
 import {updateBucket} from './allowance-state.js';
 import {computeDemandRate} from './demand-meter.js';
+import {findGatherer} from './gather.js';
 import {describeAccountLimitId, findLimit, findLimitAccount} from './limit.js';
 import {computeNetShare, type Loan} from './share-ledger.js';
 import {
@@ -19,13 +21,27 @@
 /** Time after which an unanswered request no longer keeps another peer from being asked, in milliseconds. */
 const hedgeAfterMs = 30;
 /** Time before the end of a loan at which it is extended, in milliseconds. */
-const extendBeforeMs = 1000;
+const extendBeforeMs = 800;
 /** Time between two requests to extend one loan, in milliseconds. */
 const extendAgainMs = 300;
-/** Rate that is borrowed, as a multiple of the recent demand. */
-const wantedDemandMultiple = 1.1;
+/** Rate below which more is borrowed, as a multiple of the recent demand. */
+const neededDemandMultiple = 1.1;
+/** Rate up to which is borrowed then, as a multiple of the recent demand: fewer and larger loans. */
+const wantedDemandMultiple = 1.3;
+/**
+ * Room that moves with a rate, as time at that rate, in milliseconds. The rest
+ * of the burst stays spread, so that little of it is lost with one instance.
+ */
+const roomOfRateMs = 500;
 /** Smallest part of an account's rate for which a loan of rate is asked. */
-const smallestRatePart = 0.01;
+const smallestRatePart = 0.02;
+/**
+ * Term of a loan of tokens alone, in milliseconds. They are spent at once, so
+ * that the room soon serves its lender again without a message.
+ */
+const tokenTermMs = 200;
+/** Demand for which tokens are asked beyond those that requests wait for, in milliseconds. */
+const tokensAheadMs = 150;
 /** Amounts below this are no share. */
 const smallestAmount = 1e-3;
 
@@ -52,15 +68,35 @@
 		return;
 	}
 
-	for (const [name, account] of state.tables.accountByName) {
-		const demand = computeDemandRate(allowances.meters.get(name), now) * wantedDemandMultiple;
-		const limitId = describeAccountLimitId(name);
-		const net = computeNetShare(step, limitId);
-		extendLoans(step, limitId, net.rate, demand);
-		const missing = Math.min(demand, account.rate) - net.rate;
-		if (missing > account.rate * smallestRatePart) {
-			requestShare(step, limitId, {rate: missing, room: missing * account.burst / account.rate, tokens: 0});
-		}
+	for (const account of state.tables.accountByName.values()) {
+		borrowRate(step, account);
+	}
+}
+
+function borrowRate(step: Step, account: Account): void {
+	const limitId = describeAccountLimitId(account.name);
+	const net = computeNetShare(step, limitId);
+	if (findGatherer(step, limitId) === step.state.self.instanceId) {
+		extendLoans(step, limitId, net.rate, account.rate);
+		requestRate(step, account, account.rate - net.rate, account.burst - net.room);
+		return;
+	}
+
+	const demand = computeDemandRate(step.state.allowances.meters.get(account.name), step.now);
+	if (findGatherer(step, limitId) !== undefined) {
+		return;
+	}
+
+	extendLoans(step, limitId, net.rate, demand * neededDemandMultiple);
+	if (net.rate < demand * neededDemandMultiple) {
+		const missing = Math.min(demand * wantedDemandMultiple, account.rate) - net.rate;
+		requestRate(step, account, missing, missing * Math.min(account.burst / account.rate, roomOfRateMs / 1000));
+	}
+}
+
+function requestRate(step: Step, account: Account, rate: number, room: number): void {
+	if (rate > account.rate * smallestRatePart) {
+		requestShare(step, describeAccountLimitId(account.name), {rate, room, tokens: 0});
 	}
 }
 
@@ -124,17 +160,6 @@
 	}
 }
 
-/** Returns the token loans of accounts for which no request waits any more. */
-export function giveBackTokens(step: Step): void {
-	const {allowances} = step.state;
-	for (const loan of allowances.borrowed.values()) {
-		const account = findLimitAccount(loan.limitId);
-		if (loan.rate === 0 && account !== undefined && (allowances.waitingCounts.get(account) ?? 0) === 0) {
-			giveBackLoan(step, loan);
-		}
-	}
-}
-
 function giveBackLoan(step: Step, loan: Loan): void {
 	const {allowances} = step.state;
 	allowances.borrowed.remove(loan.loanId);
@@ -235,12 +260,26 @@
 			loanId: ask.loanId,
 			instanceId: self.instanceId,
 			incarnation: self.incarnation,
-			termMs: tables.configuration?.fleet.loanTermMs ?? 0,
+			termMs: computeTermMs(ask, tables.configuration?.fleet.loanTermMs ?? 0),
 			amounts: [{limitId: ask.limitId, ...ask.amount}],
 		},
 	});
 }
 
+function computeTermMs({limitId, amount}: LoanAsk, loanTermMs: number): number {
+	const isTokens = amount.rate === 0 && findLimitAccount(limitId) !== undefined;
+	return isTokens ? Math.min(tokenTermMs, loanTermMs) : loanTermMs;
+}
+
+/** Asks for the tokens that waiting requests of an account lack, and a few ahead. */
+export function requestTokens(step: Step, account: string, waitingCount: number): void {
+	const {buckets, meters} = step.state.allowances;
+	const isGathered = findGatherer(step, describeAccountLimitId(account)) !== undefined;
+	const ahead = isGathered ? 0 : computeDemandRate(meters.get(account), step.now) * tokensAheadMs / 1000;
+	const tokens = waitingCount + ahead - (buckets.get(account)?.tokens ?? 0);
+	requestShare(step, describeAccountLimitId(account), {rate: 0, room: tokens, tokens});
+}
+
 /** Computes what is still to be asked for: what is wanted less what fresh requests may bring. */
 function computeMissing(step: Step, limitId: string, {amount}: ShareWant): ShareAmount | undefined {
 	let {rate, room, tokens} = amount;
@@ -269,9 +308,10 @@
 
 	let best: string | undefined;
 	let bestScore = -1;
+	const gatherer = findGatherer(step, limitId);
 	for (const peerId of listHeardPeers(step)) {
 		const isSkipped = asked.has(peerId) || (lenders.get(peerId)?.skipUntil ?? 0) > now;
-		const score = isSkipped ? -1 : hashText(`${limitId}/${state.self.instanceId}/${peerId}`);
+		const score = isSkipped ? -1 : computeLenderScore(limitId, state.self.instanceId, peerId, gatherer);
 		if (score > bestScore) {
 			best = peerId;
 			bestScore = score;
@@ -281,6 +321,10 @@
 	return best;
 }
 
+function computeLenderScore(limitId: string, ownId: string, peerId: string, gatherer: string | undefined): number {
+	return peerId === gatherer ? Number.POSITIVE_INFINITY : hashText(`${limitId}/${ownId}/${peerId}`);
+}
+
 function findWant({state}: Step, ask: LoanAsk): ShareWant | undefined {
 	const {rateWants, roomWants} = state.allowances;
 	return (ask.amount.rate > 0 ? rateWants : roomWants).get(ask.limitId);
--- /dev/null
+++ b/packages/core/src/lib/allowance/gather.ts
@@ -0,0 +1,48 @@
+/**
+ * Small limits are gathered: divided by the instances they come to a few
+ * tokens each, which overflow at idle instances while a busy one has none. One
+ * instance, chosen by rendezvous hashing, borrows the shares of all and lends
+ * tokens for each request. Where lists differ there are two gatherers, and no
+ * harm: what either holds was subtracted elsewhere.
+ */
+import {listedState} from '../configuration/instance-list.js';
+import {hashText} from '../hash.js';
+import type {Step} from '../state.js';
+import {findLimit, findLimitAccount} from './limit.js';
+
+/** Room of one instance's share below which an account's limit is gathered, in tokens. */
+const smallRoom = 4;
+
+/** Finds the instance that gathers a limit; undefined: the limit is large enough to stay spread. */
+export function findGatherer(step: Step, limitId: string): string | undefined {
+	const {state} = step;
+	const ceiling = state.tables.configuration?.fleet.ceiling ?? 1;
+	const limit = findLimit(step, limitId);
+	if (limit === undefined || findLimitAccount(limitId) === undefined || limit.room / ceiling >= smallRoom) {
+		return undefined;
+	}
+
+	const {gatherers} = state.allowances;
+	const known = gatherers.get(limitId);
+	if (known?.listHash === state.membership.listHash) {
+		return known.instanceId;
+	}
+
+	const instanceId = chooseGatherer(step, limitId);
+	gatherers.set(limitId, {listHash: state.membership.listHash, instanceId});
+	return instanceId;
+}
+
+function chooseGatherer({state}: Step, limitId: string): string | undefined {
+	let best: string | undefined;
+	let bestScore = -1;
+	for (const {id, state: listed} of state.membership.list?.instances ?? []) {
+		const score = listed === listedState.live ? hashText(`${limitId}/${id}`) : -1;
+		if (score > bestScore) {
+			best = id;
+			bestScore = score;
+		}
+	}
+
+	return best;
+}
--- a/packages/core/src/lib/allowance/lend-share.ts
+++ b/packages/core/src/lib/allowance/lend-share.ts
@@ -9,11 +9,12 @@
 import {timelineKind} from '../timeline-entry.js';
 import {updateBucket} from './allowance-state.js';
 import {computeDemandRate} from './demand-meter.js';
+import {findGatherer} from './gather.js';
 import {
 	computeSlotsInUse, findLimit, findLimitAccount, findLimitTarget,
 } from './limit.js';
 import {loanMarginMs} from './loan-margin.js';
-import {computeLendableShare} from './share-ledger.js';
+import {computeLendableRoom, computeLendableShare, isLentBeyondOwned} from './share-ledger.js';
 
 /** Time within which the answer has to leave the process, in milliseconds. */
 const answerWithinMs = 200;
@@ -56,7 +57,7 @@
 		return extendLoan(step, request, known);
 	}
 
-	const amount = findLimitAccount(asked.limitId) === undefined ? lendSlots(step, asked) : lendTokens(step, asked);
+	const amount = findLimitAccount(asked.limitId) === undefined ? lendSlots(step, asked) : lendTokens(step, request, asked);
 	if (amount === undefined) {
 		return undefined;
 	}
@@ -78,10 +79,13 @@
 	return amount;
 }
 
-/** Extends a loan unless its rate is needed here; it never shrinks, so repeated requests do no harm. */
-function extendLoan(step: Step, {loanId, termMs}: BorrowRequest, known: {limitId: string; rate: number; room: number}): LoanAmount | undefined {
-	const account = findLimitAccount(known.limitId);
-	if (account !== undefined && computeSpareRate(step, known.limitId, account) + known.rate < smallestLoan) {
+/** Extends a loan unless its rate is needed here, or no longer owned; it never shrinks, so repeated requests do no harm. */
+function extendLoan(step: Step, {loanId, termMs, instanceId}: BorrowRequest, known: {limitId: string; rate: number; room: number}): LoanAmount | undefined {
+	if (isLentBeyondOwned(step, known.limitId)) {
+		return undefined;
+	}
+
+	if (findLimitAccount(known.limitId) !== undefined && computeSpareRate(step, known.limitId, instanceId) + known.rate < smallestLoan) {
 		return undefined;
 	}
 
@@ -93,19 +97,19 @@
 	};
 }
 
-function lendTokens(step: Step, asked: LoanAmount): LoanAmount | undefined {
+function lendTokens(step: Step, {instanceId, termMs}: BorrowRequest, asked: LoanAmount): LoanAmount | undefined {
 	const account = findLimitAccount(asked.limitId)!;
 	const bucket = updateBucket(step, account);
-	const lendable = computeLendableShare(step, asked.limitId);
-	const largestRoom = Math.min(lendable.room, bucket.room);
 	if (asked.rate > 0) {
 		const limit = findLimit(step, asked.limitId)!;
-		const rate = Math.min(asked.rate, computeSpareRate(step, asked.limitId, account));
-		const room = Math.min(largestRoom, rate * limit.room / limit.rate);
+		const largestRoom = Math.min(computeLendableShare(step, asked.limitId).room, bucket.room);
+		const rate = Math.min(asked.rate, computeSpareRate(step, asked.limitId, instanceId));
+		const room = Math.min(largestRoom, asked.room * rate / asked.rate, rate * limit.room / limit.rate);
 		return takeFromBucket(bucket, {...asked, rate}, room, bucket.tokens * room / Math.max(bucket.room, smallestLoan));
 	}
 
 	const waiting = step.state.allowances.waitingCounts.get(account) ?? 0;
+	const largestRoom = Math.min(computeLendableRoom(step, asked.limitId, termMs), bucket.room);
 	const spareTokens = Math.max(0, bucket.tokens - waiting);
 	const tokens = Math.min(asked.tokens, spareTokens, largestRoom);
 	return takeFromBucket(bucket, {...asked, rate: 0}, tokens, tokens);
@@ -133,9 +137,15 @@
 		};
 }
 
-function computeSpareRate(step: Step, limitId: string, account: string): number {
-	const demand = computeDemandRate(step.state.allowances.meters.get(account), step.now);
-	return computeLendableShare(step, limitId).rate - (demand * keptDemandMultiple);
+/** Computes the rate that is not needed here; the gatherer of a limit may have all of it. */
+function computeSpareRate(step: Step, limitId: string, borrowerId: string): number {
+	const {rate} = computeLendableShare(step, limitId);
+	if (findGatherer(step, limitId) === borrowerId) {
+		return rate;
+	}
+
+	const demand = computeDemandRate(step.state.allowances.meters.get(findLimitAccount(limitId)!), step.now);
+	return rate - (demand * keptDemandMultiple);
 }
 
 /** Brings the account's bucket up to now, so that a change of share counts from now on. */
--- a/packages/core/src/lib/allowance/loan-margin.ts
+++ b/packages/core/src/lib/allowance/loan-margin.ts
@@ -7,4 +7,4 @@
  * milliseconds. It covers a dispatch that was decided at the end of the term
  * and sent within its `notAfter`, and the drift of clocks over a term.
  */
-export const loanMarginMs = 1000;
+export const loanMarginMs = 600;
--- a/packages/core/src/lib/allowance/share-ledger.ts
+++ b/packages/core/src/lib/allowance/share-ledger.ts
@@ -10,6 +10,9 @@
 import type {Step} from '../state.js';
 import {findLimit} from './limit.js';
 
+/** Rounding of sums of loans is no excess. */
+const roundingTolerance = 1e-9;
+
 /** Part of a limit. */
 export type Share = {
 	/** Tokens per second. */
@@ -125,9 +128,30 @@
 	};
 }
 
-/** Computes what is owned and not lent: no instance lends on what it borrowed. */
+/** Computes what is owned and not lent: the part that may be lent for a full term. */
 export function computeLendableShare(step: Step, limitId: string): Share {
 	const owned = computeOwnedShare(step, limitId);
 	const minus = step.state.allowances.lent.computeSum(limitId, step.now);
 	return {rate: Math.max(0, owned.rate - minus.rate), room: Math.max(0, owned.room - minus.room)};
 }
+
+/** True: more is lent than is owned since the owned share shrank; such loans must not be extended. */
+export function isLentBeyondOwned(step: Step, limitId: string): boolean {
+	const owned = computeOwnedShare(step, limitId);
+	const minus = step.state.allowances.lent.computeSum(limitId, step.now);
+	return minus.rate > owned.rate + roundingTolerance || minus.room > owned.room + roundingTolerance;
+}
+
+/**
+ * Computes the room that may be lent for `termMs`: also what is borrowed for
+ * longer than that, because such a loan ends before its own cover does.
+ */
+export function computeLendableRoom(step: Step, limitId: string, termMs: number): number {
+	const {borrowed, lent} = step.state.allowances;
+	let {room} = computeOwnedShare(step, limitId);
+	for (const loan of borrowed.listOpen(limitId, step.now + termMs)) {
+		room += loan.room;
+	}
+
+	return Math.max(0, room - lent.computeSum(limitId, step.now).room);
+}
--- a/packages/core/src/lib/configuration/configuration.ts
+++ b/packages/core/src/lib/configuration/configuration.ts
@@ -80,7 +80,7 @@
 	/** Age of the configuration at which an instance refuses all new work. */
 	staleLimitMs: durationSchema.default(3_600_000),
 	/** Term of a loan between instances, in milliseconds. */
-	loanTermMs: durationSchema.default(3000),
+	loanTermMs: durationSchema.default(1500),
 	/** Instances whose end the operators have confirmed. */
 	gone: z.array(z.string().max(128)).default([]),
 }).strict();
--- a/packages/core/src/lib/requests/reduce-requests.ts
+++ b/packages/core/src/lib/requests/reduce-requests.ts
@@ -2,8 +2,7 @@
  * Reduces events about requests: admission, waiting, dispatch, retry, end.
  */
 import {countWaiting, recordAccountDemand, tryAdmit} from '../allowance/allowance-state.js';
-import {giveBackTokens, requestShare} from '../allowance/borrow-share.js';
-import {describeAccountLimitId} from '../allowance/limit.js';
+import {requestTokens} from '../allowance/borrow-share.js';
 import {type Pool, routeKind} from '../configuration/configuration.js';
 import {effectKind} from '../effect.js';
 import {
@@ -76,8 +75,6 @@
 
 		advanceRequest(step, request);
 	}
-
-	giveBackTokens(step);
 }
 
 /** Takes the end of an attempt: the request is finished, tried again, or refused. */
@@ -192,8 +189,7 @@
 	}
 
 	step.state.requests.waiting.add(request.requestId);
-	const tokens = countWaiting(step, request.account) - (step.state.allowances.buckets.get(request.account)?.tokens ?? 0);
-	requestShare(step, describeAccountLimitId(request.account), {rate: 0, room: tokens, tokens});
+	requestTokens(step, request.account, countWaiting(step, request.account));
 	return false;
 }
 
