--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -79,8 +79,8 @@
 		}
 
 		case eventKind.documentUnchanged: {
-			endRead(step, event.document, {revision: event.revision}, false);
 			applyUnchanged(step, event);
+			endRead(step, event.document, {}, false);
 			break;
 		}
 
@@ -152,7 +152,14 @@
 	}
 }
 
-function applyUnchanged(step: Step, {document, asOf, currentAt}: DocumentUnchanged): void {
+function applyUnchanged(step: Step, {
+	document, revision, asOf, currentAt,
+}: DocumentUnchanged): void {
+	// A replica that is behind has nothing newer to show, and proves nothing.
+	if (revision < step.state.watches[document].revision) {
+		return;
+	}
+
 	if (document === documentKind.tables) {
 		applyTablesUnchanged(step, currentAt);
 	} else if (asOf !== undefined) {
--- a/packages/core/src/lib/tables.ts
+++ b/packages/core/src/lib/tables.ts
@@ -17,8 +17,8 @@
 	}
 
 	tables.highestVersion = Math.max(tables.highestVersion, version);
-	recordCurrency(step, event);
 	if (version === known) {
+		recordCurrency(step, event);
 		return;
 	}
 
@@ -26,6 +26,7 @@
 	tables.text = event.text;
 	tables.accountByDigest = indexDigests(event);
 	tables.accountByName = new Map(event.configuration.accounts.map(account => [account.name, account]));
+	recordCurrency(step, event);
 	forgetOwnedFraction(step);
 	recordEntry(step, {
 		kind: timelineKind.configurationApplied, cause: `configuration-${version}`, peerId: event.source.peerId, detail: `Version ${version} is in force.`,
@@ -35,6 +36,10 @@
 /** Takes the service's word that the tables in force are the latest. */
 export function applyTablesUnchanged(step: Step, currentAt: number): void {
 	const {tables} = step.state;
+	if (!isVersionKnown(step)) {
+		return;
+	}
+
 	tables.readAt = Math.max(tables.readAt ?? Number.NEGATIVE_INFINITY, currentAt);
 	advanceTablesCurrency(step);
 }
--- a/packages/scenarios/src/test/shares_properties_test.ts
+++ b/packages/scenarios/src/test/shares_properties_test.ts
@@ -27,7 +27,7 @@
 
 type Fault = {readonly kind: string; readonly index: number; readonly durationMs: number; readonly pauseMs: number};
 
-const faultKinds = ['kill', 'start', 'replace', 'restart', 'leave', 'freeze', 'unlist', 'relist', 'split', 'heal', 'cut', 'join', 'down', 'up', 'noise', 'quiet', 'stale', 'replaceAll', 'drain'];
+const faultKinds = ['kill', 'start', 'replace', 'restart', 'leave', 'freeze', 'unlist', 'relist', 'split', 'heal', 'cut', 'join', 'down', 'up', 'noise', 'quiet', 'stale', 'replaceAll', 'drain', 'publish'];
 const faultArbitrary: fc.Arbitrary<Fault> = fc.record({
 	kind: fc.constantFrom(...faultKinds),
 	index: fc.nat(20),
@@ -56,6 +56,11 @@
 			return;
 		}
 
+		case 'publish': {
+			fleet.configuration = {...fleet.configuration, version: fleet.configuration.version + 1};
+			return;
+		}
+
 		case 'noise': {
 			fleet.network = {
 				minDelayMs: 1, maxDelayMs: 400, lossProbability: 0.1, doubleProbability: 0.2,
@@ -202,13 +207,31 @@
 	});
 }
 
-await test('shares add up to the limit at most, and no account overruns it, under any mix of faults', () => {
+/** Compares each instance's version in force with the one that it had before. */
+function watchVersions(workload: ShareWorkload, found: string[], before = new Map<FleetInstance, number>()): void {
+	for (const instance of workload.fleet.instances.values()) {
+		const version = instance.state.tables.configuration?.version ?? 0;
+		if (version < (before.get(instance) ?? 0)) {
+			found.push(`${instance.id} reverted to version ${version}`);
+		}
+
+		before.set(instance, version);
+	}
+
+	workload.fleet.schedule(sumIntervalMs, () => {
+		watchVersions(workload, found, before);
+	});
+}
+
+await test('shares add up to the limit, no account overruns it and no version reverts, under any mix of faults', () => {
 	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.array(faultArbitrary, {minLength: 2, maxLength: 12}), (seed, faults) => {
 		const workload = new ShareWorkload({
 			seed, accounts, instanceCount: 5, skew: 0.4, fleet,
 		});
 		const excesses: ShareSum[] = [];
 		watchShareSums(workload, excesses);
+		const reversions: string[] = [];
+		watchVersions(workload, reversions);
 		workload.fleet.runFor(14_000);
 		for (const fault of faults) {
 			inject(workload, fault);
@@ -217,6 +240,7 @@
 
 		workload.run(6000);
 		assert.deepEqual(excesses.slice(0, 1), []);
+		assert.deepEqual(reversions.slice(0, 1), []);
 		for (const {name, rate, burst} of accounts) {
 			const times = workload.fleet.sent.filter(({account}) => account === name).map(({at}) => at);
 			assert.equal(computeOverrun(times, rate, burst), 0, `${name} overran`);
