--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -13,7 +13,7 @@
 import {computeDemandRate} from './demand-meter.js';
 import {findGatherer} from './gather.js';
 import {describeAccountLimitId, findLimit, findLimitAccount} from './limit.js';
-import {computeNetShare, type Loan} from './share-ledger.js';
+import {computeLoanTermMs, computeNetShare, type Loan} from './share-ledger.js';
 import {
 	createShareWant, recordAnswer, type LoanAsk, type ShareAmount, type ShareWant,
 } from './share-want.js';
@@ -245,7 +245,7 @@
 }
 
 function sendAsk(step: Step, ask: LoanAsk): void {
-	const {self, allowances, tables} = step.state;
+	const {self, allowances} = step.state;
 	const address = findPeerAddress(step, ask.peerId);
 	if (address === undefined) {
 		return;
@@ -260,15 +260,16 @@
 			loanId: ask.loanId,
 			instanceId: self.instanceId,
 			incarnation: self.incarnation,
-			termMs: computeTermMs(ask, tables.configuration?.fleet.loanTermMs ?? 0),
+			termMs: computeTermMs(step, ask),
 			amounts: [{limitId: ask.limitId, ...ask.amount}],
 		},
 	});
 }
 
-function computeTermMs({limitId, amount}: LoanAsk, loanTermMs: number): number {
+function computeTermMs(step: Step, {limitId, amount}: LoanAsk): number {
 	const isTokens = amount.rate === 0 && findLimitAccount(limitId) !== undefined;
-	return isTokens ? Math.min(tokenTermMs, loanTermMs) : loanTermMs;
+	const longestMs = computeLoanTermMs(step, limitId);
+	return isTokens ? Math.min(tokenTermMs, longestMs) : longestMs;
 }
 
 /** Asks for the tokens that waiting requests of an account lack, and a few ahead. */
@@ -340,3 +341,14 @@
 		updateBucket(step, account);
 	}
 }
+
+/** True when a fresh request for a loan of this limit is not answered yet. */
+export function isLoanExpected({state, now}: Step, limitId: string): boolean {
+	for (const ask of state.allowances.asks.values()) {
+		if (ask.limitId === limitId && !ask.isExtension && now - ask.askedAt < hedgeAfterMs) {
+			return true;
+		}
+	}
+
+	return false;
+}
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -13,10 +13,12 @@
 	applyList, applyListUnchanged, applyPeerFailure, applySummary, exchangeWithPeers, updateMembership,
 } from './membership/reduce-membership.js';
 import {
-	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft,
+	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft, applyForwardEnd,
 } from './requests/reduce-requests.js';
+import {releaseTickets} from './requests/reduce-tickets.js';
 import {recordEntry, type State, type Step} from './state.js';
 import {applyConfiguration, applyTablesUnchanged, rejectConfiguration} from './tables.js';
+import {updateSlotLoans} from './targets/slot-share.js';
 import {applyLoadReport, applyPeerEvidence} from './targets/target-boot.js';
 import {applyListedTargets} from './targets/target-state.js';
 import {timelineKind} from './timeline-entry.js';
@@ -49,6 +51,12 @@
 			break;
 		}
 
+		case eventKind.forwardEnded: {
+			applyForwardEnd(step, event);
+			finishDrainIfIdle(step);
+			break;
+		}
+
 		case eventKind.callerLeft: {
 			applyCallerLeft(step, event);
 			advanceWaiting(step);
@@ -146,7 +154,9 @@
 			exchangeWithPeers(step);
 			updateBuckets(step);
 			borrowRates(step);
+			updateSlotLoans(step);
 			advanceWaiting(step);
+			releaseTickets(step);
 			break;
 		}
 	}
--- a/packages/core/src/lib/targets/load-multiple.ts
+++ b/packages/core/src/lib/targets/load-multiple.ts
@@ -3,24 +3,36 @@
  *
  * The load of a target is the number of requests in flight there, over the
  * fleet; the mean is taken over the pool's targets that may take new work and
- * are warm. Each instance keeps its own requests under the multiple of its own
- * mean, or under its whole part of the pool's floor, whichever is more. These
- * bounds add up over the instances without any message between them. What peers
- * say they have in flight only tightens the bound.
+ * are warm. Each instance keeps its own requests at a target under the multiple of
+ * its own mean plus its part of the pool's floor. These bounds add up over the
+ * instances to the multiple of the mean plus the floor, whatever the instances
+ * know of each other. What peers say they have in flight only tightens the bound,
+ * so that in ordinary running the load stays well below it.
  */
+import {computeDemandRate} from '../allowance/demand-meter.js';
 import type {Pool} from '../configuration/configuration.js';
 import type {Step} from '../state.js';
+import {computeSlotShare} from './slot-share.js';
 import {isWarm} from './target-boot.js';
 import type {Target} from './target-state.js';
 
+/** Longest time between two reports of a peer in ordinary running, in seconds. */
+const reportIntervalSeconds = 0.5;
+/** Room left for what peers' reports do not show yet, as a multiple of its likely size. */
+const unseenDeviations = 2;
 /** Time after which a peer's load report no longer counts, in milliseconds. */
 const peerLoadLimitMs = 2000;
 
+/** Floor of the bound that holds whatever the instances hear of each other, as a multiple of the pool's floor. */
+const unheardFloorMultiple = 3;
+
 /** Loads of a pool, of this instance and as estimated for the fleet. */
 export type PoolLoad = {
 	readonly warmCount: number;
 	/** Requests of this instance in flight at warm targets. */
 	readonly ownInFlight: number;
+	/** Requests per second that this instance places. */
+	readonly ownRate: number;
 	/** Requests of peers by target, as they last said. */
 	readonly peerInFlight: ReadonlyMap<string, number>;
 	/** Requests of peers at warm targets. */
@@ -42,7 +54,7 @@
 	}
 
 	return {
-		warmCount, ownInFlight, peerInFlight, peerTotal,
+		warmCount, ownInFlight, ownRate: computeDemandRate(step.state.targets.placements.get(pool.name), step.now), peerInFlight, peerTotal,
 	};
 }
 
@@ -53,14 +65,26 @@
 		return true;
 	}
 
-	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY;
 	const ownAfter = target.inFlight + 1;
 	const ownMean = (load.ownInFlight + 1) / load.warmCount;
-	const ownBound = Math.max(Math.floor(pool.loadFloor / ceiling), pool.loadMultiple * ownMean);
+	const ownFloor = unheardFloorMultiple * pool.loadFloor * computeSlotShare(step, target) / pool.slotsPerTarget;
 	const fleetAfter = ownAfter + (load.peerInFlight.get(target.listed.id) ?? 0);
 	const fleetMean = (load.ownInFlight + load.peerTotal + 1) / load.warmCount;
-	const fleetBound = Math.max(pool.loadFloor, pool.loadMultiple * fleetMean);
-	return ownAfter <= ownBound && fleetAfter <= fleetBound;
+	const fleetBound = Math.max(pool.loadFloor, pool.loadMultiple * fleetMean) - estimateUnseen(load, fleetMean);
+	return ownAfter <= ownFloor + (pool.loadMultiple * ownMean) && fleetAfter <= Math.max(1, fleetBound);
+}
+
+/**
+ * Estimates how far a target's load may have grown since peers reported it: it
+ * changes by as many requests as start and end meanwhile, at random.
+ */
+function estimateUnseen({ownInFlight, ownRate, peerTotal}: PoolLoad, fleetMean: number): number {
+	if (ownInFlight === 0 || peerTotal === 0) {
+		return 0;
+	}
+
+	const turnover = ownRate / ownInFlight * reportIntervalSeconds;
+	return unseenDeviations * Math.sqrt(fleetMean * Math.min(1, turnover));
 }
 
 function sumPeerLoads({state, now}: Step): Map<string, number> {
