--- a/packages/scenarios/src/lib/share-workload.ts
+++ b/packages/scenarios/src/lib/share-workload.ts
@@ -25,7 +25,8 @@
 	readonly listLagMs?: number;
 };
 
-type Arrival = {readonly at: number; readonly account: string; readonly requestId: string};
+/** One request of an account, and where the balancer sent it. */
+export type Arrival = {readonly at: number; readonly account: string; readonly requestId: string; readonly instanceId: string};
 
 /** How one account fared in a window. */
 export type AccountOutcome = {
@@ -43,6 +44,8 @@
 export class ShareWorkload {
 	readonly fleet: ReducerFleet;
 	readonly arrivals: Arrival[] = [];
+	/** Told of each arrival; other policies decide on the same ones. */
+	onArrival?: (arrival: Arrival) => void;
 	readonly #random;
 	readonly #options: ShareWorkloadOptions;
 	#nextRequest = 0;
@@ -112,24 +115,21 @@
 
 	/** Describes how an account fared from `from` to `to`; the exact bucket sees all arrivals from the first on. */
 	describeOutcome(name: string, from = 0, to = Number.POSITIVE_INFINITY): AccountOutcome {
-		const account = this.#options.accounts.find(other => other.name === name)!;
-		const arrivals = this.arrivals.filter(arrival => arrival.account === name);
-		const admitted = admitExactly(arrivals.map(({at}) => at), account.rate, account.burst);
-		const sentIds = new Set(this.fleet.sent.map(({requestId}) => requestId));
-		const inWindow = (at: number) => at >= from && at < to;
-		const exact = admitted.filter((isAdmitted, index) => isAdmitted && inWindow(arrivals[index]!.at)).length;
-		const offered = arrivals.filter(({at}) => inWindow(at));
-		const sent = offered.filter(({requestId}) => sentIds.has(requestId)).length;
-		const times = this.fleet.sent.filter(request => request.account === name).map(({at}) => at);
-		return {
-			name, sent, offered: offered.length, exact, refusedWrongly: Math.max(0, exact - sent), overrun: computeOverrun(times, account.rate, account.burst),
-		};
+		return describeOutcome(this.#findAccount(name), this.arrivals, this.fleet.sent, {from, to});
+	}
+
+	#findAccount(name: string): AccountLoad {
+		return this.#options.accounts.find(other => other.name === name)!;
 	}
 
 	#send(account: AccountLoad): void {
 		const requestId = `r${this.#nextRequest++}`;
 		const instanceId = this.#chooseInstance(account);
-		this.arrivals.push({at: this.fleet.now, account: account.name, requestId});
+		const arrival = {
+			at: this.fleet.now, account: account.name, requestId, instanceId,
+		};
+		this.arrivals.push(arrival);
+		this.onArrival?.(arrival);
 		this.fleet.request(instanceId, requestId, {account: account.name, keyDigest: describeExampleKey(account.name).digest, ...exampleModelRoute});
 	}
 
@@ -151,3 +151,28 @@
 		return -Math.log(unit) * 1000 / ratePerSecond;
 	}
 }
+
+/** Describes how an account fared when `sent` of `arrivals` were sent. */
+export function describeOutcome(
+	{name, rate, burst}: AccountLoad,
+	arrivals: readonly Arrival[],
+	sent: ReadonlyArray<{readonly at: number; readonly account: string; readonly requestId: string}>,
+	{from, to}: {readonly from: number; readonly to: number},
+): AccountOutcome {
+	const own = arrivals.filter(({account}) => account === name);
+	const admitted = admitExactly(own.map(({at}) => at), rate, burst);
+	const ownSent = sent.filter(({account}) => account === name);
+	const sentIds = new Set(ownSent.map(({requestId}) => requestId));
+	const isInWindow = ({at}: Arrival) => at >= from && at < to;
+	const offered = own.filter(arrival => isInWindow(arrival));
+	const exact = own.filter((arrival, index) => admitted[index] && isInWindow(arrival)).length;
+	const sentCount = offered.filter(({requestId}) => sentIds.has(requestId)).length;
+	return {
+		name,
+		offered: offered.length,
+		sent: sentCount,
+		exact,
+		refusedWrongly: Math.max(0, exact - sentCount),
+		overrun: computeOverrun(ownSent.map(({at}) => at), rate, burst),
+	};
+}
