--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -11,7 +11,7 @@
 import {timelineKind} from '../timeline-entry.js';
 import {updateBucket} from './allowance-state.js';
 import {computeDemandRate} from './demand-meter.js';
-import {findGatherer} from './gather.js';
+import {findGatherer, isRoomScarce} from './gather.js';
 import {describeAccountLimitId, findLimit, findLimitAccount} from './limit.js';
 import {computeLoanTermMs, computeNetShare, type Loan} from './share-ledger.js';
 import {
@@ -25,9 +25,9 @@
 /** Time between two requests to extend one loan, in milliseconds. */
 const extendAgainMs = 300;
 /** Rate below which more is borrowed, as a multiple of the recent demand. */
-const neededDemandMultiple = 1.1;
+const neededDemandMultiple = 1;
 /** Rate up to which is borrowed then, as a multiple of the recent demand: fewer and larger loans. */
-const wantedDemandMultiple = 1.3;
+const wantedDemandMultiple = 1.25;
 /**
  * Room that moves with a rate, as time at that rate, in milliseconds. The rest
  * of the burst stays spread, so that little of it is lost with one instance.
@@ -160,6 +160,17 @@
 	}
 }
 
+/** Returns the token loans of accounts for which no request waits any more, where their room is scarce. */
+export function giveBackTokens(step: Step): void {
+	const {borrowed, waitingCounts} = step.state.allowances;
+	for (const loan of borrowed.values()) {
+		const isWaitedFor = (waitingCounts.get(findLimitAccount(loan.limitId) ?? '') ?? 0) > 0;
+		if (loan.rate === 0 && loan.endsAt > step.now && !isWaitedFor && isRoomScarce(step, loan.limitId)) {
+			giveBackLoan(step, loan);
+		}
+	}
+}
+
 function giveBackLoan(step: Step, loan: Loan): void {
 	const {allowances} = step.state;
 	allowances.borrowed.remove(loan.loanId);
--- a/packages/core/src/lib/allowance/gather.ts
+++ b/packages/core/src/lib/allowance/gather.ts
@@ -11,14 +11,16 @@
 import {findLimit, findLimitAccount} from './limit.js';
 
 /** Room of one instance's share below which an account's limit is gathered, in tokens. */
-const smallRoom = 4;
+const gatheredRoom = 12;
+/** Room of one instance's share below which even a token's room is returned at once, in tokens. */
+const scarceRoom = 4;
 
 /** Finds the instance that gathers a limit; undefined: the limit is large enough to stay spread. */
 export function findGatherer(step: Step, limitId: string): string | undefined {
 	const {state} = step;
 	const ceiling = state.tables.configuration?.fleet.ceiling ?? 1;
 	const limit = findLimit(step, limitId);
-	if (limit === undefined || findLimitAccount(limitId) === undefined || limit.room / ceiling >= smallRoom) {
+	if (limit === undefined || findLimitAccount(limitId) === undefined || limit.room / ceiling >= gatheredRoom) {
 		return undefined;
 	}
 
@@ -33,6 +35,13 @@
 	return instanceId;
 }
 
+/** True: the room that a loan of tokens locks until its term has passed would be missed. */
+export function isRoomScarce(step: Step, limitId: string): boolean {
+	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? 1;
+	const limit = findLimit(step, limitId);
+	return limit !== undefined && findLimitAccount(limitId) !== undefined && limit.room / ceiling < scarceRoom;
+}
+
 function chooseGatherer({state}: Step, limitId: string): string | undefined {
 	let best: string | undefined;
 	let bestScore = -1;
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -3,7 +3,9 @@
  * event and the present time. It does no input or output and reads no clock.
  */
 import {updateBuckets} from './allowance/allowance-state.js';
-import {applyLoan, applyLoanFailure, borrowRates} from './allowance/borrow-share.js';
+import {
+	applyLoan, applyLoanFailure, borrowRates, giveBackTokens,
+} from './allowance/borrow-share.js';
 import {applyBorrowRequest, applyGivenBack} from './allowance/lend-share.js';
 import {effectKind, type Effect} from './effect.js';
 import {
@@ -122,6 +124,7 @@
 		case eventKind.loanGranted: {
 			applyLoan(step, event);
 			advanceWaiting(step);
+			giveBackTokens(step);
 			break;
 		}
 
--- a/packages/core/src/lib/watch.ts
+++ b/packages/core/src/lib/watch.ts
@@ -9,7 +9,7 @@
 import type {Step} from './state.js';
 
 /** Longest time that the service may hold a watch, in milliseconds. */
-const watchWaitMs = 1000;
+const watchWaitMs = 500;
 /** Time after which a watch that has said nothing counts as lost, in milliseconds. */
 const watchSilenceMs = watchWaitMs + 1500;
 /** Time between a failed read and the next, in milliseconds. */
