--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -3,7 +3,9 @@
  * event and the present time. It does no input or output and reads no clock.
  */
 import {updateBuckets} from './allowance/allowance-state.js';
-import {applyLoan, applyLoanFailure, borrowRates} from './allowance/borrow-share.js';
+import {
+	applyLoan, applyLoanFailure, borrowRates, giveBackTokens,
+} from './allowance/borrow-share.js';
 import {applyBorrowRequest, applyGivenBack} from './allowance/lend-share.js';
 import {effectKind, type Effect} from './effect.js';
 import {
@@ -87,8 +89,8 @@
 		}
 
 		case eventKind.documentUnchanged: {
-			endRead(step, event.document, {revision: event.revision}, false);
 			applyUnchanged(step, event);
+			endRead(step, event.document, {}, false);
 			break;
 		}
 
@@ -122,6 +124,7 @@
 		case eventKind.loanGranted: {
 			applyLoan(step, event);
 			advanceWaiting(step);
+			giveBackTokens(step);
 			break;
 		}
 
@@ -162,7 +165,14 @@
 	}
 }
 
-function applyUnchanged(step: Step, {document, asOf, currentAt}: DocumentUnchanged): void {
+function applyUnchanged(step: Step, {
+	document, revision, asOf, currentAt,
+}: DocumentUnchanged): void {
+	// A replica that is behind has nothing newer to show, and proves nothing.
+	if (revision < step.state.watches[document].revision) {
+		return;
+	}
+
 	if (document === documentKind.tables) {
 		applyTablesUnchanged(step, currentAt);
 	} else if (asOf !== undefined) {
