--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -30,6 +30,10 @@
 	readonly timelineDirectory: string;
 	/** Further flags of every engine stand-in. */
 	readonly engineFlags?: readonly string[];
+	/** Further flags of every plain-service stand-in. */
+	readonly plainFlags?: readonly string[];
+	/** Further flags of every router. */
+	readonly routerFlags?: readonly string[];
 };
 
 export type FleetProcess = {
@@ -124,6 +128,7 @@
 				adminToken,
 				'--log-level',
 				'warn',
+				...(this.plan.routerFlags ?? []),
 			]),
 		};
 		this.routers.push(router);
@@ -201,7 +206,7 @@
 		const pool = isEngine ? plan.modelPool : plan.plainPool;
 		const id = `${pool}-${isEngine ? index + 1 : index - plan.engineCount + 1}`;
 		const address = `${host}:${port}`;
-		const flags = ['--address', address, '--id', id, ...(isEngine ? plan.engineFlags ?? [] : [])];
+		const flags = ['--address', address, '--id', id, ...((isEngine ? plan.engineFlags : plan.plainFlags) ?? [])];
 		this.targets.push({
 			id, pool, address, zone: plan.zones[index % plan.zones.length]!, isLeaving: false,
 			process: this.#spawn(isEngine ? 'engine' : 'plain-service', '@sequoiatally/stand-ins', flags),
--- a/packages/router/src/lib/peer-client.ts
+++ b/packages/router/src/lib/peer-client.ts
@@ -111,7 +111,7 @@
 				? undefined
 				: fromWireEnd(await connection.client.runTicketed(
 					toWireTicketed(effect, open.content, effect.deadlineAt - now),
-					{timeoutMs: Math.max(1, effect.deadlineAt - now)},
+					{timeoutMs: Math.max(1, Math.floor(effect.deadlineAt - now))},
 				));
 			if (end !== undefined && 'answer' in end) {
 				open.finishPlain(end.answer);
--- /dev/null
+++ b/packages/scenarios/src/lib/process-world.ts
@@ -0,0 +1,181 @@
+/**
+ * A world for scenarios over real processes on loopback. It starts a small
+ * deployment, and stops it whatever the scenario's result.
+ */
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {Fleet, type FleetRouter, type FleetTarget} from '@sequoiatally/load';
+import {request} from 'undici';
+import {describeExampleKey, exampleBookingPath, exampleModelRoute} from './example-configuration.js';
+import {ScenarioWorld} from './run-feature.js';
+
+/** Longest time to wait for a condition; only a fault of the product reaches it. */
+const conditionTimeoutMs = 30_000;
+/** Path of the repeatable plain route in process scenarios. */
+export const recordsPath = '/v1/records';
+/** Path of the open route in process scenarios. */
+export const noticesPath = '/public/notices';
+/** Account whose key process scenarios show. */
+export const exampleAccount = 'crew';
+
+export type DeploymentSize = {readonly routers: number; readonly engines: number; readonly plains: number};
+
+export class ConditionTimeoutError extends Error {
+	constructor(condition: string) {
+		super(`The condition did not come true in ${conditionTimeoutMs} ms: ${condition}`);
+		this.name = 'ConditionTimeoutError';
+	}
+}
+
+/** Creates the tables of a process scenario as they are published. */
+export function createProcessTables(version = 1, isKeyGiven = true): Record<string, unknown> {
+	const route = {
+		kind: 'plain', pool: 'fieldbook', repeatable: true, deadlineMs: 8000,
+	};
+	const pool = {
+		loadMultiple: 50, slotsPerTarget: 4000, coldSlots: 4000, warmAfterMs: 0,
+	};
+	return {
+		version,
+		fleet: {
+			ceiling: 4, listLagMs: 400, freshMs: 2000, loanTermMs: 1000,
+		},
+		routes: [
+			{
+				...route, name: 'fitbrain', kind: 'model', pool: 'fitbrain', ...exampleModelRoute, deadlineMs: 20_000,
+			},
+			{
+				...route, name: 'booking', path: exampleBookingPath, repeatable: false,
+			},
+			{
+				...route, name: 'records', path: recordsPath, methods: ['GET', 'POST'],
+			},
+			{
+				...route, name: 'notices', path: noticesPath, methods: ['GET', 'POST'], open: true, openAccount: 'public',
+			},
+		],
+		pools: [{name: 'fitbrain', ...pool}, {name: 'fieldbook', ...pool}],
+		accounts: [
+			{
+				name: exampleAccount, rate: 100_000, burst: 100_000, keyDigests: isKeyGiven ? [describeExampleKey(exampleAccount).digest] : [],
+			},
+			{
+				name: 'guest', rate: 100_000, burst: 100_000, keyDigests: [describeExampleKey('guest').digest],
+			},
+			{name: 'public', rate: 100_000, burst: 100_000},
+		],
+	};
+}
+
+/** Waits until a condition holds. */
+export async function waitFor(condition: string, check: () => boolean | Promise<boolean>): Promise<void> {
+	const startedAt = performance.now();
+	while (!await check()) {
+		if (performance.now() - startedAt > conditionTimeoutMs) {
+			throw new ConditionTimeoutError(condition);
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+}
+
+type DeploymentFlags = Partial<Pick<Fleet['plan'], 'engineFlags' | 'plainFlags' | 'routerFlags'>>;
+
+/** A deployment, and where its time lines are. */
+type Deployment = {readonly fleet: Fleet; readonly directory: string};
+
+async function startDeployment({routers, engines, plains}: DeploymentSize, flags: DeploymentFlags): Promise<Deployment> {
+	const directory = await mkdtemp(join(tmpdir(), 'sequoiatally-'));
+	const fleet = new Fleet({
+		routerCount: routers,
+		zones: ['zone-a'],
+		modelPool: 'fitbrain',
+		engineCount: engines,
+		plainPool: 'fieldbook',
+		plainCount: plains,
+		configurationText: JSON.stringify(createProcessTables()),
+		timelineDirectory: directory,
+		...flags,
+	});
+	try {
+		await fleet.start();
+		await waitFor('every router serves', async () => isServing(fleet));
+	} catch (error) {
+		await fleet.stop();
+		throw error;
+	}
+
+	return {fleet, directory};
+}
+
+async function isServing(fleet: Fleet): Promise<boolean> {
+	const answers = await Promise.all(fleet.routers.map(async ({callerAddress}) => {
+		const {statusCode, body} = await request(`http://${callerAddress}${noticesPath}`);
+		await body.dump();
+		return statusCode;
+	}));
+	return answers.every(status => status === 200);
+}
+
+/** The deployment that the scenarios of a file share: a fleet needs seconds until it holds its shares. */
+let shared: Promise<Deployment> | undefined;
+
+/** Stops what the scenarios of a file shared. */
+export async function stopSharedDeployment(): Promise<void> {
+	const deployment = await shared;
+	if (deployment !== undefined) {
+		await deployment.fleet.stop();
+		await rm(deployment.directory, {recursive: true, force: true});
+	}
+}
+
+/** Joins a deployment and knows its stand-ins' control routes. */
+export class ProcessWorld extends ScenarioWorld {
+	fleet!: Fleet;
+	readonly key = describeExampleKey(exampleAccount).key;
+	/** Directory of the time lines. */
+	timelineDirectory = '';
+	/** Runs before this scenario. */
+	#earlierRunCount = 0;
+
+	/** Joins the deployment that the file's scenarios share; the first one starts it. */
+	async joinDeployment(size: DeploymentSize, flags: DeploymentFlags = {}): Promise<void> {
+		shared ??= startDeployment(size, flags);
+		const {fleet, directory} = await shared;
+		this.fleet = fleet;
+		this.timelineDirectory = directory;
+		await Promise.all(fleet.targets.map(async target => this.setFault(target, 'none')));
+		this.#earlierRunCount = await this.#countAllRuns();
+	}
+
+	listTargets(pool: string): FleetTarget[] {
+		return this.fleet.targets.filter(target => target.pool === pool);
+	}
+
+	findRouter(number: number): FleetRouter {
+		return this.fleet.routers[number - 1]!;
+	}
+
+	async setFault(target: FleetTarget, fault: string): Promise<void> {
+		const {body} = await request(`http://${target.address}/control/fault`, {method: 'POST', body: JSON.stringify({fault})});
+		await body.dump();
+	}
+
+	async readStats<T>(target: FleetTarget): Promise<T> {
+		const {body} = await request(`http://${target.address}/control/stats`);
+		return await body.json() as T;
+	}
+
+	/** Counts the runs of all plain services in this scenario. */
+	async countRuns(): Promise<number> {
+		return await this.#countAllRuns() - this.#earlierRunCount;
+	}
+
+	async #countAllRuns(): Promise<number> {
+		const stats = await Promise.all(this.listTargets('fieldbook').map(async target => this.readStats<{runs: Record<string, number>}>(target)));
+		return stats.flatMap(({runs}) => Object.values(runs)).reduce((sum, count) => sum + count, 0);
+	}
+}
--- a/packages/stand-ins/src/lib/engine.ts
+++ b/packages/stand-ins/src/lib/engine.ts
@@ -40,12 +40,20 @@
 	double: 'double',
 	/** Refuses before it starts anything. */
 	refuse: 'refuse',
+	/** Never ends a stream, however few tokens were asked for. */
+	endless: 'endless',
+	/** Sends one event that never ends. */
+	bloat: 'bloat',
+	/** Answers with an error in place of a stream. */
+	fail: 'fail',
 } as const;
 export type EngineFault = typeof engineFault[keyof typeof engineFault];
 
 /** Tokens after which a cutting, truncating or silent engine fails. */
 const tokensBeforeFault = 3;
 const defaultMaxTokens = 16;
+/** Characters that a bloating engine writes at a time. */
+const bloatCharacters = 64 * 1024;
 
 type ChatBody = {readonly model?: string; readonly max_tokens?: number; readonly messages?: ReadonlyArray<{readonly content?: string}>};
 
@@ -159,6 +167,10 @@
 			return c.json({error: 'not started'}, 503, {'x-request-id': requestId, 'x-not-started': 'true'});
 		}
 
+		if (engine.fault === engineFault.fail) {
+			return c.json({error: 'internal'}, 500, {'x-request-id': requestId});
+		}
+
 		if (resumeFrom > 0) {
 			engine.stats.resumedRequests++;
 		}
@@ -177,7 +189,7 @@
 			});
 			try {
 				await wait(isCached ? engine.options.warmPrefillMs : engine.options.coldPrefillMs);
-				const count = body.max_tokens ?? defaultMaxTokens;
+				const count = fault === engineFault.endless ? Number.POSITIVE_INFINITY : body.max_tokens ?? defaultMaxTokens;
 				for (let index = resumeFrom; index < count && !state.isCancelled; index++) {
 					if (index - resumeFrom === tokensBeforeFault) {
 						if (fault === engineFault.cut) {
@@ -186,6 +198,10 @@
 							return;
 						}
 
+						while (fault === engineFault.bloat && !state.isCancelled) {
+							await stream.write('x'.repeat(bloatCharacters));
+						}
+
 						if (fault === engineFault.truncate) {
 							return;
 						}
--- a/packages/stand-ins/src/lib/plain-service.ts
+++ b/packages/stand-ins/src/lib/plain-service.ts
@@ -20,6 +20,9 @@
 } as const;
 export type PlainFault = typeof plainFault[keyof typeof plainFault];
 
+/** Requests whose text is kept. */
+const keptRequestCount = 1000;
+
 /** Never settles a promise: stands for a service that says nothing. */
 function ignoreAll(): void {
 	// Deliberately empty.
@@ -31,10 +34,20 @@
 	/** Runs by the caller's idempotency key, or by request identifier without one. */
 	readonly runsByKey = new Map<string, number>();
 	keySightings = 0;
+	/** Everything that the newest requests said, for tests that look for keys. */
+	readonly heard: string[] = [];
 
 	/** `runMs` is the time that each run takes, in milliseconds. */
 	constructor(readonly id: string, readonly runMs: number) {}
 
+	/** Keeps what a request said. */
+	hear(text: string): void {
+		this.heard.push(text);
+		if (this.heard.length > keptRequestCount) {
+			this.heard.shift();
+		}
+	}
+
 	countRun(key: string): void {
 		this.runsByKey.set(key, (this.runsByKey.get(key) ?? 0) + 1);
 	}
@@ -44,6 +57,7 @@
 export function createPlainServiceApp(service: PlainService): Hono {
 	const app = new Hono();
 	app.get('/control/stats', c => c.json({runs: Object.fromEntries(service.runsByKey), keySightings: service.keySightings}));
+	app.get('/control/heard', c => c.json(service.heard));
 	app.post('/control/fault', async c => {
 		const {fault} = await c.req.json<{fault: string}>();
 		const known = Object.values(plainFault).find(value => value === fault);
@@ -62,7 +76,7 @@
 			service.keySightings++;
 		}
 
-		await c.req.arrayBuffer();
+		service.hear(`${c.req.method} ${c.req.url} ${JSON.stringify(c.req.header())} ${await c.req.text()}`);
 		if (fault === plainFault.refuse) {
 			return c.json({error: 'not started'}, 503, {'x-request-id': requestId, 'x-not-started': 'true'});
 		}
