Whole answers over real processes: thirteen scenarios

Callers that take no byte of what waits for them are cut (--caller-silence-ms), which frees the engine. Streams resume after cut, truncated, silent, doubled, crossed and bloated answers. Found on the way: a listener for each attempt on the shared agent (a leak; fresh connections alone need it). Ruled out: the first form of the slow-caller scenario, whose small events never filled the socket and which only the deadline ended.

--- a/packages/core/src/lib/event.ts
+++ b/packages/core/src/lib/event.ts
@@ -204,7 +204,12 @@
 	readonly askedAt?: number;
 };
 
-export type DrainRequested = {readonly kind: typeof eventKind.drainRequested; readonly by: string};
+export type DrainRequested = {
+	readonly kind: typeof eventKind.drainRequested;
+	readonly by: string;
+	/** Time in which new work is still taken, until the balancer has noticed, in milliseconds. */
+	readonly graceMs?: number;
+};
 export type UndrainRequested = {readonly kind: typeof eventKind.undrainRequested; readonly by: string};
 
 /** Time has passed; sent several times a second. */
--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -43,6 +43,8 @@
 	isDraining: boolean;
 	/** Time at which draining began. */
 	drainStartedAt?: number;
+	/** Time until which a draining instance still takes new work. */
+	acceptUntil?: number;
 	/** Time of the last event, to notice that the process was paused. */
 	lastEventAt: number;
 };
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -7,7 +7,7 @@
 import {applyBorrowRequest, applyGivenBack} from './allowance/lend-share.js';
 import {effectKind, type Effect} from './effect.js';
 import {
-	documentKind, eventKind, type DocumentUnchanged, type Event,
+	documentKind, eventKind, type DocumentUnchanged, type DrainRequested, type Event,
 } from './event.js';
 import {
 	applyList, applyListUnchanged, applyPeerFailure, applySummary, exchangeWithPeers, updateMembership,
@@ -137,7 +137,7 @@
 		}
 
 		case eventKind.drainRequested: {
-			startDrain(step, event.by);
+			startDrain(step, event);
 			finishDrainIfIdle(step);
 			break;
 		}
@@ -155,6 +155,7 @@
 			borrowRates(step);
 			advanceWaiting(step);
 			releaseTickets(step);
+			finishDrainIfIdle(step);
 			break;
 		}
 	}
@@ -168,7 +169,7 @@
 	}
 }
 
-function startDrain(step: Step, by: string): void {
+function startDrain(step: Step, {by, graceMs}: DrainRequested): void {
 	const {membership} = step.state;
 	if (membership.isDraining) {
 		return;
@@ -176,12 +177,13 @@
 
 	membership.isDraining = true;
 	membership.drainStartedAt = step.now;
+	membership.acceptUntil = step.now + (graceMs ?? 0);
 	recordEntry(step, {kind: timelineKind.drainStarted, cause: 'drain', detail: `Requested by ${by}.`});
 }
 
 function finishDrainIfIdle(step: Step): void {
 	const {membership, requests} = step.state;
-	if (membership.isDraining && requests.pending.size === 0) {
+	if (membership.isDraining && requests.pending.size === 0 && step.now >= (membership.acceptUntil ?? 0)) {
 		step.effects.push({kind: effectKind.finishDrain});
 	}
 }
--- a/packages/router/src/bin/router.ts
+++ b/packages/router/src/bin/router.ts
@@ -35,6 +35,9 @@
 	targetSilenceMs: defineInteger(100, 600_000, {
 		flag: 'target-silence-ms', description: 'Milliseconds without a byte after which a target\'s answer counts as lost', defaultText: '5000',
 	}),
+	drainGraceMs: defineInteger(0, 60_000, {
+		flag: 'drain-grace-ms', description: 'Milliseconds in which a stopping instance still takes new work, until the balancer has noticed', defaultText: '500',
+	}),
 	drainLimitMs: defineInteger(0, 86_400_000, {
 		flag: 'drain-limit-ms', description: 'Milliseconds after which a graceful stop cuts what is still open', defaultText: '150000',
 	}),
@@ -59,7 +62,7 @@
 };
 
 lifecycle.handleSignals(() => {
-	runner.handle({kind: eventKind.drainRequested, by: 'signal'});
+	runner.handle({kind: eventKind.drainRequested, by: 'signal', graceMs: settings.drainGraceMs});
 	setTimeout(async () => stopAtOnce('drain limit'), settings.drainLimitMs).unref();
 }, async () => stopAtOnce('second signal'));
 logger.info({event: 'started', callerPort: settings.callerAddress.port});
--- a/packages/router/src/lib/target-client.ts
+++ b/packages/router/src/lib/target-client.ts
@@ -46,9 +46,12 @@
 		const abort = this.#openAttempt(effect, open);
 		const agent = effect.useFreshConnection ? createAgent(this.#silenceMs) : this.#agent;
 		let hasConnected = !effect.useFreshConnection;
-		agent.once('connect', () => {
-			hasConnected = true;
-		});
+		if (effect.useFreshConnection) {
+			agent.once('connect', () => {
+				hasConnected = true;
+			});
+		}
+
 		let result: AttemptResult;
 		try {
 			result = this.#readClock() > effect.notAfter
--- /dev/null
+++ b/packages/scenarios/src/test/whole_answers_test.ts
@@ -0,0 +1,190 @@
+/**
+ * Scenarios of answers over real processes: faults of engines and services,
+ * callers that leave or do not read, keys, and a replacement under load.
+ */
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {after} from 'node:test';
+import {answerKind, Caller, type Answer} from '@sequoiatally/load';
+import {request} from 'undici';
+import {describeExampleKey, exampleBookingPath, exampleModelRoute} from '../lib/example-configuration.js';
+import {
+	createProcessTables, exampleAccount, ProcessWorld, recordsPath, stopSharedDeployment, waitFor,
+} from '../lib/process-world.js';
+import {runFeature} from '../lib/run-feature.js';
+
+const guestKey = describeExampleKey('guest').key;
+let tablesVersion = 1;
+let chatNumber = 0;
+
+class World extends ProcessWorld {
+	answers: Answer[] = [];
+	exitCodes: Array<number | undefined> = [];
+	caller = new Caller();
+	/** Address to which the balancer sends new connections. */
+	offered = '';
+	isReplaced = false;
+
+	async callChats(count: number, maxTokens: number, address = this.findRouter(1).callerAddress): Promise<void> {
+		this.answers = await Promise.all(Array.from({length: count}, async () => this.caller.callChat(address, {
+			key: guestKey, model: exampleModelRoute.model, chatId: `chat-${chatNumber++}`, maxTokens,
+		})));
+	}
+
+	async failEngines(count: number, fault: string): Promise<void> {
+		await Promise.all(this.listTargets('fitbrain').slice(0, count).map(async target => this.setFault(target, fault)));
+	}
+
+	async waitForKeyed(condition: string, isRight: (answer: Answer) => boolean): Promise<void> {
+		await waitFor(condition, async () => isRight(await this.callKeyed()));
+	}
+
+	async callKeyed(): Promise<Answer> {
+		return this.caller.callPlain(this.findRouter(1).callerAddress, {key: this.key, method: 'GET', path: recordsPath});
+	}
+
+	/** Sends a chat over a socket and hands the socket over once the answer flows. */
+	async openChat(): Promise<ReturnType<typeof connect>> {
+		const [host, port] = this.findRouter(1).callerAddress.split(':');
+		const body = JSON.stringify({model: exampleModelRoute.model});
+		const socket = connect(Number(port), host);
+		socket.on('error', () => {
+			// The router may cut the connection; the engines say what became of the work.
+		});
+		socket.write([
+			`POST ${exampleModelRoute.path} HTTP/1.1`, 'host: router', `authorization: Bearer ${guestKey}`, `x-chat-id: socket-${chatNumber++}`, `content-length: ${body.length}`, '', body,
+		].join('\r\n'));
+		await new Promise(resolve => {
+			socket.once('data', resolve);
+		});
+		return socket;
+	}
+
+	async publishKey(isGiven: boolean): Promise<void> {
+		await this.fleet.publishConfiguration(JSON.stringify(createProcessTables(++tablesVersion, isGiven)));
+	}
+
+	/** Replaces each router, one after the other; the balancer offers an instance while it is ready. */
+	async replaceRouters(): Promise<void> {
+		for (const router of this.fleet.routers) {
+			const fresh = await this.fleet.startRouter();
+			await this.fleet.waitUntilReady([fresh]);
+			this.offered = fresh.callerAddress;
+			this.exitCodes.push(await this.fleet.drainRouter(router));
+		}
+	}
+
+	/** Calls one chat after the other, each over a new connection, until the fleet is replaced. */
+	async holdStreams(maxTokens: number): Promise<Answer[]> {
+		const kept: Answer[] = [];
+		while (!this.isReplaced) {
+			const caller = new Caller();
+			kept.push(await caller.callChat(this.offered, {
+				key: guestKey, model: exampleModelRoute.model, chatId: `chat-${chatNumber++}`, maxTokens,
+			}));
+			await caller.close();
+		}
+
+		return kept;
+	}
+
+	override async dispose(): Promise<void> {
+		await this.caller.close();
+	}
+}
+
+type EngineStats = {readonly inFlight: number; readonly cancelledRequests: number};
+
+after(stopSharedDeployment);
+
+await runFeature(new URL('../../features/whole-answers.feature', import.meta.url), () => new World(), [
+	[/^a deployment of (\d+) routers, (\d+) engines and (\d+) plain services$/, async (world, routers, engines, plains) => {
+		await world.joinDeployment({routers: Number(routers), engines: Number(engines), plains: Number(plains)}, {
+			engineFlags: ['--token-ms', '2'], routerFlags: ['--target-silence-ms', '1000', '--caller-silence-ms', '1000'],
+		});
+	}],
+	[/^(\d+) engines fail with "(.+)"$/, async (world, count, fault) => world.failEngines(Number(count), fault)],
+	[/^every service fails with "(.+)"$/, async (world, fault) => {
+		await Promise.all(world.listTargets('fieldbook').map(async target => world.setFault(target, fault)));
+	}],
+	[/^one service runs and breaks the connection, and the others refuse$/, async world => {
+		const [first, ...others] = world.listTargets('fieldbook');
+		await world.setFault(first!, 'cut-after');
+		await Promise.all(others.map(async target => world.setFault(target, 'refuse')));
+	}],
+	[/^(\d+) chats of (\d+) tokens are called$/, async (world, count, tokens) => world.callChats(Number(count), Number(tokens))],
+	[/^(\d+) records are called$/, async (world, count) => {
+		world.answers = await Promise.all(Array.from({length: Number(count)}, async () => world.callKeyed()));
+	}],
+	[/^a booking is called without a ticket$/, async world => {
+		world.answers = [await world.caller.callPlain(world.findRouter(1).callerAddress, {key: guestKey, method: 'POST', path: exampleBookingPath})];
+	}],
+	[/^a chat with a deadline of (\d+) ms is called$/, async (world, deadlineMs) => {
+		const {body} = await request(`http://${world.findRouter(1).callerAddress}${exampleModelRoute.path}`, {
+			method: 'POST', headers: {authorization: `Bearer ${guestKey}`, 'x-deadline-ms': deadlineMs}, body: JSON.stringify({model: exampleModelRoute.model}),
+		});
+		const text = await body.text();
+		const {error} = JSON.parse(text.slice(text.lastIndexOf('data: ') + 6)) as {error: {type: string; outcome: string}};
+		world.answers = [{
+			kind: answerKind.refused, reason: error.type, outcome: error.outcome, totalMs: 0,
+		}];
+	}],
+	[/^a caller leaves in the middle of a chat$/, async world => {
+		const socket = await world.openChat();
+		socket.destroy();
+	}],
+	[/^a caller stops to read in the middle of a chat$/, async world => {
+		const socket = await world.openChat();
+		socket.pause();
+		socket.once('close', () => {
+			socket.destroy();
+		});
+	}],
+	[/^no engine has work in flight$/, async world => {
+		await waitFor('every engine is idle', async () => {
+			const stats = await Promise.all(world.listTargets('fitbrain').map(async target => world.readStats<EngineStats>(target)));
+			return stats.every(({inFlight}) => inFlight === 0);
+		});
+	}],
+	[/^every answer is whole$/, world => {
+		assert.ok(world.answers.length > 0);
+		assert.deepEqual(world.answers.filter(({kind}) => kind !== answerKind.whole), []);
+	}],
+	[/^every answer is a refusal with the outcome "(.+)"$/, (world, outcome) => {
+		assert.ok(world.answers.length > 0);
+		assert.deepEqual(world.answers.filter(answer => answer.kind !== answerKind.refused || answer.outcome !== outcome), []);
+	}],
+	[/^no service ran a request that was refused as not-run$/, async world => {
+		const stats = await Promise.all(world.listTargets('fieldbook').map(async target => world.readStats<{runs: Record<string, number>}>(target)));
+		const ran = new Set(stats.flatMap(({runs}) => Object.keys(runs)));
+		assert.deepEqual(world.answers.filter(({outcome, requestId}) => outcome === 'not-run' && ran.has(requestId!)), []);
+	}],
+	[/^some requests were refused as unknown$/, world => {
+		assert.ok(world.answers.some(({outcome}) => outcome === 'unknown'));
+	}],
+	[/^the services counted (\d+) runs$/, async (world, count) => {
+		assert.equal(await world.countRuns(), Number(count));
+	}],
+	[/^the key of the account is withdrawn while a connection is open$/, async world => {
+		await world.waitForKeyed('the key works', ({kind}) => kind === answerKind.whole);
+		await world.publishKey(false);
+	}],
+	[/^the key of the account is given back$/, async world => world.publishKey(true)],
+	[/^a call on that connection is refused as "(.+)" within seconds$/, async (world, reason) => {
+		await world.waitForKeyed(`${exampleAccount} is refused`, answer => answer.reason === reason);
+	}],
+	[/^a call on that connection is answered within seconds$/, async world => {
+		await world.waitForKeyed(`${exampleAccount} is served`, ({kind}) => kind === answerKind.whole);
+	}],
+	[/^every router is replaced while (\d+) callers hold streams of (\d+) tokens$/, async (world, count, tokens) => {
+		world.offered = world.findRouter(1).callerAddress;
+		const streams = Promise.all(Array.from({length: Number(count)}, async () => world.holdStreams(Number(tokens))));
+		await world.replaceRouters();
+		world.isReplaced = true;
+		const all = await streams;
+		world.answers = all.flat();
+	}],
+	[/^no router was killed$/, world => {
+		assert.deepEqual(world.exitCodes, world.exitCodes.map(() => 0));
+	}],
+]);
--- a/packages/stand-ins/src/lib/engine.ts
+++ b/packages/stand-ins/src/lib/engine.ts
@@ -40,7 +40,7 @@
 	double: 'double',
 	/** Refuses before it starts anything. */
 	refuse: 'refuse',
-	/** Never ends a stream, however few tokens were asked for. */
+	/** Never ends a stream, however few tokens were asked for; its events are large. */
 	endless: 'endless',
 	/** Sends one event that never ends. */
 	bloat: 'bloat',
@@ -52,6 +52,8 @@
 /** Tokens after which a cutting, truncating or silent engine fails. */
 const tokensBeforeFault = 3;
 const defaultMaxTokens = 16;
+/** Characters that an endless engine adds to each event. */
+const paddingCharacters = 16 * 1024;
 /** Characters that a bloating engine writes at a time. */
 const bloatCharacters = 64 * 1024;
 
@@ -189,6 +191,7 @@
 			});
 			try {
 				await wait(isCached ? engine.options.warmPrefillMs : engine.options.coldPrefillMs);
+				const padding = fault === engineFault.endless ? 'x'.repeat(paddingCharacters) : undefined;
 				const count = fault === engineFault.endless ? Number.POSITIVE_INFINITY : body.max_tokens ?? defaultMaxTokens;
 				for (let index = resumeFrom; index < count && !state.isCancelled; index++) {
 					if (index - resumeFrom === tokensBeforeFault) {
@@ -214,7 +217,9 @@
 						}
 					}
 
-					const data = JSON.stringify({id: echoedId, index, choices: [{delta: {content: computeToken(chatId, index)}}]});
+					const data = JSON.stringify({
+						id: echoedId, index, choices: [{delta: {content: computeToken(chatId, index)}}], padding,
+					});
 					await stream.writeSSE({data});
 					if (fault === engineFault.double) {
 						await stream.writeSSE({data});
