A stopping router waits for the bytes that callers have not taken yet

Cause: the HTTP server's close destroys connections whose answer is complete but not flushed. A caller that read late got 3967488 of 8000000 bytes from a router that was told to stop. Change: connections are ended one by one after their last byte, and the process waits for their end; the same for peers' sessions, within a second. Also: the outline of engine faults calls until both engines at fault were reached.

--- a/packages/router/src/lib/caller-server.ts
+++ b/packages/router/src/lib/caller-server.ts
@@ -7,7 +7,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {getRequestListener} from '@hono/node-server';
 import {
@@ -53,8 +53,9 @@
 	readonly #runner: Runner;
 	readonly #openRequests: OpenRequests;
 	readonly #options: CallerServerOptions;
-	/** Answers whose last byte has not left yet. */
-	readonly #unsent = new Set<ServerResponse>();
+	readonly #sockets = new Set<Socket>();
+	/** Connections on which a request is being answered. */
+	readonly #busySockets = new Set<Socket>();
 	#server?: Server;
 	#wakeIdle?: () => void;
 
@@ -83,6 +84,15 @@
 			}
 		});
 		server.on('clientError', answerUnreadable);
+		server.on('connection', (socket: Socket) => {
+			this.#sockets.add(socket);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+				if (this.#sockets.size === 0) {
+					this.#wakeIdle?.();
+				}
+			});
+		});
 		server.prependListener('request', (incoming: IncomingMessage, outgoing: ServerResponse) => {
 			this.#track(incoming, outgoing);
 		});
@@ -96,11 +106,23 @@
 		});
 	}
 
-	/** Stops to listen and waits until the last byte of every answer has left. */
+	/**
+	 * Stops to listen and waits until the last byte of every answer has left.
+	 * The HTTP server's own `close` would destroy a connection whose answer is
+	 * complete but not yet taken by the caller.
+	 */
 	async finish(): Promise<void> {
-		this.#server?.close();
-		this.#server?.closeIdleConnections();
-		if (this.#unsent.size > 0) {
+		if (this.#server !== undefined) {
+			NetServer.prototype.close.call(this.#server);
+		}
+
+		for (const socket of this.#sockets) {
+			if (!this.#busySockets.has(socket)) {
+				socket.destroySoon();
+			}
+		}
+
+		if (this.#sockets.size > 0) {
 			await new Promise<void>(resolve => {
 				this.#wakeIdle = resolve;
 			});
@@ -119,19 +141,15 @@
 
 	#track({socket}: IncomingMessage, outgoing: ServerResponse): void {
 		const {membership} = this.#runner.state;
-		this.#unsent.add(outgoing);
+		this.#busySockets.add(socket);
 		if (membership.isDraining) {
 			outgoing.shouldKeepAlive = false;
 		}
 
 		outgoing.once('close', () => {
-			this.#unsent.delete(outgoing);
+			this.#busySockets.delete(socket);
 			if (membership.isDraining) {
-				socket.end();
-			}
-
-			if (this.#unsent.size === 0) {
-				this.#wakeIdle?.();
+				socket.destroySoon();
 			}
 		});
 	}
--- a/packages/router/src/lib/peer-server.ts
+++ b/packages/router/src/lib/peer-server.ts
@@ -29,6 +29,9 @@
 /** Largest message that a peer may send; a forwarded request with the largest body fits. */
 const largestMessageBytes = 1280 * 1024;
 
+/** Longest time to wait for the end of peers' connections, in milliseconds; their answers are short. */
+const finishMs = 1000;
+
 /** Answers peers' calls from the reducer. */
 export class PeerServer {
 	readonly #runner: Runner;
@@ -36,8 +39,7 @@
 	readonly #readClock: () => number;
 	readonly #answers = new Map<number, (effect: AnswerBorrow) => void>();
 	readonly #openRequests: OpenRequests;
-	/** Answers to peers whose last byte has not left yet. */
-	readonly #unsent = new Set<Http2ServerResponse>();
+	readonly #sessions = new Set<ServerHttp2Session>();
 	#wakeIdle?: () => void;
 	#nextCallId = 1;
 
@@ -63,20 +65,23 @@
 				return;
 			}
 
-			this.#track(outgoing);
 			answer(incoming, outgoing);
 		});
-		const sessions = new Set<ServerHttp2Session>();
 		server.on('session', session => {
-			sessions.add(session);
-			session.on('close', () => sessions.delete(session));
+			this.#sessions.add(session);
+			session.on('close', () => {
+				this.#sessions.delete(session);
+				if (this.#sessions.size === 0) {
+					this.#wakeIdle?.();
+				}
+			});
 		});
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
 			server.listen(port, host, resolve);
 		});
 		lifecycle.own('peer server', () => {
-			for (const session of sessions) {
+			for (const session of this.#sessions) {
 				session.destroy();
 			}
 
@@ -84,11 +89,16 @@
 		});
 	}
 
-	/** Waits until the last byte of every answer to a peer has left. */
+	/** Waits until the answers to peers have left, and closes their connections. */
 	async finish(): Promise<void> {
-		if (this.#unsent.size > 0) {
+		for (const session of this.#sessions) {
+			session.close();
+		}
+
+		if (this.#sessions.size > 0) {
 			await new Promise<void>(resolve => {
 				this.#wakeIdle = resolve;
+				setTimeout(resolve, finishMs);
 			});
 		}
 	}
@@ -99,16 +109,6 @@
 		this.#answers.delete(effect.callId);
 	}
 
-	#track(outgoing: Http2ServerResponse): void {
-		this.#unsent.add(outgoing);
-		outgoing.once('close', () => {
-			this.#unsent.delete(outgoing);
-			if (this.#unsent.size === 0) {
-				this.#wakeIdle?.();
-			}
-		});
-	}
-
 	#createService(): ServiceImpl<typeof PeerService> {
 		return {
 			exchange: (request, context) => {
--- a/packages/scenarios/features/whole-answers.feature
+++ b/packages/scenarios/features/whole-answers.feature
@@ -3,7 +3,7 @@
   Scenario Outline: two of three engines are at fault
     Given a deployment of 2 routers, 3 engines and 3 plain services
     And 2 engines fail with "<fault>"
-    When 6 chats of 40 tokens are called
+    When chats of 40 tokens are called until both engines at fault were reached
     Then every answer is whole
 
     Examples:
@@ -64,3 +64,8 @@
     When every router is replaced while 8 callers hold streams of 150 tokens
     Then every answer is whole
     And no router was killed
+
+  Scenario: a caller that reads late gets its whole answer from a router that stops
+    Given a deployment of 2 routers, 3 engines and 3 plain services
+    When a caller reads 8000000 bytes only after router 2 was told to stop
+    Then it got the whole answer
--- a/packages/stand-ins/src/lib/plain-service.ts
+++ b/packages/stand-ins/src/lib/plain-service.ts
@@ -23,6 +23,9 @@
 /** Requests whose text is kept. */
 const keptRequestCount = 1000;
 
+/** Most characters that a request can ask to be added to its answer. */
+const largestPadding = 8_000_000;
+
 /** Never settles a promise: stands for a service that says nothing. */
 function ignoreAll(): void {
 	// Deliberately empty.
@@ -100,7 +103,10 @@
 		}
 
 		const echoedId = fault === plainFault.cross ? `${requestId}-other` : requestId;
-		return c.json({service: service.id, requestId: echoedId, path: c.req.path}, 200, {'x-request-id': echoedId});
+		const padding = 'x'.repeat(Math.min(largestPadding, Number(c.req.query('pad') ?? 0)));
+		return c.json({
+			service: service.id, requestId: echoedId, path: c.req.path, padding,
+		}, 200, {'x-request-id': echoedId});
 	});
 	return app;
 }
