--- a/packages/core/src/lib/event.ts
+++ b/packages/core/src/lib/event.ts
@@ -210,6 +210,8 @@
 	readonly by: string;
 	/** True: the process stays when its requests are finished, so that it can be undrained. */
 	readonly staysAfter?: boolean;
+	/** Time in which new work is still taken, until the balancer has noticed, in milliseconds. */
+	readonly graceMs?: number;
 };
 export type UndrainRequested = {readonly kind: typeof eventKind.undrainRequested; readonly by: string};
 
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -160,6 +160,7 @@
 			updateSlotLoans(step);
 			advanceWaiting(step);
 			releaseTickets(step);
+			finishDrainIfIdle(step);
 			break;
 		}
 	}
@@ -180,7 +181,7 @@
 	}
 }
 
-function startDrain(step: Step, {by, staysAfter = false}: DrainRequested): void {
+function startDrain(step: Step, {by, graceMs, staysAfter = false}: DrainRequested): void {
 	const {membership} = step.state;
 	// A later request to end the process overrules one that keeps it.
 	membership.staysAfterDrain = staysAfter && (membership.staysAfterDrain || !membership.isDraining);
@@ -190,6 +191,7 @@
 
 	membership.isDraining = true;
 	membership.drainStartedAt = step.now;
+	membership.acceptUntil = step.now + (graceMs ?? 0);
 	recordEntry(step, {kind: timelineKind.drainStarted, cause: 'drain', detail: `Requested by ${by}.`});
 }
 
@@ -204,7 +206,8 @@
 
 function finishDrainIfIdle(step: Step): void {
 	const {membership, requests} = step.state;
-	if (membership.isDraining && !membership.staysAfterDrain && requests.pending.size === 0) {
+	const isOver = requests.pending.size === 0 && step.now >= (membership.acceptUntil ?? 0);
+	if (membership.isDraining && !membership.staysAfterDrain && isOver) {
 		step.effects.push({kind: effectKind.finishDrain});
 	}
 }
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -32,6 +32,10 @@
 	readonly timelineDirectory: string;
 	/** Further flags of every engine stand-in. */
 	readonly engineFlags?: readonly string[];
+	/** Further flags of every plain-service stand-in. */
+	readonly plainFlags?: readonly string[];
+	/** Further flags of every router. */
+	readonly routerFlags?: readonly string[];
 	/** File that takes the processes' logs; undefined: this process's error stream. */
 	readonly logPath?: string;
 	/** True: links to the configuration service and between routers pass through relays that count and cut. */
@@ -146,6 +150,7 @@
 				`loopback:${adminToken}`,
 				'--log-level',
 				'warn',
+				...(this.plan.routerFlags ?? []),
 			]),
 		};
 		this.routers.push(router);
@@ -278,10 +283,10 @@
 	}
 
 	#spawnTarget({id, pool, address}: Pick<FleetTarget, 'id' | 'pool' | 'address'>): FleetProcess {
-		const {modelPool, engineFlags = []} = this.plan;
+		const {modelPool, engineFlags = [], plainFlags = []} = this.plan;
 		const isEngine = pool === modelPool;
 		const timelinePath = `${this.plan.timelineDirectory}/${id}.jsonl`;
-		const flags = ['--address', address, '--id', id, '--timeline-path', timelinePath, ...(isEngine ? engineFlags : [])];
+		const flags = ['--address', address, '--id', id, '--timeline-path', timelinePath, ...(isEngine ? engineFlags : plainFlags)];
 		return this.#spawn(isEngine ? 'engine' : 'plain-service', '@sequoiatally/stand-ins', flags);
 	}
 
