Experiments: overhead, control, slopes and deployments

Change: four experiments, a bare pass-through to compare with, and a probe that drives one reducer in surroundings of any size.

Open: a fleet of 12 routers behind relays did not become ready in 60 s, without relays it did in 10.7 s.

--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -16,3 +16,4 @@
 export * from './lib/result-rows.js';
 export * from './lib/run-result.js';
 export * from './lib/tcp-relay.js';
+export * from './lib/process-usage.js';
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -32,6 +32,8 @@
 	readonly timelineDirectory: string;
 	/** Further flags of every engine stand-in. */
 	readonly engineFlags?: readonly string[];
+	/** Further flags of every plain service stand-in. */
+	readonly plainFlags?: readonly string[];
 	/** File that takes the processes' logs; undefined: this process's error stream. */
 	readonly logPath?: string;
 	/** True: links to the configuration service and between routers pass through relays that count and cut. */
@@ -237,6 +239,22 @@
 		await body.dump();
 	}
 
+	/** Starts a bare pass-through in front of a target, and waits until it serves. */
+	async startPassThrough(target: FleetTarget): Promise<{readonly address: string; readonly process: FleetProcess}> {
+		const [port] = await findFreePorts(1);
+		const address = `${host}:${port}`;
+		const process = this.#spawn('pass-through', '@sequoiatally/load', ['--address', address, '--target-address', target.address]);
+		await waitUntil(async () => isOk(`http://${address}/healthz`));
+		return {address, process};
+	}
+
+	/** Reads how many calls the configuration service has had; a watch counts as one. */
+	async readPlatformCallCount(): Promise<number> {
+		const {body} = await request(`http://${this.platformAddress}/control/calls`);
+		const {callCount} = await body.json() as {callCount: number};
+		return callCount;
+	}
+
 	/** Stops everything that this fleet started. */
 	async stop(): Promise<void> {
 		for (const {child} of this.#processes) {
@@ -278,9 +296,9 @@
 	}
 
 	#spawnTarget({id, pool, address}: Pick<FleetTarget, 'id' | 'pool' | 'address'>): FleetProcess {
-		const {modelPool, engineFlags = []} = this.plan;
+		const {modelPool, engineFlags = [], plainFlags = []} = this.plan;
 		const isEngine = pool === modelPool;
-		const flags = ['--address', address, '--id', id, ...(isEngine ? engineFlags : [])];
+		const flags = ['--address', address, '--id', id, ...(isEngine ? engineFlags : plainFlags)];
 		return this.#spawn(isEngine ? 'engine' : 'plain-service', '@sequoiatally/stand-ins', flags);
 	}
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './lib/router.js';
 export * from './lib/runner.js';
+export * from './lib/peer-mapping.js';
--- /dev/null
+++ b/packages/scenarios/src/lib/experiments/control.ts
@@ -0,0 +1,116 @@
+/**
+ * What control costs each router over real processes: bytes to peers and to
+ * the configuration service, calls to it, processor time and memory.
+ */
+import {setTimeout as wait} from 'node:timers/promises';
+import {
+	callKind, Caller, createCallSchedule, parseLoadPlan, type Fleet, type LoadPlan,
+} from '@sequoiatally/load';
+import type {Configuration} from '@sequoiatally/core';
+import {Experiment, type ResultTable} from '../experiment.js';
+import {computeLinearFit} from '../linear-fit.js';
+import {
+	measureRouters, readExampleConfiguration, useFleet, type RouterUsage,
+} from '../measured-fleet.js';
+
+const fleetSizes = [3, 6, 12] as const;
+/** Time after the start until exchanges are at their usual pace, in milliseconds. */
+const calmMs = 4000;
+const measuredMs = 8000;
+/** Time for which load is sent before it is measured, in milliseconds. */
+const rampMs = 2000;
+const loadSeed = 11;
+const bytesPerKib = 1024;
+
+type SizeResult = {readonly routerCount: number; readonly atRest: RouterUsage; readonly loaded: RouterUsage};
+
+/** Measures fleets of three sizes, at rest and under load. */
+export class Control extends Experiment {
+	override readonly name = 'control';
+	override readonly question = 'How much do routers tell each other and read from the configuration service, and what do they use at rest and under load?';
+	override readonly isRepeatable = false;
+
+	override async run(): Promise<readonly ResultTable[]> {
+		const results: SizeResult[] = [];
+		for (const routerCount of fleetSizes) {
+			results.push(await measureSize(routerCount));
+		}
+
+		const fitBytes = (read: (result: SizeResult) => RouterUsage) =>
+			computeLinearFit(results.map(result => [result.routerCount, read(result).peerBytes + read(result).platformBytes]));
+		const atRest = fitBytes(result => result.atRest);
+		const loaded = fitBytes(result => result.loaded);
+		return [{
+			title: 'Per router and second, on average over the fleet',
+			columns: ['routers', 'state', 'peers, bytes', 'configuration service, bytes', 'configuration service, calls', 'processor, % of a core', 'memory, MiB'],
+			rows: results.flatMap(({routerCount, atRest: rest, loaded: load}) => [describeUsage(routerCount, 'at rest', rest), describeUsage(routerCount, 'under load', load)]),
+			notes: [
+				'13 engines, 3 plain services and 10 client accounts at every size; under load, each account sends half of its rate (about 180 requests a second in all). Bytes are TCP payload, sent and received, HTTP included; what two routers tell each other counts at both.',
+				`Slope over the fleet's size: ${atRest.slope.toFixed(0)} bytes per second and router at rest (${atRest.determination.toFixed(2)} of the variance), ${loaded.slope.toFixed(0)} under load (${loaded.determination.toFixed(2)}).`,
+			],
+		}];
+	}
+}
+
+function describeUsage(routerCount: number, state: string, usage: RouterUsage): Array<string | number> {
+	return [
+		routerCount,
+		state,
+		usage.peerBytes.toFixed(0),
+		usage.platformBytes.toFixed(0),
+		usage.platformCalls.toFixed(2),
+		(usage.processorFraction * 100).toFixed(2),
+		(usage.residentBytes / bytesPerKib / bytesPerKib).toFixed(0),
+	];
+}
+
+async function measureSize(routerCount: number): Promise<SizeResult> {
+	const configuration = await readExampleConfiguration(example => ({...example, fleet: {...example.fleet, ceiling: routerCount + 2}}));
+	const size = {
+		routerCount, engineCount: 13, plainCount: 3, usesRelays: true,
+	};
+	return useFleet(size, configuration, async fleet => {
+		await wait(calmMs);
+		const atRest = await measureRouters(fleet, measuredMs);
+		const sending = sendLoad(fleet, configuration, rampMs + measuredMs);
+		await wait(rampMs);
+		const loaded = await measureRouters(fleet, measuredMs);
+		await sending;
+		return {routerCount, atRest, loaded};
+	});
+}
+
+/** Sends half of every account's rate for a while, as a plan would. */
+async function sendLoad(fleet: Fleet, {accounts}: Configuration, durationMs: number): Promise<void> {
+	const plan = createPlan(fleet, durationMs);
+	const keyed = accounts.filter(({keyDigests}) => keyDigests.length > 0);
+	const {calls} = createCallSchedule(plan, keyed);
+	const caller = new Caller();
+	const startedAt = performance.now();
+	const answers: Array<Promise<unknown>> = [];
+	for (const {kind, account, atMs, chatId, maxTokens, priority, entry} of calls) {
+		await wait(Math.max(0, startedAt + atMs - performance.now()));
+		const {callerAddress} = fleet.openRouters[Math.floor(entry * fleet.openRouters.length)]!;
+		const key = `${plan.deployment.keyPrefix}${account}`;
+		answers.push(kind === callKind.chat
+			? caller.callChat(callerAddress, {
+				key, model: plan.deployment.model, chatId, maxTokens, priority,
+			})
+			: caller.callPlain(callerAddress, {key, method: 'POST', path: plan.traffic.bookingPath}));
+	}
+
+	await Promise.all(answers);
+	await caller.destroy();
+}
+
+function createPlan({plan}: Fleet, durationMs: number): LoadPlan {
+	const {routerCount, zones, modelPool, engineCount, plainPool, plainCount} = plan;
+	return parseLoadPlan(JSON.stringify({
+		name: 'control',
+		seed: loadSeed,
+		durationMs,
+		deployment: {
+			configuration: 'none', routerCount, zones, modelPool, model: modelPool, engineCount, plainPool, plainCount,
+		},
+	})).unwrap();
+}
--- a/packages/scenarios/src/lib/experiments/index.ts
+++ b/packages/scenarios/src/lib/experiments/index.ts
@@ -2,5 +2,9 @@
  * All experiments, in the order in which they are reported.
  */
 import type {Experiment} from '../experiment.js';
+import {Control} from './control.js';
+import {Deployments} from './deployments.js';
+import {Overhead} from './overhead.js';
+import {Slopes} from './slopes.js';
 
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [new Overhead(), new Control(), new Slopes(), new Deployments()];
--- /dev/null
+++ b/packages/scenarios/src/lib/heap.ts
@@ -0,0 +1,16 @@
+/**
+ * Memory of this process, for measurements.
+ */
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+/** Reads the memory in use after a full collection, in bytes. */
+export function readHeapBytes(): number {
+	collectGarbage();
+	collectGarbage();
+	return process.memoryUsage().heapUsed;
+}
--- /dev/null
+++ b/packages/scenarios/src/lib/linear-fit.ts
@@ -0,0 +1,23 @@
+/**
+ * A straight line through measured points, by least squares.
+ */
+
+export type Point = readonly [x: number, y: number];
+
+export type LinearFit = {
+	readonly slope: number;
+	readonly intercept: number;
+	/** Part of the variance that the line explains, from 0 to 1. */
+	readonly determination: number;
+};
+
+/** Computes the line with the least squared distance to the points. */
+export function computeLinearFit(points: readonly Point[]): LinearFit {
+	const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
+	const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
+	const varianceX = points.reduce((sum, [x]) => sum + ((x - meanX) ** 2), 0);
+	const varianceY = points.reduce((sum, [, y]) => sum + ((y - meanY) ** 2), 0);
+	const covariance = points.reduce((sum, [x, y]) => sum + ((x - meanX) * (y - meanY)), 0);
+	const slope = covariance / varianceX;
+	return {slope, intercept: meanY - (slope * meanX), determination: varianceY === 0 ? 1 : (covariance ** 2) / (varianceX * varianceY)};
+}
--- /dev/null
+++ b/packages/scenarios/src/lib/measured-fleet.ts
@@ -0,0 +1,97 @@
+/**
+ * Fleets of real processes for measurements: an example deployment of any
+ * size, with what each router uses and sends over a while.
+ */
+import {mkdtemp, readFile, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as wait} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {parseConfiguration, type Configuration} from '@sequoiatally/core';
+import {
+	Fleet, readProcessUsage, type FleetPlan, type FleetRouter,
+} from '@sequoiatally/load';
+
+export const examplesDirectory = fileURLToPath(new URL('../../../../examples/', import.meta.url));
+
+/** Reads the first example configuration and changes it. */
+export async function readExampleConfiguration(change: (configuration: Configuration) => Configuration): Promise<Configuration> {
+	const text = await readFile(path.join(examplesDirectory, 'rungwright.json'), 'utf8');
+	return change(parseConfiguration(text).unwrap());
+}
+
+/** The first example deployment, but for what is changed. */
+export type FleetSize = Pick<FleetPlan, 'routerCount' | 'engineCount' | 'plainCount'> & Partial<FleetPlan>;
+
+/** Runs `use` with a fleet that has started; the fleet is stopped whatever happens. */
+export async function useFleet<T>(size: FleetSize, configuration: Configuration, use: (fleet: Fleet) => Promise<T>): Promise<T> {
+	const directory = await mkdtemp(path.join(tmpdir(), 'measured-fleet-'));
+	const fleet = new Fleet({
+		zones: ['scot-central-a', 'scot-central-b', 'scot-central-c'],
+		modelPool: 'fitbrain',
+		plainPool: 'fieldbook',
+		configurationText: JSON.stringify(configuration),
+		timelineDirectory: directory,
+		logPath: path.join(directory, 'processes.log'),
+		...size,
+	});
+	try {
+		await fleet.start();
+		return await use(fleet);
+	} finally {
+		await fleet.stop();
+		await rm(directory, {recursive: true, force: true});
+	}
+}
+
+/** What one router used per second, on average over the fleet. */
+export type RouterUsage = {
+	/** Bytes to and from peers, each direction counted at both ends. */
+	readonly peerBytes: number;
+	/** Bytes to and from the configuration service. */
+	readonly platformBytes: number;
+	readonly platformCalls: number;
+	/** Part of one core. */
+	readonly processorFraction: number;
+	readonly residentBytes: number;
+};
+
+type Totals = {
+	readonly peerBytes: number;
+	readonly platformBytes: number;
+	readonly calls: number;
+	readonly processorMs: number;
+	readonly residentBytes: number;
+};
+
+/** Measures the routers of a fleet with relays while `durationMs` pass. */
+export async function measureRouters(fleet: Fleet, durationMs: number): Promise<RouterUsage> {
+	const before = await readTotals(fleet);
+	const startedAt = performance.now();
+	await wait(durationMs);
+	const after = await readTotals(fleet);
+	const seconds = (performance.now() - startedAt) / 1000;
+	const count = fleet.routers.length;
+	return {
+		peerBytes: 2 * (after.peerBytes - before.peerBytes) / count / seconds,
+		platformBytes: (after.platformBytes - before.platformBytes) / count / seconds,
+		platformCalls: (after.calls - before.calls) / count / seconds,
+		processorFraction: (after.processorMs - before.processorMs) / count / seconds / 1000,
+		residentBytes: after.residentBytes / count,
+	};
+}
+
+async function readTotals(fleet: Fleet): Promise<Totals> {
+	const usages = await Promise.all(fleet.routers.map(async ({process}) => readProcessUsage(process.child.pid!)));
+	return {
+		peerBytes: sumBytes(fleet.routers, 'peers'),
+		platformBytes: sumBytes(fleet.routers, 'platform'),
+		calls: await fleet.readPlatformCallCount(),
+		processorMs: usages.reduce((sum, {processorMs}) => sum + processorMs, 0),
+		residentBytes: usages.reduce((sum, {residentBytes}) => sum + residentBytes, 0),
+	};
+}
+
+function sumBytes(routers: readonly FleetRouter[], link: 'peers' | 'platform'): number {
+	return routers.reduce((sum, {links}) => sum + (links === undefined ? 0 : links[link].bytesIn + links[link].bytesOut), 0);
+}
--- /dev/null
+++ b/packages/scenarios/src/lib/reducer-probe.ts
@@ -0,0 +1,141 @@
+/**
+ * One reducer with made-up surroundings of any size: a platform that always
+ * answers and peers that say the same as itself. Used to measure what each
+ * part of its state costs.
+ */
+import {
+	createState, describeSummary, documentKind, effectKind, eventKind, listedState, reduce, RendezvousChoice,
+	type Configuration, type Dispatch, type Effect, type Event, type InstanceList, type ReadDocument, type State,
+} from '@sequoiatally/core';
+
+const tickMs = 50;
+const zone = 'zone-a';
+const ownId = 'router-0';
+
+/** How large the surroundings are. */
+export type ProbeSize = {readonly instanceCount: number; readonly targetCount: number};
+
+/** The answer to a read that waits. */
+type DueAnswer = {readonly at: number; readonly answer: () => void};
+
+/** Drives one reducer under virtual time. */
+export class ReducerProbe {
+	now = 0;
+	readonly state: State;
+	/** Dispatches that have not ended. */
+	readonly dispatches: Dispatch[] = [];
+	/** Exchanges that the reducer has started. */
+	exchangeCount = 0;
+	/** Reads that the reducer has started. */
+	readCount = 0;
+	readonly #configuration: Configuration;
+	readonly #list: InstanceList;
+	#unchanged: DueAnswer[] = [];
+
+	constructor(configuration: Configuration, {instanceCount, targetCount}: ProbeSize) {
+		this.#configuration = configuration;
+		const zones = [zone, 'zone-b', 'zone-c'];
+		this.#list = {
+			asOf: 0,
+			instances: Array.from({length: instanceCount}, (_, index) => ({
+				id: `router-${index}`, peerAddress: createAddress(0, index, 7100), zone: zones[index % zones.length]!, state: listedState.live, since: 0,
+			})),
+			targets: Array.from({length: targetCount}, (_, index) => ({
+				id: `fitbrain-${index}`, pool: 'fitbrain', address: createAddress(1, index, 8000), zone: zones[index % zones.length]!, state: listedState.live, since: 0,
+			})),
+		};
+		this.state = createState({
+			instanceId: ownId, incarnation: 'probe', zone, startedAt: 0,
+		}, {targetChoice: new RendezvousChoice()});
+	}
+
+	/** Hands an event to the reducer and answers its effects. */
+	handle(event: Event): void {
+		for (const effect of reduce(this.state, event, this.now)) {
+			this.#carryOut(effect);
+		}
+	}
+
+	/** Lets time pass. */
+	runFor(durationMs: number): void {
+		for (const endAt = this.now + durationMs; this.now < endAt; this.now += tickMs) {
+			this.#answerDueReads();
+			this.handle({kind: eventKind.tick});
+		}
+	}
+
+	/** Runs one tick without answering its effects; returns its time in microseconds. */
+	measureTick(): number {
+		this.now += tickMs;
+		this.#answerDueReads();
+		const startedAt = performance.now();
+		const effects = reduce(this.state, {kind: eventKind.tick}, this.now);
+		const elapsedMs = performance.now() - startedAt;
+		for (const effect of effects) {
+			this.#carryOut(effect);
+		}
+
+		return elapsedMs * 1000;
+	}
+
+	#carryOut(effect: Effect): void {
+		if (effect.kind === effectKind.dispatch) {
+			this.dispatches.push(effect);
+			return;
+		}
+
+		if (effect.kind === effectKind.exchange) {
+			this.#answerExchange(effect.peerId);
+			return;
+		}
+
+		if (effect.kind === effectKind.readDocument) {
+			this.#answerRead(effect);
+		}
+	}
+
+	#answerExchange(peerId: string): void {
+		this.exchangeCount++;
+		const summary = {...describeSummary(this.state, this.now), instanceId: peerId, incarnation: peerId};
+		this.handle({
+			kind: eventKind.summaryReceived, summary, startedAt: this.now, isAnswer: true,
+		});
+	}
+
+	/** Answers the first read at once, and every later one when its wait is over: nothing changes. */
+	#answerRead({document, after, waitMs}: ReadDocument): void {
+		this.readCount++;
+		if (after > 0) {
+			const startedAt = this.now;
+			this.#unchanged.push({
+				at: startedAt + waitMs, answer: () => {
+					this.handle({
+						kind: eventKind.documentUnchanged, document, revision: 1, asOf: this.now + 1, currentAt: startedAt,
+					});
+				},
+			});
+			return;
+		}
+
+		const source = {revision: 1};
+		this.handle(document === documentKind.tables
+			? {
+				kind: eventKind.configurationRead, configuration: this.#configuration, text: '', currentAt: this.now, source,
+			}
+			: {
+				kind: eventKind.listRead, list: {...this.#list, asOf: this.now + 1}, currentAt: this.now, source,
+			});
+	}
+
+	#answerDueReads(): void {
+		const due = this.#unchanged.filter(({at}) => at <= this.now);
+		this.#unchanged = this.#unchanged.filter(({at}) => at > this.now);
+		for (const {answer} of due) {
+			answer();
+		}
+	}
+}
+
+function createAddress(network: number, index: number, port: number): string {
+	return `10.${network}.${Math.floor(index / 256)}.${index % 256}:${port}`;
+}
