--- a/packages/core/src/lib/effect.ts
+++ b/packages/core/src/lib/effect.ts
@@ -13,6 +13,9 @@
 	dispatch: 'dispatch',
 	refuse: 'refuse',
 	cancel: 'cancel',
+	forward: 'forward',
+	rememberAnswer: 'remember-answer',
+	replay: 'replay',
 	probe: 'probe',
 	readDocument: 'read-document',
 	fetchDocument: 'fetch-document',
@@ -50,6 +53,28 @@
 /** Stop an attempt and close its connection. */
 export type Cancel = {readonly kind: typeof effectKind.cancel; readonly requestId: string; readonly attemptId: number};
 
+/** Pass a request on to the process that its ticket names. */
+export type Forward = {
+	readonly kind: typeof effectKind.forward;
+	readonly requestId: string;
+	readonly attemptId: number;
+	readonly peerId: string;
+	readonly address: string;
+	readonly ticket: string;
+	readonly keyDigest?: string;
+	readonly priority: number;
+	/** Time after which nothing may be sent any more. */
+	readonly notAfter: number;
+	/** Time at which the answer has to be whole. */
+	readonly deadlineAt: number;
+};
+
+/** Keep the answer that was delivered for a request, for repeats under its ticket. */
+export type RememberAnswer = {readonly kind: typeof effectKind.rememberAnswer; readonly requestId: string; readonly ticketRecordId: string};
+
+/** Answer a request with the answer that was kept for its ticket. */
+export type Replay = {readonly kind: typeof effectKind.replay; readonly requestId: string; readonly ticketRecordId: string};
+
 /** Ask a target for its boot and load; costs it no slot, and the answer comes back as a load report. */
 export type Probe = {readonly kind: typeof effectKind.probe; readonly targetId: string; readonly address: string};
 
@@ -108,5 +133,5 @@
 export type FinishDrain = {readonly kind: typeof effectKind.finishDrain};
 
 export type Effect =
-	| Dispatch | Refuse | Cancel | Probe | ReadDocument | FetchDocument | Exchange
+	| Dispatch | Refuse | Cancel | Forward | RememberAnswer | Replay | Probe | ReadDocument | FetchDocument | Exchange
 	| Borrow | AnswerBorrow | GiveBack | RecordEntry | FinishDrain;
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -4,6 +4,7 @@
  * product's own processes start no others.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
+import {randomInt} from 'node:crypto';
 import {openSync} from 'node:fs';
 import {createServer} from 'node:net';
 import process from 'node:process';
@@ -13,6 +14,9 @@
 
 const host = '127.0.0.1';
 const startTimeoutMs = 60_000;
+/** Ports for the processes of a fleet. */
+const firstPort = 11_000;
+const lastPort = 32_000;
 const stopTimeoutMs = 5000;
 const fleetSecret = 'loopback-fleet-secret';
 /** Token of the administration API in fleets on loopback. */
@@ -64,22 +68,45 @@
 	isReady: boolean;
 };
 
-/** Finds free ports on loopback. */
+/**
+ * Finds free ports on loopback, outside of the range from which the system
+ * takes the ports of outgoing connections: one of those could take a port
+ * between the look and its use.
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => {
-		const server = createServer();
-		await new Promise<void>(resolve => {
-			server.listen(0, host, resolve);
-		});
-		return server;
-	}));
-	const ports = servers.map(server => (server.address() as {port: number}).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
+	const ports: number[] = [];
+	while (ports.length < count) {
+		const port = takeNextPort();
+		if (await isFree(port)) {
+			ports.push(port);
+		}
+	}
+
 	return ports;
 }
 
+let nextPort = randomInt(firstPort, lastPort);
+
+/** Takes a port that this process has not taken lately; several tools may run on one machine, so each begins elsewhere. */
+function takeNextPort(): number {
+	nextPort = nextPort >= lastPort ? firstPort : nextPort + 1;
+	return nextPort;
+}
+
+async function isFree(port: number): Promise<boolean> {
+	const server = createServer();
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, host, () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
 /** A deployment that runs on loopback. */
 export class Fleet {
 	readonly routers: FleetRouter[] = [];
@@ -160,7 +187,13 @@
 
 	async waitUntilReady(routers: readonly FleetRouter[] = this.routers): Promise<void> {
 		await Promise.all(routers.map(async router => {
-			await waitUntil(async () => isOk(`http://${router.adminAddress}/readyz`));
+			await waitUntil(async () => {
+				if (router.process.child.exitCode !== null) {
+					throw new Error(`${router.id} ended with ${router.process.child.exitCode} before it was ready.`);
+				}
+
+				return isOk(`http://${router.adminAddress}/readyz`);
+			});
 			router.isReady = true;
 		}));
 	}
--- a/packages/scenarios/src/lib/experiments/index.ts
+++ b/packages/scenarios/src/lib/experiments/index.ts
@@ -5,6 +5,13 @@
 import {Control} from './control.js';
 import {Deployments} from './deployments.js';
 import {Overhead} from './overhead.js';
+import {RoutingExperiment} from './routing.js';
 import {Slopes} from './slopes.js';
 
-export const experiments: readonly Experiment[] = [new Overhead(), new Control(), new Slopes(), new Deployments()];
+export const experiments: readonly Experiment[] = [
+	new RoutingExperiment(),
+	new Overhead(),
+	new Control(),
+	new Slopes(),
+	new Deployments(),
+];
