--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './lib/configuration/configuration.js';
 export * from './lib/configuration/check-configuration.js';
+export * from './lib/configuration/configuration-schema.js';
 export * from './lib/configuration/instance-list.js';
 export * from './lib/effect.js';
 export * from './lib/event.js';
@@ -22,3 +23,8 @@
 export type {PendingRequest} from './lib/requests/request-state.js';
 export {describeAccountLimitId} from './lib/allowance/limit.js';
 export {computeNetShare, type Share} from './lib/allowance/share-ledger.js';
+export * from './lib/describe/describe-accounts.js';
+export * from './lib/describe/describe-instances.js';
+export * from './lib/describe/describe-targets.js';
+export * from './lib/describe/explain-choice.js';
+export * from './lib/describe/list-alarms.js';
--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -41,6 +41,8 @@
 	exchangedAt: Map<string, number>;
 	/** True: this instance takes no new work and ends when its requests have. */
 	isDraining: boolean;
+	/** True: the drained process does not end, so that it can be undrained. */
+	staysAfterDrain: boolean;
 	/** Time at which draining began. */
 	drainStartedAt?: number;
 	/** Time of the last event, to notice that the process was paused. */
@@ -59,6 +61,7 @@
 		peers: new Map(),
 		exchangedAt: new Map(),
 		isDraining: false,
+		staysAfterDrain: false,
 		lastEventAt: 0,
 	};
 }
