Experiment on the documents: bytes and time by entries

Cause: the capacity page needs what a whole configuration and a whole list cost, since every change sends one to every instance.

--- /dev/null
+++ b/packages/scenarios/src/lib/experiments/documents.ts
@@ -0,0 +1,102 @@
+/**
+ * What the platform's documents cost a router that reads them whole: bytes,
+ * and the time to check and to take one, by the number of entries.
+ */
+import {
+	eventKind, listedState, parseConfiguration, parseInstanceList,
+} from '@sequoiatally/core';
+import {createExampleConfiguration} from '../example-configuration.js';
+import {Experiment, type ResultTable} from '../experiment.js';
+import {computeLinearFit} from '../linear-fit.js';
+import {ReducerProbe} from '../reducer-probe.js';
+
+const repetitions = 10;
+const accountCounts = [10, 100, 380, 1600] as const;
+const entryCounts = [100, 1000, 3000, 6000] as const;
+const probeSettleMs = 30_000;
+
+type DocumentCost = {readonly what: string; readonly count: number; readonly bytes: number; readonly checkMs: number; readonly applyMs: number};
+
+/** Measures configurations by client accounts, and lists by entries. */
+export class Documents extends Experiment {
+	override readonly name = 'documents';
+	override readonly question = 'What does a router pay for each whole configuration and each whole list that it reads?';
+	override readonly isRepeatable = false;
+
+	override async run(): Promise<readonly ResultTable[]> {
+		measureConfiguration(accountCounts[0]);
+		measureList(entryCounts[0]);
+		const costs = [...accountCounts.map(count => measureConfiguration(count)), ...entryCounts.map(count => measureList(count))];
+		const slopes = [...new Set(costs.map(({what}) => what))].map(what => describeSlopes(what, costs.filter(cost => cost.what === what)));
+		return [
+			{
+				title: 'Per document',
+				columns: ['document', 'entries', 'bytes', 'parse and check, ms', 'take into the state, ms'],
+				rows: costs.map(({what, count, bytes, checkMs, applyMs}) => [what, count, bytes, checkMs.toFixed(2), applyMs.toFixed(2)]),
+				notes: ['Lists hold one instance for every three targets. Each time is the mean of ten.'],
+			},
+			{
+				title: 'Per entry',
+				columns: ['document', 'bytes', 'parse and check, µs', 'take into the state, µs'],
+				rows: slopes,
+				notes: ['Slopes of straight lines by least squares.'],
+			},
+		];
+	}
+}
+
+function describeSlopes(what: string, costs: readonly DocumentCost[]): Array<string | number> {
+	const fit = (read: (cost: DocumentCost) => number) => computeLinearFit(costs.map(cost => [cost.count, read(cost)])).slope;
+	return [what, fit(({bytes}) => bytes).toFixed(0), (fit(({checkMs}) => checkMs) * 1000).toFixed(2), (fit(({applyMs}) => applyMs) * 1000).toFixed(2)];
+}
+
+function measureConfiguration(count: number): DocumentCost {
+	const accounts = Array.from({length: count}, (_, index) => ({name: `client-account-${index}`, rate: 100, burst: 200}));
+	const configuration = createExampleConfiguration(accounts);
+	const text = JSON.stringify(configuration);
+	const checkMs = measureMean(() => parseConfiguration(text).unwrap());
+	const probe = new ReducerProbe(configuration, {instanceCount: 8, targetCount: 16});
+	probe.runFor(probeSettleMs);
+	let version = 1;
+	const applyMs = measureMean(() => {
+		version++;
+		probe.handle({
+			kind: eventKind.configurationRead, configuration: {...configuration, version}, text, currentAt: probe.now, source: {revision: version},
+		});
+	});
+	return {
+		what: 'configuration, by client accounts', count, bytes: text.length, checkMs, applyMs,
+	};
+}
+
+function measureList(count: number): DocumentCost {
+	const probe = new ReducerProbe(createExampleConfiguration([{name: 'client-account', rate: 100, burst: 200}], {ceiling: 2000}), {
+		instanceCount: Math.floor(count / 4), targetCount: Math.ceil(count * 3 / 4),
+	});
+	probe.runFor(probeSettleMs);
+	const list = probe.state.membership.list!;
+	const text = JSON.stringify(list);
+	const checkMs = measureMean(() => parseInstanceList(text)._unsafeUnwrap());
+	const [first] = list.targets;
+	let asOf = list.asOf + 1;
+	const applyMs = measureMean(() => {
+		asOf++;
+		// One target changes with each list, so that no list equals the one before.
+		const targets = [{...first!, state: asOf % 2 === 0 ? listedState.live : listedState.leaving}, ...list.targets.slice(1)];
+		probe.handle({
+			kind: eventKind.listRead, list: {...list, asOf, targets}, currentAt: probe.now, source: {revision: asOf},
+		});
+	});
+	return {
+		what: 'list, by entries', count, bytes: text.length, checkMs, applyMs,
+	};
+}
+
+function measureMean(run: () => unknown): number {
+	const startedAt = performance.now();
+	for (let index = 0; index < repetitions; index++) {
+		run();
+	}
+
+	return (performance.now() - startedAt) / repetitions;
+}
--- a/packages/scenarios/src/lib/experiments/index.ts
+++ b/packages/scenarios/src/lib/experiments/index.ts
@@ -4,6 +4,7 @@
 import type {Experiment} from '../experiment.js';
 import {Control} from './control.js';
 import {Deployments} from './deployments.js';
+import {Documents} from './documents.js';
 import {Overhead} from './overhead.js';
 import {RoutingExperiment} from './routing.js';
 import {Slopes} from './slopes.js';
@@ -13,5 +14,6 @@
 	new Overhead(),
 	new Control(),
 	new Slopes(),
+	new Documents(),
 	new Deployments(),
 ];
