--- /dev/null
+++ b/packages/load/src/test/tcp-relay_test.ts
@@ -0,0 +1,79 @@
+/**
+ * Tests of the relay: it counts what passes, cuts, and lets through again.
+ */
+import assert from 'node:assert/strict';
+import {connect, createServer, type AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import {request} from 'undici';
+import {createServer as createHttpServer} from 'node:http';
+import {linkState, TcpRelay} from '../lib/tcp-relay.js';
+
+void test('a relay counts both directions, refuses while it is cut, and passes again', async () => {
+	const server = createHttpServer((_, response) => {
+		response.end('x'.repeat(1000));
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const relay = new TcpRelay((server.address() as AddressInfo).port);
+	await relay.listen();
+	const fetchLength = async () => {
+		const {body} = await request(`http://${relay.address}/`, {reset: true});
+		const text = await body.text();
+		return text.length;
+	};
+
+	try {
+		assert.equal(await fetchLength(), 1000);
+		assert.ok(relay.bytesOut > 1000);
+		assert.ok(relay.bytesIn > 20);
+		relay.setState(linkState.cut);
+		await assert.rejects(fetchLength());
+		relay.setState(linkState.up);
+		assert.equal(await fetchLength(), 1000);
+		assert.equal(relay.connectionCount, 2);
+	} finally {
+		await relay.close();
+		server.closeAllConnections();
+		server.close();
+	}
+});
+
+void test('a silent relay keeps connections open, and passes what came once it is up again', async () => {
+	const server = createServer(socket => {
+		socket.pipe(socket);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const relay = new TcpRelay((server.address() as AddressInfo).port);
+	await relay.listen();
+	relay.setState(linkState.silent);
+	const [host, port] = relay.address.split(':');
+	const socket = connect(Number(port), host);
+	try {
+		const echoed = new Promise<string>(resolve => {
+			socket.once('data', chunk => {
+				resolve(chunk.toString());
+			});
+		});
+		await new Promise<void>(resolve => {
+			socket.write('hello', () => {
+				resolve();
+			});
+		});
+		while (relay.connectionCount === 0) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		assert.equal(relay.bytesIn, 0);
+		relay.setState(linkState.up);
+		assert.equal(await echoed, 'hello');
+	} finally {
+		socket.destroy();
+		await relay.close();
+		server.close();
+	}
+});
--- a/packages/scenarios/src/lib/experiments/control.ts
+++ b/packages/scenarios/src/lib/experiments/control.ts
@@ -22,7 +22,7 @@
 const loadSeed = 11;
 const bytesPerKib = 1024;
 
-type SizeResult = {readonly routerCount: number; readonly atRest: RouterUsage; readonly loaded: RouterUsage};
+type SizeResult = {readonly routerCount: number; readonly atRest: RouterUsage; readonly loaded: RouterUsage; readonly requestRate: number};
 
 /** Measures fleets of three sizes, at rest and under load. */
 export class Control extends Experiment {
@@ -42,8 +42,12 @@
 		const loaded = fitBytes(result => result.loaded);
 		return [{
 			title: 'Per router and second, on average over the fleet',
-			columns: ['routers', 'state', 'peers, bytes', 'configuration service, bytes', 'configuration service, calls', 'processor, % of a core', 'memory, MiB'],
-			rows: results.flatMap(({routerCount, atRest: rest, loaded: load}) => [describeUsage(routerCount, 'at rest', rest), describeUsage(routerCount, 'under load', load)]),
+			columns: ['routers', 'state', 'peers, bytes', 'of those for each request', 'configuration service, bytes', 'configuration service, calls', 'processor, % of a core', 'memory, MiB'],
+			rows: results.flatMap(result => {
+				const {routerCount, atRest: rest, loaded: load, requestRate} = result;
+				const perRequest = (load.peerBytes - rest.peerBytes) * routerCount / requestRate;
+				return [describeUsage(routerCount, 'at rest', rest, ''), describeUsage(routerCount, 'under load', load, perRequest.toFixed(0))];
+			}),
 			notes: [
 				'13 engines, 3 plain services and 10 client accounts at every size; under load, each account sends half of its rate (about 180 requests a second in all). Bytes are TCP payload, sent and received, HTTP included; what two routers tell each other counts at both.',
 				`Slope over the fleet's size: ${atRest.slope.toFixed(0)} bytes per second and router at rest (${atRest.determination.toFixed(2)} of the variance), ${loaded.slope.toFixed(0)} under load (${loaded.determination.toFixed(2)}).`,
@@ -52,7 +56,7 @@
 	}
 }
 
-function describeUsage(routerCount: number, state: string, usage: RouterUsage): Array<string | number> {
+function describeUsage(routerCount: number, state: string, usage: RouterUsage, perRequest: string): Array<string | number> {
 	return [
 		routerCount,
 		state,
@@ -75,13 +79,15 @@
 		const sending = sendLoad(fleet, configuration, rampMs + measuredMs);
 		await wait(rampMs);
 		const loaded = await measureRouters(fleet, measuredMs);
-		await sending;
-		return {routerCount, atRest, loaded};
+		const sentCount = await sending;
+		return {
+			routerCount, atRest, loaded, requestRate: sentCount / (rampMs + measuredMs) * 1000,
+		};
 	});
 }
 
-/** Sends half of every account's rate for a while, as a plan would. */
-async function sendLoad(fleet: Fleet, {accounts}: Configuration, durationMs: number): Promise<void> {
+/** Sends half of every account's rate for a while, as a plan would; returns the number of requests. */
+async function sendLoad(fleet: Fleet, {accounts}: Configuration, durationMs: number): Promise<number> {
 	const plan = createPlan(fleet, durationMs);
 	const keyed = accounts.filter(({keyDigests}) => keyDigests.length > 0);
 	const {calls} = createCallSchedule(plan, keyed);
@@ -101,6 +107,7 @@
 
 	await Promise.all(answers);
 	await caller.destroy();
+	return calls.length;
 }
 
 function createPlan({plan}: Fleet, durationMs: number): LoadPlan {
