--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,8 +1,9 @@
 /**
  * The router daemon, for programs that run it inside a test.
  */
+export * from './lib/peer-mapping.js';
 export * from './lib/router.js';
 export * from './lib/runner.js';
+export {adminRoutes, type AdminOutput, type AdminRouteName} from './lib/admin/admin-routes.js';
 export {createAdminApp, type AdminParts} from './lib/admin-server.js';
 export {createOpenApi} from './lib/admin/create-openapi.js';
-export {adminRoutes, type AdminOutput, type AdminRouteName} from './lib/admin/admin-routes.js';
