--- a/packages/core/src/lib/allowance/share-ledger.ts
+++ b/packages/core/src/lib/allowance/share-ledger.ts
@@ -14,6 +14,9 @@
 /** Longest term of a loan of slots, in milliseconds: in use they are kept much longer than tokens. */
 const slotLoanTermMs = 15_000;
 
+/** Rounding of sums of loans is no excess. */
+const roundingTolerance = 1e-9;
+
 /** Part of a limit. */
 export type Share = {
 	/** Tokens per second. */
@@ -130,13 +133,34 @@
 	};
 }
 
-/** Computes what is owned and not lent: no instance lends on what it borrowed. */
+/** Computes what is owned and not lent: the part that may be lent for a full term. */
 export function computeLendableShare(step: Step, limitId: string): Share {
 	const owned = computeOwnedShare(step, limitId);
 	const minus = step.state.allowances.lent.computeSum(limitId, step.now);
 	return {rate: Math.max(0, owned.rate - minus.rate), room: Math.max(0, owned.room - minus.room)};
 }
 
+/** True: more is lent than is owned since the owned share shrank; such loans must not be extended. */
+export function isLentBeyondOwned(step: Step, limitId: string): boolean {
+	const owned = computeOwnedShare(step, limitId);
+	const minus = step.state.allowances.lent.computeSum(limitId, step.now);
+	return minus.rate > owned.rate + roundingTolerance || minus.room > owned.room + roundingTolerance;
+}
+
+/**
+ * Computes the room that may be lent for `termMs`: also what is borrowed for
+ * longer than that, because such a loan ends before its own cover does.
+ */
+export function computeLendableRoom(step: Step, limitId: string, termMs: number): number {
+	const {borrowed, lent} = step.state.allowances;
+	let {room} = computeOwnedShare(step, limitId);
+	for (const loan of borrowed.listOpen(limitId, step.now + termMs)) {
+		room += loan.room;
+	}
+
+	return Math.max(0, room - lent.computeSum(limitId, step.now).room);
+}
+
 /** Computes the longest term of a loan of this limit, in milliseconds. */
 export function computeLoanTermMs(step: Step, limitId: string): number {
 	return findLimitTarget(step, limitId) === undefined ? step.state.tables.configuration?.fleet.loanTermMs ?? 0 : slotLoanTermMs;
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -3,7 +3,9 @@
  * event and the present time. It does no input or output and reads no clock.
  */
 import {updateBuckets} from './allowance/allowance-state.js';
-import {applyLoan, applyLoanFailure, borrowRates} from './allowance/borrow-share.js';
+import {
+	applyLoan, applyLoanFailure, borrowRates, giveBackTokens,
+} from './allowance/borrow-share.js';
 import {applyBorrowRequest, applyGivenBack} from './allowance/lend-share.js';
 import {effectKind, type Effect} from './effect.js';
 import {
@@ -87,8 +89,8 @@
 		}
 
 		case eventKind.documentUnchanged: {
-			endRead(step, event.document, {revision: event.revision}, false);
 			applyUnchanged(step, event);
+			endRead(step, event.document, {}, false);
 			break;
 		}
 
@@ -122,6 +124,7 @@
 		case eventKind.loanGranted: {
 			applyLoan(step, event);
 			advanceWaiting(step);
+			giveBackTokens(step);
 			break;
 		}
 
@@ -157,12 +160,20 @@
 			updateSlotLoans(step);
 			advanceWaiting(step);
 			releaseTickets(step);
+			finishDrainIfIdle(step);
 			break;
 		}
 	}
 }
 
-function applyUnchanged(step: Step, {document, asOf, currentAt}: DocumentUnchanged): void {
+function applyUnchanged(step: Step, {
+	document, revision, asOf, currentAt,
+}: DocumentUnchanged): void {
+	// A replica that is behind has nothing newer to show, and proves nothing.
+	if (revision < step.state.watches[document].revision) {
+		return;
+	}
+
 	if (document === documentKind.tables) {
 		applyTablesUnchanged(step, currentAt);
 	} else if (asOf !== undefined) {
@@ -170,7 +181,7 @@
 	}
 }
 
-function startDrain(step: Step, {by, staysAfter = false}: DrainRequested): void {
+function startDrain(step: Step, {by, graceMs, staysAfter = false}: DrainRequested): void {
 	const {membership} = step.state;
 	// A later request to end the process overrules one that keeps it.
 	membership.staysAfterDrain = staysAfter && (membership.staysAfterDrain || !membership.isDraining);
@@ -180,6 +191,7 @@
 
 	membership.isDraining = true;
 	membership.drainStartedAt = step.now;
+	membership.acceptUntil = step.now + (graceMs ?? 0);
 	recordEntry(step, {kind: timelineKind.drainStarted, cause: 'drain', detail: `Requested by ${by}.`});
 }
 
@@ -194,7 +206,8 @@
 
 function finishDrainIfIdle(step: Step): void {
 	const {membership, requests} = step.state;
-	if (membership.isDraining && !membership.staysAfterDrain && requests.pending.size === 0) {
+	const isOver = requests.pending.size === 0 && step.now >= (membership.acceptUntil ?? 0);
+	if (membership.isDraining && !membership.staysAfterDrain && isOver) {
 		step.effects.push({kind: effectKind.finishDrain});
 	}
 }
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -4,6 +4,7 @@
  * product's own processes start no others.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
+import {randomInt} from 'node:crypto';
 import {openSync} from 'node:fs';
 import {createServer} from 'node:net';
 import process from 'node:process';
@@ -13,6 +14,9 @@
 
 const host = '127.0.0.1';
 const startTimeoutMs = 60_000;
+/** Ports for the processes of a fleet. */
+const firstPort = 11_000;
+const lastPort = 32_000;
 const stopTimeoutMs = 5000;
 const fleetSecret = 'loopback-fleet-secret';
 /** Token of the administration API in fleets on loopback. */
@@ -32,6 +36,10 @@
 	readonly timelineDirectory: string;
 	/** Further flags of every engine stand-in. */
 	readonly engineFlags?: readonly string[];
+	/** Further flags of every plain-service stand-in. */
+	readonly plainFlags?: readonly string[];
+	/** Further flags of every router. */
+	readonly routerFlags?: readonly string[];
 	/** File that takes the processes' logs; undefined: this process's error stream. */
 	readonly logPath?: string;
 	/** True: links to the configuration service and between routers pass through relays that count and cut. */
@@ -62,22 +70,45 @@
 	isReady: boolean;
 };
 
-/** Finds free ports on loopback. */
+/**
+ * Finds free ports on loopback, outside of the range from which the system
+ * takes the ports of outgoing connections: one of those could take a port
+ * between the look and its use.
+ */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => {
-		const server = createServer();
-		await new Promise<void>(resolve => {
-			server.listen(0, host, resolve);
-		});
-		return server;
-	}));
-	const ports = servers.map(server => (server.address() as {port: number}).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
+	const ports: number[] = [];
+	while (ports.length < count) {
+		const port = takeNextPort();
+		if (await isFree(port)) {
+			ports.push(port);
+		}
+	}
+
 	return ports;
 }
 
+let nextPort = randomInt(firstPort, lastPort);
+
+/** Takes a port that this process has not taken lately; several tools may run on one machine, so each begins elsewhere. */
+function takeNextPort(): number {
+	nextPort = nextPort >= lastPort ? firstPort : nextPort + 1;
+	return nextPort;
+}
+
+async function isFree(port: number): Promise<boolean> {
+	const server = createServer();
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, host, () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
 /** A deployment that runs on loopback. */
 export class Fleet {
 	readonly routers: FleetRouter[] = [];
@@ -146,6 +177,7 @@
 				`loopback:${adminToken}`,
 				'--log-level',
 				'warn',
+				...(this.plan.routerFlags ?? []),
 			]),
 		};
 		this.routers.push(router);
@@ -158,7 +190,13 @@
 
 	async waitUntilReady(routers: readonly FleetRouter[] = this.routers): Promise<void> {
 		await Promise.all(routers.map(async router => {
-			await waitUntil(async () => isOk(`http://${router.adminAddress}/readyz`));
+			await waitUntil(async () => {
+				if (router.process.child.exitCode !== null) {
+					throw new Error(`${router.id} ended with ${router.process.child.exitCode} before it was ready.`);
+				}
+
+				return isOk(`http://${router.adminAddress}/readyz`);
+			});
 			router.isReady = true;
 		}));
 	}
@@ -237,6 +275,22 @@
 		await body.dump();
 	}
 
+	/** Starts a bare pass-through in front of a target, and waits until it serves. */
+	async startPassThrough(target: FleetTarget): Promise<{readonly address: string; readonly process: FleetProcess}> {
+		const [port] = await findFreePorts(1);
+		const address = `${host}:${port}`;
+		const process = this.#spawn('pass-through', '@sequoiatally/load', ['--address', address, '--target-address', target.address]);
+		await waitUntil(async () => isOk(`http://${address}/healthz`));
+		return {address, process};
+	}
+
+	/** Reads how many calls the configuration service has had; a watch counts as one. */
+	async readPlatformCallCount(): Promise<number> {
+		const {body} = await request(`http://${this.platformAddress}/control/calls`);
+		const {callCount} = await body.json() as {callCount: number};
+		return callCount;
+	}
+
 	/** Stops everything that this fleet started. */
 	async stop(): Promise<void> {
 		for (const {child} of this.#processes) {
@@ -278,10 +332,10 @@
 	}
 
 	#spawnTarget({id, pool, address}: Pick<FleetTarget, 'id' | 'pool' | 'address'>): FleetProcess {
-		const {modelPool, engineFlags = []} = this.plan;
+		const {modelPool, engineFlags = [], plainFlags = []} = this.plan;
 		const isEngine = pool === modelPool;
 		const timelinePath = `${this.plan.timelineDirectory}/${id}.jsonl`;
-		const flags = ['--address', address, '--id', id, '--timeline-path', timelinePath, ...(isEngine ? engineFlags : [])];
+		const flags = ['--address', address, '--id', id, '--timeline-path', timelinePath, ...(isEngine ? engineFlags : plainFlags)];
 		return this.#spawn(isEngine ? 'engine' : 'plain-service', '@sequoiatally/stand-ins', flags);
 	}
 
