--- a/packages/cli/src/lib/timeline/draw-timeline.ts
+++ b/packages/cli/src/lib/timeline/draw-timeline.ts
@@ -13,13 +13,11 @@
 
 /** Entries that the overview draws at most. */
 const mostOverviewLines = 20_000;
-/** Requests that are drawn one by one at most. */
-const mostFollowedRequests = 200;
+/** Requests that are drawn one by one at most, of those answered and of those refused. */
+const mostFollowedRequests = 150;
 const overviewLaneHeight = 20;
 const detailLaneHeight = 46;
 const numberRadius = 8;
-/** Entries that a refused request counts more than an answered one, when requests are chosen. */
-const refusedWeight = 5;
 
 const legend = [
 	['step', 'sent'], ['good', 'answered'], ['refused', 'refused'], ['bad', 'failed'], ['alarm', 'alarm or operator'], ['plain', 'other'],
@@ -49,7 +47,7 @@
 	const all = new Set(lines.flatMap(({requestId}) => typeof requestId === 'string' ? [requestId] : [])).size;
 	const start = lines[0] === undefined ? '' : ` from ${new Date(lines[0].atMs).toISOString()}`;
 	const cut = lines.length > mostOverviewLines ? ` The overview draws the first ${mostOverviewLines}.` : '';
-	const hint = requestCount < all ? ` ${requestCount} of ${all} requests can be followed here: those with the most attempts and refusals; filter to see others.` : '';
+	const hint = requestCount < all ? ` ${requestCount} of ${all} requests can be followed here: those answered and those refused with the most entries; filter to see others.` : '';
 	return `${lines.length} entries${start}.${cut}${hint} Choose an entry to follow its request.`;
 }
 
@@ -69,15 +67,17 @@
 		}
 	}
 
-	const computeWeight = ([id, group]: [string, TimedLine[]]) => {
-		const refused = group.some(({kind}) => kind === timelineKind.requestRefused) ? refusedWeight : 0;
-		return id === followedId ? Number.POSITIVE_INFINITY : group.length + refused;
-	};
+	const byLength = [...groups].sort(([, a], [, b]) => b.length - a.length);
+	const followed = byLength.filter(([id]) => id === followedId);
+	const others = byLength.filter(([id]) => id !== followedId);
+	const refused = others.filter(([, group]) => isRefused(group));
+	const answered = others.filter(([, group]) => !isRefused(group));
+	const chosen = moveWidestToFront([...answered.slice(0, mostFollowedRequests), ...refused.slice(0, mostFollowedRequests)]);
+	return [...followed, ...chosen];
+}
 
-	const weighed = [...groups].map(group => ({group, weight: computeWeight(group)}));
-	weighed.sort((a, b) => b.weight - a.weight);
-	const chosen = weighed.slice(0, mostFollowedRequests).map(({group}) => group);
-	return chosen[0]?.[0] === followedId ? chosen : moveWidestToFront(chosen);
+function isRefused(lines: readonly TimedLine[]): boolean {
+	return lines.some(({kind}) => kind === timelineKind.requestRefused);
 }
 
 /** Moves the request that passed through the most processes to the front. */
--- a/packages/cli/src/test/timeline_test.ts
+++ b/packages/cli/src/test/timeline_test.ts
@@ -97,6 +97,16 @@
 	assert.equal(page.match(/<circle [^>]*r="3"/g)?.length, lines.length);
 });
 
+test('with many refusals, answered requests can still be followed, and one is shown first', () => {
+	const answered = createRequestLines('answered', 1000, 10, {});
+	const refused = Array.from({length: 1000}, (_, index) => createRequestLines(`r${index}`, 2000 + index, 1, {}).slice(0, 2).flatMap(line => [
+		line, {...line, kind: timelineKind.requestRefused, monotonicMs: line.monotonicMs + 0.5},
+	])).flat();
+	const page = drawTimeline(mergeTimeline([...refused, ...answered]));
+	assert.match(page, /<section id="request-answered" class="first">/);
+	assert.match(page, /<section id="request-r\d+">/);
+});
+
 test('no text of an entry becomes part of the page\'s markup', () => {
 	const text = fc.oneof(fc.string(), fc.constantFrom('<script>alert(1)</script>', '"><img src=x>', '\'"&', '</svg></section>'));
 	fc.assert(fc.property(text, text, text, (requestId, detail, instanceId) => {
