--- a/packages/cli/src/test/commands_test.ts
+++ b/packages/cli/src/test/commands_test.ts
@@ -5,6 +5,7 @@
 import {readFile} from 'node:fs/promises';
 import {test} from 'node:test';
 import {fileURLToPath} from 'node:url';
+import fc from 'fast-check';
 import {
 	checkText, createCommands, exitCode, runCommands,
 } from '../index.js';
@@ -69,3 +70,14 @@
 	const line = await run('timeline', '/nonexistent/file.jsonl');
 	assert.equal(line.code, exitCode.unreachable);
 });
+
+test('any command line ends with a documented code', async () => {
+	const word = fc.oneof(
+		fc.string(),
+		fc.constantFrom('check', 'status', 'explain', 'drain', 'timeline', '--addresses', '--token', '--request', '--json', '--', '--help', '-x', '--x=y', ''),
+	);
+	await fc.assert(fc.asyncProperty(fc.array(word, {maxLength: 6}), async args => {
+		const {code} = await run(...args);
+		assert.ok(Object.values<number>(exitCode).includes(code), `${code}`);
+	}), {seed: 66, numRuns: 500});
+});
