--- a/packages/core/src/lib/allowance/lend-share.ts
+++ b/packages/core/src/lib/allowance/lend-share.ts
@@ -12,7 +12,7 @@
 import {
 	computeSlotsInUse, findLimit, findLimitAccount, findLimitTarget,
 } from './limit.js';
-import {computeLendableShare, computeLoanTailMs, computeLoanTermMs} from './share-ledger.js';
+import {computeLendableShare, computeLoanTailMs} from './share-ledger.js';
 
 /** Time within which the answer has to leave the process, in milliseconds. */
 const answerWithinMs = 200;
@@ -44,7 +44,8 @@
 
 function lendShare(step: Step, request: BorrowRequest): LoanAmount | undefined {
 	const [asked] = request.amounts;
-	if (asked === undefined || request.termMs > computeLoanTermMs(step, asked.limitId) || findLimit(step, asked.limitId) === undefined) {
+	const termLimit = step.state.tables.configuration?.fleet.loanTermMs ?? 0;
+	if (asked === undefined || request.termMs > termLimit || findLimit(step, asked.limitId) === undefined) {
 		return undefined;
 	}
 
--- a/packages/core/src/lib/allowance/share-ledger.ts
+++ b/packages/core/src/lib/allowance/share-ledger.ts
@@ -9,15 +9,7 @@
 import {computeCeilingFraction, computeOwnedFraction} from '../membership/owned-fraction.js';
 import type {Step} from '../state.js';
 import {computeLongestUseMs, findLimit, findLimitTarget} from './limit.js';
-
-/**
- * Time beyond a loan's term after which its lender takes it back, in
- * milliseconds. It covers a dispatch that was decided at the end of the term
- * and sent within its `notAfter`, and the drift of clocks over a term.
- */
-export const loanMarginMs = 1000;
-/** Longest term of a loan of slots, in milliseconds: in use they are kept much longer than tokens. */
-const slotLoanTermMs = 15_000;
+import {loanMarginMs} from './loan-margin.js';
 
 /** Part of a limit. */
 export type Share = {
@@ -142,11 +134,6 @@
 	return {rate: Math.max(0, owned.rate - minus.rate), room: Math.max(0, owned.room - minus.room)};
 }
 
-/** Computes the longest term of a loan of this limit, in milliseconds. */
-export function computeLoanTermMs(step: Step, limitId: string): number {
-	return findLimitTarget(step, limitId) === undefined ? step.state.tables.configuration?.fleet.loanTermMs ?? 0 : slotLoanTermMs;
-}
-
 /**
  * Computes how long after its term a loan may still be in use, in milliseconds.
  * A request that took a slot at the end of the term keeps it until its deadline.
