--- a/packages/core/src/lib/targets/load-multiple.ts
+++ b/packages/core/src/lib/targets/load-multiple.ts
@@ -3,7 +3,7 @@
  *
  * The load of a target is the number of requests in flight there, over the
  * fleet; the mean is taken over the pool's targets that may take new work and
- * are warm. Each instance keeps its own requests at a target under the multiple of
+ * are not known to be cold. Each instance keeps its own requests at a target under the multiple of
  * its own mean plus its part of the pool's floor. These bounds add up over the
  * instances to the multiple of the mean plus the floor, whatever the instances
  * know of each other. What peers say they have in flight only tightens the bound,
@@ -13,7 +13,7 @@
 import type {Pool} from '../configuration/configuration.js';
 import type {Step} from '../state.js';
 import {computeSlotShare} from './slot-share.js';
-import {isWarm} from './target-boot.js';
+import {isKnownCold, isWarm} from './target-boot.js';
 import type {Target} from './target-state.js';
 
 /** Longest time between two reports of a peer in ordinary running, in seconds. */
@@ -28,14 +28,15 @@
 
 /** Loads of a pool, of this instance and as estimated for the fleet. */
 export type PoolLoad = {
+	/** Targets that are not known to be cold. */
 	readonly warmCount: number;
-	/** Requests of this instance in flight at warm targets. */
+	/** Requests of this instance in flight at them. */
 	readonly ownInFlight: number;
 	/** Requests per second that this instance places. */
 	readonly ownRate: number;
 	/** Requests of peers by target, as they last said. */
 	readonly peerInFlight: ReadonlyMap<string, number>;
-	/** Requests of peers at warm targets. */
+	/** Requests of peers at them. */
 	readonly peerTotal: number;
 };
 
@@ -46,7 +47,7 @@
 	let ownInFlight = 0;
 	let peerTotal = 0;
 	for (const target of eligible) {
-		if (isWarm(target, pool, step.now)) {
+		if (!isKnownCold(target, pool, step.now)) {
 			warmCount += 1;
 			ownInFlight += target.inFlight;
 			peerTotal += peerInFlight.get(target.listed.id) ?? 0;
--- a/packages/core/src/lib/targets/target-boot.ts
+++ b/packages/core/src/lib/targets/target-boot.ts
@@ -26,6 +26,11 @@
 		|| (hasFreshEvidence(target, now) && target.bootedAt !== undefined && target.bootedAt + pool.warmAfterMs <= now);
 }
 
+/** True when fresh evidence says that the target booted a short time ago. */
+export function isKnownCold(target: Target, pool: Pool, now: number): boolean {
+	return hasFreshEvidence(target, now) && !isWarm(target, pool, now);
+}
+
 /**
  * Computes how much of a target's slots one request there takes up: more than
  * one while the target is cold, so that all slots together bear `coldSlots`.
