New work waits after a pause until the tables are known to be current

Cause: a router that woke after 5 s sent three requests to a zone that had been taken out 5 s before: their dispatches had expired, and the retries were decided by the tables from before the pause.

Ruled out: refusing by the age of the tables (the configuration service may be down for long while the router runs).

--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -45,6 +45,8 @@
 	drainStartedAt?: number;
 	/** Time of the last event, to notice that the process was paused. */
 	lastEventAt: number;
+	/** End of the latest pause. */
+	wokeAt?: number;
 };
 
 export function createMembershipState(): MembershipState {
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -12,6 +12,7 @@
 import {
 	applyList, applyListUnchanged, applyPeerFailure, applySummary, exchangeWithPeers, updateMembership,
 } from './membership/reduce-membership.js';
+import {recordPause} from './membership/pause.js';
 import {
 	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft,
 } from './requests/reduce-requests.js';
@@ -29,8 +30,8 @@
  */
 export function reduce(state: State, event: Event, now: number): readonly Effect[] {
 	const step: Step = {state, now, effects: []};
+	recordPause(step);
 	applyEvent(step, event);
-	state.membership.lastEventAt = now;
 	return step.effects;
 }
 
--- a/packages/core/src/lib/targets/choose-target.ts
+++ b/packages/core/src/lib/targets/choose-target.ts
@@ -5,6 +5,7 @@
 import {createDemandMeter, recordDemand} from '../allowance/demand-meter.js';
 import type {Pool} from '../configuration/configuration.js';
 import {listedState} from '../configuration/instance-list.js';
+import {isRecovering} from '../membership/pause.js';
 import type {Step} from '../state.js';
 import {computePoolLoad, isWithinMultiple, type PoolLoad} from './load-multiple.js';
 import {recordPlacement} from './moved-chats.js';
@@ -15,6 +16,10 @@
 
 /** Finds a target with room for one more request; undefined: none has room now. */
 export function chooseTarget(step: Step, pool: Pool, chatKey: string, avoidIds: ReadonlySet<string>): Target | undefined {
+	if (isRecovering(step)) {
+		return undefined;
+	}
+
 	const {targets, policies, self} = step.state;
 	const eligible = listEligibleTargets(step, pool.name);
 	const preferred = eligible.filter(target => !avoidIds.has(target.listed.id));
--- a/packages/scenarios/features/targets.feature
+++ b/packages/scenarios/features/targets.feature
@@ -62,7 +62,9 @@
     And no request was refused
 
   Scenario: a router that pauses after its decision does not send to a zone taken out meanwhile
-    When router 0 decides on 5 requests and pauses for 5 seconds
+    When each router sends 2 requests a second to chats of "fitbrain-1" for 5 seconds
+    And router 0 decides on 3 requests and pauses for 5 seconds
     And "zone-b" is taken out while requests wait
     And nothing is sent for 8 seconds
-    Then no target in "zone-b" got new work later than 2.5 seconds after
+    Then router 0 sent 3 requests after its pause
+    And no target in "zone-b" got new work later than 2.5 seconds after
--- a/packages/scenarios/src/test/target-scenarios_test.ts
+++ b/packages/scenarios/src/test/target-scenarios_test.ts
@@ -138,6 +138,10 @@
 
 		world.fleet.freeze('router-0', Number(seconds) * 1000);
 	}],
+	[/^router 0 sent (\d+) requests after its pause$/, (world, count) => {
+		const sent = world.fleet.sent.filter(({at, instanceId}) => instanceId === 'router-0' && at >= world.eventAt);
+		assert.equal(sent.length, Number(count));
+	}],
 	[/^nothing is sent for (\d+) seconds$/, (world, seconds) => {
 		world.fleet.runFor(Number(seconds) * 1000);
 	}],
