--- a/packages/core/src/lib/timeline-entry.ts
+++ b/packages/core/src/lib/timeline-entry.ts
@@ -6,10 +6,18 @@
 export const timelineKind = {
 	processStarted: 'process-started',
 	processStopped: 'process-stopped',
+	/** Written by callers, which learn the request's identifier from the answer. */
+	callerSent: 'caller-sent',
+	callerAnswered: 'caller-answered',
+	/** Written by targets. */
+	targetReceived: 'target-received',
+	targetAnswered: 'target-answered',
 	requestReceived: 'request-received',
 	requestWaits: 'request-waits',
 	requestDispatched: 'request-dispatched',
 	attemptEnded: 'attempt-ended',
+	requestForwarded: 'request-forwarded',
+	ticketReplayed: 'ticket-replayed',
 	requestCompleted: 'request-completed',
 	requestRefused: 'request-refused',
 	callerLeft: 'caller-left',
@@ -24,6 +32,7 @@
 	drainStarted: 'drain-started',
 	drainEnded: 'drain-ended',
 	alarmRaised: 'alarm-raised',
+	alarmCleared: 'alarm-cleared',
 	faultInjected: 'fault-injected',
 	administratorActed: 'administrator-acted',
 } as const;
@@ -36,6 +45,8 @@
 	readonly requestId?: string;
 	readonly chatKey?: string;
 	readonly account?: string;
+	/** Name of the request's route. */
+	readonly route?: string;
 	readonly targetId?: string;
 	readonly peerId?: string;
 	/** One sentence for a person; never holds a key or caller data. */
