--- a/packages/scenarios/src/lib/routing-run.ts
+++ b/packages/scenarios/src/lib/routing-run.ts
@@ -67,6 +67,10 @@
 	readonly caches: PrefixCaches;
 	readonly pool: Configuration['pools'][number];
 	figures = createFigures();
+	/** Most requests beyond the slots of a target, over the whole run; below 0 when none ever was. */
+	highestSlotOverrun = Number.NEGATIVE_INFINITY;
+	/** Loads of cold targets at each placement there. */
+	readonly coldPeaks: Array<{readonly at: number; readonly targetId: string; readonly load: number}> = [];
 	readonly #options: Required<Omit<RoutingOptions, 'pool' | 'createChoice'>>;
 	readonly #chats: Chat[];
 	readonly #digest = describeExampleKey('crew').digest;
@@ -190,8 +194,10 @@
 	#measureLoad(targetId: string): void {
 		const {figures, pool, fleet} = this;
 		const load = this.countInFlight(targetId);
+		this.highestSlotOverrun = Math.max(this.highestSlotOverrun, load - pool.slotsPerTarget);
 		figures.slotOverrun = Math.max(figures.slotOverrun, load - pool.slotsPerTarget);
 		if (!this.isWarm(targetId)) {
+			this.coldPeaks.push({at: fleet.now, targetId, load});
 			const overrun = load - pool.coldSlots;
 			const age = fleet.now - fleet.boots.get(targetId)!.bootedAt;
 			const key = age > unknowableMs ? 'coldOverrun' : 'unknowableColdOverrun';
