--- a/packages/core/src/lib/allowance/lend-share.ts
+++ b/packages/core/src/lib/allowance/lend-share.ts
@@ -14,7 +14,7 @@
 	computeSlotsInUse, findLimit, findLimitAccount, findLimitTarget,
 } from './limit.js';
 import {
-	computeLendableRoom, computeLendableShare, computeLoanTailMs, computeLoanTermMs, isLentBeyondOwned,
+	computeLendableRoom, computeLendableShare, computeLoanTailMs, findLoanTermMs, isLentBeyondOwned,
 } from './share-ledger.js';
 
 /** Time within which the answer has to leave the process, in milliseconds. */
@@ -47,7 +47,8 @@
 
 function lendShare(step: Step, request: BorrowRequest): LoanAmount | undefined {
 	const [asked] = request.amounts;
-	if (asked === undefined || request.termMs > computeLoanTermMs(step, asked.limitId) || findLimit(step, asked.limitId) === undefined) {
+	const termLimit = findLoanTermMs(step);
+	if (asked === undefined || request.termMs > termLimit || findLimit(step, asked.limitId) === undefined) {
 		return undefined;
 	}
 
--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -49,6 +49,8 @@
 	acceptUntil?: number;
 	/** Time of the last event, to notice that the process was paused. */
 	lastEventAt: number;
+	/** End of the latest pause. */
+	wokeAt?: number;
 };
 
 export function createMembershipState(): MembershipState {
--- a/packages/core/src/lib/membership/owned-fraction.ts
+++ b/packages/core/src/lib/membership/owned-fraction.ts
@@ -77,7 +77,8 @@
 	return (1 - (heldBack / fleet.ceiling)) / countRecentMembers(history, fleet, now);
 }
 
-/** Computes the fraction that every instance owns of a limit that does not follow the list. */
+/** Computes the fraction that this instance owns of a limit that does not follow the list. */
 export function computeCeilingFraction(step: Step): number {
-	return 1 / (step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY);
+	const ceiling = step.state.tables.configuration?.fleet.ceiling ?? Number.POSITIVE_INFINITY;
+	return Math.min(1 / ceiling, computeOwnedFraction(step));
 }
--- a/packages/scenarios/src/lib/experiments/index.ts
+++ b/packages/scenarios/src/lib/experiments/index.ts
@@ -9,9 +9,11 @@
 import {RoutingExperiment} from './routing.js';
 import {SharesExperiment} from './shares.js';
 import {Slopes} from './slopes.js';
+import {ZonesExperiment} from './zones.js';
 
 export const experiments: readonly Experiment[] = [
 	new RoutingExperiment(),
+	new ZonesExperiment(),
 	new SharesExperiment(),
 	new Overhead(),
 	new Control(),
