--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -17,3 +17,4 @@
 export * from './lib/run-result.js';
 export * from './lib/tcp-relay.js';
 export * from './lib/process-usage.js';
+export * from './lib/caller-timelines.js';
--- a/packages/router/src/lib/router.ts
+++ b/packages/router/src/lib/router.ts
@@ -176,7 +176,9 @@
 	const incarnation = randomUUID();
 	const timeline = new TimelineWriter({
 		process: 'router', instanceId, incarnation, zone,
-	}, settings.timelinePath);
+	}, settings.timelinePath, detail => {
+		logger.error({event: 'time-line-not-written', detail});
+	});
 	lifecycle.own('time line', async () => timeline.close());
 	const self = {
 		instanceId, incarnation, zone, startedAt: readMonotonicMs(),
@@ -210,11 +212,15 @@
 		return true;
 	};
 
+	const platform = new PlatformClient(settings.platformAddress, emit, readMonotonicMs, logger, lifecycle);
+	const peerClient = new PeerClient(settings.fleetSecret, emit, readMonotonicMs, logger, lifecycle);
+	metrics.addTraffic('platform', platform.traffic);
+	metrics.addTraffic('peers', peerClient.traffic);
 	runner.connect(new RouterEffects({
 		openRequests,
 		targets: new TargetClient(emit, readMonotonicMs, settings.targetSilenceMs, lifecycle),
-		platform: new PlatformClient(settings.platformAddress, emit, readMonotonicMs, logger, lifecycle),
-		peerClient: new PeerClient(settings.fleetSecret, emit, readMonotonicMs, logger, lifecycle),
+		platform,
+		peerClient,
 		peerServer,
 		metrics,
 		refusals,
