--- a/packages/core/src/lib/allowance/share-ledger.ts
+++ b/packages/core/src/lib/allowance/share-ledger.ts
@@ -11,9 +11,6 @@
 import {computeLongestUseMs, findLimit, findLimitTarget} from './limit.js';
 import {loanMarginMs} from './loan-margin.js';
 
-/** Longest term of a loan of slots, in milliseconds: in use they are kept much longer than tokens. */
-const slotLoanTermMs = 15_000;
-
 /** Rounding of sums of loans is no excess. */
 const roundingTolerance = 1e-9;
 
@@ -161,9 +158,9 @@
 	return Math.max(0, room - lent.computeSum(limitId, step.now).room);
 }
 
-/** Computes the longest term of a loan of this limit, in milliseconds. */
-export function computeLoanTermMs(step: Step, limitId: string): number {
-	return findLimitTarget(step, limitId) === undefined ? step.state.tables.configuration?.fleet.loanTermMs ?? 0 : slotLoanTermMs;
+/** Finds the longest term of a loan, in milliseconds. */
+export function findLoanTermMs({state}: Step): number {
+	return state.tables.configuration?.fleet.loanTermMs ?? 0;
 }
 
 /**
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -14,6 +14,7 @@
 import {
 	applyList, applyListUnchanged, applyPeerFailure, applySummary, exchangeWithPeers, updateMembership,
 } from './membership/reduce-membership.js';
+import {recordPause} from './membership/pause.js';
 import {
 	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft, applyForwardEnd,
 } from './requests/reduce-requests.js';
@@ -32,8 +33,8 @@
  */
 export function reduce(state: State, event: Event, now: number): readonly Effect[] {
 	const step: Step = {state, now, effects: []};
+	recordPause(step);
 	applyEvent(step, event);
-	state.membership.lastEventAt = now;
 	return step.effects;
 }
 
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -16,5 +16,5 @@
 export * from './lib/result-rows.js';
 export * from './lib/run-result.js';
 export * from './lib/tcp-relay.js';
-export * from './lib/caller-timelines.js';
 export * from './lib/process-usage.js';
+export * from './lib/caller-timelines.js';
