--- a/packages/core/src/lib/requests/reduce-requests.ts
+++ b/packages/core/src/lib/requests/reduce-requests.ts
@@ -14,12 +14,15 @@
 } from '../refusal.js';
 import {recordEntry, type Step} from '../state.js';
 import {chooseTarget, listEligibleTargets} from '../targets/choose-target.js';
+import {hashText} from '../hash.js';
 import {applyTargetFailure} from '../targets/target-boot.js';
 import {timelineKind, type TimelineKind} from '../timeline-entry.js';
 import {admitRequest, findAccount, type Admission} from './admit-request.js';
 import {claimTicket, describeForTicket, finishTicket} from './reduce-tickets.js';
 import {requestPhase, type PendingRequest} from './request-state.js';
+import {recordFirstAttempt, tryTakeRetry} from './retry-budget.js';
 import {parseTicket, type Ticket} from './ticket.js';
+import {findShedCandidate, listInTurn, listQueued} from './waiting-queue.js';
 
 /** Time within which a dispatch has to leave the process, in milliseconds. */
 const dispatchWithinMs = 500;
@@ -35,6 +38,8 @@
 const avoidAfterFailureMs = 1000;
 /** Time after which a request that waited in vain may be repeated, in milliseconds. */
 const refusalRetryMs = 1000;
+/** Longest delay of the first retry, in milliseconds; later ones grow with it. */
+const retryJitterMs = 50;
 
 /** Admits or refuses a request that has arrived. */
 export function applyArrival(step: Step, event: RequestArrived): void {
@@ -91,6 +96,7 @@
 		waitUntil: now + tokenWaitMs,
 		attemptId: 0,
 		attemptCount: 0,
+		notBefore: 0,
 		failedTargetIds: new Set(),
 		deliveredCount: 0,
 		mayHaveRun: false,
@@ -156,16 +162,13 @@
 
 /** Moves every waiting request forward that can be; called at each tick and after each end. */
 export function advanceWaiting(step: Step): void {
-	const {pending, waiting} = step.state.requests;
+	const {pending} = step.state.requests;
 	step.state.allowances.waitingCounts.clear();
-	for (const requestId of waiting) {
-		const request = pending.get(requestId);
-		if (request === undefined) {
-			waiting.delete(requestId);
-			continue;
+	for (const request of listInTurn(step)) {
+		// An earlier turn may have shed it.
+		if (pending.get(request.requestId) === request) {
+			advanceRequest(step, request);
 		}
-
-		advanceRequest(step, request);
 	}
 
 	giveBackTokens(step);
@@ -236,9 +239,10 @@
 		return;
 	}
 
-	if (mayRepeat && request.attemptCount < maxAttempts) {
+	if (mayRepeat && request.attemptCount < maxAttempts && tryTakeRetry(step)) {
 		request.phase = requestPhase.waitsForTarget;
-		request.waitUntil = step.now + (findPool(step, request)?.queueMs ?? 0);
+		request.notBefore = step.now + computeRetryDelay(request);
+		request.waitUntil = request.notBefore + (findPool(step, request)?.queueMs ?? 0);
 		advanceRequest(step, request);
 		return;
 	}
@@ -249,6 +253,11 @@
 	refuseRequest(step, request.requestId, request, refusal);
 }
 
+/** Spreads the retries of many requests that failed at once; one that proved not-run goes elsewhere at once. */
+function computeRetryDelay({requestId, attemptCount, mayHaveRun}: PendingRequest): number {
+	return mayHaveRun ? hashText(`${requestId}/${attemptCount}`) % (retryJitterMs * attemptCount) : 0;
+}
+
 function advanceRequest(step: Step, request: PendingRequest): void {
 	if (request.phase === requestPhase.running || request.phase === requestPhase.forwarded) {
 		return;
@@ -260,6 +269,11 @@
 		return;
 	}
 
+	if (account.value !== request.account) {
+		refuseRequest(step, request.requestId, request, createNotRun(refusalReason.keyUnknown, 'The key was given to another client account while the request waited.'));
+		return;
+	}
+
 	if (step.now >= request.deadlineAt) {
 		refuseRequest(step, request.requestId, request, createWaitRefusal(step, request, refusalReason.deadlineExceeded));
 		return;
@@ -269,6 +283,11 @@
 		return;
 	}
 
+	if (step.now < request.notBefore) {
+		step.state.requests.waiting.add(request.requestId);
+		return;
+	}
+
 	dispatchRequest(step, request);
 }
 
@@ -304,6 +323,10 @@
 	request.phase = requestPhase.running;
 	request.attemptId = state.requests.nextAttemptId++;
 	request.attemptCount += 1;
+	if (request.attemptCount === 1) {
+		recordFirstAttempt(step);
+	}
+
 	request.targetId = target.listed.id;
 	effects.push({
 		kind: effectKind.dispatch,
@@ -323,9 +346,7 @@
 
 function waitForTarget(step: Step, request: PendingRequest, pool: Pool | undefined): void {
 	const {waiting} = step.state.requests;
-	const isQueued = waiting.has(request.requestId);
-	const isFull = !isQueued && waiting.size >= (pool?.queueLimit ?? 0);
-	if (pool === undefined || isFull || step.now >= request.waitUntil) {
+	if (pool === undefined || step.now >= request.waitUntil || !tryQueue(step, request, pool)) {
 		const hasTargets = pool !== undefined && listEligibleTargets(step, pool.name).length > 0;
 		refuseRequest(step, request.requestId, request, createWaitRefusal(step, request, hasTargets ? refusalReason.overloaded : refusalReason.noTarget));
 		return;
@@ -334,6 +355,21 @@
 	waiting.add(request.requestId);
 }
 
+/** Finds a place in the pool's queue, if need be that of another request, which is refused. */
+function tryQueue(step: Step, request: PendingRequest, pool: Pool): boolean {
+	const others = listQueued(step, pool.name).filter(other => other !== request);
+	if (others.length < pool.queueLimit) {
+		return true;
+	}
+
+	const shed = pool.queueLimit === 0 ? undefined : findShedCandidate(others, request);
+	if (shed !== undefined) {
+		refuseRequest(step, shed.requestId, shed, createWaitRefusal(step, shed, refusalReason.overloaded));
+	}
+
+	return shed !== undefined;
+}
+
 function createWaitRefusal(step: Step, request: PendingRequest, reason: Refusal['reason']): Refusal {
 	return createNotRun(reason, `Request waited ${Math.round(step.now - request.arrivedAt)} ms: ${reason}.`, refusalRetryMs);
 }
--- a/packages/core/src/lib/requests/request-state.ts
+++ b/packages/core/src/lib/requests/request-state.ts
@@ -2,6 +2,7 @@
  * Requests that this instance is responsible for, from arrival to their end.
  */
 import type {Route} from '../configuration/configuration.js';
+import {largestRetryBudget} from './retry-budget.js';
 import type {Ticket} from './ticket.js';
 import {createTicketLedger, type TicketLedger} from './ticket-ledger.js';
 
@@ -31,6 +32,8 @@
 	waitUntil: number;
 	attemptId: number;
 	attemptCount: number;
+	/** Time before which it is not tried again. */
+	notBefore: number;
 	targetId?: string;
 	/** Targets at which an attempt failed. */
 	readonly failedTargetIds: Set<string>;
@@ -48,6 +51,8 @@
 	/** Waiting requests in the order of their arrival. */
 	waiting: Set<string>;
 	nextAttemptId: number;
+	/** Retries that this instance may still make. */
+	retryBudget: number;
 	ledger: TicketLedger;
 	/** Time of the next pass over the ledger. */
 	releaseTicketsAt: number;
@@ -55,6 +60,6 @@
 
 export function createRequestState(): RequestState {
 	return {
-		pending: new Map(), waiting: new Set(), nextAttemptId: 1, ledger: createTicketLedger(), releaseTicketsAt: 0,
+		pending: new Map(), waiting: new Set(), nextAttemptId: 1, retryBudget: largestRetryBudget, ledger: createTicketLedger(), releaseTicketsAt: 0,
 	};
 }
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -14,7 +14,8 @@
 const host = '127.0.0.1';
 const startTimeoutMs = 60_000;
 const stopTimeoutMs = 5000;
-const fleetSecret = 'loopback-fleet-secret';
+/** Secret that routers of fleets on loopback show each other. */
+export const fleetSecret = 'loopback-fleet-secret';
 /** Token of the administration API in fleets on loopback. */
 export const adminToken = 'loopback-admin-token';
 
--- a/packages/router/src/lib/caller-server.ts
+++ b/packages/router/src/lib/caller-server.ts
@@ -73,9 +73,23 @@
 		app.onError(() => createRefusalResponse(randomUUID(), createNotRun(refusalReason.badRequest, 'The request could not be read.')));
 
 		const listener = getRequestListener(app.fetch, {overrideGlobalObjects: false});
+		const answer = async (incoming: IncomingMessage, outgoing: ServerResponse) => {
+			if (isHostValid(incoming.headers.host)) {
+				await listener(incoming, outgoing);
+				return;
+			}
+
+			answerWithoutHost(outgoing);
+		};
+
 		const server = createServer({
-			requestTimeout: callerSendMs, headersTimeout: callerSendMs, keepAlive: true, keepAliveInitialDelay: keepAliveProbeMs,
-		}, listener);
+			requestTimeout: callerSendMs,
+			headersTimeout: callerSendMs,
+			keepAlive: true,
+			keepAliveInitialDelay: keepAliveProbeMs,
+			// The server's own answer to a missing host has no typed body.
+			requireHostHeader: false,
+		}, answer);
 		this.#server = server;
 		server.setTimeout(this.#options.callerSilenceMs, (socket: Socket) => {
 			// A socket without bytes to send waits for a target, which has its own limits.
@@ -210,6 +224,18 @@
 	}
 }
 
+function isHostValid(host: string | undefined): boolean {
+	return host !== undefined && /^[\w.\-:[\]]{1,255}$/.test(host);
+}
+
+function answerWithoutHost(outgoing: ServerResponse): void {
+	const requestId = randomUUID();
+	const refusal = createNotRun(refusalReason.badRequest, 'The Host header is missing or not valid.');
+	outgoing.shouldKeepAlive = false;
+	outgoing.writeHead(refusal.status, {'content-type': 'application/json', [requestIdHeader]: requestId, [outcomeHeader]: refusal.outcome});
+	outgoing.end(createRefusalBody(requestId, refusal));
+}
+
 type ParserError = Error & {readonly code?: string};
 
 /** Answers bytes that are no HTTP request, before any of it is acted on. */
--- a/packages/scenarios/src/lib/reducer-fleet.ts
+++ b/packages/scenarios/src/lib/reducer-fleet.ts
@@ -60,6 +60,7 @@
 	readonly chatKey?: string;
 	readonly method?: string;
 	readonly idempotencyKey?: string;
+	readonly priority?: number;
 	readonly isForwarded?: boolean;
 };
 
@@ -204,7 +205,7 @@
 		this.#accountByRequest.set(requestId, fields.account);
 		this.#fieldsByRequest.set(requestId, fields);
 		this.emit(this.instances.get(instanceId)!, {
-			kind: eventKind.requestArrived, requestId, method: fields.method ?? 'POST', path: fields.path, model: fields.model, keyDigest: fields.keyDigest, chatKey: fields.chatKey ?? requestId, priority: 0, idempotencyKey: fields.idempotencyKey, isForwarded: fields.isForwarded,
+			kind: eventKind.requestArrived, requestId, method: fields.method ?? 'POST', path: fields.path, model: fields.model, keyDigest: fields.keyDigest, chatKey: fields.chatKey ?? requestId, priority: fields.priority ?? 0, idempotencyKey: fields.idempotencyKey, isForwarded: fields.isForwarded,
 		});
 	}
 
