--- a/packages/core/src/lib/event.ts
+++ b/packages/core/src/lib/event.ts
@@ -204,9 +204,12 @@
 	readonly askedAt?: number;
 };
 
+/** Somebody asks this instance to take no new work. */
 export type DrainRequested = {
 	readonly kind: typeof eventKind.drainRequested;
 	readonly by: string;
+	/** True: the process stays when its requests are finished, so that it can be undrained. */
+	readonly staysAfter?: boolean;
 	/** Time in which new work is still taken, until the balancer has noticed, in milliseconds. */
 	readonly graceMs?: number;
 };
--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -41,12 +41,16 @@
 	exchangedAt: Map<string, number>;
 	/** True: this instance takes no new work and ends when its requests have. */
 	isDraining: boolean;
+	/** True: the drained process does not end, so that it can be undrained. */
+	staysAfterDrain: boolean;
 	/** Time at which draining began. */
 	drainStartedAt?: number;
 	/** Time until which a draining instance still takes new work. */
 	acceptUntil?: number;
 	/** Time of the last event, to notice that the process was paused. */
 	lastEventAt: number;
+	/** End of the latest pause. */
+	wokeAt?: number;
 };
 
 export function createMembershipState(): MembershipState {
@@ -61,6 +65,7 @@
 		peers: new Map(),
 		exchangedAt: new Map(),
 		isDraining: false,
+		staysAfterDrain: false,
 		lastEventAt: 0,
 	};
 }
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -3,7 +3,9 @@
  * event and the present time. It does no input or output and reads no clock.
  */
 import {updateBuckets} from './allowance/allowance-state.js';
-import {applyLoan, applyLoanFailure, borrowRates} from './allowance/borrow-share.js';
+import {
+	applyLoan, applyLoanFailure, borrowRates, giveBackTokens,
+} from './allowance/borrow-share.js';
 import {applyBorrowRequest, applyGivenBack} from './allowance/lend-share.js';
 import {effectKind, type Effect} from './effect.js';
 import {
@@ -12,6 +14,7 @@
 import {
 	applyList, applyListUnchanged, applyPeerFailure, applySummary, exchangeWithPeers, updateMembership,
 } from './membership/reduce-membership.js';
+import {recordPause} from './membership/pause.js';
 import {
 	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft, applyForwardEnd,
 } from './requests/reduce-requests.js';
@@ -30,8 +33,8 @@
  */
 export function reduce(state: State, event: Event, now: number): readonly Effect[] {
 	const step: Step = {state, now, effects: []};
+	recordPause(step);
 	applyEvent(step, event);
-	state.membership.lastEventAt = now;
 	return step.effects;
 }
 
@@ -87,8 +90,8 @@
 		}
 
 		case eventKind.documentUnchanged: {
-			endRead(step, event.document, {revision: event.revision}, false);
 			applyUnchanged(step, event);
+			endRead(step, event.document, {}, false);
 			break;
 		}
 
@@ -122,6 +125,7 @@
 		case eventKind.loanGranted: {
 			applyLoan(step, event);
 			advanceWaiting(step);
+			giveBackTokens(step);
 			break;
 		}
 
@@ -144,7 +148,7 @@
 		}
 
 		case eventKind.undrainRequested: {
-			step.state.membership.isDraining = false;
+			stopDrain(step, event.by);
 			break;
 		}
 
@@ -163,7 +167,14 @@
 	}
 }
 
-function applyUnchanged(step: Step, {document, asOf, currentAt}: DocumentUnchanged): void {
+function applyUnchanged(step: Step, {
+	document, revision, asOf, currentAt,
+}: DocumentUnchanged): void {
+	// A replica that is behind has nothing newer to show, and proves nothing.
+	if (revision < step.state.watches[document].revision) {
+		return;
+	}
+
 	if (document === documentKind.tables) {
 		applyTablesUnchanged(step, currentAt);
 	} else if (asOf !== undefined) {
@@ -171,8 +182,10 @@
 	}
 }
 
-function startDrain(step: Step, {by, graceMs}: DrainRequested): void {
+function startDrain(step: Step, {by, graceMs, staysAfter = false}: DrainRequested): void {
 	const {membership} = step.state;
+	// A later request to end the process overrules one that keeps it.
+	membership.staysAfterDrain = staysAfter && (membership.staysAfterDrain || !membership.isDraining);
 	if (membership.isDraining) {
 		return;
 	}
@@ -183,9 +196,19 @@
 	recordEntry(step, {kind: timelineKind.drainStarted, cause: 'drain', detail: `Requested by ${by}.`});
 }
 
+/** Takes new work again, unless the process is about to end. */
+function stopDrain(step: Step, by: string): void {
+	const {membership} = step.state;
+	if (membership.isDraining && membership.staysAfterDrain) {
+		membership.isDraining = false;
+		recordEntry(step, {kind: timelineKind.drainEnded, cause: 'drain', detail: `Undrained by ${by}.`});
+	}
+}
+
 function finishDrainIfIdle(step: Step): void {
 	const {membership, requests} = step.state;
-	if (membership.isDraining && requests.pending.size === 0 && step.now >= (membership.acceptUntil ?? 0)) {
+	const isOver = requests.pending.size === 0 && step.now >= (membership.acceptUntil ?? 0);
+	if (membership.isDraining && !membership.staysAfterDrain && isOver) {
 		step.effects.push({kind: effectKind.finishDrain});
 	}
 }
--- a/packages/core/src/lib/requests/reduce-requests.ts
+++ b/packages/core/src/lib/requests/reduce-requests.ts
@@ -2,8 +2,7 @@
  * Reduces events about requests: admission, waiting, dispatch, retry, end.
  */
 import {countWaiting, recordAccountDemand, tryAdmit} from '../allowance/allowance-state.js';
-import {giveBackTokens, requestShare} from '../allowance/borrow-share.js';
-import {describeAccountLimitId} from '../allowance/limit.js';
+import {requestTokens} from '../allowance/borrow-share.js';
 import {type Pool, routeKind} from '../configuration/configuration.js';
 import {effectKind} from '../effect.js';
 import {
@@ -170,8 +169,6 @@
 			advanceRequest(step, request);
 		}
 	}
-
-	giveBackTokens(step);
 }
 
 /** Takes the end of an attempt: the request is finished, tried again, or refused. */
@@ -223,7 +220,7 @@
 
 	finishRequest(step, request);
 	recordEntry(step, {
-		kind: timelineKind.callerLeft, cause: request.requestId, requestId: request.requestId, account: request.account,
+		kind: timelineKind.callerLeft, cause: request.requestId, requestId: request.requestId, account: request.account, route: request.route.name,
 	});
 }
 
@@ -304,8 +301,7 @@
 	}
 
 	step.state.requests.waiting.add(request.requestId);
-	const tokens = countWaiting(step, request.account) - (step.state.allowances.buckets.get(request.account)?.tokens ?? 0);
-	requestShare(step, describeAccountLimitId(request.account), {rate: 0, room: tokens, tokens});
+	requestTokens(step, request.account, countWaiting(step, request.account));
 	return false;
 }
 
@@ -377,7 +373,7 @@
 function recordRequest(step: Step, kind: TimelineKind, request: PendingRequest, detail?: string): void {
 	const {requestId, chatKey, account, targetId} = request;
 	recordEntry(step, {
-		kind, cause: requestId, requestId, chatKey, account, targetId, detail,
+		kind, cause: requestId, requestId, chatKey, account, route: request.route.name, targetId, detail,
 	});
 }
 
@@ -410,6 +406,6 @@
 
 	step.effects.push({kind: effectKind.refuse, requestId, refusal});
 	recordEntry(step, {
-		kind: timelineKind.requestRefused, cause: requestId, requestId, account: request?.account, detail: `${refusal.reason} (${refusal.outcome})`,
+		kind: timelineKind.requestRefused, cause: requestId, requestId, account: request?.account, route: request?.route.name, detail: `${refusal.reason} (${refusal.outcome})`,
 	});
 }
--- a/packages/load/src/lib/load-run.ts
+++ b/packages/load/src/lib/load-run.ts
@@ -2,10 +2,12 @@
  * A run: starts the plan's deployment, sends its schedule at the intended
  * times, carries out its faults, and records what became of every request.
  */
+import {randomUUID} from 'node:crypto';
 import {mkdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
 import {parseConfiguration, type Configuration} from '@sequoiatally/core';
+import {TimelineWriter} from '@sequoiatally/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import {
 	describeOutcome, recordOutcome, type AnswerRecord, type LoadSeries, type RecordOutcome, type TargetReport,
@@ -17,6 +19,7 @@
 import {runFaults, type FaultScene, type InjectedFault} from './fault-runner.js';
 import {Fleet, type FleetRouter} from './fleet.js';
 import {faultKind, type LoadPlan} from './load-plan.js';
+import {recordAnswer} from './record-answer.js';
 import {TargetObserver} from './target-observer.js';
 
 /** Longest time that the run waits for the last answers, in milliseconds. */
@@ -83,6 +86,7 @@
 
 	readonly #callers = new Map<string, Caller>();
 	readonly #open = new Set<Promise<void>>();
+	readonly #timeline: TimelineWriter;
 	#configuration: Configuration;
 	#startedAt = 0;
 	#sentCount = 0;
@@ -92,6 +96,9 @@
 		this.#plan = plan;
 		this.#options = options;
 		this.#configuration = configuration;
+		this.#timeline = new TimelineWriter({
+			process: 'caller', instanceId: 'callers', incarnation: randomUUID(),
+		}, path.join(options.resultDirectory, 'callers.jsonl'));
 		const keyed = configuration.accounts.filter(({keyDigests}) => keyDigests.length > 0);
 		const openName = configuration.routes.find(({open}) => open)?.openAccount;
 		const openAccount = plan.traffic.openRate > 0 ? configuration.accounts.find(({name}) => name === openName) : undefined;
@@ -114,6 +121,7 @@
 		} finally {
 			await Promise.all([...this.#callers.values()].map(async caller => caller.destroy()));
 			await this.#fleet.stop();
+			await this.#timeline.close();
 		}
 	}
 
@@ -159,17 +167,17 @@
 	}
 
 	async #sendCalls(): Promise<void> {
-		for (const [index, call] of this.#schedule.calls.entries()) {
+		for (const call of this.#schedule.calls) {
 			const delayMs = this.#startedAt + call.atMs - performance.now();
 			if (delayMs > 0) {
 				await wait(delayMs);
 			}
 
-			this.#startCall(call, index);
+			this.#startCall(call);
 		}
 	}
 
-	#startCall(call: PlannedCall, index: number): void {
+	#startCall(call: PlannedCall): void {
 		const router = this.#chooseRouter(call.entry);
 		if (router === undefined || this.#open.size >= this.#plan.openLimit) {
 			this.#record({
@@ -179,7 +187,7 @@
 		}
 
 		this.#sentCount++;
-		const running = this.#runCall(call, index, router);
+		const running = this.#runCall(call, router);
 		this.#open.add(running);
 		void this.#forgetWhenOver(running);
 	}
@@ -195,8 +203,8 @@
 		this.#open.delete(running);
 	}
 
-	async #runCall(call: PlannedCall, index: number, router: FleetRouter): Promise<void> {
-		const idempotencyKey = call.kind === callKind.booking ? `${this.#plan.name}-${index}` : undefined;
+	async #runCall(call: PlannedCall, router: FleetRouter): Promise<void> {
+		const idempotencyKey = call.kind === callKind.booking ? await this.#fetchTicket(call, router) : undefined;
 		const answer = await this.#call(call, router, idempotencyKey);
 		const outcome = this.#isOver ? recordOutcome.unanswered : describeOutcome(answer);
 		this.#record({
@@ -226,6 +234,10 @@
 		return caller.callPlain(callerAddress, {...plainCalls[call.kind], intendedAt});
 	}
 
+	async #fetchTicket({account}: PlannedCall, {callerAddress}: FleetRouter): Promise<string | undefined> {
+		return this.#findCaller(account).fetchTicket(callerAddress, `${this.#plan.deployment.keyPrefix}${account}`);
+	}
+
 	#findCaller(account: string): Caller {
 		const known = this.#callers.get(account);
 		if (known !== undefined) {
@@ -250,6 +262,10 @@
 	}
 
 	#record(record: AnswerRecord): void {
+		if (record.answer !== undefined) {
+			recordAnswer(this.#timeline, record.answer);
+		}
+
 		this.#records.push(record);
 		this.#counts[record.outcome]++;
 	}
--- a/packages/router/src/bin/router.ts
+++ b/packages/router/src/bin/router.ts
@@ -5,7 +5,7 @@
 import process from 'node:process';
 import {eventKind} from '@sequoiatally/core';
 import {
-	createLogger, defineAddress, defineChoice, defineInteger, defineText, LifecycleManager, logLevels, makeOptional, parseSettingsOrExit,
+	createLogger, defineAddress, defineChoice, defineInteger, defineNamedTokens, defineText, LifecycleManager, logLevels, makeOptional, parseSettingsOrExit,
 } from '@sequoiatally/runtime';
 import {Command} from 'commander';
 import {startRouter} from '../lib/router.js';
@@ -25,9 +25,7 @@
 	fleetSecret: defineText({
 		flag: 'fleet-secret', description: 'Secret that routers show each other', pattern: /^.{16,}$/, allowed: 'at least 16 characters', isSecret: true,
 	}),
-	adminToken: defineText({
-		flag: 'admin-token', description: 'Token that operators show', pattern: /^.{16,}$/, allowed: 'at least 16 characters', isSecret: true,
-	}),
+	adminTokens: defineNamedTokens({flag: 'admin-tokens', description: 'Tokens that operators show, each with the name of its holder'}),
 	timelinePath: makeOptional(defineText({flag: 'timeline-path', description: 'File or pipe to which time line entries are appended'})),
 	callerSilenceMs: defineInteger(100, 600_000, {
 		flag: 'caller-silence-ms', description: 'Milliseconds in which a caller has to take some of the bytes that wait for it', defaultText: '20000',
