--- a/packages/scenarios/features/whole-answers.feature
+++ b/packages/scenarios/features/whole-answers.feature
@@ -69,3 +69,10 @@
     Given a deployment of 2 routers, 3 engines and 3 plain services
     When a caller reads 8000000 bytes only after router 2 was told to stop
     Then it got the whole answer
+
+  Scenario: a router that is told twice to stop says what it cut
+    Given a deployment of 2 routers, 3 engines and 3 plain services
+    And 3 engines fail with "endless"
+    When router 1 is told twice to stop in the middle of a chat
+    Then every answer is a refusal with the outcome "unknown"
+    And the reason is "stopped"
--- a/packages/scenarios/src/test/whole_answers_test.ts
+++ b/packages/scenarios/src/test/whole_answers_test.ts
@@ -136,6 +136,14 @@
 
 type EngineStats = {readonly requests: number; readonly inFlight: number; readonly cancelledRequests: number};
 
+/** Reads the typed error at the end of a stream. */
+function describeStreamEnd(text: string): Answer {
+	const {error} = JSON.parse(text.slice(text.lastIndexOf('data: ') + 6)) as {error: {type: string; outcome: string}};
+	return {
+		kind: answerKind.refused, reason: error.type, outcome: error.outcome, totalMs: 0,
+	};
+}
+
 after(stopSharedDeployment);
 
 await runFeature(new URL('../../features/whole-answers.feature', import.meta.url), () => new World(), [
@@ -167,11 +175,7 @@
 		const {body} = await request(`http://${world.findRouter(1).callerAddress}${exampleModelRoute.path}`, {
 			method: 'POST', headers: {authorization: `Bearer ${guestKey}`, 'x-deadline-ms': deadlineMs}, body: JSON.stringify({model: exampleModelRoute.model}),
 		});
-		const text = await body.text();
-		const {error} = JSON.parse(text.slice(text.lastIndexOf('data: ') + 6)) as {error: {type: string; outcome: string}};
-		world.answers = [{
-			kind: answerKind.refused, reason: error.type, outcome: error.outcome, totalMs: 0,
-		}];
+		world.answers = [describeStreamEnd(await body.text())];
 	}],
 	[/^a caller leaves in the middle of a chat$/, async world => {
 		const socket = await world.openChat();
@@ -235,6 +239,18 @@
 		const [wanted, got] = world.byteCounts;
 		assert.ok(got! > wanted!, `${got} of ${wanted} bytes`);
 	}],
+	[/^router 1 is told twice to stop in the middle of a chat$/, async world => {
+		const {callerAddress, process: {child}} = world.findRouter(1);
+		const {body} = await request(`http://${callerAddress}${exampleModelRoute.path}`, {
+			method: 'POST', headers: {authorization: `Bearer ${guestKey}`}, body: JSON.stringify({model: exampleModelRoute.model}),
+		});
+		child.kill('SIGTERM');
+		child.kill('SIGINT');
+		world.answers = [describeStreamEnd(await body.text())];
+	}],
+	[/^the reason is "(.+)"$/, (world, reason) => {
+		assert.deepEqual(world.answers.map(answer => answer.reason), [reason]);
+	}],
 	[/^no router was killed$/, world => {
 		assert.deepEqual(world.exitCodes, world.exitCodes.map(() => 0));
 	}],
