--- a/packages/core/src/lib/describe/explain-choice.ts
+++ b/packages/core/src/lib/describe/explain-choice.ts
@@ -10,11 +10,12 @@
 import type {State, Step} from '../state.js';
 import {chooseTarget, listEligibleTargets} from '../targets/choose-target.js';
 import {computePoolLoad, isWithinMultiple} from '../targets/load-multiple.js';
-import {computeSlotShare, hasFreeSlot} from '../targets/slot-share.js';
-import {computeShareOfRequest} from '../targets/target-boot.js';
+import {hasFreeSlot} from '../targets/slot-share.js';
+import {isWarm} from '../targets/target-boot.js';
 import {Room} from '../targets/target-choice.js';
 import type {Target} from '../targets/target-state.js';
 import {describeAccount, type AccountDescription} from './describe-accounts.js';
+import {computeUsableSlots} from './usable-slots.js';
 
 /** The request that is asked about. */
 export type ChoiceQuestion = {
@@ -54,6 +55,8 @@
 	readonly standing: typeof targetStanding[keyof typeof targetStanding];
 	/** Place in the chat's order, from 1; undefined: may not take new work, or stands far behind. */
 	readonly rank?: number;
+	/** True: bears only its cold slots until it is old enough, and fresh evidence says so. */
+	readonly isCold: boolean;
 	/** Requests that this instance has in flight there. */
 	readonly inFlight: number;
 	/** Requests that this instance may have in flight there. */
@@ -107,13 +110,17 @@
 	const targets = new Map([...state.targets.targets].map(([id, target]) => [id, {...target}]));
 	const lastTargetId = state.targets.movedChats.get(chatKey);
 	const movedChats = new Map(lastTargetId === undefined ? [] : [[chatKey, lastTargetId]]);
+	const {allowances} = state;
 	return {
 		...state,
 		targets: {
-			...state.targets, targets, movedChats, placements: new Map(),
+			...state.targets, targets, movedChats, placements: structuredClone(state.targets.placements),
 		},
 		allowances: {
-			...state.allowances, rateWants: new Map(), roomWants: new Map(), asks: new Map(),
+			...allowances,
+			rateWants: structuredClone(allowances.rateWants),
+			roomWants: structuredClone(allowances.roomWants),
+			asks: structuredClone(allowances.asks),
 		},
 	};
 }
@@ -149,8 +156,9 @@
 		zone: target.listed.zone,
 		standing,
 		rank,
+		isCold: !isWarm(target, pool, step.now),
 		inFlight: target.inFlight,
-		usableSlots: Math.floor(computeSlotShare(step, target) / computeShareOfRequest(step, pool, target)),
+		usableSlots: computeUsableSlots(step, pool, target),
 	});
 	const ranked = new Set(ordered);
 	const unranked = eligible.filter(target => !ranked.has(target));
--- a/packages/core/src/lib/membership/pause.ts
+++ b/packages/core/src/lib/membership/pause.ts
@@ -13,7 +13,7 @@
 /** Records the end of a pause; to be called before each event is applied. */
 export function recordPause({state, now}: Step): void {
 	const {membership} = state;
-	if (now - membership.lastEventAt >= pauseMs) {
+	if (now - (membership.lastEventAt ?? now) >= pauseMs) {
 		membership.wokeAt = now;
 	}
 
--- a/packages/load/src/lib/load-run.ts
+++ b/packages/load/src/lib/load-run.ts
@@ -2,12 +2,10 @@
  * A run: starts the plan's deployment, sends its schedule at the intended
  * times, carries out its faults, and records what became of every request.
  */
-import {randomUUID} from 'node:crypto';
 import {mkdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
 import {parseConfiguration, type Configuration} from '@sequoiatally/core';
-import {TimelineWriter} from '@sequoiatally/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import {
 	describeOutcome, recordOutcome, type AnswerRecord, type LoadSeries, type RecordOutcome, type TargetReport,
@@ -16,10 +14,10 @@
 	callKind, createCallSchedule, type AccountLimit, type CallSchedule, type PlannedCall,
 } from './call-schedule.js';
 import {Caller, type Answer} from './caller.js';
+import {CallerTimelines} from './caller-timelines.js';
 import {runFaults, type FaultScene, type InjectedFault} from './fault-runner.js';
 import {Fleet, type FleetRouter} from './fleet.js';
 import {faultKind, type LoadPlan} from './load-plan.js';
-import {recordAnswer} from './record-answer.js';
 import {TargetObserver} from './target-observer.js';
 
 /** Longest time that the run waits for the last answers, in milliseconds. */
@@ -84,9 +82,9 @@
 		whole: 0, refused: 0, lost: 0, wrong: 0, unanswered: 0, unsent: 0,
 	};
 
+	readonly #timelines: CallerTimelines;
 	readonly #callers = new Map<string, Caller>();
 	readonly #open = new Set<Promise<void>>();
-	readonly #timeline: TimelineWriter;
 	#configuration: Configuration;
 	#startedAt = 0;
 	#sentCount = 0;
@@ -95,10 +93,8 @@
 	constructor(plan: LoadPlan, configuration: Configuration, configurationText: string, options: RunOptions) {
 		this.#plan = plan;
 		this.#options = options;
+		this.#timelines = new CallerTimelines(options.resultDirectory);
 		this.#configuration = configuration;
-		this.#timeline = new TimelineWriter({
-			process: 'caller', instanceId: 'callers', incarnation: randomUUID(),
-		}, path.join(options.resultDirectory, 'callers.jsonl'));
 		const keyed = configuration.accounts.filter(({keyDigests}) => keyDigests.length > 0);
 		const openName = configuration.routes.find(({open}) => open)?.openAccount;
 		const openAccount = plan.traffic.openRate > 0 ? configuration.accounts.find(({name}) => name === openName) : undefined;
@@ -121,7 +117,7 @@
 		} finally {
 			await Promise.all([...this.#callers.values()].map(async caller => caller.destroy()));
 			await this.#fleet.stop();
-			await this.#timeline.close();
+			await this.#timelines.close();
 		}
 	}
 
@@ -262,12 +258,11 @@
 	}
 
 	#record(record: AnswerRecord): void {
-		if (record.answer !== undefined) {
-			recordAnswer(this.#timeline, record.answer);
-		}
-
 		this.#records.push(record);
 		this.#counts[record.outcome]++;
+		if (record.answer !== undefined) {
+			this.#timelines.record(record.call.account, record.answer);
+		}
 	}
 
 	#reportProgress(fault?: InjectedFault): void {
--- a/packages/router/src/test/admin-server_test.ts
+++ b/packages/router/src/test/admin-server_test.ts
@@ -18,34 +18,20 @@
 import {createAdminApp, type AdminParts} from '../lib/admin-server.js';
 import {Metrics} from '../lib/metrics.js';
 import {RecentRefusals} from '../lib/recent-refusals.js';
-import {EffectHandler, Runner} from '../lib/runner.js';
+import {Runner, type EffectHandler} from '../lib/runner.js';
 
 const keyDigest = 'ab'.repeat(32);
 const token = 'amina-token-0123456789';
 const tokens = [{name: 'amina', token}, {name: 'ci', token: 'ci-token-0123456789abc'}];
 
-/** Counts effects and carries none out. */
-class NoEffects extends EffectHandler {
-	readonly effects: Effect[] = [];
-	override observe(effect: Effect): void {
-		this.effects.push(effect);
-	}
+/** Keeps effects and carries none out, of whatever kinds there are. */
+function createObserver(seen: Effect[]): EffectHandler {
+	const ignore = () => {/* Nothing is carried out. */};
+	const observe = (effect: Effect) => {
+		seen.push(effect);
+	};
 
-	override dispatch(): void {/* Nothing is sent. */}
-	override refuse(): void {/* Nobody waits. */}
-	override probe(): void {/* Nothing is sent. */}
-	override cancel(): void {/* Nothing runs. */}
-	override readDocument(): void {/* There is no service. */}
-	override fetchDocument(): void {/* There are no peers. */}
-	override exchange(): void {/* There are no peers. */}
-	override borrow(): void {/* There are no peers. */}
-	override answerBorrow(): void {/* There are no peers. */}
-	override giveBack(): void {/* There are no peers. */}
-	override record(): void {/* The time line is written by hand. */}
-	override forward(): void {/* There are no peers. */}
-	override rememberAnswer(): void {/* Nothing is kept. */}
-	override replay(): void {/* Nobody waits. */}
-	override finishDrain(): void {/* The process stays. */}
+	return new Proxy({}, {get: (_, name) => name === 'observe' ? observe : ignore}) as EffectHandler;
 }
 
 /** The fields that the tests look at, whatever the route. */
@@ -59,12 +45,12 @@
 type Answer = {readonly status: number; readonly body: AnswerBody};
 
 let parts: AdminParts;
-let effects: NoEffects;
+let effects: Effect[];
 let logged: LogFields[];
 
 beforeEach(async () => {
 	logged = [];
-	effects = new NoEffects();
+	effects = [];
 	const log = (fields: LogFields) => {
 		logged.push(fields);
 	};
@@ -77,7 +63,7 @@
 		instanceId: 'router-1', incarnation: 'i1', zone: 'zone-a', startedAt: readMonotonicMs() - 60_000,
 	};
 	const runner = new Runner(createState(self, {targetChoice: new RendezvousChoice()}), readMonotonicMs);
-	runner.connect(effects);
+	runner.connect(createObserver(effects));
 	const alarms = new AlarmWatch(logger, () => {/* Not looked at here. */});
 	parts = {
 		runner, timeline, alarms, logger, tokens, refusals: new RecentRefusals(), metrics: new Metrics(runner, alarms),
@@ -189,25 +175,35 @@
 	assert.equal(refused.body.refusal.reason, 'key-missing');
 });
 
+/** All that a choice can change. */
+function describeChoiceState(): string {
+	const {targets: {targets, movedChats, placements}, allowances} = parts.runner.state;
+	return JSON.stringify([[...targets], [...movedChats], [...placements], listEntries(allowances)]);
+}
+
+function listEntries(maps: Readonly<Record<string, unknown>>): Record<string, unknown> {
+	return Object.fromEntries(Object.entries(maps).map(([name, value]) => [name, value instanceof Map ? [...value] : value]));
+}
+
 test('explain agrees with where a real request goes, and changes nothing', async () => {
 	const {state} = parts.runner;
 	const chatKeys = fc.array(fc.constantFrom('c1', 'c2', 'c3', 'c4', 'c5', 'c6'), {minLength: 1, maxLength: 6});
 	let overflowCount = 0;
 	await fc.assert(fc.asyncProperty(chatKeys, async chatIds => {
 		for (const [index, chatId] of chatIds.entries()) {
-			const before = JSON.stringify([...state.targets.targets, ...state.targets.movedChats]);
+			const before = describeChoiceState();
 			const body = JSON.stringify({
 				path: '/chat', model: 'm', chatId, account: 'ladders',
 			});
 			const {body: choice} = await call('POST', '/v1/explain', {body});
-			assert.equal(JSON.stringify([...state.targets.targets, ...state.targets.movedChats]), before);
+			assert.equal(describeChoiceState(), before);
 			// Tokens are not what this is about.
 			state.allowances.buckets.get('ladders')!.tokens = 10;
-			effects.effects.length = 0;
+			effects.length = 0;
 			handle({
 				kind: eventKind.requestArrived, requestId: `r${index}`, method: 'POST', path: '/chat', model: 'm', keyDigest, chatKey: chatId, priority: 0,
 			});
-			const sent = effects.effects.find(effect => effect.kind === 'dispatch');
+			const sent = effects.find(effect => effect.kind === 'dispatch');
 			assert.equal(choice.chosenTargetId, sent?.targetId);
 			overflowCount += Number(sent !== undefined && choice.targets[0]?.targetId !== sent.targetId);
 		}
@@ -229,10 +225,10 @@
 	assert.equal(await readStatus(), 200);
 	const drained = await call('POST', '/v1/drain');
 	assert.deepEqual([drained.body, await readStatus()], [{isDraining: true, openRequests: 0}, 503]);
-	assert.ok(!effects.effects.some(({kind}) => kind === 'finish-drain'), 'the process stays');
+	assert.ok(!effects.some(({kind}) => kind === 'finish-drain'), 'the process stays');
 	const undrained = await call('POST', '/v1/undrain');
 	assert.deepEqual([undrained.body, await readStatus()], [{isDraining: false, openRequests: 0}, 200]);
-	assert.deepEqual(logged.map(({operator, action}) => [operator, action]), [['amina', 'drain'], ['amina', 'undrain']]);
+	assert.deepEqual(logged.filter(({action}) => action !== undefined).map(({operator, action}) => [operator, action]), [['amina', 'drain'], ['amina', 'undrain']]);
 	assert.ok(parts.timeline.listKept().some(({kind, detail}) => kind === 'administrator-acted' && detail === 'amina: drain'));
 });
 
@@ -245,7 +241,7 @@
 test('a signal ends a process that an operator has drained', async () => {
 	await call('POST', '/v1/drain');
 	handle({kind: eventKind.drainRequested, by: 'signal'});
-	assert.ok(effects.effects.some(({kind}) => kind === 'finish-drain'));
+	assert.ok(effects.some(({kind}) => kind === 'finish-drain'));
 });
 
 test('no answer holds a digest of a key', async () => {
@@ -267,6 +263,11 @@
 	assert.deepEqual(told, ['alarm-raised', 'alarm-cleared']);
 });
 
+test('a body that is too large is a typed error', async () => {
+	const {status, body} = await call('POST', '/v1/explain', {body: JSON.stringify({path: '/chat', chatId: 'c', filler: 'x'.repeat(70_000)})});
+	assert.deepEqual([status, body.error.type], [400, 'bad-input']);
+});
+
 test('any input gets an answer or a typed error, and leaves the state alone', async () => {
 	const {state} = parts.runner;
 	const oddBody = fc.record({path: fc.jsonValue(), chatId: fc.jsonValue(), priority: fc.jsonValue()}).map(value => JSON.stringify(value));
--- a/packages/scenarios/src/lib/experiments/control.ts
+++ b/packages/scenarios/src/lib/experiments/control.ts
@@ -10,7 +10,7 @@
 import {Experiment, type ResultTable} from '../experiment.js';
 import {computeLinearFit} from '../linear-fit.js';
 import {
-	measureRouters, readExampleConfiguration, useFleet, type RouterUsage,
+	readRouterUsage, readExampleConfiguration, runWithFleet, type RouterUsage,
 } from '../measured-fleet.js';
 
 const fleetSizes = [3, 6, 12] as const;
@@ -73,12 +73,12 @@
 	const size = {
 		routerCount, engineCount: 13, plainCount: 3, usesRelays: true,
 	};
-	return useFleet(size, configuration, async fleet => {
+	return runWithFleet(size, configuration, async fleet => {
 		await wait(calmMs);
-		const atRest = await measureRouters(fleet, measuredMs);
+		const atRest = await readRouterUsage(fleet, measuredMs);
 		const sending = sendLoad(fleet, configuration, rampMs + measuredMs);
 		await wait(rampMs);
-		const loaded = await measureRouters(fleet, measuredMs);
+		const loaded = await readRouterUsage(fleet, measuredMs);
 		const sentCount = await sending;
 		return {
 			routerCount, atRest, loaded, requestRate: sentCount / (rampMs + measuredMs) * 1000,
