--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -18,7 +18,8 @@
 const firstPort = 11_000;
 const lastPort = 32_000;
 const stopTimeoutMs = 5000;
-const fleetSecret = 'loopback-fleet-secret';
+/** Secret that routers of fleets on loopback show each other. */
+export const fleetSecret = 'loopback-fleet-secret';
 /** Token of the administration API in fleets on loopback. */
 export const adminToken = 'loopback-admin-token';
 
