Loans extended in part when their lender owns less

Cause: when the list grew, each lender owned less than it had lent and refused to extend anything; gathered limits fell apart for a term and the margin. Change: the part still owned is extended, the rest stays subtracted until the old end.

--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -120,7 +120,7 @@
 	const held = allowances.borrowed.get(event.loanId);
 	const isHeld = held !== undefined && held.endsAt > step.now;
 	if (amount !== undefined && ask.isExtension && isHeld) {
-		held.endsAt = Math.max(held.endsAt, endsAt);
+		keepLoan(step, held, amount, endsAt);
 	} else if (amount !== undefined && !ask.isExtension && endsAt > step.now) {
 		addLoan(step, event, ask);
 	} else if (amount !== undefined) {
@@ -188,6 +188,18 @@
 	}
 }
 
+/** Keeps a loan for longer; the lender may have extended a part of it only. */
+function keepLoan(step: Step, held: Loan, amount: ShareAmount, endsAt: number): void {
+	updateLimit(step, held.limitId);
+	step.state.allowances.borrowed.add({
+		...held,
+		rate: Math.min(held.rate, amount.rate),
+		room: Math.min(held.room, amount.room),
+		endsAt: Math.max(held.endsAt, endsAt),
+	});
+	updateLimit(step, held.limitId);
+}
+
 function addLoan(step: Step, event: LoanGranted, ask: LoanAsk): void {
 	const [amount] = event.amounts;
 	const {limitId, rate, room, tokens} = amount!;
--- a/packages/core/src/lib/allowance/lend-share.ts
+++ b/packages/core/src/lib/allowance/lend-share.ts
@@ -14,7 +14,7 @@
 	computeSlotsInUse, findLimit, findLimitAccount, findLimitTarget,
 } from './limit.js';
 import {
-	computeLendableRoom, computeLendableShare, computeLoanTailMs, computeLoanTermMs, isLentBeyondOwned,
+	computeExcessLent, computeLendableRoom, computeLendableShare, computeLoanTailMs, computeLoanTermMs, emptyShare, type Loan, type Share,
 } from './share-ledger.js';
 
 /** Time within which the answer has to leave the process, in milliseconds. */
@@ -79,22 +79,35 @@
 	return amount;
 }
 
-/** Extends a loan unless its rate is needed here, or no longer owned; it never shrinks, so repeated requests do no harm. */
-function extendLoan(step: Step, {loanId, termMs, instanceId}: BorrowRequest, known: {limitId: string; rate: number; room: number}): LoanAmount | undefined {
-	if (isLentBeyondOwned(step, known.limitId)) {
+/**
+ * Extends a loan, less what is needed here or no longer owned. That part stays
+ * subtracted until the old end, because the borrower may not hear of it.
+ */
+function extendLoan(step: Step, request: BorrowRequest, known: Loan): LoanAmount | undefined {
+	const {limitId} = known;
+	const kept = computeExtendedShare(step, request, known);
+	if (Math.max(kept.rate, kept.room) < smallestLoan || (known.rate > 0 && kept.rate < smallestLoan)) {
 		return undefined;
 	}
 
-	if (findLimitAccount(known.limitId) !== undefined && computeSpareRate(step, known.limitId, instanceId) + known.rate < smallestLoan) {
-		return undefined;
+	const {lent} = step.state.allowances;
+	const rest = {rate: known.rate - kept.rate, room: known.room - kept.room};
+	if (Math.max(rest.rate, rest.room) > 0) {
+		lent.add({...known, ...rest, loanId: `${known.loanId}/${step.now}`});
 	}
 
-	const {lent} = step.state.allowances;
-	const loan = lent.get(loanId)!;
-	loan.endsAt = Math.max(loan.endsAt, step.now + termMs + computeLoanTailMs(step, known.limitId));
-	return {
-		limitId: known.limitId, rate: known.rate, room: known.room, tokens: 0,
-	};
+	lent.add({...known, ...kept, endsAt: Math.max(known.endsAt, step.now + request.termMs + computeLoanTailMs(step, limitId))});
+	return {limitId, ...kept, tokens: 0};
+}
+
+function computeExtendedShare(step: Step, {instanceId}: BorrowRequest, {limitId, rate, room}: Loan): Share {
+	const isNeededHere = findLimitAccount(limitId) !== undefined && computeSpareRate(step, limitId, instanceId) + rate < smallestLoan;
+	if (isNeededHere) {
+		return emptyShare;
+	}
+
+	const excess = computeExcessLent(step, limitId);
+	return {rate: Math.max(0, rate - excess.rate), room: Math.max(0, room - excess.room)};
 }
 
 function lendTokens(step: Step, {instanceId, termMs}: BorrowRequest, asked: LoanAmount): LoanAmount | undefined {
--- a/packages/core/src/lib/allowance/share-ledger.ts
+++ b/packages/core/src/lib/allowance/share-ledger.ts
@@ -140,11 +140,14 @@
 	return {rate: Math.max(0, owned.rate - minus.rate), room: Math.max(0, owned.room - minus.room)};
 }
 
-/** True: more is lent than is owned since the owned share shrank; such loans must not be extended. */
-export function isLentBeyondOwned(step: Step, limitId: string): boolean {
+/** Computes what is lent beyond the owned share since that shrank; it must not be lent for longer. */
+export function computeExcessLent(step: Step, limitId: string): Share {
 	const owned = computeOwnedShare(step, limitId);
 	const minus = step.state.allowances.lent.computeSum(limitId, step.now);
-	return minus.rate > owned.rate + roundingTolerance || minus.room > owned.room + roundingTolerance;
+	return {
+		rate: Math.max(0, minus.rate - owned.rate - roundingTolerance),
+		room: Math.max(0, minus.room - owned.room - roundingTolerance),
+	};
 }
 
 /**
