--- a/packages/scenarios/src/lib/experiments/shares.ts
+++ b/packages/scenarios/src/lib/experiments/shares.ts
@@ -46,6 +46,9 @@
 	});
 }
 
+/** The large account's demand in a surge, as a multiple of its rate. */
+const surge = {large: 5};
+
 function findCounterId({fleet}: ShareWorkload): string {
 	return new ElectedCounter(fleet, ceiling).findCounter(fleet.instances.get('router-0')!, 'large')!.id;
 }
@@ -62,15 +65,16 @@
 		},
 	},
 	{
-		name: 'kill of the instance that an election makes the large account\'s counter, while that account asks for 5 times its rate',
+		name: 'the large account asks for 5 times its rate, and after 5 s the instance that an election makes its counter is killed',
 		tailMs: 20_000,
-		demandMultiples: {large: 5},
+		demandMultiples: surge,
 		inject(workload) {
+			workload.run(5000, surge);
 			workload.fleet.kill(findCounterId(workload));
 		},
 	},
 	{
-		name: 'freeze of that instance for 3 s', tailMs: 20_000, inject(workload) {
+		name: 'freeze of the elected counter for 3 s', tailMs: 20_000, inject(workload) {
 			workload.fleet.freeze(findCounterId(workload), 3000);
 		},
 	},
@@ -107,7 +111,7 @@
 		},
 	},
 	{
-		name: 'the large account asks for 5 times its rate', tailMs: 30_000, demandMultiples: {large: 5}, inject() {
+		name: 'the large account asks for 5 times its rate', tailMs: 30_000, demandMultiples: surge, inject() {
 			// The surge is the fault.
 		},
 	},
@@ -164,9 +168,9 @@
 
 	workload.fleet.runFor(settleMs);
 	workload.run(warmMs);
+	fault.inject(workload);
 	const faultAt = workload.fleet.now;
 	const messagesBefore = workload.fleet.messageCount;
-	fault.inject(workload);
 	workload.run(fault.tailMs, fault.demandMultiples);
 	const messages = (workload.fleet.messageCount - messagesBefore) * 1000 / fault.tailMs / instanceCount;
 	const near = {from: faultAt - aroundFault.beforeMs, to: faultAt + aroundFault.afterMs};
