--- a/packages/scenarios/src/lib/share-workload.ts
+++ b/packages/scenarios/src/lib/share-workload.ts
@@ -79,6 +79,15 @@
 		return id;
 	}
 
+	/** Sends this many requests of each account at this moment. */
+	sendAtOnce(count: number): void {
+		for (const account of this.#options.accounts) {
+			for (let index = 0; index < count; index++) {
+				this.#send(account);
+			}
+		}
+	}
+
 	/** Sends the accounts' requests for a while. */
 	run(durationMs: number, demandMultiples: Readonly<Record<string, number>> = {}): void {
 		const arrivals: Array<{at: number; account: AccountLoad}> = [];
--- /dev/null
+++ b/packages/scenarios/src/test/shares_test.ts
@@ -0,0 +1,69 @@
+/**
+ * Scenarios about the shares of one account's limit.
+ */
+import assert from 'node:assert/strict';
+import {timelineKind} from '@sequoiatally/core';
+import {runFeature, ScenarioWorld} from '../lib/run-feature.js';
+import {ShareWorkload} from '../lib/share-workload.js';
+
+const settleMs = 20_000;
+
+class World extends ScenarioWorld {
+	workload!: ShareWorkload;
+	routerCount = 0;
+	ceiling = 0;
+	account = {
+		name: '', rate: 0, burst: 0, demandMultiple: 0,
+	};
+
+	start(): void {
+		this.workload = new ShareWorkload({
+			seed: 1, accounts: [this.account], instanceCount: this.routerCount, skew: 0, fleet: {ceiling: this.ceiling},
+		});
+		this.workload.fleet.runFor(settleMs);
+	}
+}
+
+await runFeature(new URL('../../features/shares.feature', import.meta.url), () => new World(), [
+	[/^a fleet of (\d+) routers under a ceiling of (\d+)$/, (world, count, ceiling) => {
+		world.routerCount = Number(count);
+		world.ceiling = Number(ceiling);
+	}],
+	[/^the account "(.+)" with (\d+) requests a second and a burst of (\d+)$/, (world, name, rate, burst) => {
+		world.account = {
+			name, rate: Number(rate), burst: Number(burst), demandMultiple: 1,
+		};
+		world.start();
+	}],
+	[/^".+" sends (\d+) requests at once and the router pauses for (\d+) ms before they leave$/, ({workload}, count, durationMs) => {
+		workload.sendAtOnce(Number(count));
+		workload.fleet.freeze('router-0', Number(durationMs));
+		workload.fleet.runFor(Number(durationMs));
+	}],
+	[/^".+" sends (\d+) requests at once$/, ({workload}, count) => {
+		workload.sendAtOnce(Number(count));
+		workload.fleet.runFor(1000);
+		assert.ok(workload.fleet.sent.length > 0, 'the account was served');
+	}],
+	[/^all routers are replaced at once$/, ({workload}) => {
+		const ids = [...workload.fleet.instances.keys()];
+		for (const id of ids) {
+			workload.fleet.kill(id);
+			workload.startInstance();
+		}
+	}],
+	[/^".+" sends (\d+) requests a second for (\d+) seconds$/, ({workload, account}, rate, seconds) => {
+		const before = workload.fleet.sent.length;
+		workload.run(Number(seconds) * 1000, {[account.name]: Number(rate) / account.rate});
+		assert.ok(workload.fleet.sent.length > before, 'the account was served again');
+	}],
+	[/^".+" got no more than its rate and burst$/, ({workload, account}) => {
+		assert.equal(workload.describeOutcome(account.name).overrun, 0);
+	}],
+	[/^the youngest router raised the alarm "(.+)" and owns no share$/, ({workload, routerCount, ceiling}, cause) => {
+		const alarms = workload.fleet.timeline.filter(({kind}) => kind === timelineKind.alarmRaised);
+		assert.deepEqual(alarms.map(entry => [entry.cause, entry.instanceId]), [[cause, `router-${routerCount - 1}`]]);
+		const rates = [...workload.fleet.instances.values()].map(({state}) => state.membership.owned.value);
+		assert.equal(rates.filter(rate => rate > 0).length, ceiling);
+	}],
+]);
