--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -13,7 +13,7 @@
 import {computeDemandRate} from './demand-meter.js';
 import {findGatherer, isRoomScarce} from './gather.js';
 import {describeAccountLimitId, findLimit, findLimitAccount} from './limit.js';
-import {computeLoanTermMs, computeNetShare, type Loan} from './share-ledger.js';
+import {computeNetShare, findLoanTermMs, type Loan} from './share-ledger.js';
 import {
 	createShareWant, recordAnswer, type LoanAsk, type ShareAmount, type ShareWant,
 } from './share-want.js';
@@ -291,7 +291,7 @@
 
 function computeTermMs(step: Step, {limitId, amount}: LoanAsk): number {
 	const isTokens = amount.rate === 0 && findLimitAccount(limitId) !== undefined;
-	const longestMs = computeLoanTermMs(step, limitId);
+	const longestMs = findLoanTermMs(step);
 	return isTokens ? Math.min(tokenTermMs, longestMs) : longestMs;
 }
 
--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -45,8 +45,12 @@
 	staysAfterDrain: boolean;
 	/** Time at which draining began. */
 	drainStartedAt?: number;
-	/** Time of the last event, to notice that the process was paused. */
-	lastEventAt: number;
+	/** Time until which a draining instance still takes new work. */
+	acceptUntil?: number;
+	/** Time of the last event, to notice that the process was paused; undefined: there was none yet. */
+	lastEventAt?: number;
+	/** End of the latest pause. */
+	wokeAt?: number;
 };
 
 export function createMembershipState(): MembershipState {
@@ -62,6 +66,5 @@
 		exchangedAt: new Map(),
 		isDraining: false,
 		staysAfterDrain: false,
-		lastEventAt: 0,
 	};
 }
--- a/packages/core/src/lib/reducer.ts
+++ b/packages/core/src/lib/reducer.ts
@@ -14,6 +14,7 @@
 import {
 	applyList, applyListUnchanged, applyPeerFailure, applySummary, exchangeWithPeers, updateMembership,
 } from './membership/reduce-membership.js';
+import {recordPause} from './membership/pause.js';
 import {
 	advanceWaiting, applyArrival, applyAttemptEnd, applyCallerLeft, applyForwardEnd,
 } from './requests/reduce-requests.js';
@@ -32,8 +33,8 @@
  */
 export function reduce(state: State, event: Event, now: number): readonly Effect[] {
 	const step: Step = {state, now, effects: []};
+	recordPause(step);
 	applyEvent(step, event);
-	state.membership.lastEventAt = now;
 	return step.effects;
 }
 
@@ -160,6 +161,7 @@
 			updateSlotLoans(step);
 			advanceWaiting(step);
 			releaseTickets(step);
+			finishDrainIfIdle(step);
 			break;
 		}
 	}
@@ -180,7 +182,7 @@
 	}
 }
 
-function startDrain(step: Step, {by, staysAfter = false}: DrainRequested): void {
+function startDrain(step: Step, {by, graceMs, staysAfter = false}: DrainRequested): void {
 	const {membership} = step.state;
 	// A later request to end the process overrules one that keeps it.
 	membership.staysAfterDrain = staysAfter && (membership.staysAfterDrain || !membership.isDraining);
@@ -190,6 +192,7 @@
 
 	membership.isDraining = true;
 	membership.drainStartedAt = step.now;
+	membership.acceptUntil = step.now + (graceMs ?? 0);
 	recordEntry(step, {kind: timelineKind.drainStarted, cause: 'drain', detail: `Requested by ${by}.`});
 }
 
@@ -204,7 +207,8 @@
 
 function finishDrainIfIdle(step: Step): void {
 	const {membership, requests} = step.state;
-	if (membership.isDraining && !membership.staysAfterDrain && requests.pending.size === 0) {
+	const isOver = requests.pending.size === 0 && step.now >= (membership.acceptUntil ?? 0);
+	if (membership.isDraining && !membership.staysAfterDrain && isOver) {
 		step.effects.push({kind: effectKind.finishDrain});
 	}
 }
--- a/packages/load/src/bin/load.ts
+++ b/packages/load/src/bin/load.ts
@@ -89,10 +89,10 @@
 	}
 
 	const result = createRunResult(record.value);
+	await mergeTimelines(resultDirectory);
 	await writeFile(path.join(resultDirectory, 'result.json'), `${JSON.stringify(result)}\n`);
 	await writeFile(path.join(resultDirectory, 'answers.jsonl'), record.value.records.map(answer => `${JSON.stringify(answer)}\n`).join(''));
 	await writeFile(path.join(resultDirectory, 'report.html'), renderReportPage(result));
-	await mergeTimelines(resultDirectory);
 	for (const {name, text} of listResultRows(result)) {
 		print(`${name.padEnd(40)}${text}`);
 	}
