Load multiple: room for unseen load by the age of reports; promised and aimed bounds

Cause: peers now report every 3 s, so the fixed 0.5 s of the estimate was wrong and reports expired between two exchanges.

Change: the estimate goes by the mean age of the reports, which count for 4 s.

More room made it worse: chats turned away by several routers at once meet again.

--- a/packages/core/src/lib/targets/load-multiple.ts
+++ b/packages/core/src/lib/targets/load-multiple.ts
@@ -16,12 +16,14 @@
 import {isKnownCold, isWarm} from './target-boot.js';
 import type {Target} from './target-state.js';
 
-/** Longest time between two reports of a peer in ordinary running, in seconds. */
-const reportIntervalSeconds = 0.5;
-/** Room left for what peers' reports do not show yet, as a multiple of its likely size. */
-const unseenDeviations = 2;
+/**
+ * Room left for what peers' reports do not show yet, as a multiple of its likely
+ * size. More room lets less through while reports are fresh, but chats that
+ * several instances turn away at once meet again at their next targets.
+ */
+const unseenDeviations = 1;
 /** Time after which a peer's load report no longer counts, in milliseconds. */
-const peerLoadLimitMs = 2000;
+const peerLoadLimitMs = 4000;
 
 /** Floor of the bound that holds whatever the instances hear of each other, as a multiple of the pool's floor. */
 const unheardFloorMultiple = 3;
@@ -38,11 +40,13 @@
 	readonly peerInFlight: ReadonlyMap<string, number>;
 	/** Requests of peers at them. */
 	readonly peerTotal: number;
+	/** Mean age of what the peers said, in milliseconds. */
+	readonly reportAgeMs: number;
 };
 
 /** Sums the loads of a pool's eligible targets. */
 export function computePoolLoad(step: Step, pool: Pool, eligible: readonly Target[]): PoolLoad {
-	const peerInFlight = sumPeerLoads(step);
+	const {inFlight: peerInFlight, meanAgeMs: reportAgeMs} = sumPeerLoads(step);
 	let warmCount = 0;
 	let ownInFlight = 0;
 	let peerTotal = 0;
@@ -55,7 +59,7 @@
 	}
 
 	return {
-		warmCount, ownInFlight, ownRate: computeDemandRate(step.state.targets.placements.get(pool.name), step.now), peerInFlight, peerTotal,
+		warmCount, ownInFlight, ownRate: computeDemandRate(step.state.targets.placements.get(pool.name), step.now), peerInFlight, peerTotal, reportAgeMs,
 	};
 }
 
@@ -79,26 +83,30 @@
  * Estimates how far a target's load may have grown since peers reported it: it
  * changes by as many requests as start and end meanwhile, at random.
  */
-function estimateUnseen({ownInFlight, ownRate, peerTotal}: PoolLoad, fleetMean: number): number {
+function estimateUnseen({ownInFlight, ownRate, peerTotal, reportAgeMs}: PoolLoad, fleetMean: number): number {
 	if (ownInFlight === 0 || peerTotal === 0) {
 		return 0;
 	}
 
-	const turnover = ownRate / ownInFlight * reportIntervalSeconds;
+	const turnover = ownRate / ownInFlight * reportAgeMs / 1000;
 	return unseenDeviations * Math.sqrt(fleetMean * Math.min(1, turnover));
 }
 
-function sumPeerLoads({state, now}: Step): Map<string, number> {
-	const sums = new Map<string, number>();
+function sumPeerLoads({state, now}: Step): {readonly inFlight: ReadonlyMap<string, number>; readonly meanAgeMs: number} {
+	const inFlight = new Map<string, number>();
+	let ageSum = 0;
+	let count = 0;
 	for (const {summary, heardAt} of state.membership.peers.values()) {
 		if (now - heardAt > peerLoadLimitMs) {
 			continue;
 		}
 
-		for (const {targetId, inFlight} of summary.targets) {
-			sums.set(targetId, (sums.get(targetId) ?? 0) + inFlight);
+		ageSum += now - heardAt;
+		count += 1;
+		for (const load of summary.targets) {
+			inFlight.set(load.targetId, (inFlight.get(load.targetId) ?? 0) + load.inFlight);
 		}
 	}
 
-	return sums;
+	return {inFlight, meanAgeMs: count === 0 ? 0 : ageSum / count};
 }
--- a/packages/scenarios/src/lib/experiments/routing.ts
+++ b/packages/scenarios/src/lib/experiments/routing.ts
@@ -14,6 +14,10 @@
 const phaseMs = 30_000;
 const churnEveryMs = 6000;
 
+const boundsNote = 'Promised: load multiple × mean + 3 × floor. Aimed: the larger of floor and load multiple × mean. Load over mean counts from a mean of 4.';
+/** Load multiples and floors to compare. */
+const multiples = [[1.25, 8], [1.5, 4], [1.5, 8], [2, 4], [2, 8], [3, 8]] as const;
+
 type Way = {readonly name: string; readonly createChoice: (run: RoutingRun) => TargetChoice};
 
 const ways: readonly Way[] = [
@@ -43,7 +47,7 @@
 			}
 		}
 
-		return tables;
+		return [...tables, compareMultiples()];
 	}
 
 	#comparePhase(title: string, phase: Phase, options: Partial<RoutingOptions>): ResultTable {
@@ -51,8 +55,11 @@
 		const best = computeReuse(results[0]!.figures);
 		return {
 			title: `${title}, ${phase}`,
-			columns: ['way', 'reuse', 'of the all-knowing', 'highest load / bound', 'highest load / mean', 'refused', 'slot overrun', 'cold overrun', 'cold overrun before anyone can know'],
+			columns: [
+				'way', 'reuse', 'of the all-knowing', 'highest load / promised', 'highest load / aimed', 'highest load / mean', 'refused', 'slot overrun', 'cold overrun', 'cold overrun before anyone can know',
+			],
 			rows: results.map(({way, figures}) => [way.name, ...describeFigures(figures, best)]),
+			notes: [boundsNote],
 		};
 	}
 }
@@ -64,6 +71,27 @@
 	{title: 'Even entry, mean load 2, 4 s a request', options: {chatCount: 300, meanLoad: 2}},
 ];
 
+/** What a tighter multiple costs in reuse. */
+function compareMultiples(): ResultTable {
+	const home = ways[1]!;
+	return {
+		title: 'What the load multiple costs: bounded rendezvous, even entry, mean load 8, 4 s a request, calm',
+		columns: ['load multiple', 'floor', 'reuse', 'highest load / promised', 'highest load / aimed', 'highest load / mean', 'refused'],
+		rows: multiples.map(([loadMultiple, loadFloor]) => {
+			const figures = runPhase(home, phases.calm, {chatCount: 1200, pool: {loadMultiple, loadFloor}});
+			return [
+				loadMultiple,
+				loadFloor,
+				renderPercent(computeReuse(figures)),
+				figures.highestPromiseUse.toFixed(2),
+				figures.highestBoundUse.toFixed(2),
+				figures.highestSkew.toFixed(2),
+				renderPercent(figures.refusedCount / figures.requestCount),
+			];
+		}),
+	};
+}
+
 /** Runs one way through one phase and returns the figures of the phase alone. */
 export function runPhase({createChoice}: Way, phase: Phase, options: Partial<RoutingOptions>): RoutingFigures {
 	const run = new RoutingRun({...options, seed, createChoice});
@@ -113,6 +141,7 @@
 	return [
 		renderPercent(reuse),
 		renderPercent(reuse / best),
+		figures.highestPromiseUse.toFixed(2),
 		figures.highestBoundUse.toFixed(2),
 		figures.highestSkew.toFixed(2),
 		renderPercent(figures.refusedCount / figures.requestCount),
--- a/packages/scenarios/src/lib/routing-run.ts
+++ b/packages/scenarios/src/lib/routing-run.ts
@@ -51,6 +51,8 @@
 	highestSkew: number;
 	/** Highest load of a target over `max(floor, multiple × mean)`, at a placement. */
 	highestBoundUse: number;
+	/** Highest load of a target over what is promised, `multiple × mean + 3 × floor`, at a placement. */
+	highestPromiseUse: number;
 	/** Requests in flight beyond the slots of a target. */
 	slotOverrun: number;
 	/** Requests in flight at a cold target beyond what it bears, once routers can know. */
@@ -209,6 +211,7 @@
 			&& !fleet.configuration.drainedZones.includes(target.zone) && this.isWarm(target.id));
 		const mean = open.reduce((sum, {id}) => sum + this.countInFlight(id), 0) / open.length;
 		figures.highestBoundUse = Math.max(figures.highestBoundUse, load / Math.max(pool.loadFloor, pool.loadMultiple * mean));
+		figures.highestPromiseUse = Math.max(figures.highestPromiseUse, load / ((pool.loadMultiple * mean) + (3 * pool.loadFloor)));
 		if (mean >= smallestSkewMean) {
 			figures.highestSkew = Math.max(figures.highestSkew, load / mean);
 		}
@@ -262,6 +265,7 @@
 		refusedCount: 0,
 		highestSkew: 0,
 		highestBoundUse: 0,
+		highestPromiseUse: 0,
 		slotOverrun: 0,
 		coldOverrun: 0,
 		unknowableColdOverrun: 0,
