--- a/packages/core/src/lib/membership/pause.ts
+++ b/packages/core/src/lib/membership/pause.ts
@@ -13,7 +13,8 @@
 /** Records the end of a pause; to be called before each event is applied. */
 export function recordPause({state, now}: Step): void {
 	const {membership} = state;
-	if (now - membership.lastEventAt >= pauseMs) {
+	const isStarted = membership.lastEventAt > 0;
+	if (isStarted && now - membership.lastEventAt >= pauseMs) {
 		membership.wokeAt = now;
 	}
 
--- a/packages/scenarios/src/test/targets_test.ts
+++ b/packages/scenarios/src/test/targets_test.ts
@@ -3,7 +3,9 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {attemptOutcome, type Configuration} from '@sequoiatally/core';
+import {
+	attemptOutcome, createState, eventKind, reduce, RendezvousChoice, type Configuration,
+} from '@sequoiatally/core';
 import fc from 'fast-check';
 import {createExampleConfiguration, describeExampleKey, exampleModelRoute} from '../lib/example-configuration.js';
 import {ReducerFleet} from '../lib/reducer-fleet.js';
@@ -206,3 +208,14 @@
 		});
 	}), {seed: 402, numRuns: 25});
 });
+
+void test('a start late on the process\'s clock is no pause, a gap between events is', () => {
+	const self = {
+		instanceId: 'router-0', incarnation: 'i1', zone: 'zone-a', startedAt: 5000,
+	};
+	const state = createState(self, {targetChoice: new RendezvousChoice()});
+	reduce(state, {kind: eventKind.tick}, 5000);
+	assert.equal(state.membership.wokeAt, undefined);
+	reduce(state, {kind: eventKind.tick}, 6500);
+	assert.equal(state.membership.wokeAt, 6500);
+});
