--- a/packages/load/src/test/tcp-relay_test.ts
+++ b/packages/load/src/test/tcp-relay_test.ts
@@ -2,7 +2,9 @@
  * Tests of the relay: it counts what passes, cuts, and lets through again.
  */
 import assert from 'node:assert/strict';
-import {connect, createServer, type AddressInfo} from 'node:net';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
 import {test} from 'node:test';
 import {request} from 'undici';
 import {createServer as createHttpServer} from 'node:http';
@@ -51,21 +53,15 @@
 	relay.setState(linkState.silent);
 	const [host, port] = relay.address.split(':');
 	const socket = connect(Number(port), host);
+	const direct = connect((server.address() as AddressInfo).port, host);
 	try {
-		const echoed = new Promise<string>(resolve => {
-			socket.once('data', chunk => {
-				resolve(chunk.toString());
-			});
-		});
-		await new Promise<void>(resolve => {
-			socket.write('hello', () => {
-				resolve();
-			});
-		});
-		while (relay.connectionCount === 0) {
-			await new Promise(resolve => {
-				setImmediate(resolve);
-			});
+		const echoed = readOnce(socket);
+		socket.write('hello');
+		// While the relay is silent, the server itself answers all the time.
+		for (let round = 0; round < 50 || relay.connectionCount === 0; round++) {
+			const answered = readOnce(direct);
+			direct.write('round');
+			assert.equal(await answered, 'round');
 		}
 
 		assert.equal(relay.bytesIn, 0);
@@ -73,7 +69,16 @@
 		assert.equal(await echoed, 'hello');
 	} finally {
 		socket.destroy();
+		direct.destroy();
 		await relay.close();
 		server.close();
 	}
 });
+
+async function readOnce(socket: Socket): Promise<string> {
+	return new Promise(resolve => {
+		socket.once('data', chunk => {
+			resolve(chunk.toString());
+		});
+	});
+}
