--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -36,8 +36,10 @@
 	readonly timelineDirectory: string;
 	/** Further flags of every engine stand-in. */
 	readonly engineFlags?: readonly string[];
-	/** Further flags of every plain service stand-in. */
+	/** Further flags of every plain-service stand-in. */
 	readonly plainFlags?: readonly string[];
+	/** Further flags of every router. */
+	readonly routerFlags?: readonly string[];
 	/** File that takes the processes' logs; undefined: this process's error stream. */
 	readonly logPath?: string;
 	/** True: links to the configuration service and between routers pass through relays that count and cut. */
@@ -175,6 +177,7 @@
 				`loopback:${adminToken}`,
 				'--log-level',
 				'warn',
+				...(this.plan.routerFlags ?? []),
 			]),
 		};
 		this.routers.push(router);
