--- a/packages/load/src/lib/report-page.ts
+++ b/packages/load/src/lib/report-page.ts
@@ -27,7 +27,7 @@
 h1 { font-size: 22px; margin: 0 0 4px; } h2 { font-size: 17px; margin: 28px 0 6px; } p { margin: 4px 0 10px; color: #4b5563; }
 table { border-collapse: collapse; width: 100%; font-size: 14px; } th, td { text-align: left; padding: 4px 10px 4px 0; border-bottom: 1px solid #e5e7eb; vertical-align: top; }
 th { font-weight: 600; color: #374151; } td.number, th.number { text-align: right; font-variant-numeric: tabular-nums; }
-svg { width: 100%; height: auto; font: 11px system-ui, sans-serif; } svg text { fill: #374151; } svg text.small { font-size: 10px; fill: #6b7280; }
+svg { width: 100%; max-width: 960px; height: auto; font: 11px system-ui, sans-serif; } svg text { fill: #374151; } svg text.small { font-size: 10px; fill: #6b7280; }
 svg .grid { stroke: #e5e7eb; } svg .mark { stroke: #9ca3af; stroke-dasharray: 3 3; } svg .heat { fill: #1d4ed8; } svg .band { fill: #9ca3af; opacity: 0.12; }
 .sides { display: grid; grid-template-columns: 1fr 1fr; gap: 32px; } .bad { color: #b91c1c; font-weight: 600; } .good { color: #15803d; font-weight: 600; }
 pre { font-size: 12px; white-space: pre-wrap; }
--- a/packages/scenarios/src/lib/experiments/control.ts
+++ b/packages/scenarios/src/lib/experiments/control.ts
@@ -61,6 +61,7 @@
 		routerCount,
 		state,
 		usage.peerBytes.toFixed(0),
+		perRequest,
 		usage.platformBytes.toFixed(0),
 		usage.platformCalls.toFixed(2),
 		(usage.processorFraction * 100).toFixed(2),
