--- a/packages/core/src/lib/membership/membership-state.ts
+++ b/packages/core/src/lib/membership/membership-state.ts
@@ -47,8 +47,8 @@
 	drainStartedAt?: number;
 	/** Time until which a draining instance still takes new work. */
 	acceptUntil?: number;
-	/** Time of the last event, to notice that the process was paused. */
-	lastEventAt: number;
+	/** Time of the last event, to notice that the process was paused; undefined: there was none yet. */
+	lastEventAt?: number;
 	/** End of the latest pause. */
 	wokeAt?: number;
 };
@@ -66,6 +66,5 @@
 		exchangedAt: new Map(),
 		isDraining: false,
 		staysAfterDrain: false,
-		lastEventAt: 0,
 	};
 }
--- a/packages/load/src/bin/demo.ts
+++ b/packages/load/src/bin/demo.ts
@@ -53,7 +53,7 @@
 
 	await writeFile(path.join(resultDirectory, 'report.html'), renderReportPage(result));
 	const entryCount = await mergeTimelines(resultDirectory);
-	print(`time line            ${entryCount} entries in ${resultDirectory}/timeline.jsonl`);
+	print(`time line            ${entryCount} entries in ${resultDirectory}/timeline.jsonl, drawn in timeline.html`);
 	print(`report               ${resultDirectory}/report.html`);
 	process.exitCode = isDemonstrationWell(result) ? 0 : 1;
 }
--- a/packages/load/src/lib/merge-timeline.ts
+++ b/packages/load/src/lib/merge-timeline.ts
@@ -1,6 +1,5 @@
 /**
- * Merges the time lines of all of a run's processes into one file, and draws
- * them as a page.
+ * Merges the time lines of a run's processes into one file, and draws it.
  */
 import {readdir, readFile, writeFile} from 'node:fs/promises';
 import path from 'node:path';
--- a/packages/scenarios/src/lib/experiments/overhead.ts
+++ b/packages/scenarios/src/lib/experiments/overhead.ts
@@ -8,7 +8,7 @@
 	answerKind, Caller, describeLatencies, findPercentile, readProcessUsage, type Answer, type Fleet,
 } from '@sequoiatally/load';
 import {Experiment, type ResultTable} from '../experiment.js';
-import {readExampleConfiguration, useFleet} from '../measured-fleet.js';
+import {readExampleConfiguration, runWithFleet} from '../measured-fleet.js';
 
 const ampleRate = 1_000_000;
 /** Time for the target to count as warm at the router, in milliseconds. */
@@ -39,7 +39,7 @@
 		const size = {
 			routerCount: 1, engineCount: 1, plainCount: 1, engineFlags: ['--token-ms', '0', '--warm-prefill-ms', '0', '--cold-prefill-ms', '0', '--warm-after-ms', '0', '--slots', '10000'], plainFlags: ['--run-ms', '0'],
 		};
-		return useFleet(size, configuration, async fleet => {
+		return runWithFleet(size, configuration, async fleet => {
 			await wait(warmMs);
 			const paths = await createPaths(fleet);
 			const rows: Array<Array<string | number>> = [];
--- a/packages/scenarios/src/lib/measured-fleet.ts
+++ b/packages/scenarios/src/lib/measured-fleet.ts
@@ -24,7 +24,7 @@
 export type FleetSize = Pick<FleetPlan, 'routerCount' | 'engineCount' | 'plainCount'> & Partial<FleetPlan>;
 
 /** Runs `use` with a fleet that has started; the fleet is stopped whatever happens. */
-export async function useFleet<T>(size: FleetSize, configuration: Configuration, use: (fleet: Fleet) => Promise<T>): Promise<T> {
+export async function runWithFleet<T>(size: FleetSize, configuration: Configuration, use: (fleet: Fleet) => Promise<T>): Promise<T> {
 	const directory = await mkdtemp(path.join(tmpdir(), 'measured-fleet-'));
 	const fleet = new Fleet({
 		zones: ['scot-central-a', 'scot-central-b', 'scot-central-c'],
@@ -65,7 +65,7 @@
 };
 
 /** Measures the routers of a fleet with relays while `durationMs` pass. */
-export async function measureRouters(fleet: Fleet, durationMs: number): Promise<RouterUsage> {
+export async function readRouterUsage(fleet: Fleet, durationMs: number): Promise<RouterUsage> {
 	const before = await readTotals(fleet);
 	const startedAt = performance.now();
 	await wait(durationMs);
