An instance that returns to the list after its share expired joins anew

Cause: an instance stayed joined for life. Off the list for longer than the others hold its share back, it owned 1/ceiling again in the moment it was listed, while the others still divided by a list without it.

Ruled out: the restart in the shrunk case (the fault shows without it).

Change: expiry takes the joined state away, so a returning instance waits like a new one.

The added test fails without the change.

--- a/packages/core/src/lib/membership/list-history.ts
+++ b/packages/core/src/lib/membership/list-history.ts
@@ -44,7 +44,7 @@
 	ownSince?: number;
 	/** Start of the latest read that showed this instance. */
 	ownCurrentAt?: number;
-	/** True: this instance owns share; it stays so for its life. */
+	/** True: this instance owns share, until it expires. */
 	hasJoined: boolean;
 	/** Least by which the platform's time is ahead of this process's clock. */
 	platformOffset: number;
@@ -101,6 +101,10 @@
 		history.isInherited = false;
 	}
 
+	if (fleet !== undefined) {
+		leaveIfExpired(history, fleet, now);
+	}
+
 	recordMembers(history, list.instances, now);
 	recordOwnPresence(history, list.instances.find(({id}) => id === ownId), currentAt, now);
 }
@@ -121,11 +125,28 @@
  * ended.
  */
 export function updateJoined(history: ListHistory, fleet: Fleet, now: number): void {
+	leaveIfExpired(history, fleet, now);
 	const {presentSince} = history;
 	const joinMs = computeSettleMs(fleet) + Math.max(0, fleet.listLagMs + fleet.freshMs - fleet.loanTermMs - (2 * loanMarginMs));
 	history.hasJoined ||= presentSince !== undefined && now - presentSince > joinMs && isListFresh(history, fleet, now);
 }
 
+/** True: no list has shown this instance for so long that the others may count on its end. */
+export function isExpired({ownCurrentAt}: ListHistory, {staleLimitMs}: Fleet, now: number): boolean {
+	return now - (ownCurrentAt ?? Number.NEGATIVE_INFINITY) > staleLimitMs;
+}
+
+/**
+ * Takes this instance's share away once the others may have shared it out. An
+ * instance that the list shows again after that joins like a new one.
+ */
+function leaveIfExpired(history: ListHistory, fleet: Fleet, now: number): void {
+	if (history.hasJoined && isExpired(history, fleet, now)) {
+		history.hasJoined = false;
+		history.presentSince = undefined;
+	}
+}
+
 /** Takes a peer's whole knowledge of vanished instances, if it reaches up to where this one's begins. */
 export function inheritHistory(history: ListHistory, absent: readonly AbsentInstance[], peerAsOf: number, now: number): void {
 	if (history.freshSince === undefined || peerAsOf < history.freshFromAsOf) {
--- a/packages/core/src/lib/membership/owned-fraction.ts
+++ b/packages/core/src/lib/membership/owned-fraction.ts
@@ -11,7 +11,7 @@
 import type {Fleet} from '../configuration/configuration.js';
 import type {Step} from '../state.js';
 import {
-	computeSettleMs, countRecentMembers, isHistoryComplete, isListFresh, listHeldBack,
+	computeSettleMs, countRecentMembers, isExpired, isHistoryComplete, isListFresh, listHeldBack,
 } from './list-history.js';
 
 /** What the fraction was last computed from, so that one event computes it once. */
@@ -51,8 +51,7 @@
 	}
 
 	const rank = findOwnRank(step);
-	const isExpired = now - (history.ownCurrentAt ?? 0) > fleet.staleLimitMs;
-	if (isExpired || (rank !== undefined && rank >= fleet.ceiling)) {
+	if (isExpired(history, fleet, now) || (rank !== undefined && rank >= fleet.ceiling)) {
 		return 0;
 	}
 
--- a/packages/scenarios/src/test/shares_properties_test.ts
+++ b/packages/scenarios/src/test/shares_properties_test.ts
@@ -223,27 +223,37 @@
 	});
 }
 
+function checkFaults(seed: number, faults: readonly Fault[]): void {
+	const workload = new ShareWorkload({
+		seed, accounts, instanceCount: 5, skew: 0.4, fleet,
+	});
+	const excesses: ShareSum[] = [];
+	watchShareSums(workload, excesses);
+	const reversions: string[] = [];
+	watchVersions(workload, reversions);
+	workload.fleet.runFor(14_000);
+	for (const fault of faults) {
+		inject(workload, fault);
+		workload.run(fault.pauseMs);
+	}
+
+	workload.run(6000);
+	assert.deepEqual(excesses.slice(0, 1), []);
+	assert.deepEqual(reversions.slice(0, 1), []);
+	for (const {name, rate, burst} of accounts) {
+		const times = workload.fleet.sent.filter(({account}) => account === name).map(({at}) => at);
+		assert.equal(computeOverrun(times, rate, burst), 0, `${name} overran`);
+	}
+}
+
 await test('shares add up to the limit, no account overruns it and no version reverts, under any mix of faults', () => {
-	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.array(faultArbitrary, {minLength: 2, maxLength: 12}), (seed, faults) => {
-		const workload = new ShareWorkload({
-			seed, accounts, instanceCount: 5, skew: 0.4, fleet,
-		});
-		const excesses: ShareSum[] = [];
-		watchShareSums(workload, excesses);
-		const reversions: string[] = [];
-		watchVersions(workload, reversions);
-		workload.fleet.runFor(14_000);
-		for (const fault of faults) {
-			inject(workload, fault);
-			workload.run(fault.pauseMs);
-		}
-
-		workload.run(6000);
-		assert.deepEqual(excesses.slice(0, 1), []);
-		assert.deepEqual(reversions.slice(0, 1), []);
-		for (const {name, rate, burst} of accounts) {
-			const times = workload.fleet.sent.filter(({account}) => account === name).map(({at}) => at);
-			assert.equal(computeOverrun(times, rate, burst), 0, `${name} overran`);
-		}
-	}), {seed: 1, numRuns: Number(process.env.RUNS ?? 40)});
+	const faultsArbitrary = fc.array(faultArbitrary, {minLength: 2, maxLength: 12});
+	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), faultsArbitrary, checkFaults), {seed: 1, numRuns: Number(process.env.RUNS ?? 40)});
+});
+
+await test('an instance that the list shows again after a long absence owns nothing until the others know', () => {
+	const wait = {
+		kind: 'quiet', index: 0, durationMs: 0, pauseMs: 6000,
+	};
+	checkFaults(1, [wait, wait, {...wait, kind: 'unlist', index: 3}, wait, {...wait, kind: 'relist', index: 3}, wait]);
 });
