--- a/packages/scenarios/src/bin/measure.ts
+++ b/packages/scenarios/src/bin/measure.ts
@@ -7,7 +7,7 @@
 import {cpus} from 'node:os';
 import process from 'node:process';
 import {Command} from 'commander';
-import {renderTable} from '../lib/experiment.js';
+import {renderTable, type Experiment, type ResultTable} from '../lib/experiment.js';
 import {experiments} from '../lib/experiments/index.js';
 
 const program = new Command('sequoiatally-measure')
@@ -16,24 +16,37 @@
 program.parse();
 const {only} = program.opts<{only?: string}>();
 
+const pagePath = 'docs/MEASUREMENTS.md';
+const machine = `${cpus().length} cores, ${cpus()[0]?.model ?? 'unknown processor'}, Node.js ${process.version}`;
+const chosen = experiments.filter(({name}) => only === undefined || name === only);
 const sections: string[] = [];
-for (const experiment of experiments.filter(({name}) => only === undefined || name === only)) {
+for (const [index, experiment] of chosen.entries()) {
 	process.stderr.write(`Running ${experiment.name} ...\n`);
-	const tables = await experiment.run();
-	const kind = experiment.isRepeatable ? 'Virtual time and a fixed seed: each run gives the same figures.' : 'Measured on the machine named above; figures vary between runs.';
-	sections.push([`## ${experiment.name}`, '', experiment.question, '', kind, '', ...tables.map(table => renderTable(table))].join('\n'));
+	sections.push(renderSection(experiment, await experiment.run()));
+	const page = renderPage(chosen.slice(index + 1));
+	if (only === undefined) {
+		// The page is written after each experiment, so that a run that is ended keeps what it has.
+		await writeFile(pagePath, page);
+	} else {
+		process.stdout.write(`${page}\n`);
+	}
 }
 
-const machine = `${cpus().length} cores, ${cpus()[0]?.model ?? 'unknown processor'}, Node.js ${process.version}`;
-const page = [
-	'# Measurements',
-	'',
-	`Written by \`npm run measure\` on ${new Date().toISOString().slice(0, 10)}; ${machine}.`,
-	'',
-	...sections,
-].join('\n');
-if (only === undefined) {
-	await writeFile('docs/MEASUREMENTS.md', page);
-} else {
-	process.stdout.write(`${page}\n`);
+function renderSection({name, question, isRepeatable}: Experiment, tables: readonly ResultTable[]): string {
+	const kind = isRepeatable
+		? 'Virtual time and a fixed seed: each run gives the same figures.'
+		: 'Measured on the machine named above; figures vary between runs.';
+	return [`## ${name}`, '', question, '', kind, '', ...tables.map(table => renderTable(table))].join('\n');
+}
+
+function renderPage(missing: readonly Experiment[]): string {
+	const names = missing.map(({name}) => name).join(', ');
+	return [
+		'# Measurements',
+		'',
+		`Written by \`npm run measure\` on ${new Date().toISOString().slice(0, 10)}; ${machine}.`,
+		...(names === '' ? [] : ['', `Not run: ${names}.`]),
+		'',
+		...sections,
+	].join('\n');
 }
