--- a/packages/router/src/lib/admin/admin-actions.ts
+++ b/packages/router/src/lib/admin/admin-actions.ts
@@ -6,7 +6,7 @@
 	describeAccounts, describeInstances, describeStatus, describeTargets, eventKind, explainChoice, timelineKind,
 } from '@sequoiatally/core';
 import {
-	isSelected, readMonotonicMs, type Logger, type TimelineWriter,
+	isSelected, type Logger, type TimelineWriter,
 } from '@sequoiatally/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import type {AlarmWatch} from '../alarm-watch.js';
@@ -35,14 +35,14 @@
 	} = subject;
 	const {state} = runner;
 	return {
-		status: () => ok({...describeStatus(state, readMonotonicMs()), alarms: [...alarms.standing]}),
-		instances: () => ok({instances: describeInstances(state, readMonotonicMs())}),
+		status: () => ok({...describeStatus(state, runner.readClock()), alarms: [...alarms.standing]}),
+		instances: () => ok({instances: describeInstances(state, runner.readClock())}),
 		tables: () => describeTables(runner),
 		targets: ({query}) => ok({
-			targets: describeTargets(state, readMonotonicMs()).filter(({pool}) => pool === (query.pool ?? pool)),
+			targets: describeTargets(state, runner.readClock()).filter(({pool}) => pool === (query.pool ?? pool)),
 		}),
 		accounts: ({query}) => ok({
-			accounts: describeAccounts(state, readMonotonicMs()).filter(({name}) => name === (query.name ?? name)),
+			accounts: describeAccounts(state, runner.readClock()).filter(({name}) => name === (query.name ?? name)),
 		}),
 		refusals({query}) {
 			const recent = refusals.listSince(query.sinceMs);
@@ -57,7 +57,7 @@
 				? err(createAdminError(adminErrorKind.notFound, 'No entry of this request is kept here; ask the other instances, or the time line\'s files.'))
 				: ok(explanation);
 		},
-		explain: ({body}) => ok(toMutable(explainChoice(state, body, readMonotonicMs()))),
+		explain: ({body}) => ok(toMutable(explainChoice(state, body, runner.readClock()))),
 		drain: ({operator}) => drain(subject, operator),
 		undrain: ({operator}) => undrain(subject, operator),
 	};
--- a/packages/router/src/lib/runner.ts
+++ b/packages/router/src/lib/runner.ts
@@ -38,14 +38,12 @@
 
 /** Runs one router's reducer. */
 export class Runner {
-	readonly #readClock: () => number;
 	readonly #queue: Event[] = [];
 	#handler?: EffectHandler;
 	#isRunning = false;
 
-	constructor(readonly state: State, readClock: () => number) {
-		this.#readClock = readClock;
-	}
+	/** `readClock` tells the present time of every decision, in milliseconds. */
+	constructor(readonly state: State, readonly readClock: () => number) {}
 
 	/** Sets what carries effects out; has to be called before the first event. */
 	connect(handler: EffectHandler): void {
@@ -62,7 +60,7 @@
 		this.#isRunning = true;
 		try {
 			for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
-				for (const effect of reduce(this.state, next, this.#readClock())) {
+				for (const effect of reduce(this.state, next, this.readClock())) {
 					this.#carryOut(effect);
 				}
 			}
