--- a/packages/core/src/lib/allowance/allowance-state.ts
+++ b/packages/core/src/lib/allowance/allowance-state.ts
@@ -30,8 +30,6 @@
 	roomWants: Map<string, ShareWant>;
 	/** Requests for loans that are not answered yet, by loan. */
 	asks: Map<string, LoanAsk>;
-	/** Time of the latest extension that was due, by lender; others follow with it. */
-	extendedPeers: Map<string, number>;
 	/** Gathering instance by limit, and the list that it was chosen from. */
 	gatherers: Map<string, {readonly listHash: number; readonly instanceId: string | undefined}>;
 	nextLoanNumber: number;
@@ -47,7 +45,6 @@
 		rateWants: new Map(),
 		roomWants: new Map(),
 		asks: new Map(),
-		extendedPeers: new Map(),
 		gatherers: new Map(),
 		nextLoanNumber: 1,
 	};
--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -22,10 +22,6 @@
 const hedgeAfterMs = 30;
 /** Time before the end of a loan at which it is extended, in milliseconds. */
 const extendBeforeMs = 800;
-/** Time by which a loan is extended earlier when its lender is called for another, in milliseconds. */
-const extendEarlierMs = 500;
-/** Time in which extensions at one lender follow the first of them, in milliseconds. */
-const extendTogetherMs = 60;
 /** Time between two requests to extend one loan, in milliseconds. */
 const extendAgainMs = 300;
 /** Rate below which more is borrowed, as a multiple of the recent demand. */
@@ -239,22 +235,10 @@
 	}
 }
 
-/** True: the loan ends soon, or a call to its lender goes out now anyway and it would follow before long. */
-function isExtensionDue({state, now}: Step, {peerId, endsAt}: Loan): boolean {
-	const {extendedPeers} = state.allowances;
-	const remainingMs = endsAt - now;
-	if (remainingMs < extendBeforeMs) {
-		extendedPeers.set(peerId, now);
-		return true;
-	}
-
-	const isCalled = now - (extendedPeers.get(peerId) ?? Number.NEGATIVE_INFINITY) < extendTogetherMs;
-	return isCalled && remainingMs < extendBeforeMs + extendEarlierMs;
-}
-
 /** Asks the lender to extend a loan that ends soon. */
 export function extendLoan(step: Step, loan: Loan): void {
-	if (step.now - loan.extendedAt < extendAgainMs || !isExtensionDue(step, loan)) {
+	const isDue = loan.endsAt - step.now < extendBeforeMs && step.now - loan.extendedAt >= extendAgainMs;
+	if (!isDue) {
 		return;
 	}
 
