Gathering asks for no more than the fleet owns

Cause: with 6 instances under a ceiling of 8, an instance that gathers a small limit asked for the quarter that nobody owns, 16 times a second for each limit.

Change: it asks for the owned fraction times the listed instances.

The properties and scenarios of shares pass.

--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -7,6 +7,7 @@
 import type {LoanFailed, LoanGranted} from '../event.js';
 import {hashText} from '../hash.js';
 import {findPeerAddress, listHeardPeers} from '../membership/peers.js';
+import {computeOwnedFraction} from '../membership/owned-fraction.js';
 import {recordEntry, type Step} from '../state.js';
 import {timelineKind} from '../timeline-entry.js';
 import {updateBucket} from './allowance-state.js';
@@ -78,7 +79,8 @@
 	const net = computeNetShare(step, limitId);
 	if (findGatherer(step, limitId) === step.state.self.instanceId) {
 		extendLoans(step, limitId, net.rate, account.rate);
-		requestRate(step, account, account.rate - net.rate, account.burst - net.room);
+		const part = computeFleetFraction(step);
+		requestRate(step, account, (account.rate * part) - net.rate, (account.burst * part) - net.room);
 		return;
 	}
 
@@ -94,6 +96,12 @@
 	}
 }
 
+/** Estimates the fraction of each limit that all instances own together; asking for more is in vain. */
+function computeFleetFraction(step: Step): number {
+	const instanceCount = step.state.membership.list?.instances.length ?? 0;
+	return Math.min(1, computeOwnedFraction(step) * instanceCount);
+}
+
 function requestRate(step: Step, account: Account, rate: number, room: number): void {
 	if (rate > account.rate * smallestRatePart) {
 		requestShare(step, describeAccountLimitId(account.name), {rate, room, tokens: 0});
