One function brings a limit's bucket up to now

Lending and borrowing each had the same private updateLimit; it stands beside the buckets now and both call it. Behaviour is as before: build, lint, and the tests of shares, limits, targets and style pass (12 of 12).

--- a/packages/core/src/lib/allowance/allowance-state.ts
+++ b/packages/core/src/lib/allowance/allowance-state.ts
@@ -6,7 +6,7 @@
 import type {SpareShare} from '../message.js';
 import type {Step} from '../state.js';
 import {createDemandMeter, recordDemand, type DemandMeter} from './demand-meter.js';
-import {describeAccountLimitId} from './limit.js';
+import {describeAccountLimitId, findLimitAccount} from './limit.js';
 import {computeNetShare, LoanBook} from './share-ledger.js';
 import type {LoanAsk, ShareWant} from './share-want.js';
 import {
@@ -75,6 +75,14 @@
 	return bucket;
 }
 
+/** Brings a limit's bucket, if it has one, up to now, so that a change of share counts from now on. */
+export function updateLimit(step: Step, limitId: string): void {
+	const account = findLimitAccount(limitId);
+	if (account !== undefined && step.state.tables.accountByName.has(account)) {
+		updateBucket(step, account);
+	}
+}
+
 /** Takes one request's token from an account's share. */
 export function tryAdmit(step: Step, account: string): boolean {
 	if (!step.state.tables.accountByName.has(account)) {
--- a/packages/core/src/lib/allowance/borrow-share.ts
+++ b/packages/core/src/lib/allowance/borrow-share.ts
@@ -10,7 +10,7 @@
 import {computeOwnedFraction} from '../membership/owned-fraction.js';
 import {recordEntry, type Step} from '../state.js';
 import {timelineKind} from '../timeline-entry.js';
-import {updateBucket} from './allowance-state.js';
+import {updateBucket, updateLimit} from './allowance-state.js';
 import {computeDemandRate} from './demand-meter.js';
 import {findGatherer, isRoomScarce} from './gather.js';
 import {describeAccountLimitId, findLimit, findLimitAccount} from './limit.js';
@@ -366,13 +366,6 @@
 	return asked.rate > 0 ? given.rate >= asked.rate * 0.9 : given.tokens >= asked.tokens && given.room >= asked.room;
 }
 
-function updateLimit(step: Step, limitId: string): void {
-	const account = findLimitAccount(limitId);
-	if (account !== undefined && step.state.tables.accountByName.has(account)) {
-		updateBucket(step, account);
-	}
-}
-
 /** True when a fresh request for a loan of this limit is not answered yet. */
 export function isLoanExpected({state, now}: Step, limitId: string): boolean {
 	for (const ask of state.allowances.asks.values()) {
--- a/packages/core/src/lib/allowance/lend-share.ts
+++ b/packages/core/src/lib/allowance/lend-share.ts
@@ -7,7 +7,7 @@
 import type {BorrowRequest, LoanAmount} from '../message.js';
 import {recordEntry, type Step} from '../state.js';
 import {timelineKind} from '../timeline-entry.js';
-import {updateBucket} from './allowance-state.js';
+import {updateBucket, updateLimit} from './allowance-state.js';
 import {computeDemandRate} from './demand-meter.js';
 import {findGatherer} from './gather.js';
 import {
@@ -162,14 +162,6 @@
 	return rate - (demand * keptDemandMultiple);
 }
 
-/** Brings the account's bucket up to now, so that a change of share counts from now on. */
-function updateLimit(step: Step, limitId: string): void {
-	const account = findLimitAccount(limitId);
-	if (account !== undefined && step.state.tables.accountByName.has(account)) {
-		updateBucket(step, account);
-	}
-}
-
 function describeAmount({rate, room, tokens}: LoanAmount): string {
 	return `Rate ${rate.toFixed(3)} a second, room ${room.toFixed(3)}, tokens ${tokens.toFixed(3)}.`;
 }
