Gateway on the users' platform: a thin whole path

Cause: the product had no deploy file, took its members from a published list and 0.9 s of processor time to load, so nothing of it ran on the platform.

What is new: packages/dispatch holds the decisions (routes, placement, repeats, cold targets, health, members, directory relay) in one reducer; packages/gateway holds the sockets; platform/ decodes the platform's names. The existing router with rates, loans and tickets stays as it is: a configuration without them costs nothing, since none of that code is in the bundle.

Ruled out: growing the existing reducer. Its parts know each other's state, and its request path is bound to loans and tickets.

--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,13 @@
+/**
+ * The decisions of a gateway: one reducer over all events, with effects as
+ * data. Nothing in this package does input or output.
+ */
+export * from './lib/directory.js';
+export * from './lib/effect.js';
+export * from './lib/event.js';
+export * from './lib/failure.js';
+export type * from './lib/peer-message.js';
+export * from './lib/reducer.js';
+export * from './lib/state.js';
+export type {SelfInfo} from './lib/members.js';
+export {targetSubjectPrefix} from './lib/target-state.js';
--- /dev/null
+++ b/packages/dispatch/src/lib/members.ts
@@ -0,0 +1,148 @@
+/**
+ * The member list, which the instances build themselves: each tells a few
+ * others whom it has heard of and how long ago. Nobody decides who is a
+ * member; a list that is wrong only makes bounds tighter than need be.
+ */
+import {computeRankHash, type FleetView} from './cold-guard.js';
+import type {MemberEntry, PeerMessage} from './peer-message.js';
+
+/** Time without news after which a member is taken off the list, in milliseconds. */
+const memberExpiryMs = 8000;
+/** Time without news after which a member is no longer told to others, in milliseconds. */
+const memberToldMs = 5000;
+/** Members named in one message. */
+const membersPerMessage = 16;
+/** Instances that may exist while the list is not settled yet. */
+const assumedFleetSize = 12;
+/** Time for which an instance has to be in touch with others before it trusts its list, in milliseconds. */
+const settleMs = 3000;
+/** Instances that may exist beside the known ones, as a part of these: replacements that were not heard of yet. */
+const unknownPart = 0.2;
+
+type Member = {
+	readonly id: string;
+	incarnation: string;
+	address: string;
+	zone: string;
+	readonly hash: number;
+	heardAt: number;
+};
+
+export type MemberState = {
+	byId: Map<string, Member>;
+	seedAddresses: readonly string[];
+	/** Since when other instances have been heard without a break. */
+	inTouchSince?: number;
+	lastHeardAt?: number;
+};
+
+export type SelfInfo = {
+	readonly id: string;
+	readonly incarnation: string;
+	readonly address: string;
+	readonly zone: string;
+};
+
+export function createMemberState(seedAddresses: readonly string[]): MemberState {
+	return {byId: new Map(), seedAddresses};
+}
+
+/** Takes a message's word on who is there; returns the members that are new. */
+export function applyMembers(members: MemberState, message: PeerMessage, selfId: string, now: number): string[] {
+	const added: string[] = [];
+	if (message.isLeaving) {
+		members.byId.delete(message.from.id);
+	} else {
+		applyMember(members, message.from, {selfId, now, added});
+	}
+
+	for (const entry of message.members) {
+		applyMember(members, entry, {selfId, now, added});
+	}
+
+	if (members.lastHeardAt === undefined || now - members.lastHeardAt > memberToldMs) {
+		members.inTouchSince = now;
+	}
+
+	members.lastHeardAt = now;
+	return added;
+}
+
+function applyMember(members: MemberState, entry: MemberEntry, {selfId, now, added}: {selfId: string; now: number; added: string[]}): void {
+	if (entry.id === selfId || entry.ageMs > memberToldMs) {
+		return;
+	}
+
+	const heardAt = now - entry.ageMs;
+	const known = members.byId.get(entry.id);
+	if (known === undefined) {
+		members.byId.set(entry.id, {
+			id: entry.id, incarnation: entry.incarnation, address: entry.address, zone: entry.zone, hash: computeRankHash(entry.id), heardAt,
+		});
+		added.push(entry.id);
+	} else if (heardAt > known.heardAt) {
+		known.incarnation = entry.incarnation;
+		known.address = entry.address;
+		known.zone = entry.zone;
+		known.heardAt = heardAt;
+	}
+}
+
+/** Takes members off the list that were not heard of for long; returns them. */
+export function updateMembers(members: MemberState, now: number): string[] {
+	const expired: string[] = [];
+	for (const {id, heardAt} of members.byId.values()) {
+		if (now - heardAt > memberExpiryMs) {
+			members.byId.delete(id);
+			expired.push(id);
+		}
+	}
+
+	return expired;
+}
+
+/** Describes the members for a message: those heard of last. */
+export function describeMembers(members: MemberState, now: number): MemberEntry[] {
+	return [...members.byId.values()]
+		.filter(({heardAt}) => now - heardAt <= memberToldMs)
+		.sort((a, b) => b.heardAt - a.heardAt)
+		.slice(0, membersPerMessage)
+		.map(({
+			id, incarnation, address, zone, heardAt,
+		}) => ({
+			id, incarnation, address, zone, ageMs: Math.round(now - heardAt),
+		}));
+}
+
+/** Computes how many instances may exist; large while this one cannot tell. */
+export function computeFleetView(members: MemberState, selfId: string, now: number): FleetView {
+	const hashes = [...members.byId.values()].map(({hash}) => hash);
+	const selfHash = computeRankHash(selfId);
+	const known = hashes.length + 1;
+	const {inTouchSince, lastHeardAt} = members;
+	const isSettled = inTouchSince !== undefined && now - inTouchSince >= settleMs && now - lastHeardAt! <= memberToldMs;
+	const size = known + Math.ceil(known * unknownPart);
+	return {selfHash, memberHashes: [selfHash, ...hashes], size: isSettled ? size : Math.max(size, assumedFleetSize)};
+}
+
+/**
+ * Chooses whom to call: mostly a member at random, now and then a seed, so
+ * that two parts of the fleet that lost each other meet again.
+ */
+export function choosePartners(members: MemberState, selfAddress: string, count: number, draw: () => number): string[] {
+	const addresses = [...members.byId.values()].map(({address}) => address);
+	const seeds = members.seedAddresses.filter(address => address !== selfAddress);
+	const chosen = new Set<string>();
+	for (let index = 0; index < count; index++) {
+		const useSeed = seeds.length > 0 && (addresses.length === 0 || draw() < seedCallPart);
+		const from = useSeed ? seeds : addresses;
+		if (from.length > 0) {
+			chosen.add(from[Math.floor(draw() * from.length)]!);
+		}
+	}
+
+	return [...chosen];
+}
+
+/** Part of the calls that go to a seed. */
+const seedCallPart = 0.15;
--- /dev/null
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -0,0 +1,31 @@
+/**
+ * What instances tell each other: who is there, and what the platform
+ * published. Ages count from the moment the message was made.
+ */
+import type {DirectoryUpdate} from './directory.js';
+
+export type MemberEntry = {
+	/** Name of the instance. */
+	readonly id: string;
+	/** Different after each start. */
+	readonly incarnation: string;
+	/** Address for peers, IP and port. */
+	readonly address: string;
+	readonly zone: string;
+	/** Time since it was heard of last, in milliseconds. */
+	readonly ageMs: number;
+};
+
+export type PeerMessage = {
+	readonly from: MemberEntry;
+	/** Some of the members that the sender knows. */
+	readonly members: readonly MemberEntry[];
+	/** The sender knows the directory up to here. */
+	readonly revision: number;
+	/** Time since the sender's directory was certainly current, in milliseconds; undefined: never. */
+	readonly directoryAgeMs?: number;
+	/** What the receiver is thought not to know yet. */
+	readonly update?: DirectoryUpdate;
+	/** True: the sender is about to end. */
+	readonly isLeaving?: boolean;
+};
--- /dev/null
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -0,0 +1,127 @@
+/**
+ * The reducer: every decision of a gateway, as a function of its state, an
+ * event and the present time. It does no input or output and reads no clock.
+ */
+import {effectKind, logLevel, type Effect} from './effect.js';
+import {eventKind, type DrainRequested, type Event} from './event.js';
+import {choosePartners} from './members.js';
+import {
+	callPeers, applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
+} from './reduce-fleet.js';
+import {
+	advanceWaiting, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, drainAcceptMs, endOverdue,
+} from './reduce-requests.js';
+import {recordLog, type State, type Step} from './state.js';
+
+/** Applies one event. Changes `state` in place and returns the effects in the order in which they are to be carried out. */
+export function reduce(state: State, event: Event, now: number): readonly Effect[] {
+	const step: Step = {state, now, effects: []};
+	applyEvent(step, event);
+	return step.effects;
+}
+
+function applyEvent(step: Step, event: Event): void {
+	switch (event.kind) {
+		case eventKind.requestArrived: {
+			applyArrival(step, event);
+			break;
+		}
+
+		case eventKind.answerStarted: {
+			applyAnswerStarted(step, event);
+			break;
+		}
+
+		case eventKind.answerSilent: {
+			applyAnswerSilent(step, event);
+			break;
+		}
+
+		case eventKind.sendEnded: {
+			applySendEnded(step, event);
+			finishDrainIfIdle(step);
+			break;
+		}
+
+		case eventKind.callerLeft: {
+			applyCallerLeft(step, event);
+			finishDrainIfIdle(step);
+			break;
+		}
+
+		case eventKind.directoryRead: {
+			applyDirectoryRead(step, event);
+			advanceWaiting(step);
+			break;
+		}
+
+		case eventKind.directoryLost: {
+			applyDirectoryLost(step, event);
+			break;
+		}
+
+		case eventKind.peerCalled: {
+			applyPeerCalled(step, event);
+			break;
+		}
+
+		case eventKind.peerAnswered: {
+			applyPeerAnswered(step, event);
+			break;
+		}
+
+		case eventKind.peerFailed: {
+			applyPeerFailed(step, event);
+			break;
+		}
+
+		case eventKind.drainRequested: {
+			startDrain(step, event);
+			break;
+		}
+
+		case eventKind.settingsChanged: {
+			step.state.members.seedAddresses = event.seedAddresses;
+			recordLog(step, 'settings-changed', {seeds: event.seedAddresses});
+			break;
+		}
+
+		case eventKind.tick: {
+			updateFleet(step);
+			advanceWaiting(step);
+			endOverdue(step);
+			finishDrainIfIdle(step);
+			break;
+		}
+	}
+}
+
+function startDrain(step: Step, {by}: DrainRequested): void {
+	const {state, now} = step;
+	if (state.drainStartedAt !== undefined) {
+		return;
+	}
+
+	state.drainStartedAt = now;
+	recordLog(step, 'drain-started', {by, open: state.open.size}, logLevel.warn);
+	callPeers(step, choosePartners(state.members, state.self.address, leavingFanout, state.draw));
+}
+
+/** Peers that are told that this instance leaves; the others see it expire. */
+const leavingFanout = 3;
+
+/** Ends the drain when nothing is open and callers had time to go elsewhere, or when its time is up. */
+function finishDrainIfIdle(step: Step): void {
+	const {state, now} = step;
+	if (state.drainStartedAt === undefined) {
+		return;
+	}
+
+	const elapsed = now - state.drainStartedAt;
+	if ((state.open.size === 0 && elapsed >= drainAcceptMs + drainSettleMs) || elapsed >= state.bounds.drainLimitMs) {
+		step.effects.push({kind: effectKind.finishDrain});
+	}
+}
+
+/** Time in which refused callers' connections close after the last new request, in milliseconds. */
+const drainSettleMs = 600;
--- /dev/null
+++ b/packages/dispatch/src/lib/retry-budget.ts
@@ -0,0 +1,51 @@
+/**
+ * Bounds repeats so that they hold over the whole fleet without agreement:
+ * each instance repeats no more than a share of its own first sends, and the
+ * fixed allowance is divided by the number of instances that may exist.
+ */
+import {SlidingWindow} from './sliding-window.js';
+
+/** Part of the allowed ratio that is used: first sends and repeats are counted where they arrive, a little later. */
+const ratioUse = 0.8;
+/**
+ * Part of the fixed allowance that is used: an instance that is killed forgets
+ * what it spent, and its successor spends its part again.
+ */
+const allowanceUse = 0.4;
+
+export type RetryBounds = {
+	/** Repeats allowed for each first send. */
+	readonly ratio: number;
+	/** Repeats of the whole fleet allowed beside the ratio. */
+	readonly allowance: number;
+	/** Length of the span that both are counted in, in milliseconds. */
+	readonly spanMs: number;
+};
+
+/** The budget of one pool at one instance. */
+export class RetryBudget {
+	readonly #bounds: RetryBounds;
+	readonly #firsts: SlidingWindow;
+	readonly #repeats: SlidingWindow;
+
+	constructor(bounds: RetryBounds) {
+		this.#bounds = bounds;
+		this.#firsts = new SlidingWindow(bounds.spanMs);
+		this.#repeats = new SlidingWindow(bounds.spanMs);
+	}
+
+	recordFirst(now: number): void {
+		this.#firsts.record(now);
+	}
+
+	recordRepeat(now: number): void {
+		this.#repeats.record(now);
+	}
+
+	/** True when one more repeat keeps to the budget; `fleetSize` is the number of instances that may exist. */
+	mayRepeat(fleetSize: number, now: number): boolean {
+		const {ratio, allowance} = this.#bounds;
+		const share = Math.floor(allowance * allowanceUse / fleetSize);
+		return this.#repeats.count(now) + 1 <= (this.#firsts.count(now) * ratio * ratioUse) + share;
+	}
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/sliding-window.ts
@@ -0,0 +1,39 @@
+/**
+ * Counts events in the span of time before now, exactly: the bounds that it
+ * serves hold for every span of that length.
+ */
+
+export class SlidingWindow {
+	readonly #spanMs: number;
+	#times: number[] = [];
+	#start = 0;
+
+	/** `spanMs` is the length of the span in milliseconds. */
+	constructor(spanMs: number) {
+		this.#spanMs = spanMs;
+	}
+
+	record(now: number): void {
+		this.#times.push(now);
+	}
+
+	/** Counts the events of the span that ends now. */
+	count(now: number): number {
+		const oldest = now - this.#spanMs;
+		while (this.#start < this.#times.length && this.#times[this.#start]! <= oldest) {
+			this.#start++;
+		}
+
+		if (this.#start > 256 && this.#start * 2 > this.#times.length) {
+			this.#times = this.#times.slice(this.#start);
+			this.#start = 0;
+		}
+
+		return this.#times.length - this.#start;
+	}
+
+	/** Time at which the oldest event that counts now leaves the span; undefined: none counts. */
+	findNextExpiry(now: number): number | undefined {
+		return this.count(now) === 0 ? undefined : this.#times[this.#start]! + this.#spanMs;
+	}
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/state.ts
@@ -0,0 +1,126 @@
+/**
+ * The state of one gateway. The reducer owns it and changes it in place. Each
+ * part is typed by its own module; they meet only here.
+ */
+import type {ColdBounds, FleetView} from './cold-guard.js';
+import {createDirectory, type DirectoryState, type Route} from './directory.js';
+import {effectKind, logLevel, type Effect} from './effect.js';
+import {
+	computeFleetView, createMemberState, type MemberState, type SelfInfo,
+} from './members.js';
+import type {PromptPart} from './event.js';
+import {RetryBudget, type RetryBounds} from './retry-budget.js';
+import {createTargetState, type TargetState} from './target-state.js';
+
+/** Bounds that hold over the whole fleet, from the settings. */
+export type FleetBounds = {
+	readonly retry: RetryBounds;
+	readonly cold: ColdBounds;
+	/** Longest time between the order to end and the end, in milliseconds. */
+	readonly drainLimitMs: number;
+};
+
+/** The send of a request that is under way. */
+export type OpenSend = {readonly sendId: number; readonly targetId: string; readonly sentAt: number};
+
+/** A request that has no whole answer yet. */
+export type OpenRequest = {
+	readonly openId: number;
+	readonly requestId: string;
+	readonly host: string;
+	readonly path: string;
+	readonly keyDigest?: string;
+	readonly promptParts: readonly PromptPart[];
+	readonly arrivedAt: number;
+	deadlineAt: number;
+	route: Route;
+	account?: string;
+	poolName: string;
+	/** Version of the tables by which route and account were found. */
+	tablesVersion: number;
+	current?: OpenSend;
+	/** Sends so far. */
+	sendCount: number;
+	/** Sends that may have run. */
+	runCount: number;
+	readonly avoidedIds: Set<string>;
+	/** Part of the answer was delivered. */
+	hasStarted: boolean;
+	/** A target's failure is held for the caller. */
+	hasHeld: boolean;
+	lastEventId?: string;
+	/** Set while no target may get it: time at which waiting ends. */
+	waitsUntil?: number;
+};
+
+export type State = {
+	readonly self: SelfInfo;
+	readonly bounds: FleetBounds;
+	/** Draws from [0, 1). */
+	readonly draw: () => number;
+	directory: DirectoryState;
+	/** Set while the platform does not answer. */
+	directoryLostAt?: number;
+	/** Until then a registration that is missing may only have lapsed. */
+	lapseGraceUntil: number;
+	members: MemberState;
+	nextCallAt: number;
+	targets: TargetState;
+	open: Map<number, OpenRequest>;
+	/** Requests for which no target was found yet, in the order of their arrival. */
+	waiting: Set<OpenRequest>;
+	budgets: Map<string, RetryBudget>;
+	nextSendId: number;
+	drainStartedAt?: number;
+	lastTickAt: number;
+};
+
+/** One step of the reducer. */
+export type Step = {readonly state: State; readonly now: number; readonly effects: Effect[]};
+
+export function createState(self: SelfInfo, bounds: FleetBounds, seedAddresses: readonly string[], draw: () => number): State {
+	return {
+		self,
+		bounds,
+		draw,
+		directory: createDirectory(),
+		lapseGraceUntil: 0,
+		members: createMemberState(seedAddresses),
+		nextCallAt: 0,
+		targets: createTargetState(),
+		open: new Map(),
+		waiting: new Set(),
+		budgets: new Map(),
+		nextSendId: 1,
+		lastTickAt: 0,
+	};
+}
+
+/** Finds the retry budget of a pool. */
+export function findBudget({state}: Step, poolName: string): RetryBudget {
+	let budget = state.budgets.get(poolName);
+	if (budget === undefined) {
+		budget = new RetryBudget(state.bounds.retry);
+		state.budgets.set(poolName, budget);
+	}
+
+	return budget;
+}
+
+type LogFields = Readonly<Record<string, unknown>>;
+type LogLevel = typeof logLevel[keyof typeof logLevel];
+
+export function findFleetView({state, now}: Step): FleetView {
+	return computeFleetView(state.members, state.self.id, now);
+}
+
+export function recordLog(step: Step, event: string, fields: LogFields, level: LogLevel = logLevel.info): void {
+	step.effects.push({
+		kind: effectKind.log, level, event, fields,
+	});
+}
+
+/** True when callers should be sent here: there are tables to serve by, and the process stays. */
+export function isReady({directory, drainStartedAt}: State): boolean {
+	return directory.tables !== undefined && drainStartedAt === undefined;
+}
--- /dev/null
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -0,0 +1,188 @@
+/**
+ * Targets as this instance knows them: what they registered, what it has in
+ * flight there, what they told of their load, and how they answer.
+ */
+import {computeRankHash} from './cold-guard.js';
+import {factKind, type FactChange, type TargetRecord} from './directory.js';
+import {SlidingWindow} from './sliding-window.js';
+import {createHealth, type TargetHealth} from './target-health.js';
+
+/**
+ * Span in which sends to a target count, in milliseconds: the bounds are for a
+ * second at the target, and sends may arrive closer together than they left.
+ */
+const sendSpanMs = 1150;
+/** Time after which a target's word on its load says nothing any more, in milliseconds. */
+const loadEvidenceMs = 3000;
+
+/** What a target said of its load, and what this instance did since. */
+type ToldLoad = {
+	readonly at: number;
+	/** Requests that it ran or kept waiting, from all instances. */
+	readonly load: number;
+	sentSince: number;
+	endedSince: number;
+};
+
+export type Target = {
+	record: TargetRecord;
+	readonly hash: number;
+	/** Requests of this instance that are in flight there. */
+	inFlight: number;
+	readonly recentSends: SlidingWindow;
+	/** Time until which it counts as cold. */
+	coldUntil: number;
+	/** True: it is no longer registered, or is leaving. */
+	isGone: boolean;
+	/** Set while a lost registration may come back: the target stays in use until then. */
+	lapsesAt?: number;
+	health: TargetHealth;
+	told?: ToldLoad;
+};
+
+export type TargetState = {
+	byId: Map<string, Target>;
+	byPool: Map<string, Target[]>;
+};
+
+export function createTargetState(): TargetState {
+	return {byId: new Map(), byPool: new Map()};
+}
+
+/**
+ * Takes changed registrations. While the platform has just come back, a
+ * registration that is missing may only have lapsed: it is kept until
+ * `lapseGraceUntil`.
+ */
+export function applyTargetChanges(targets: TargetState, changes: readonly FactChange[], lapseGraceUntil: number, now: number): void {
+	for (const {subject, fact} of changes) {
+		if (fact?.kind === factKind.target) {
+			applyRecord(targets, fact.target, now);
+			continue;
+		}
+
+		const id = parseTargetSubject(subject);
+		const known = id === undefined ? undefined : targets.byId.get(id);
+		if (known === undefined) {
+			continue;
+		}
+
+		if (now < lapseGraceUntil && !known.isGone) {
+			known.lapsesAt = lapseGraceUntil;
+		} else {
+			known.isGone = true;
+		}
+	}
+
+	indexPools(targets);
+}
+
+/** Renews what a repeated registration says of the rest of a cold start. */
+export function applyTargetRenewals(targets: TargetState, renewals: readonly FactChange[], now: number): void {
+	for (const {fact} of renewals) {
+		if (fact?.kind === factKind.target) {
+			const known = targets.byId.get(fact.target.id);
+			if (known !== undefined) {
+				known.coldUntil = now + fact.target.coldMs;
+			}
+		}
+	}
+}
+
+/** Prefix of the subjects of targets; the rest is the target's id. */
+export const targetSubjectPrefix = 'target/';
+
+function parseTargetSubject(subject: string): string | undefined {
+	return subject.startsWith(targetSubjectPrefix) ? subject.slice(targetSubjectPrefix.length) : undefined;
+}
+
+function applyRecord(targets: TargetState, record: TargetRecord, now: number): void {
+	const known = targets.byId.get(record.id);
+	if (known?.record.bornAt !== record.bornAt) {
+		targets.byId.set(record.id, createTarget(record, now));
+		return;
+	}
+
+	known.record = record;
+	known.isGone = record.isLeaving;
+	known.lapsesAt = undefined;
+	known.coldUntil = now + record.coldMs;
+}
+
+function createTarget(record: TargetRecord, now: number): Target {
+	return {
+		record,
+		hash: computeRankHash(record.id),
+		inFlight: 0,
+		recentSends: new SlidingWindow(sendSpanMs),
+		coldUntil: now + record.coldMs,
+		isGone: record.isLeaving,
+		health: createHealth(),
+	};
+}
+
+/** Ends the grace of lapsed registrations and forgets targets that are gone and idle. */
+export function updateTargets(targets: TargetState, now: number): void {
+	let hasChanged = false;
+	for (const [id, target] of targets.byId) {
+		if (target.lapsesAt !== undefined && now >= target.lapsesAt) {
+			target.lapsesAt = undefined;
+			target.isGone = true;
+		}
+
+		if (target.isGone && target.inFlight === 0 && !target.record.isLeaving) {
+			targets.byId.delete(id);
+			hasChanged = true;
+		}
+	}
+
+	if (hasChanged) {
+		indexPools(targets);
+	}
+}
+
+function indexPools(targets: TargetState): void {
+	targets.byPool = new Map();
+	for (const target of targets.byId.values()) {
+		const list = targets.byPool.get(target.record.pool) ?? [];
+		list.push(target);
+		targets.byPool.set(target.record.pool, list);
+	}
+}
+
+/** Counts a request that is sent. */
+export function recordSend(target: Target, now: number): void {
+	target.inFlight++;
+	target.recentSends.record(now);
+	if (target.told !== undefined) {
+		target.told.sentSince++;
+	}
+
+	if (target.health.isOnTrial) {
+		target.health.hasTrial = true;
+	}
+}
+
+/** Counts a request that is over. */
+export function recordEnd(target: Target): void {
+	target.inFlight--;
+	if (target.told !== undefined) {
+		target.told.endedSince++;
+	}
+}
+
+/** Takes a target's word on its load. */
+export function recordLoad(target: Target, load: number, now: number): void {
+	target.told = {
+		at: now, load, sentSince: 0, endedSince: 0,
+	};
+}
+
+/** Requests at the target from all instances, as far as this one can tell. */
+export function estimateLoad({inFlight, told}: Target, now: number): number {
+	if (told === undefined || now - told.at > loadEvidenceMs) {
+		return inFlight;
+	}
+
+	return Math.max(inFlight, told.load + told.sentSince - told.endedSince);
+}
--- /dev/null
+++ b/packages/gateway/src/lib/connection-pool.ts
@@ -0,0 +1,130 @@
+/**
+ * Connections to targets. A connection is kept only after an exchange in which
+ * nothing odd was seen; whatever arrives on an idle one belongs to no request,
+ * so the connection is closed.
+ */
+import {connect, type Socket} from 'node:net';
+import type {LifecycleManager} from '@sequoiatally/runtime';
+
+/** Idle time after which a connection is closed if the target names none, in milliseconds. */
+const defaultIdleMs = 4000;
+/** Time before the target's own limit at which an idle connection is no longer used, in milliseconds. */
+const idleMarginMs = 700;
+/** Idle time within which a connection counts as alive without proof, in milliseconds. */
+const provenIdleMs = 1000;
+/** Idle connections that are kept to one target. */
+const idlePerTarget = 16;
+
+type IdleConnection = {readonly socket: Socket; readonly idleSince: number; readonly usableUntil: number; readonly close: () => void};
+
+/** A connection for one exchange. */
+export type LeasedConnection = {readonly socket: Socket; readonly isNew: boolean};
+
+export class ConnectionPool {
+	/** Connections opened since the start. */
+	openedCount = 0;
+	readonly #idle = new Map<string, IdleConnection[]>();
+	readonly #readClock: () => number;
+
+	constructor(readClock: () => number, lifecycle: LifecycleManager) {
+		this.#readClock = readClock;
+		lifecycle.own('target connections', () => {
+			this.#closeAll();
+		});
+		lifecycle.ownInterval('idle target connections', 1000, () => {
+			this.#closeExpired();
+		});
+	}
+
+	/** Takes an idle connection, the one used last; opens one if there is none that will do. */
+	lease(address: string, needsProven: boolean): LeasedConnection {
+		const now = this.#readClock();
+		const list = this.#idle.get(address);
+		for (let idle = list?.pop(); idle !== undefined; idle = list?.pop()) {
+			idle.socket.removeListener('data', idle.close);
+			idle.socket.removeListener('close', idle.close);
+			if (idle.socket.destroyed || now >= idle.usableUntil) {
+				idle.socket.destroy();
+				continue;
+			}
+
+			if (needsProven && now - idle.idleSince > provenIdleMs) {
+				// Still good for requests that may be repeated.
+				this.#keep(address, idle);
+				break;
+			}
+
+			idle.socket.ref();
+			return {socket: idle.socket, isNew: false};
+		}
+
+		return {socket: this.#open(address), isNew: true};
+	}
+
+	/** Gives back a connection whose exchange ended well; `idleLimitMs` is the target's word on how long it stays open. */
+	release(address: string, socket: Socket, idleLimitMs: number | undefined): void {
+		const list = this.#idle.get(address) ?? [];
+		const idleMs = Math.min(defaultIdleMs, idleLimitMs === undefined ? defaultIdleMs : idleLimitMs - idleMarginMs);
+		if (socket.destroyed || idleMs <= 0 || list.length >= idlePerTarget) {
+			socket.destroy();
+			return;
+		}
+
+		const now = this.#readClock();
+		const close = () => {
+			socket.destroy();
+		};
+
+		this.#keep(address, {
+			socket, idleSince: now, usableUntil: now + idleMs, close,
+		});
+	}
+
+	#keep(address: string, idle: IdleConnection): void {
+		const list = this.#idle.get(address) ?? [];
+		idle.socket.on('data', idle.close);
+		idle.socket.on('close', idle.close);
+		idle.socket.unref();
+		list.push(idle);
+		this.#idle.set(address, list);
+	}
+
+	#open(address: string): Socket {
+		this.openedCount++;
+		const colon = address.lastIndexOf(':');
+		const socket = connect({host: address.slice(0, colon), port: Number(address.slice(colon + 1)), noDelay: true});
+		socket.on('error', () => {
+			// The exchange that uses the connection is told by its request; an idle one is just closed.
+		});
+		return socket;
+	}
+
+	#closeExpired(): void {
+		const now = this.#readClock();
+		for (const [address, list] of this.#idle) {
+			const kept = list.filter(({socket, usableUntil}) => {
+				const isUsable = !socket.destroyed && now < usableUntil;
+				if (!isUsable) {
+					socket.destroy();
+				}
+
+				return isUsable;
+			});
+			if (kept.length === 0) {
+				this.#idle.delete(address);
+			} else {
+				this.#idle.set(address, kept);
+			}
+		}
+	}
+
+	#closeAll(): void {
+		for (const list of this.#idle.values()) {
+			for (const {socket} of list) {
+				socket.destroy();
+			}
+		}
+
+		this.#idle.clear();
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/lib/gateway-metrics.ts
@@ -0,0 +1,77 @@
+/**
+ * Counters and latency histograms. They are kept as plain numbers; the library
+ * that renders them is loaded when somebody asks for the page.
+ */
+
+/** Upper bounds of the latency histograms, in milliseconds. */
+const bucketsMs = [10, 25, 50, 100, 200, 400, 800, 1500, 3000, 6000, 15_000];
+
+type Histogram = {readonly counts: number[]; sum: number; count: number};
+
+export class GatewayMetrics {
+	readonly #counts = new Map<string, number>();
+	readonly #histograms = new Map<string, Histogram>();
+	readonly #gauges: ReadonlyMap<string, () => number>;
+
+	/** `gauges` are read when the page is rendered. */
+	constructor(gauges: ReadonlyArray<readonly [string, () => number]>) {
+		this.#gauges = new Map(gauges);
+	}
+
+	/** Counts an event of a log line. */
+	count(event: string): void {
+		this.#counts.set(event, (this.#counts.get(event) ?? 0) + 1);
+	}
+
+	/** Records how long something took, in milliseconds. */
+	recordLatency(name: string, tookMs: number): void {
+		let histogram = this.#histograms.get(name);
+		if (histogram === undefined) {
+			histogram = {counts: Array.from({length: bucketsMs.length + 1}, () => 0), sum: 0, count: 0};
+			this.#histograms.set(name, histogram);
+		}
+
+		const found = bucketsMs.findIndex(bound => tookMs <= bound);
+		histogram.counts[found === -1 ? bucketsMs.length : found]!++;
+		histogram.sum += tookMs;
+		histogram.count++;
+	}
+
+	/** Renders the page in the text format of Prometheus. */
+	async render(): Promise<string> {
+		const library = await import('prom-client');
+		const registry = new library.Registry();
+		const events = new library.Counter({
+			name: 'sequoiatally_events_total', help: 'Decisions by kind.', labelNames: ['event'], registers: [registry],
+		});
+		for (const [event, count] of this.#counts) {
+			events.inc({event}, count);
+		}
+
+		for (const [name, read] of this.#gauges) {
+			new library.Gauge({name: `sequoiatally_${name}`, help: name.replaceAll('_', ' '), registers: [registry]}).set(read());
+		}
+
+		return `${await registry.metrics()}${this.#renderHistograms()}`;
+	}
+
+	/** The library's histograms only take single values, so those kept here are written as they are. */
+	#renderHistograms(): string {
+		const lines = ['# HELP sequoiatally_latency_ms Time from arrival to end, in milliseconds.', '# TYPE sequoiatally_latency_ms histogram'];
+		for (const [name, {counts, sum, count}] of this.#histograms) {
+			let total = 0;
+			for (const [index, bound] of bucketsMs.entries()) {
+				total += counts[index]!;
+				lines.push(`sequoiatally_latency_ms_bucket{outcome="${name}",le="${bound}"} ${total}`);
+			}
+
+			lines.push(
+				`sequoiatally_latency_ms_bucket{outcome="${name}",le="+Inf"} ${count}`,
+				`sequoiatally_latency_ms_sum{outcome="${name}"} ${sum}`,
+				`sequoiatally_latency_ms_count{outcome="${name}"} ${count}`,
+			);
+		}
+
+		return `${lines.join('\n')}\n`;
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/lib/gateway.ts
@@ -0,0 +1,245 @@
+/**
+ * One gateway: joins the reducer with its servers and clients. All events pass
+ * through one queue, one after the other, on one thread.
+ */
+import {randomUUID} from 'node:crypto';
+import {createServer} from 'node:http';
+import {
+	createState, effectKind, eventKind, isReady, reduce, type Effect, type Event, type FleetBounds, type State,
+} from '@sequoiatally/dispatch';
+import {
+	BoundedLog, describeError, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
+} from '@sequoiatally/runtime';
+import {CallerServer} from './caller-server.js';
+import {ConnectionPool} from './connection-pool.js';
+import {GatewayMetrics} from './gateway-metrics.js';
+import {listenOn} from './listen.js';
+import {PeerLink} from './peer-link.js';
+import {
+	DirectoryListener, type CallerProtocol, type DirectorySource, type TargetProtocol,
+} from './protocol.js';
+import {TargetClient} from './target-client.js';
+
+/** Time between two ticks of the reducer, in milliseconds: deadlines are kept to this. */
+const tickIntervalMs = 25;
+
+/** Checked settings of a gateway. */
+export type GatewaySettings = {
+	readonly instanceId: string;
+	readonly zone: string;
+	readonly callerAddress: SocketAddress;
+	readonly readyAddress: SocketAddress;
+	readonly peerAddress: SocketAddress;
+	/** Peers to ask for others at the start. */
+	readonly seedAddresses: readonly string[];
+	readonly bounds: FleetBounds;
+};
+
+/** What speaks the protocols around the gateway. */
+export type GatewayProtocols = {
+	readonly callers: CallerProtocol;
+	readonly targets: TargetProtocol;
+	readonly directory: DirectorySource;
+};
+
+class EmittingListener extends DirectoryListener {
+	readonly #gateway: Gateway;
+
+	constructor(gateway: Gateway) {
+		super();
+		this.#gateway = gateway;
+	}
+
+	override handleUpdate(update: Parameters<DirectoryListener['handleUpdate']>[0], askedAt: number): void {
+		this.#gateway.handle({kind: eventKind.directoryRead, update, askedAt});
+	}
+
+	override handleLoss(detail: string): void {
+		this.#gateway.handle({kind: eventKind.directoryLost, detail});
+	}
+
+	override handleUnreadable(subject: string, detail: string): void {
+		this.#gateway.log.write('warn', {event: 'unreadable-entry', subject, detail});
+	}
+}
+
+export class Gateway {
+	readonly log: BoundedLog;
+	readonly state: State;
+	readonly #settings: GatewaySettings;
+	readonly #protocols: GatewayProtocols;
+	readonly #lifecycle: LifecycleManager;
+	readonly #queue: Event[] = [];
+	readonly #callers: CallerServer;
+	readonly #targets: TargetClient;
+	readonly #peers: PeerLink;
+	readonly #metrics: GatewayMetrics;
+	#isRunning = false;
+	#tablesVersion = 0;
+	#isDraining = false;
+	#onDrained?: () => void;
+
+	constructor(settings: GatewaySettings, protocols: GatewayProtocols, lifecycle: LifecycleManager) {
+		const incarnation = randomUUID();
+		this.#settings = settings;
+		this.#protocols = protocols;
+		this.#lifecycle = lifecycle;
+		this.log = new BoundedLog({instance: settings.instanceId, incarnation: incarnation.slice(0, 8)}, readWallMs, lifecycle);
+		const {host, port} = settings.peerAddress;
+		this.state = createState({
+			id: settings.instanceId, incarnation, address: `${host}:${port}`, zone: settings.zone,
+		}, settings.bounds, settings.seedAddresses, Math.random);
+		const emit = (event: Event) => {
+			this.handle(event);
+		};
+
+		const pool = new ConnectionPool(readMonotonicMs, lifecycle);
+		this.#callers = new CallerServer({
+			protocol: protocols.callers,
+			emit,
+			log: (event, fields) => {
+				this.#metrics.count(event);
+				this.log.write('info', {event, ...fields});
+			},
+		});
+		this.#targets = new TargetClient({
+			pool, protocol: protocols.targets, emit, readClock: readMonotonicMs,
+		});
+		this.#metrics = new GatewayMetrics([
+			['open_requests', () => this.state.open.size],
+			['members', () => this.state.members.byId.size + 1],
+			['tables_version', () => this.state.directory.tables?.version ?? 0],
+			['directory_revision', () => this.state.directory.revision],
+			['directory_age_ms', () => readMonotonicMs() - (this.state.directory.confirmedAt ?? 0)],
+			['target_connections_opened', () => pool.openedCount],
+			['log_lines_dropped', () => this.log.droppedTotal],
+		]);
+		this.#peers = new PeerLink({emit, readClock: readMonotonicMs, renderMetrics: async () => this.#metrics.render()}, lifecycle);
+	}
+
+	/** Listens and starts to learn; `onDrained` is called when a drain is over. */
+	async start(onDrained: () => void): Promise<void> {
+		this.#onDrained = onDrained;
+		const readyServer = createServer((_request, response) => {
+			response.writeHead(isReady(this.state) ? 200 : 503, {'Content-Length': '0'});
+			response.end();
+		});
+		this.#protocols.directory.start(new EmittingListener(this), this.#lifecycle);
+		await Promise.all([
+			listenOn(readyServer, this.#settings.readyAddress, this.#lifecycle),
+			this.#callers.listen(this.#settings.callerAddress, this.#lifecycle),
+			this.#peers.listen(this.#settings.peerAddress, this.#lifecycle),
+		]);
+		this.#lifecycle.ownInterval('tick', tickIntervalMs, () => {
+			this.handle({kind: eventKind.tick});
+		});
+		this.log.write('info', {
+			event: 'started', zone: this.#settings.zone, bounds: this.#settings.bounds, seeds: this.#settings.seedAddresses,
+		});
+	}
+
+	/** Handles an event and all that follow from its effects at once. */
+	handle(event: Event): void {
+		this.#queue.push(event);
+		if (this.#isRunning) {
+			return;
+		}
+
+		this.#isRunning = true;
+		try {
+			for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+				for (const effect of reduce(this.state, next, readMonotonicMs())) {
+					this.#carryOut(effect);
+				}
+			}
+
+			this.#followState();
+		} finally {
+			this.#isRunning = false;
+		}
+	}
+
+	/** Brings the servers up to what the state says. */
+	#followState(): void {
+		const {tables} = this.state.directory;
+		if (tables !== undefined && tables.version !== this.#tablesVersion) {
+			this.#tablesVersion = tables.version;
+			this.#callers.useLimits(tables.limits);
+		}
+
+		if (this.state.drainStartedAt !== undefined && !this.#isDraining) {
+			this.#isDraining = true;
+			this.#callers.startDraining();
+		}
+	}
+
+	#carryOut(effect: Effect): void {
+		try {
+			this.#applyEffect(effect);
+		} catch (error) {
+			this.log.write('error', {event: 'effect-failed', effect: effect.kind, detail: describeError(error)});
+		}
+	}
+
+	#applyEffect(effect: Effect): void {
+		switch (effect.kind) {
+			case effectKind.send: {
+				const caller = this.#callers.open.get(effect.openId);
+				if (caller !== undefined) {
+					this.#targets.run(effect, caller);
+				}
+
+				break;
+			}
+
+			case effectKind.cancel: {
+				this.#targets.cancel(effect.sendId);
+				break;
+			}
+
+			case effectKind.refuse: {
+				this.#callers.open.get(effect.openId)?.refuse(effect.failure);
+				break;
+			}
+
+			case effectKind.deliverHeld: {
+				const caller = this.#callers.open.get(effect.openId);
+				if (caller?.held !== undefined) {
+					caller.deliverWhole(caller.held);
+				}
+
+				break;
+			}
+
+			case effectKind.breakOff: {
+				this.#callers.open.get(effect.openId)?.breakOff();
+				break;
+			}
+
+			case effectKind.callPeer: {
+				this.#peers.call(effect);
+				break;
+			}
+
+			case effectKind.answerPeer: {
+				this.#peers.answer(effect.callId, effect.message);
+				break;
+			}
+
+			case effectKind.log: {
+				this.#metrics.count(effect.event);
+				if (typeof effect.fields.tookMs === 'number') {
+					this.#metrics.recordLatency(effect.event, effect.fields.tookMs);
+				}
+
+				this.log.write(effect.level, {event: effect.event, ...effect.fields});
+				break;
+			}
+
+			case effectKind.finishDrain: {
+				this.#onDrained?.();
+				break;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/lib/peer-link.ts
@@ -0,0 +1,148 @@
+/**
+ * Calls between instances: one JSON message each way over HTTP, on connections
+ * that are kept. The same server shows the metrics.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	Agent, createServer, request as startRequest, type IncomingMessage, type ServerResponse,
+} from 'node:http';
+import {
+	eventKind, type CallPeer, type Event, type PeerMessage,
+} from '@sequoiatally/dispatch';
+import {describeError, type LifecycleManager, type SocketAddress} from '@sequoiatally/runtime';
+import {listenOn} from './listen.js';
+
+const peerPath = '/peers';
+const metricsPath = '/metrics';
+/** Longest time of a call, in milliseconds. */
+const callTimeoutMs = 800;
+/** Largest message. */
+const largestMessageBytes = 8 * 1024 * 1024;
+
+export type PeerLinkParts = {
+	readonly emit: (event: Event) => void;
+	readonly readClock: () => number;
+	/** Renders the metrics page. */
+	readonly renderMetrics: () => Promise<string>;
+};
+
+export class PeerLink {
+	readonly #parts: PeerLinkParts;
+	readonly #agent = new Agent({keepAlive: true, maxSockets: 2, maxFreeSockets: 1});
+	readonly #calls = new Map<number, ServerResponse>();
+	#nextCallId = 1;
+
+	constructor(parts: PeerLinkParts, lifecycle: LifecycleManager) {
+		this.#parts = parts;
+		lifecycle.own('peer connections', () => {
+			this.#agent.destroy();
+		});
+	}
+
+	async listen(address: SocketAddress, lifecycle: LifecycleManager): Promise<void> {
+		const server = createServer({keepAliveTimeout: 10_000}, (request, response) => {
+			void this.#serve(request, response);
+		});
+		await listenOn(server, address, lifecycle);
+	}
+
+	/** Calls a peer; the answer comes back as an event. */
+	call({address, message}: CallPeer): void {
+		const askedAt = this.#parts.readClock();
+		const body = JSON.stringify(message);
+		const colon = address.lastIndexOf(':');
+		const request = startRequest({
+			agent: this.#agent,
+			host: address.slice(0, colon),
+			port: Number(address.slice(colon + 1)),
+			method: 'POST',
+			path: peerPath,
+			headers: {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body)},
+			signal: AbortSignal.timeout(callTimeoutMs),
+		});
+		let hasFailed = false;
+		const fail = (detail: string) => {
+			if (!hasFailed) {
+				hasFailed = true;
+				this.#parts.emit({kind: eventKind.peerFailed, address, detail});
+			}
+		};
+
+		request.on('error', error => {
+			fail(describeError(error));
+		});
+		request.on('response', async response => {
+			try {
+				const answer = parseMessage(await readText(response));
+				this.#parts.emit({
+					kind: eventKind.peerAnswered, address, message: answer, askedAt,
+				});
+			} catch (error) {
+				fail(describeError(error));
+			}
+		});
+		request.end(body);
+	}
+
+	/** Answers a peer's call. */
+	answer(callId: number, message: PeerMessage): void {
+		const response = this.#calls.get(callId);
+		this.#calls.delete(callId);
+		response?.writeHead(200, {'Content-Type': 'application/json'});
+		response?.end(JSON.stringify(message));
+	}
+
+	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		try {
+			if (request.url === metricsPath) {
+				const page = await this.#parts.renderMetrics();
+				response.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+				response.end(page);
+				return;
+			}
+
+			if (request.url !== peerPath || request.method !== 'POST') {
+				response.writeHead(404).end();
+				return;
+			}
+
+			const message = parseMessage(await readText(request));
+			const callId = this.#nextCallId++;
+			this.#calls.set(callId, response);
+			this.#parts.emit({kind: eventKind.peerCalled, callId, message});
+		} catch (error) {
+			response.writeHead(400, {'Content-Type': 'text/plain'});
+			response.end(describeError(error));
+		}
+	}
+}
+
+async function readText(message: IncomingMessage): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of message as AsyncIterable<Uint8Array>) {
+		size += chunk.length;
+		if (size > largestMessageBytes) {
+			throw new PeerMessageError('the message is too large');
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+}
+
+/** A message that is not of the form that instances send. */
+export class PeerMessageError extends Error {
+	override readonly name = 'PeerMessageError';
+}
+
+/** Instances of one fleet run one build, so only the outline is checked. */
+function parseMessage(text: string): PeerMessage {
+	const message = JSON.parse(text) as Partial<PeerMessage> | undefined;
+	if (typeof message?.from?.id !== 'string' || !Array.isArray(message.members) || typeof message.revision !== 'number') {
+		throw new PeerMessageError('the message has no sender, members or revision');
+	}
+
+	return message as PeerMessage;
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * What every process shares: life cycle, settings, logs, clocks, time line.
  */
+export * from './lib/bounded-log.js';
 export * from './lib/clock.js';
 export * from './lib/errors.js';
 export * from './lib/lifecycle-manager.js';
--- a/xo.config.mjs
+++ b/xo.config.mjs
@@ -4,7 +4,7 @@
  */
 const config = [
 	{
-		ignores: ['packages/*/build/**', 'packages/peer/src/gen/**', 'results/**'],
+		ignores: ['packages/*/build/**', 'platform/build/**', 'target/**', 'journal/**', 'packages/peer/src/gen/**', 'results/**'],
 	},
 	{
 		rules: {
@@ -27,7 +27,17 @@
 		},
 	},
 	{
-		files: ['packages/*/src/test/**'],
+		files: ['platform/src/main.ts', 'platform/build.mjs'],
+		rules: {
+			// The program ends by its own decision, with a code that says why.
+			'unicorn/no-process-exit': 'off',
+			// The bundler is a tool of the workspace's root.
+			'n/no-extraneous-import': 'off',
+			'import-x/no-extraneous-dependencies': 'off',
+		},
+	},
+	{
+		files: ['packages/*/src/test/**', 'platform/src/test/**'],
 		rules: {
 			// The runner itself waits for each test.
 			'@typescript-eslint/no-floating-promises': ['error', {
