In a large fleet five instances read the store, the others hear from them

Cause: on the grown Hoang Lien site (58 machines) every instance watched the store and pushed whole tables to three peers at each change.

Now: watchers are the first five by rank of the member list; up to eight instances all watch. The others ask a watcher every 0.7 s and get what they lack; one whose directory is older than 1.8 s reads the store itself.

--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -12,6 +12,7 @@
 	breakOff: 'break-off',
 	callPeer: 'call-peer',
 	answerPeer: 'answer-peer',
+	watch: 'watch',
 	log: 'log',
 	finishDrain: 'finish-drain',
 } as const;
@@ -62,8 +63,16 @@
 	readonly fields: Readonly<Record<string, unknown>>;
 };
 
+/** Read the platform, or leave that to others. */
+export type Watch = {
+	readonly kind: typeof effectKind.watch;
+	readonly isWatching: boolean;
+	/** The directory is known up to here. */
+	readonly revision: number;
+};
+
 /** Everything is finished: the process may end. */
 export type FinishDrain = {readonly kind: typeof effectKind.finishDrain};
 
 export type Effect =
-	| Send | Cancel | Refuse | DeliverHeld | BreakOff | CallPeer | AnswerPeer | Log | FinishDrain;
+	| Send | Cancel | Refuse | DeliverHeld | BreakOff | CallPeer | AnswerPeer | Watch | Log | FinishDrain;
--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -3,6 +3,7 @@
  * others whom it has heard of and how long ago. Nobody decides who is a
  * member; a list that is wrong only makes bounds tighter than need be.
  */
+import {mixHashes} from '@sequoiatally/core';
 import {computeRankHash, type FleetView} from './cold-guard.js';
 import type {MemberEntry, PeerMessage} from './peer-message.js';
 
@@ -11,7 +12,11 @@
 /** Time without news after which a member is no longer told to others, in milliseconds. */
 const memberToldMs = 5000;
 /** Members named in one message. */
-const membersPerMessage = 16;
+const membersPerMessage = 12;
+/** Instances that read the platform themselves; as many may be lost at once without a gap. */
+const watcherCount = 5;
+/** Fleet up to which every instance reads the platform. */
+const smallFleet = 8;
 /** Instances that may exist while the list is not settled yet. */
 const assumedFleetSize = 12;
 /** Time for which an instance has to be in touch with others before it trusts its list, in milliseconds. */
@@ -101,11 +106,11 @@
 	return expired;
 }
 
-/** Describes the members for a message: those heard of last. */
-export function describeMembers(members: MemberState, now: number): MemberEntry[] {
-	return [...members.byId.values()]
-		.filter(({heardAt}) => now - heardAt <= memberToldMs)
-		.sort((a, b) => b.heardAt - a.heardAt)
+/** Describes some of the members for a message; which ones is drawn. */
+export function describeMembers(members: MemberState, now: number, draw: () => number): MemberEntry[] {
+	const recent = [...members.byId.values()].filter(({heardAt}) => now - heardAt <= memberToldMs);
+	const first = Math.floor(draw() * recent.length);
+	return [...recent.slice(first), ...recent.slice(0, first)]
 		.slice(0, membersPerMessage)
 		.map(({
 			id, incarnation, address, zone, heardAt,
@@ -119,12 +124,39 @@
 	const hashes = [...members.byId.values()].map(({hash}) => hash);
 	const selfHash = computeRankHash(selfId);
 	const known = hashes.length + 1;
-	const {inTouchSince, lastHeardAt} = members;
-	const isSettled = inTouchSince !== undefined && now - inTouchSince >= settleMs && now - lastHeardAt! <= memberToldMs;
 	const size = known + Math.ceil(known * unknownPart);
-	return {selfHash, memberHashes: [selfHash, ...hashes], size: isSettled ? size : Math.max(size, assumedFleetSize)};
+	return {selfHash, memberHashes: [selfHash, ...hashes], size: isSettled(members, now) ? size : Math.max(size, assumedFleetSize)};
 }
 
+/** True when the list can be trusted: others have been heard for a while without a break. */
+function isSettled({inTouchSince, lastHeardAt}: MemberState, now: number): boolean {
+	return inTouchSince !== undefined && now - inTouchSince >= settleMs && now - lastHeardAt! <= memberToldMs;
+}
+
+/** The instances that read the platform for the others, the same on every instance that knows all of them. */
+export type Watchers = {
+	/** True: this instance reads the platform itself. */
+	readonly includesSelf: boolean;
+	/** Addresses of the others. */
+	readonly addresses: readonly string[];
+};
+
+/** Chooses the watchers by rank; a list that is not settled or small makes everybody one. */
+export function listWatchers(members: MemberState, selfId: string, now: number): Watchers {
+	const others = [...members.byId.values()];
+	if (others.length < smallFleet || !isSettled(members, now)) {
+		return {includesSelf: true, addresses: []};
+	}
+
+	const rankOf = (hash: number) => mixHashes(hash, watcherSeed);
+	const self = {hash: computeRankHash(selfId), address: ''};
+	const first = [...others, self].sort((a, b) => rankOf(b.hash) - rankOf(a.hash)).slice(0, watcherCount);
+	return {includesSelf: first.includes(self), addresses: first.filter(member => member !== self).map(({address}) => address)};
+}
+
+/** Keeps the ranking of watchers apart from other rankings. */
+const watcherSeed = 0x5E_ED;
+
 /**
  * Chooses whom to call: mostly a member at random, now and then a seed, so
  * that two parts of the fleet that lost each other meet again.
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -24,6 +24,10 @@
 	readonly revision: number;
 	/** Time since the sender's directory was certainly current, in milliseconds; undefined: never. */
 	readonly directoryAgeMs?: number;
+	/** True: the sender does not read the platform now, and wants what it lacks. */
+	readonly wantsUpdate: boolean;
+	/** Time for which registrations that lapsed may still come back, in milliseconds. */
+	readonly lapseGraceMs?: number;
 	/** What the receiver is thought not to know yet. */
 	readonly update?: DirectoryUpdate;
 	/** True: the sender is about to end. */
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -10,7 +10,7 @@
 	DirectoryLost, DirectoryRead, PeerAnswered, PeerCalled, PeerFailed,
 } from './event.js';
 import {
-	applyMembers, choosePartners, describeMembers, updateMembers,
+	applyMembers, choosePartners, describeMembers, listWatchers, updateMembers, type Watchers,
 } from './members.js';
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type Step} from './state.js';
@@ -19,13 +19,22 @@
 /** Time between two calls to peers, in milliseconds; a part of it is drawn, so that instances do not call in step. */
 const callIntervalMs = 1000;
 const callIntervalDraw = 0.5;
-/** Peers that are told at once of a change. */
-const pushFanout = 3;
+const followIntervalDraw = 0.2;
+/** The same for instances that leave reading the platform to others: they have to hear of changes in time. */
+const followIntervalMs = 700;
+/** Part of such calls that goes to any member instead. */
+const anyMemberPart = 0.15;
+/** Age of the directory from which an instance reads the platform itself, in milliseconds. */
+const longestUnreadMs = 1800;
+/** Shortest time for which it then goes on, in milliseconds. */
+const watchesAloneMs = 8000;
 /**
  * Time after the platform's return in which lapsed registrations come back, in
  * milliseconds: two seconds by its pages, and the time until they are read.
  */
-const lapseGraceMs = 2600;
+const lapseGraceMs = 2300;
+/** Time without news, from the platform or from peers that read it, after which registrations may have lapsed, in milliseconds. */
+const lapseAfterMs = 2000;
 /** Gap between two ticks from which the process counts as paused, in milliseconds. */
 const pauseMs = 1000;
 
@@ -34,13 +43,12 @@
 	if (state.directoryLostAt !== undefined) {
 		recordLog(step, 'platform-regained', {lostForMs: Math.round(now - state.directoryLostAt), revision: update.revision});
 		state.directoryLostAt = undefined;
-		state.lapseGraceUntil = now + lapseGraceMs;
+		if (now - (state.directory.confirmedAt ?? now) > lapseAfterMs) {
+			state.lapseGraceUntil = now + lapseGraceMs;
+		}
 	}
 
-	const changes = learnUpdate(step, update, askedAt, 'platform');
-	if (changes.length > 0) {
-		pushChanges(step, changes);
-	}
+	learnUpdate(step, update, askedAt, 'platform');
 }
 
 export function applyDirectoryLost(step: Step, {detail}: DirectoryLost): void {
@@ -51,21 +59,18 @@
 	}
 }
 
-/** Takes an update; returns what changed by it. */
-function learnUpdate(step: Step, update: DirectoryUpdate, confirmedAt: number, source: string): readonly FactChange[] {
+function learnUpdate(step: Step, update: DirectoryUpdate, confirmedAt: number, source: string): void {
 	const {state, now} = step;
 	const {changes, renewals} = applyUpdate(state.directory, update, confirmedAt);
 	applyTargetRenewals(state.targets, renewals, now);
 	if (changes.length === 0) {
-		return changes;
+		return;
 	}
 
 	applyTargetChanges(state.targets, changes, state.lapseGraceUntil, now);
 	for (const change of changes) {
 		recordLog(step, 'directory-changed', {...describeChange(change), revision: change.revision, source});
 	}
-
-	return changes;
 }
 
 function describeChange({subject, fact}: FactChange): Record<string, unknown> {
@@ -80,27 +85,21 @@
 		: {subject, state: fact === undefined ? 'gone' : 'present'};
 }
 
-/** Tells a few peers of changes at once; they tell others. */
-function pushChanges(step: Step, changes: readonly FactChange[]): void {
-	const {state} = step;
-	const {revision} = state.directory;
-	const update = {changes, revision, since: revision};
-	for (const address of choosePartners(state.members, state.self.address, pushFanout, state.draw)) {
-		callPeer(step, address, update);
-	}
-}
-
 function callPeer(step: Step, address: string, update?: DirectoryUpdate): void {
 	step.effects.push({kind: effectKind.callPeer, address, message: createMessage(step, update)});
 }
 
 function createMessage({state, now}: Step, update?: DirectoryUpdate): PeerMessage {
-	const {self, directory, members, drainStartedAt} = state;
+	const {
+		self, directory, members, drainStartedAt, lapseGraceUntil,
+	} = state;
 	return {
 		from: {...self, ageMs: 0},
-		members: describeMembers(members, now),
+		members: describeMembers(members, now, state.draw),
 		revision: directory.revision,
 		directoryAgeMs: directory.confirmedAt === undefined ? undefined : Math.round(now - directory.confirmedAt),
+		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
+		lapseGraceMs: lapseGraceUntil > now ? Math.round(lapseGraceUntil - now) : undefined,
 		update,
 		isLeaving: drainStartedAt === undefined ? undefined : true,
 	};
@@ -110,14 +109,14 @@
 export function applyPeerCalled(step: Step, {callId, message}: PeerCalled): void {
 	learnMessage(step, message, step.now);
 	const {directory} = step.state;
-	const update = message.revision < directory.revision ? describeUpdate(directory, message.revision) : undefined;
+	const update = message.wantsUpdate && message.revision < directory.revision ? describeUpdate(directory, message.revision) : undefined;
 	step.effects.push({kind: effectKind.answerPeer, callId, message: createMessage(step, update)});
 }
 
 export function applyPeerAnswered(step: Step, {address, message, askedAt}: PeerAnswered): void {
 	learnMessage(step, message, askedAt);
 	const {directory} = step.state;
-	if (message.revision < directory.revision && !step.state.drainStartedAt) {
+	if (message.wantsUpdate && message.revision < directory.revision) {
 		const update = describeUpdate(directory, message.revision);
 		if (update.changes.length > 0) {
 			callPeer(step, address, update);
@@ -133,7 +132,11 @@
 		recordLog(step, 'members-added', {members: added, from: message.from.id, size: state.members.byId.size + 1});
 	}
 
-	const {update, directoryAgeMs} = message;
+	const {update, directoryAgeMs, lapseGraceMs} = message;
+	if (lapseGraceMs !== undefined) {
+		state.lapseGraceUntil = Math.max(state.lapseGraceUntil, madeAt + lapseGraceMs);
+	}
+
 	if (update === undefined) {
 		if (message.revision === state.directory.revision && directoryAgeMs !== undefined) {
 			state.directory.confirmedAt = Math.max(state.directory.confirmedAt ?? Number.NEGATIVE_INFINITY, madeAt - directoryAgeMs);
@@ -142,10 +145,7 @@
 		return;
 	}
 
-	const changes = learnUpdate(step, update, madeAt - (directoryAgeMs ?? Number.POSITIVE_INFINITY), message.from.id);
-	if (changes.length > 0 && state.directoryLostAt !== undefined) {
-		pushChanges(step, changes);
-	}
+	learnUpdate(step, update, madeAt - (directoryAgeMs ?? Number.POSITIVE_INFINITY), message.from.id);
 }
 
 export function applyPeerFailed(step: Step, {address, detail}: PeerFailed): void {
@@ -173,10 +173,47 @@
 		recordLog(step, 'members-expired', {members: expired, size: state.members.byId.size + 1});
 	}
 
+	const watchers = listWatchers(state.members, state.self.id, now);
+	updateWatching(step, watchers);
 	if (now >= state.nextCallAt) {
-		state.nextCallAt = now + (callIntervalMs * (1 - callIntervalDraw + (2 * callIntervalDraw * state.draw())));
-		for (const address of choosePartners(state.members, state.self.address, 1, state.draw)) {
-			callPeer(step, address);
-		}
+		callNextPeer(step, watchers);
+	}
+}
+
+/** Reads the platform if this instance is a watcher, or hears too little from those that are. */
+function updateWatching(step: Step, {includesSelf}: Watchers): void {
+	const {state, now} = step;
+	const {confirmedAt} = state.directory;
+	if (confirmedAt === undefined || now - confirmedAt > longestUnreadMs) {
+		state.watchesAloneSince = now;
+	} else if (state.watchesAloneSince !== undefined && now - state.watchesAloneSince > watchesAloneMs) {
+		state.watchesAloneSince = undefined;
+	}
+
+	const isWatching = includesSelf || state.watchesAloneSince !== undefined;
+	if (isWatching === state.isWatching) {
+		return;
+	}
+
+	state.isWatching = isWatching;
+	state.directoryLostAt = undefined;
+	step.effects.push({kind: effectKind.watch, isWatching, revision: state.directory.revision});
+	recordLog(step, isWatching ? 'watch-started' : 'watch-stopped', {
+		directoryAgeMs: Math.round(now - (confirmedAt ?? 0)), revision: state.directory.revision, members: state.members.byId.size + 1,
+	});
+}
+
+function callNextPeer(step: Step, {addresses}: Watchers): void {
+	const {state, now} = step;
+	const {draw} = state;
+	const isFollowing = !state.isWatching && addresses.length > 0;
+	const intervalMs = isFollowing ? followIntervalMs : callIntervalMs;
+	const spread = isFollowing ? followIntervalDraw : callIntervalDraw;
+	state.nextCallAt = now + (intervalMs * (1 - spread + (2 * spread * draw())));
+	const partners = isFollowing && draw() >= anyMemberPart
+		? [addresses[Math.floor(draw() * addresses.length)]!]
+		: choosePartners(state.members, state.self.address, 1, draw);
+	for (const address of partners) {
+		callPeer(step, address);
 	}
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -64,6 +64,10 @@
 	/** Until then a registration that is missing may only have lapsed. */
 	lapseGraceUntil: number;
 	members: MemberState;
+	/** True: this instance reads the platform itself. */
+	isWatching: boolean;
+	/** Since when it does, for lack of news from others. */
+	watchesAloneSince?: number;
 	nextCallAt: number;
 	targets: TargetState;
 	open: Map<number, OpenRequest>;
@@ -86,6 +90,7 @@
 		directory: createDirectory(),
 		lapseGraceUntil: 0,
 		members: createMemberState(seedAddresses),
+		isWatching: true,
 		nextCallAt: 0,
 		targets: createTargetState(),
 		open: new Map(),
--- a/packages/dispatch/src/test/directory_test.ts
+++ b/packages/dispatch/src/test/directory_test.ts
@@ -97,6 +97,14 @@
 	assert.equal(gateway.state.targets.byId.has('desk-2'), false);
 });
 
+test('a registration that is gone is taken as gone when the platform was away for a moment only (hunt: trouble-1, seed 188377285629)', () => {
+	const gateway = new GatewayFixture().learn(['desk-1', 'desk-2']);
+	gateway.handle({kind: 'directory-lost', detail: 'one answer was lost'});
+	gateway.advance(700);
+	gateway.learnChanges(9, [{subject: 'target/desk-1', revision: 8}]);
+	assert.equal(gateway.state.targets.byId.get('desk-1')?.isGone, true);
+});
+
 test('a target that was leaving when the platform went away is not kept', () => {
 	const gateway = new GatewayFixture().learn(['desk-1']);
 	gateway.learnChanges(2, [createTargetChange(2, createTargetRecord('desk-1', {isLeaving: true}))]);
--- a/packages/dispatch/src/test/fleet_test.ts
+++ b/packages/dispatch/src/test/fleet_test.ts
@@ -173,3 +173,64 @@
 	passTime(fleet, 3000);
 	assert.equal(second!.state.directory.tables?.version, 1);
 });
+
+/** Lets the instances that read the platform learn the directory anew, as a watch without news does. */
+function confirmWatchers(fleet: ReadonlyMap<string, GatewayFixture>, revision: number, changes: Parameters<GatewayFixture['learnChanges']>[1] = []): number {
+	let count = 0;
+	for (const gateway of fleet.values()) {
+		if (gateway.state.isWatching) {
+			count++;
+			gateway.learnChanges(revision, changes);
+		}
+	}
+
+	return count;
+}
+
+test('in a large fleet few instances read the platform, and the others hear of changes in time', () => {
+	const fleet = createFleet(40);
+	for (const gateway of fleet.values()) {
+		gateway.learn(['desk-1']);
+	}
+
+	for (let index = 0; index < 40; index++) {
+		passTime(fleet, 300);
+		confirmWatchers(fleet, index + 2);
+	}
+
+	// Five by rank, and for some seconds those that heard nothing for too long.
+	const count = confirmWatchers(fleet, 50);
+	assert.ok(count >= 5 && count <= 10, `${count} of 40`);
+	confirmWatchers(fleet, 60, [createTablesChange(59, createTables(2)), createTargetChange(60, createTargetRecord('desk-1', {isLeaving: true}))]);
+	for (let index = 0; index < 6; index++) {
+		passTime(fleet, 300);
+		confirmWatchers(fleet, 61 + index);
+	}
+
+	for (const gateway of fleet.values()) {
+		assert.equal(gateway.state.directory.tables?.version, 2, gateway.state.self.id);
+		assert.equal(gateway.state.targets.byId.get('desk-1')?.isGone, true);
+	}
+});
+
+test('when all that read the platform are lost at once, others take over before the bounds are passed', () => {
+	const fleet = createFleet(40);
+	for (const gateway of fleet.values()) {
+		gateway.learn(['desk-1']);
+	}
+
+	for (let index = 0; index < 40; index++) {
+		passTime(fleet, 300);
+		confirmWatchers(fleet, index + 2);
+	}
+
+	for (const [address, gateway] of fleet) {
+		if (gateway.state.isWatching) {
+			fleet.delete(address);
+		}
+	}
+
+	assert.ok(fleet.size >= 30);
+	passTime(fleet, 2500);
+	assert.ok(confirmWatchers(fleet, 100) > 0);
+});
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -226,6 +226,11 @@
 				break;
 			}
 
+			case effectKind.watch: {
+				this.#protocols.directory.setWatching(effect.isWatching, effect.revision);
+				break;
+			}
+
 			case effectKind.log: {
 				this.#metrics.count(effect.event);
 				if (typeof effect.fields.tookMs === 'number') {
--- a/packages/gateway/src/lib/peer-link.ts
+++ b/packages/gateway/src/lib/peer-link.ts
@@ -3,6 +3,7 @@
  * that are kept. The same server shows the metrics.
  */
 import {Buffer} from 'node:buffer';
+import {deflateSync, inflateSync} from 'node:zlib';
 import {
 	Agent, createServer, request as startRequest, type IncomingMessage, type ServerResponse,
 } from 'node:http';
@@ -16,6 +17,8 @@
 const metricsPath = '/metrics';
 /** Longest time of a call, in milliseconds. */
 const callTimeoutMs = 800;
+/** Size from which messages are compressed. */
+const compressFromBytes = 1500;
 /** Largest message. */
 const largestMessageBytes = 8 * 1024 * 1024;
 
@@ -49,7 +52,7 @@
 	/** Calls a peer; the answer comes back as an event. */
 	call({address, message}: CallPeer): void {
 		const askedAt = this.#parts.readClock();
-		const body = JSON.stringify(message);
+		const {body, encoding} = encodeMessage(message);
 		const colon = address.lastIndexOf(':');
 		const request = startRequest({
 			agent: this.#agent,
@@ -57,7 +60,7 @@
 			port: Number(address.slice(colon + 1)),
 			method: 'POST',
 			path: peerPath,
-			headers: {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body)},
+			headers: {'Content-Type': 'application/json', 'Content-Length': body.length, 'Content-Encoding': encoding},
 			signal: AbortSignal.timeout(callTimeoutMs),
 		});
 		let hasFailed = false;
@@ -88,8 +91,9 @@
 	answer(callId: number, message: PeerMessage): void {
 		const response = this.#calls.get(callId);
 		this.#calls.delete(callId);
-		response?.writeHead(200, {'Content-Type': 'application/json'});
-		response?.end(JSON.stringify(message));
+		const {body, encoding} = encodeMessage(message);
+		response?.writeHead(200, {'Content-Type': 'application/json', 'Content-Length': body.length, 'Content-Encoding': encoding});
+		response?.end(body);
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -129,7 +133,14 @@
 		chunks.push(chunk);
 	}
 
-	return Buffer.concat(chunks).toString('utf8');
+	const body = Buffer.concat(chunks);
+	return (message.headers['content-encoding'] === 'deflate' ? inflateSync(body, {maxOutputLength: largestMessageBytes}) : body).toString('utf8');
+}
+
+/** Whole tables are mostly names that repeat: compressed, they do not fill a narrow link. */
+function encodeMessage(message: PeerMessage): {body: Uint8Array; encoding: string} {
+	const body = Buffer.from(JSON.stringify(message));
+	return body.length > compressFromBytes ? {body: deflateSync(body, {level: 1}), encoding: 'deflate'} : {body, encoding: 'identity'};
 }
 
 /** A message that is not of the form that instances send. */
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -77,4 +77,6 @@
 /** Reads the directory and goes on telling what changes. */
 export abstract class DirectorySource {
 	abstract start(listener: DirectoryListener, lifecycle: LifecycleManager): void;
+	/** Stops telling changes, or goes on from a revision. */
+	abstract setWatching(isWatching: boolean, revision: number): void;
 }
