Instances tell each other of busy targets; a draining instance takes what it can finish

Messages between peers now carry the busiest targets' loads with their age, and the mean counts all registered targets.

A target whose address another process has is left alone for five seconds.

--- a/packages/dispatch/src/lib/cold-guard.ts
+++ b/packages/dispatch/src/lib/cold-guard.ts
@@ -30,6 +30,11 @@
  * would have to use it up at one target, in the second in which it turns cold.
  */
 const warmOvercommit = 3.5;
+/**
+ * Least that an instance of a large fleet may send to a warm target in a second:
+ * there the load cap keeps many instances from meeting at one target.
+ */
+const smallestWarmShare = 3;
 /** Share of the cold rate that is aimed at; the rest absorbs differing member lists. */
 const coldUse = 0.8;
 
@@ -44,7 +49,7 @@
  */
 export function computeWarmShare(ratePerS: number, bounds: ColdBounds, {size}: FleetView): number {
 	const total = (ratePerS * bounds.overshoot) + bounds.slack;
-	return Math.max(1, Math.floor(total * warmOvercommit / size));
+	return Math.max(smallestWarmShare, Math.floor(total * warmOvercommit / size));
 }
 
 function computeShare(targetHash: number, total: number, {selfHash, memberHashes, size}: FleetView): number {
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -46,8 +46,10 @@
 	complete: 'complete',
 	/** No byte of the request left this process. */
 	unreached: 'unreached',
-	/** The target said that it did not run the request, or another process has its address. */
+	/** The target said that it did not run the request. */
 	rejected: 'rejected',
+	/** Another process has the target's address; it did not run the request. */
+	misdirected: 'misdirected',
 	/** The target answered with a failure; the answer is held for the caller. */
 	failed: 'failed',
 	/** The request may have run, and nothing of an answer was delivered. */
--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -35,6 +35,8 @@
 
 export type MemberState = {
 	byId: Map<string, Member>;
+	/** When calls to addresses failed last: what others heard of them before that does not count. */
+	failedAt: Map<string, number>;
 	seedAddresses: readonly string[];
 	/** Since when other instances have been heard without a break. */
 	inTouchSince?: number;
@@ -49,7 +51,7 @@
 };
 
 export function createMemberState(seedAddresses: readonly string[]): MemberState {
-	return {byId: new Map(), seedAddresses};
+	return {byId: new Map(), failedAt: new Map(), seedAddresses};
 }
 
 /** Takes a message's word on who is there; returns the members that are new. */
@@ -79,6 +81,10 @@
 	}
 
 	const heardAt = now - entry.ageMs;
+	if (heardAt <= (members.failedAt.get(entry.address) ?? Number.NEGATIVE_INFINITY)) {
+		return;
+	}
+
 	const known = members.byId.get(entry.id);
 	if (known === undefined) {
 		members.byId.set(entry.id, {
@@ -93,9 +99,27 @@
 	}
 }
 
+/** Takes a member off the list that could not be called; returns whether there was one. */
+export function forgetMember(members: MemberState, address: string, now: number): boolean {
+	members.failedAt.set(address, now);
+	for (const member of members.byId.values()) {
+		if (member.address === address) {
+			return members.byId.delete(member.id);
+		}
+	}
+
+	return false;
+}
+
 /** Takes members off the list that were not heard of for long; returns them. */
 export function updateMembers(members: MemberState, now: number): string[] {
 	const expired: string[] = [];
+	for (const [address, failedAt] of members.failedAt) {
+		if (now - failedAt > memberExpiryMs) {
+			members.failedAt.delete(address);
+		}
+	}
+
 	for (const {id, heardAt} of members.byId.values()) {
 		if (now - heardAt > memberExpiryMs) {
 			members.byId.delete(id);
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -16,6 +16,14 @@
 	readonly ageMs: number;
 };
 
+/** What a target told of its load. */
+export type SharedLoad = {
+	readonly targetId: string;
+	/** Requests that it ran or kept waiting. */
+	readonly load: number;
+	readonly ageMs: number;
+};
+
 export type PeerMessage = {
 	readonly from: MemberEntry;
 	/** Some of the members that the sender knows. */
@@ -24,6 +32,8 @@
 	readonly revision: number;
 	/** Time since the sender's directory was certainly current, in milliseconds; undefined: never. */
 	readonly directoryAgeMs?: number;
+	/** Loads of the busiest targets. */
+	readonly loads: readonly SharedLoad[];
 	/** True: the sender does not read the platform now, and wants what it lacks. */
 	readonly wantsUpdate: boolean;
 	/** Time for which registrations that lapsed may still come back, in milliseconds. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -66,7 +66,7 @@
 		return undefined;
 	}
 
-	const load = new PoolLoad(usable, now);
+	const load = new PoolLoad(open, now);
 	if (promptKey === undefined) {
 		return {target: chooseLeastLoaded(view, candidates, load)};
 	}
--- a/packages/dispatch/src/lib/pool-load.ts
+++ b/packages/dispatch/src/lib/pool-load.ts
@@ -6,7 +6,7 @@
 import type {Target} from './target-state.js';
 
 /** Age at which a target's word has lost two thirds of its weight, in milliseconds: about as long as requests last. */
-const evidenceMs = 900;
+const evidenceMs = 1200;
 
 export class PoolLoad {
 	/** Mean load of the targets. */
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -10,11 +10,13 @@
 	DirectoryLost, DirectoryRead, PeerAnswered, PeerCalled, PeerFailed,
 } from './event.js';
 import {
-	applyMembers, choosePartners, describeMembers, listWatchers, updateMembers, type Watchers,
+	applyMembers, choosePartners, describeMembers, forgetMember, listWatchers, updateMembers, type Watchers,
 } from './members.js';
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type Step} from './state.js';
-import {applyTargetChanges, applyTargetRenewals, updateTargets} from './target-state.js';
+import {
+	applyLoads, applyTargetChanges, describeLoads, applyTargetRenewals, updateTargets,
+} from './target-state.js';
 
 /** Time between two calls to peers, in milliseconds; a part of it is drawn, so that instances do not call in step. */
 const callIntervalMs = 1000;
@@ -22,10 +24,12 @@
 const followIntervalDraw = 0.2;
 /** The same for instances that leave reading the platform to others: they have to hear of changes in time. */
 const followIntervalMs = 700;
+/** Time from a call that failed to the next one, in milliseconds. */
+const againMs = 100;
 /** Part of such calls that goes to any member instead. */
-const anyMemberPart = 0.15;
+const anyMemberPart = 0.1;
 /** Age of the directory from which an instance reads the platform itself, in milliseconds. */
-const longestUnreadMs = 1800;
+const longestUnreadMs = 2800;
 /** Shortest time for which it then goes on, in milliseconds. */
 const watchesAloneMs = 8000;
 /**
@@ -98,6 +102,7 @@
 		members: describeMembers(members, now, state.draw),
 		revision: directory.revision,
 		directoryAgeMs: directory.confirmedAt === undefined ? undefined : Math.round(now - directory.confirmedAt),
+		loads: describeLoads(state.targets, now),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
 		lapseGraceMs: lapseGraceUntil > now ? Math.round(lapseGraceUntil - now) : undefined,
 		update,
@@ -133,6 +138,7 @@
 	}
 
 	const {update, directoryAgeMs, lapseGraceMs} = message;
+	applyLoads(state.targets, message.loads, madeAt);
 	if (lapseGraceMs !== undefined) {
 		state.lapseGraceUntil = Math.max(state.lapseGraceUntil, madeAt + lapseGraceMs);
 	}
@@ -149,7 +155,13 @@
 }
 
 export function applyPeerFailed(step: Step, {address, detail}: PeerFailed): void {
-	recordLog(step, 'peer-failed', {address, detail});
+	const {state, now} = step;
+	const wasMember = forgetMember(state.members, address, now);
+	recordLog(step, 'peer-failed', {
+		address, detail, wasMember, size: state.members.byId.size + 1,
+	});
+	// The news that this call should have brought is asked of another at once.
+	state.nextCallAt = Math.min(state.nextCallAt, now + againMs);
 }
 
 /** Calls some peers without news, so that they hear how this instance stands. */
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -45,7 +45,7 @@
 const retryAfterSpreadMs = 250;
 /** Age of the directory from which a "no" of it is not certain any more, in milliseconds. */
 const certainAgeMs = 1500;
-/** Time after the order to end in which new requests are still taken, in milliseconds. */
+/** Time after the order to end in which every new request is still taken, in milliseconds; later, those that are sure to end in time. */
 export const drainAcceptMs = 2600;
 
 /** A resolved request: where its route and its key lead. */
@@ -100,15 +100,15 @@
 		return err(createFailure(failureReason.notReady, drawRetryAfter(step)));
 	}
 
-	if (drainStartedAt !== undefined && step.now - drainStartedAt > drainAcceptMs) {
-		return err(createFailure(failureReason.draining, 0));
-	}
-
 	const route = findRoute(directory.routes, host, path);
 	if (route === undefined) {
 		return err(createCertain(step, failureReason.noRoute));
 	}
 
+	if (drainStartedAt !== undefined && !canFinishInDrain(step, route, drainStartedAt)) {
+		return err(createFailure(failureReason.draining, 0));
+	}
+
 	if (route.isPublic || directory.tables.accounts === undefined) {
 		return ok({route});
 	}
@@ -117,6 +117,12 @@
 	return account === undefined ? err(createCertain(step, failureReason.keyUnknown)) : ok({route, account});
 }
 
+/** True when a new request can be answered before this instance ends. */
+function canFinishInDrain({state, now}: Step, route: Route, drainStartedAt: number): boolean {
+	const elapsed = now - drainStartedAt;
+	return elapsed <= drainAcceptMs || elapsed + route.timeLimitMs <= state.bounds.drainLimitMs;
+}
+
 /** A "no" that rests on an old directory is not certain: another instance may know better. */
 function createCertain(step: Step, reason: typeof failureReason.noRoute | typeof failureReason.keyUnknown): Failure {
 	const age = computeDirectoryAge(step);
@@ -320,6 +326,7 @@
 	[sendOutcome.complete]: verdict.good,
 	[sendOutcome.unreached]: verdict.unreached,
 	[sendOutcome.rejected]: undefined,
+	[sendOutcome.misdirected]: verdict.replaced,
 	[sendOutcome.failed]: verdict.failed,
 	[sendOutcome.lost]: verdict.lost,
 	[sendOutcome.interrupted]: verdict.lost,
@@ -341,6 +348,7 @@
 		}
 
 		case sendOutcome.unreached:
+		case sendOutcome.misdirected:
 		case sendOutcome.rejected: {
 			request.runCount--;
 			sendAgainOrFail(step, request, createUnrunFailure(step, request, failureReason.notRun));
--- a/packages/dispatch/src/lib/target-health.ts
+++ b/packages/dispatch/src/lib/target-health.ts
@@ -13,12 +13,16 @@
 	lost: 'lost',
 	/** No connection could be made. */
 	unreached: 'unreached',
+	/** Another process has its address: it has ended, and its registration will follow. */
+	replaced: 'replaced',
 } as const;
 export type Verdict = typeof verdict[keyof typeof verdict];
 
 /** First time for which a target is set aside, in milliseconds; doubles with each repeat. */
 const firstPauseMs = 600;
 const longestPauseMs = 4000;
+/** Time for which a target is set aside whose address another process has, in milliseconds: registrations lapse within it. */
+const replacedPauseMs = 5000;
 /** Answers lost in a row after which a target is set aside. */
 const lostInRow = 2;
 /** Failures counted from this weight on: fewer say nothing. */
@@ -71,6 +75,12 @@
 		return false;
 	}
 
+	if (found === verdict.replaced) {
+		health.asideUntil = now + replacedPauseMs;
+		health.isOnTrial = true;
+		return true;
+	}
+
 	const isFailingMore = health.weight >= enoughWeight
 		&& computeFailingShare(health) > Math.max(failingShare, poolShare * poolMultiple);
 	if (found === verdict.unreached || health.lostRow >= lostInRow || isFailingMore || (wasOnTrial && found !== verdict.failed)) {
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -4,6 +4,7 @@
  */
 import {computeRankHash} from './cold-guard.js';
 import {factKind, type FactChange, type TargetRecord} from './directory.js';
+import type {SharedLoad} from './peer-message.js';
 import {SlidingWindow} from './sliding-window.js';
 import {createHealth, type TargetHealth} from './target-health.js';
 
@@ -15,6 +16,8 @@
 /** What a target said of its load. */
 type ToldLoad = {
 	readonly at: number;
+	/** Requests that it ran or kept waiting, from all instances. */
+	readonly load: number;
 	/** Requests of other instances that it ran or kept waiting. */
 	readonly others: number;
 };
@@ -161,5 +164,35 @@
 
 /** Takes a target's word on its load; what this instance has in flight there is part of it. */
 export function recordLoad(target: Target, load: number, now: number): void {
-	target.told = {at: now, others: Math.max(0, load - target.inFlight)};
+	target.told = {at: now, load, others: Math.max(0, load - target.inFlight)};
+}
+
+/** Age up to which loads are told to peers, in milliseconds. */
+const sharedLoadMs = 2000;
+/** Load from which a target is worth telling: below, no cap is near. */
+const sharedLoadFloor = 4;
+/** Targets told in one message, the busiest first. */
+const sharedLoadCount = 24;
+
+/** Describes the busiest targets for peers: in a large fleet one instance hears of each target too rarely. */
+export function describeLoads({byId}: TargetState, now: number): SharedLoad[] {
+	const loads: SharedLoad[] = [];
+	for (const [targetId, {told}] of byId) {
+		if (told !== undefined && told.load >= sharedLoadFloor && now - told.at <= sharedLoadMs) {
+			loads.push({targetId, load: told.load, ageMs: Math.round(now - told.at)});
+		}
+	}
+
+	return loads.sort((a, b) => b.load - a.load).slice(0, sharedLoadCount);
+}
+
+/** Takes loads that a peer heard of, if they are newer than what is known; `madeAt` is a time before the peer's message. */
+export function applyLoads({byId}: TargetState, loads: readonly SharedLoad[], madeAt: number): void {
+	for (const {targetId, load, ageMs} of loads) {
+		const target = byId.get(targetId);
+		const at = madeAt - ageMs;
+		if (target !== undefined && at > (target.told?.at ?? Number.NEGATIVE_INFINITY)) {
+			target.told = {at, load, others: Math.max(0, load - target.inFlight)};
+		}
+	}
 }
--- a/packages/dispatch/src/test/fleet_test.ts
+++ b/packages/dispatch/src/test/fleet_test.ts
@@ -234,3 +234,24 @@
 	passTime(fleet, 2500);
 	assert.ok(confirmWatchers(fleet, 100) > 0);
 });
+
+test('instances tell each other of busy targets, so that a prompt is not sent where many others went (large fleet, hot key)', () => {
+	const fleet = createFleet(2);
+	const [first, second] = [...fleet.values()];
+	for (const gateway of fleet.values()) {
+		gateway.learn(Array.from({length: 8}, (_, index) => `engine-${index}`));
+	}
+
+	passTime(fleet, 3000);
+	const route = createTables().routes[0]!;
+	const prompt = ['hot', 'own'];
+	second!.arrive(route, {prompt});
+	const {targetId: home} = second!.takeSend();
+	for (let index = 0; index < 10; index++) {
+		first!.state.targets.byId.get(home)!.told = {at: first!.now, load: 30, others: 30};
+		passTime(fleet, 300);
+	}
+
+	second!.arrive(route, {prompt});
+	assert.notEqual(second!.takeSend().targetId, home);
+});
--- a/packages/dispatch/src/test/placement_test.ts
+++ b/packages/dispatch/src/test/placement_test.ts
@@ -73,7 +73,7 @@
 	const gateway = new GatewayFixture().learn(engines);
 	const targets = gateway.state.targets.byPool.get('engines')!;
 	for (const [index, target] of targets.entries()) {
-		target.told = {at: gateway.now, others: index === 0 ? 24 : 0};
+		target.told = {at: gateway.now, load: index === 0 ? 24 : 0, others: index === 0 ? 24 : 0};
 	}
 
 	const fresh = new PoolLoad(targets, gateway.now);
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -27,7 +27,7 @@
 });
 
 test('a request that may run once goes to another target after proof that it did not run', () => {
-	for (const outcome of [sendOutcome.rejected, sendOutcome.unreached]) {
+	for (const outcome of [sendOutcome.rejected, sendOutcome.unreached, sendOutcome.misdirected]) {
 		const gateway = new GatewayFixture().learn(desks);
 		gateway.arrive(onceRoute);
 		const first = gateway.takeSend();
@@ -218,8 +218,10 @@
 	const send = gateway.takeSend();
 	gateway.advance(2700);
 	gateway.effects = [];
-	gateway.arrive(onceRoute);
+	gateway.arrive(createRoute({timeLimitMs: 15_000}), {prompt: ['a', 'b']});
 	assert.deepEqual(gateway.listRefusals(), [503]);
+	gateway.arrive(onceRoute);
+	endSend(gateway, gateway.takeSend(), sendOutcome.complete);
 	gateway.advance(600);
 	assert.ok(gateway.effects.every(({kind}) => kind !== effectKind.finishDrain) || gateway.state.open.size === 0);
 	endSend(gateway, send, sendOutcome.complete);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -30,6 +30,8 @@
 	readonly callerAddress: SocketAddress;
 	readonly readyAddress: SocketAddress;
 	readonly peerAddress: SocketAddress;
+	/** Where metrics are served beside the address for peers; undefined: nowhere. */
+	readonly metricsAddress?: SocketAddress;
 	/** Peers to ask for others at the start. */
 	readonly seedAddresses: readonly string[];
 	readonly bounds: FleetBounds;
@@ -130,6 +132,7 @@
 			this.#callers.listen(this.#settings.callerAddress, this.#lifecycle),
 			this.#peers.listen(this.#settings.peerAddress, this.#lifecycle),
 		]);
+		await this.#listenForMetrics();
 		this.#lifecycle.ownInterval('tick', tickIntervalMs, () => {
 			this.handle({kind: eventKind.tick});
 		});
@@ -159,6 +162,20 @@
 		}
 	}
 
+	/** Metrics are no reason not to serve: a port that is taken is only told. */
+	async #listenForMetrics(): Promise<void> {
+		const {metricsAddress} = this.#settings;
+		if (metricsAddress === undefined) {
+			return;
+		}
+
+		try {
+			await this.#peers.listen(metricsAddress, this.#lifecycle);
+		} catch (error) {
+			this.log.write('warn', {event: 'metrics-not-served', port: metricsAddress.port, detail: describeError(error)});
+		}
+	}
+
 	/** Brings the servers up to what the state says. */
 	#followState(): void {
 		const {tables} = this.state.directory;
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -193,7 +193,7 @@
 		const {statusCode = 0, rawHeaders} = response;
 		const detail = `status ${statusCode}`;
 		if (kind === answerKind.otherTarget) {
-			this.#endWell(response, sendOutcome.unreached, 'another process has the address');
+			this.#endWell(response, sendOutcome.misdirected, 'another process has the address');
 		} else if (kind === answerKind.notRun) {
 			this.#endWell(response, sendOutcome.rejected, detail);
 		} else if (promiseStatuses.has(statusCode) || (this.#caller.hasStarted)) {
