--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -32,7 +32,7 @@
 	readonly revision: number;
 	/** Time since the sender's directory was certainly current, in milliseconds; undefined: never. */
 	readonly directoryAgeMs?: number;
-	/** Loads of the busiest targets. */
+	/** Loads that targets told lately. */
 	readonly loads: readonly SharedLoad[];
 	/** True: the sender does not read the platform now, and wants what it lacks. */
 	readonly wantsUpdate: boolean;
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -169,21 +169,19 @@
 
 /** Age up to which loads are told to peers, in milliseconds. */
 const sharedLoadMs = 2000;
-/** Load from which a target is worth telling: below, no cap is near. */
-const sharedLoadFloor = 4;
-/** Targets told in one message, the busiest first. */
-const sharedLoadCount = 24;
+/** Targets told in one message, the latest first: a choice by load would make the pool look busier than it is. */
+const sharedLoadCount = 32;
 
-/** Describes the busiest targets for peers: in a large fleet one instance hears of each target too rarely. */
+/** Describes loads for peers: in a large fleet one instance hears of each target too rarely. */
 export function describeLoads({byId}: TargetState, now: number): SharedLoad[] {
 	const loads: SharedLoad[] = [];
 	for (const [targetId, {told}] of byId) {
-		if (told !== undefined && told.load >= sharedLoadFloor && now - told.at <= sharedLoadMs) {
+		if (told !== undefined && now - told.at <= sharedLoadMs) {
 			loads.push({targetId, load: told.load, ageMs: Math.round(now - told.at)});
 		}
 	}
 
-	return loads.sort((a, b) => b.load - a.load).slice(0, sharedLoadCount);
+	return loads.sort((a, b) => a.ageMs - b.ageMs).slice(0, sharedLoadCount);
 }
 
 /** Takes loads that a peer heard of, if they are newer than what is known; `madeAt` is a time before the peer's message. */
--- a/packages/dispatch/src/test/fleet_test.ts
+++ b/packages/dispatch/src/test/fleet_test.ts
@@ -248,7 +248,11 @@
 	second!.arrive(route, {prompt});
 	const {targetId: home} = second!.takeSend();
 	for (let index = 0; index < 10; index++) {
-		first!.state.targets.byId.get(home)!.told = {at: first!.now, load: 30, others: 30};
+		for (const {record, ...target} of first!.state.targets.byId.values()) {
+			const load = record.id === home ? 30 : 1;
+			first!.state.targets.byId.get(record.id)!.told = {at: first!.now, load, others: load - target.inFlight};
+		}
+
 		passTime(fleet, 300);
 	}
 
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -4,6 +4,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {createServer} from 'node:http';
+import process from 'node:process';
 import {
 	createState, effectKind, eventKind, isReady, reduce, type Effect, type Event, type FleetBounds, type State,
 } from '@sequoiatally/dispatch';
@@ -136,8 +137,14 @@
 		this.#lifecycle.ownInterval('tick', tickIntervalMs, () => {
 			this.handle({kind: eventKind.tick});
 		});
+		const {user, system} = process.cpuUsage();
 		this.log.write('info', {
-			event: 'started', zone: this.#settings.zone, bounds: this.#settings.bounds, seeds: this.#settings.seedAddresses,
+			event: 'started',
+			zone: this.#settings.zone,
+			bounds: this.#settings.bounds,
+			seeds: this.#settings.seedAddresses,
+			startCpuMs: Math.round((user + system) / 1000),
+			residentMb: Math.round(process.memoryUsage.rss() / (1024 * 1024)),
 		});
 	}
 
