--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -13,9 +13,14 @@
 import {isUsable} from './target-health.js';
 import type {Target} from './target-state.js';
 
-/** A target takes no more than this multiple of its pool's mean load, and the floor beside it. */
-const loadMultiple = 1.9;
-const loadFloor = 3;
+/** What a target may hold: a multiple of its pool's mean load, and a floor beside it. */
+type LoadCap = {readonly multiple: number; readonly floor: number};
+/** Where every instance hears of every target about once a second; the platform's bound is 2 x mean + 3. */
+const smallFleetCap: LoadCap = {multiple: 1.9, floor: 3};
+/** Where instances hear of targets rarely and many of them choose by the same word. */
+const largeFleetCap: LoadCap = {multiple: 1.5, floor: 1.5};
+/** Instances up to which a fleet is small. */
+const smallFleet = 12;
 /** Part of a pool's targets that has to be in good health; below it, health is no longer looked at. */
 const healthyFloor = 0.4;
 /** What another zone counts for, as a part of a target's slots. */
@@ -52,6 +57,10 @@
 
 export type Placement = {
 	readonly target: Target;
+	/** Requests at the target from all instances, as estimated. */
+	readonly load: number;
+	/** Mean of that over the pool's targets. */
+	readonly meanLoad: number;
 	/** Why the target that ranks first for the prompt was passed over; undefined: it was not. */
 	readonly passedOver?: PassedOverReason;
 };
@@ -68,17 +77,22 @@
 
 	const load = new PoolLoad(open, now);
 	if (promptKey === undefined) {
-		return {target: chooseLeastLoaded(view, candidates, load)};
+		const target = chooseLeastLoaded(view, candidates, load);
+		return {target, load: load.estimate(target), meanLoad: load.mean};
 	}
 
 	const ranked = sortByHash(open, promptKey);
-	const cap = (loadMultiple * load.mean) + loadFloor;
+	const {multiple, floor} = view.fleet.size <= smallFleet ? smallFleetCap : largeFleetCap;
+	const cap = (multiple * load.mean) + floor;
 	const candidateSet = new Set(candidates);
 	const fitting = ranked.filter(other => candidateSet.has(other) && load.estimate(other) + 1 <= cap);
 	// A cold target is slow and has nothing to reuse: it starts with what the others cannot take.
 	const target = fitting.find(other => other.coldUntil <= now) ?? fitting[0] ?? chooseLeastLoaded(view, candidates, load);
 	const home = ranked[0]!;
-	return {target, passedOver: target === home ? undefined : explainPassedOver(home, {usable, candidateSet, avoidedIds})};
+	const passedOver = target === home ? undefined : explainPassedOver(home, {usable, candidateSet, avoidedIds});
+	return {
+		target, load: load.estimate(target), meanLoad: load.mean, passedOver,
+	};
 }
 
 type Considered = {readonly usable: readonly Target[]; readonly candidateSet: ReadonlySet<Target>; readonly avoidedIds: ReadonlySet<string>};
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -248,7 +248,9 @@
 	return true;
 }
 
-function startSend(step: Step, request: OpenRequest, {target, passedOver}: Placement): void {
+function startSend(step: Step, request: OpenRequest, {
+	target, load, meanLoad, passedOver,
+}: Placement): void {
 	const {state, now} = step;
 	const {route} = request;
 	if (request.sendCount > 0) {
@@ -279,6 +281,8 @@
 		requestId: request.requestId, route: route.name, account: request.account, target: target.record.id,
 		send: request.sendCount, leftMs: Math.round(request.deadlineAt - now), tables: request.tablesVersion,
 		directoryAgeMs: computeDirectoryAge(step), inFlight: target.inFlight,
+		load: Math.round(load * 10) / 10,
+		meanLoad: Math.round(meanLoad * 10) / 10,
 		passedOver, cold: target.coldUntil > now || undefined,
 	});
 }
