--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -13,8 +13,10 @@
 const memberToldMs = 5000;
 /** Members named in one message. */
 const membersPerMessage = 12;
-/** Instances that read the platform themselves; as many may be lost at once without a gap. */
-const watcherCount = 5;
+/** Fewest instances that read the platform themselves; as many may be lost at once without a gap. */
+const fewestWatchers = 5;
+/** Instances for each watcher of a larger fleet, so that a watcher's load does not grow with the fleet. */
+const instancesPerWatcher = 15;
 /** Fleet up to which every instance reads the platform. */
 const smallFleet = 8;
 /** Instances that may exist while the list is not settled yet. */
@@ -172,9 +174,10 @@
 		return {includesSelf: true, addresses: []};
 	}
 
+	const count = Math.max(fewestWatchers, Math.ceil((others.length + 1) / instancesPerWatcher));
 	const rankOf = (hash: number) => mixHashes(hash, watcherSeed);
 	const self = {hash: computeRankHash(selfId), address: ''};
-	const first = [...others, self].sort((a, b) => rankOf(b.hash) - rankOf(a.hash)).slice(0, watcherCount);
+	const first = [...others, self].sort((a, b) => rankOf(b.hash) - rankOf(a.hash)).slice(0, count);
 	return {includesSelf: first.includes(self), addresses: first.filter(member => member !== self).map(({address}) => address)};
 }
 
