--- /dev/null
+++ b/packages/runtime/src/test/bounded-log_test.ts
@@ -0,0 +1,26 @@
+/**
+ * The bounded log: lines of one event and second are limited, and what is
+ * dropped is told.
+ */
+import assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
+import process from 'node:process';
+import {test} from 'node:test';
+
+const program = `
+	import {BoundedLog, createLogger, LifecycleManager} from ${JSON.stringify(new URL('../index.js', import.meta.url).href)};
+	const lifecycle = new LifecycleManager(createLogger('test', 'silent'));
+	const log = new BoundedLog({instance: 'i-1'}, () => 1_000_000, lifecycle);
+	for (let index = 0; index < 1000; index++) log.write('info', {event: 'flood', index});
+	log.write('info', {event: 'other'});
+	await log.close();
+	await lifecycle.closeAll();
+`;
+
+test('a flood of one event is cut and told, and does not hide other events', () => {
+	const {stdout} = spawnSync(process.execPath, ['--input-type=module', '--eval', program], {encoding: 'utf8'});
+	const lines = stdout.trim().split('\n').map(line => JSON.parse(line) as {event: string; count?: number; instance: string});
+	assert.equal(lines.filter(({event}) => event === 'flood').length, 400);
+	assert.equal(lines.find(({event}) => event === 'log-lines-dropped')?.count, 600);
+	assert.ok(lines.some(({event, instance}) => event === 'other' && instance === 'i-1'));
+});
