Targets of a closed zone count in the mean that bounds the others

While a zone is closed its targets are idle, and belong to the pool all the same: the cap was computed from the mean of the open ones, 13/9 too high.

--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -75,7 +75,7 @@
 		return undefined;
 	}
 
-	const load = new PoolLoad(open, now);
+	const load = new PoolLoad(open, view.targets.filter(target => !open.includes(target)), now);
 	if (promptKey === undefined) {
 		const target = chooseLeastLoaded(view, candidates, load);
 		return {target, load: load.estimate(target), meanLoad: load.mean};
--- a/packages/dispatch/src/lib/pool-load.ts
+++ b/packages/dispatch/src/lib/pool-load.ts
@@ -9,20 +9,26 @@
 const evidenceMs = 1200;
 
 export class PoolLoad {
-	/** Mean load of the targets. */
+	/** Mean load of the pool's targets. */
 	readonly mean: number;
 	readonly #othersMean: number;
 	readonly #now: number;
 
-	constructor(targets: readonly Target[], now: number) {
+	/** `closed` are targets of the pool that get no new work: they empty, and count in the mean. */
+	constructor(open: readonly Target[], closed: readonly Target[], now: number) {
 		this.#now = now;
-		this.#othersMean = computeOthersMean(targets, now);
+		this.#othersMean = computeOthersMean(open, now);
 		let sum = 0;
-		for (const target of targets) {
+		for (const target of open) {
 			sum += this.estimate(target);
 		}
 
-		this.mean = targets.length === 0 ? 0 : sum / targets.length;
+		for (const {inFlight} of closed) {
+			sum += inFlight;
+		}
+
+		const count = open.length + closed.length;
+		this.mean = count === 0 ? 0 : sum / count;
 	}
 
 	/** Estimates the requests at a target from all instances. */
--- a/packages/dispatch/src/test/placement_test.ts
+++ b/packages/dispatch/src/test/placement_test.ts
@@ -76,13 +76,25 @@
 		target.told = {at: gateway.now, load: index === 0 ? 24 : 0, others: index === 0 ? 24 : 0};
 	}
 
-	const fresh = new PoolLoad(targets, gateway.now);
-	const later = new PoolLoad(targets, gateway.now + 10_000);
+	const fresh = new PoolLoad(targets, [], gateway.now);
+	const later = new PoolLoad(targets, [], gateway.now + 10_000);
 	assert.ok(fresh.estimate(targets[0]!) > 20);
 	assert.ok(Math.abs(later.estimate(targets[0]!) - 2) < 0.1);
 	assert.ok(Math.abs(fresh.mean - later.mean) < 0.1);
 });
 
+test('targets of a closed zone count in the mean that bounds the others (hunt: mix, seed 873307827692)', () => {
+	const gateway = new GatewayFixture().learn(engines);
+	const targets = gateway.state.targets.byPool.get('engines')!;
+	for (const target of targets) {
+		target.told = {at: gateway.now, load: 6, others: 6};
+	}
+
+	const open = targets.slice(0, 8);
+	assert.equal(new PoolLoad(open, targets.slice(8), gateway.now).mean, 4);
+	assert.equal(new PoolLoad(open, [], gateway.now).mean, 6);
+});
+
 test('requests without prompts stay in the zone while its target is not busier', () => {
 	const gateway = new GatewayFixture('gateway-1', 'zone-b').learn([]);
 	gateway.learnChanges(2, ['a', 'b', 'c'].map(zone => createTargetChange(2, createTargetRecord(`desk-${zone}`, {zone: `zone-${zone}`, slots: 6}))));
