--- a/packages/cli/src/lib/commands/drain-commands.ts
+++ b/packages/cli/src/lib/commands/drain-commands.ts
@@ -2,6 +2,7 @@
  * Drains instances, and takes it back. Each instance is told by itself; its
  * log names the operator whose token was shown.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import type {AdminOutput} from '@sequoiatally/router/admin';
 import {defineInteger, readMonotonicMs} from '@sequoiatally/runtime';
 import {err, ok, type Result} from 'neverthrow';
@@ -44,9 +45,7 @@
 	const startedAt = readMonotonicMs();
 	let state = first;
 	while (state.openRequests > 0 && readMonotonicMs() - startedAt < waitMs) {
-		await new Promise(resolve => {
-			setTimeout(resolve, pollIntervalMs);
-		});
+		await delay(pollIntervalMs);
 		const status = await client.call('status');
 		if (status.isErr()) {
 			return err(status.error);
--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -18,3 +18,4 @@
 export * from './lib/tcp-relay.js';
 export * from './lib/process-usage.js';
 export * from './lib/caller-timelines.js';
+export * from './lib/wait-until.js';
--- a/packages/load/src/lib/fault-runner.ts
+++ b/packages/load/src/lib/fault-runner.ts
@@ -5,7 +5,9 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {serviceMode} from '@sequoiatally/stand-ins';
 import type {Configuration} from '@sequoiatally/core';
-import type {Fleet, FleetRouter, FleetTarget} from './fleet.js';
+import {
+	FleetError, type Fleet, type FleetRouter, type FleetTarget,
+} from './fleet.js';
 import {faultKind, type PlannedFault} from './load-plan.js';
 import {linkState} from './tcp-relay.js';
 
@@ -272,7 +274,7 @@
 function findTarget(fleet: Fleet, id: string): FleetTarget {
 	const found = fleet.targets.find(target => target.id === id);
 	if (found === undefined) {
-		throw new Error(`The fleet has no target "${id}".`);
+		throw new FleetError(`The fleet has no target "${id}".`);
 	}
 
 	return found;
--- a/packages/load/src/lib/fleet.ts
+++ b/packages/load/src/lib/fleet.ts
@@ -3,6 +3,7 @@
  * demonstration, the measurements and the scenarios. It is a tool: the
  * product's own processes start no others.
  */
+import {waitUntil} from './wait-until.js';
 import {spawn, type ChildProcess} from 'node:child_process';
 import {randomInt} from 'node:crypto';
 import {openSync} from 'node:fs';
@@ -61,6 +62,11 @@
 /** Links of one router that the fleet can cut. */
 export type RouterLinks = {readonly platform: TcpRelay; readonly peers: TcpRelay};
 
+/** Something of a fleet is not there, or ended too early. */
+export class FleetError extends Error {
+	override readonly name = 'FleetError';
+}
+
 export type FleetRouter = {
 	readonly id: string; readonly zone: string; readonly callerAddress: string; readonly peerAddress: string; readonly adminAddress: string;
 	/** Address that the list shows to other routers: the router's own, or its relay's. */
@@ -133,7 +139,7 @@
 		const [platformPort] = await findFreePorts(1);
 		this.platformAddress = `${host}:${platformPort}`;
 		this.#spawn('configuration-service', '@sequoiatally/stand-ins', ['--address', this.platformAddress]);
-		await waitUntil(async () => isOk(`http://${this.platformAddress}/control/calls`));
+		await waitUntil('a process of the fleet answers', async () => isOk(`http://${this.platformAddress}/control/calls`), startTimeoutMs);
 		await this.publishConfiguration(plan.configurationText);
 		const ports = await findFreePorts(plan.engineCount + plan.plainCount);
 		for (const [index, port] of ports.entries()) {
@@ -141,7 +147,7 @@
 		}
 
 		await Promise.all(Array.from({length: plan.routerCount}, async () => this.startRouter(false)));
-		await Promise.all(this.targets.map(async ({address}) => waitUntil(async () => isOk(`http://${address}/control/stats`))));
+		await Promise.all(this.targets.map(async ({address}) => waitUntil('a process of the fleet answers', async () => isOk(`http://${address}/control/stats`), startTimeoutMs)));
 		await this.publishList();
 		await this.waitUntilReady();
 	}
@@ -191,13 +197,13 @@
 
 	async waitUntilReady(routers: readonly FleetRouter[] = this.routers): Promise<void> {
 		await Promise.all(routers.map(async router => {
-			await waitUntil(async () => {
+			await waitUntil(`${router.id} is ready`, async () => {
 				if (router.process.child.exitCode !== null) {
-					throw new Error(`${router.id} ended with ${router.process.child.exitCode} before it was ready.`);
+					throw new FleetError(`${router.id} ended with ${router.process.child.exitCode} before it was ready.`);
 				}
 
 				return isOk(`http://${router.adminAddress}/readyz`);
-			});
+			}, startTimeoutMs);
 			router.isReady = true;
 		}));
 	}
@@ -267,7 +273,7 @@
 	/** Starts a killed target again at its address; it is cold, and its cache is empty. */
 	async restartTarget(target: FleetTarget): Promise<void> {
 		target.process = this.#spawnTarget(target);
-		await waitUntil(async () => isOk(`http://${target.address}/control/stats`));
+		await waitUntil('a process of the fleet answers', async () => isOk(`http://${target.address}/control/stats`), startTimeoutMs);
 	}
 
 	/** Posts to a control route of a stand-in. */
@@ -281,7 +287,7 @@
 		const [port] = await findFreePorts(1);
 		const address = `${host}:${port}`;
 		const process = this.#spawn('pass-through', '@sequoiatally/load', ['--address', address, '--target-address', target.address]);
-		await waitUntil(async () => isOk(`http://${address}/healthz`));
+		await waitUntil('a process of the fleet answers', async () => isOk(`http://${address}/healthz`), startTimeoutMs);
 		return {address, process};
 	}
 
@@ -365,16 +371,3 @@
 		return false;
 	}
 }
-
-async function waitUntil(check: () => Promise<boolean>): Promise<void> {
-	const startedAt = performance.now();
-	while (!await check()) {
-		if (performance.now() - startedAt > startTimeoutMs) {
-			throw new Error('A process of the fleet did not become ready in time.');
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 50);
-		});
-	}
-}
--- a/packages/router/src/bin/router.ts
+++ b/packages/router/src/bin/router.ts
@@ -2,6 +2,7 @@
 /**
  * Starts one router.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import process from 'node:process';
 import {eventKind} from '@sequoiatally/core';
 import {
@@ -52,9 +53,7 @@
 	logger.warn({
 		event: 'requests-cut', reason, count: requestIds.length, requestIds,
 	});
-	await new Promise(resolve => {
-		setTimeout(resolve, cutFlushMs);
-	});
+	await delay(cutFlushMs);
 
 	process.exit(requestIds.length > 0 ? 1 : 0);
 };
--- a/packages/router/src/lib/caller-server.ts
+++ b/packages/router/src/lib/caller-server.ts
@@ -13,9 +13,9 @@
 import {
 	createNotRun, createTicket, createUnknown, eventKind, refusalReason, type Refusal, type RequestArrived,
 } from '@sequoiatally/core';
-import type {LifecycleManager, SocketAddress} from '@sequoiatally/runtime';
+import {computeKeyDigest, type LifecycleManager, type SocketAddress} from '@sequoiatally/runtime';
 import {Hono, type Context} from 'hono';
-import {computeKeyDigest, findKey, isKeyShown} from './key-guard.js';
+import {findKey, isKeyShown} from './key-guard.js';
 import {
 	computeContentDigest, createRefusalBody, createRefusalResponse, OpenRequest, outcomeHeader, requestIdHeader, type RequestContent,
 } from './open-request.js';
--- a/packages/router/src/lib/key-guard.ts
+++ b/packages/router/src/lib/key-guard.ts
@@ -4,7 +4,7 @@
  * a key anywhere else is refused, because forwarding would show it.
  */
 import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
+import {computeKeyDigest} from '@sequoiatally/runtime';
 
 /** What a request shows of itself before it is forwarded. */
 export type ShownRequest = {
@@ -20,11 +20,6 @@
 	return /^bearer +(\S+)$/i.exec(authorization ?? '')?.[1];
 }
 
-/** Computes the digest by which the tables know a key. */
-export function computeKeyDigest(key: string): string {
-	return createHash('sha256').update(key).digest('hex');
-}
-
 /** Says whether anything that would be forwarded holds the caller's key, or any key that the tables know. */
 export function isKeyShown({target, values, body}: ShownRequest, key: string | undefined, isKnownDigest: (digest: string) => boolean): boolean {
 	const texts = [target, decodeText(target), ...values];
--- a/packages/router/src/lib/platform-client.ts
+++ b/packages/router/src/lib/platform-client.ts
@@ -16,6 +16,11 @@
 /** Largest document that is read; the service holds values up to a megabyte. */
 const largestDocumentBytes = 1024 * 1024;
 
+/** The service answered, and not with a document. */
+class ServiceAnswerError extends Error {
+	override readonly name = 'ServiceAnswerError';
+}
+
 type ServiceAnswer = {readonly revision: number; readonly asOf: number; readonly text?: string};
 
 /** Turns a document's text into the event that hands it to the reducer. */
@@ -98,7 +103,7 @@
 		});
 		const text = await response.body.text();
 		if (response.statusCode !== 200 || text.length > largestDocumentBytes * 2) {
-			throw new Error(`the service answered with status ${response.statusCode}`);
+			throw new ServiceAnswerError(`the service answered with status ${response.statusCode}`);
 		}
 
 		return JSON.parse(text) as ServiceAnswer;
--- a/packages/runtime/src/lib/clock.ts
+++ b/packages/runtime/src/lib/clock.ts
@@ -12,10 +12,3 @@
 export function readWallMs(): number {
 	return Date.now();
 }
-
-/** Waits for a time in milliseconds. */
-export async function waitFor(timeMs: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, timeMs);
-	});
-}
--- a/packages/scenarios/src/lib/process-world.ts
+++ b/packages/scenarios/src/lib/process-world.ts
@@ -5,13 +5,13 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {Fleet, type FleetRouter, type FleetTarget} from '@sequoiatally/load';
+import {
+	Fleet, waitUntil, type FleetRouter, type FleetTarget,
+} from '@sequoiatally/load';
 import {request} from 'undici';
 import {describeExampleKey, exampleBookingPath, exampleModelRoute} from './example-configuration.js';
 import {ScenarioWorld} from './run-feature.js';
 
-/** Longest time to wait for a condition; only a fault of the product reaches it. */
-const conditionTimeoutMs = 30_000;
 /** Path of the repeatable plain route in process scenarios. */
 export const recordsPath = '/v1/records';
 /** Path of the open route in process scenarios. */
@@ -21,13 +21,6 @@
 
 export type DeploymentSize = {readonly routers: number; readonly engines: number; readonly plains: number};
 
-export class ConditionTimeoutError extends Error {
-	constructor(condition: string) {
-		super(`The condition did not come true in ${conditionTimeoutMs} ms: ${condition}`);
-		this.name = 'ConditionTimeoutError';
-	}
-}
-
 /** Creates the tables of a process scenario as they are published. */
 export function createProcessTables(version = 1, isKeyGiven = true): Record<string, unknown> {
 	const route = {
@@ -68,20 +61,6 @@
 	};
 }
 
-/** Waits until a condition holds. */
-export async function waitFor(condition: string, check: () => boolean | Promise<boolean>): Promise<void> {
-	const startedAt = performance.now();
-	while (!await check()) {
-		if (performance.now() - startedAt > conditionTimeoutMs) {
-			throw new ConditionTimeoutError(condition);
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 20);
-		});
-	}
-}
-
 type DeploymentFlags = Partial<Pick<Fleet['plan'], 'engineFlags' | 'plainFlags' | 'routerFlags'>>;
 
 /** A deployment, and where its time lines are. */
@@ -102,7 +81,7 @@
 	});
 	try {
 		await fleet.start();
-		await waitFor('every router serves', async () => isServing(fleet));
+		await waitUntil('every router serves', async () => isServing(fleet));
 	} catch (error) {
 		await fleet.stop();
 		throw error;
--- a/packages/scenarios/src/test/at_most_once_test.ts
+++ b/packages/scenarios/src/test/at_most_once_test.ts
@@ -3,10 +3,12 @@
  */
 import assert from 'node:assert/strict';
 import {after} from 'node:test';
-import {answerKind, Caller, type Answer} from '@sequoiatally/load';
+import {
+	answerKind, Caller, type Answer, waitUntil,
+} from '@sequoiatally/load';
 import {request} from 'undici';
 import {exampleBookingPath} from '../lib/example-configuration.js';
-import {ProcessWorld, stopSharedDeployment, waitFor} from '../lib/process-world.js';
+import {ProcessWorld, stopSharedDeployment} from '../lib/process-world.js';
 import {runFeature} from '../lib/run-feature.js';
 
 class World extends ProcessWorld {
@@ -30,7 +32,7 @@
 	}
 
 	async waitForRun(): Promise<void> {
-		await waitFor('a service runs the booking', async () => await this.countRuns() > 0);
+		await waitUntil('a service runs the booking', async () => await this.countRuns() > 0);
 	}
 
 	override async dispose(): Promise<void> {
--- a/packages/scenarios/src/test/whole_answers_test.ts
+++ b/packages/scenarios/src/test/whole_answers_test.ts
@@ -6,12 +6,12 @@
 import {connect} from 'node:net';
 import {after} from 'node:test';
 import {
-	answerKind, Caller, type Answer, type FleetTarget,
+	answerKind, Caller, type Answer, type FleetTarget, waitUntil,
 } from '@sequoiatally/load';
 import {request} from 'undici';
 import {describeExampleKey, exampleBookingPath, exampleModelRoute} from '../lib/example-configuration.js';
 import {
-	createProcessTables, exampleAccount, noticesPath, ProcessWorld, recordsPath, stopSharedDeployment, waitFor,
+	createProcessTables, exampleAccount, noticesPath, ProcessWorld, recordsPath, stopSharedDeployment,
 } from '../lib/process-world.js';
 import {runFeature} from '../lib/run-feature.js';
 
@@ -44,7 +44,7 @@
 
 		const before = await readCounts();
 		const all: Answer[] = [];
-		await waitFor('each engine at fault was reached', async () => {
+		await waitUntil('each engine at fault was reached', async () => {
 			await this.callChats(6, maxTokens);
 			all.push(...this.answers);
 			const counts = await readCounts();
@@ -58,7 +58,7 @@
 		const router = this.findRouter(number);
 		const {body} = await request(`http://${router.callerAddress}${noticesPath}?pad=${byteCount}`);
 		router.process.child.kill('SIGTERM');
-		await waitFor('the router has begun to stop', async () => {
+		await waitUntil('the router has begun to stop', async () => {
 			const ready = await request(`http://${router.adminAddress}/readyz`);
 			await ready.body.dump();
 			return ready.statusCode === 503;
@@ -77,7 +77,7 @@
 	}
 
 	async waitForKeyed(condition: string, isRight: (answer: Answer) => boolean): Promise<void> {
-		await waitFor(condition, async () => isRight(await this.callKeyed()));
+		await waitUntil(condition, async () => isRight(await this.callKeyed()));
 	}
 
 	async callKeyed(): Promise<Answer> {
@@ -189,7 +189,7 @@
 		});
 	}],
 	[/^no engine has work in flight$/, async world => {
-		await waitFor('every engine is idle', async () => {
+		await waitUntil('every engine is idle', async () => {
 			const stats = await Promise.all(world.listTargets('fitbrain').map(async target => world.readStats<EngineStats>(target)));
 			return stats.every(({inFlight}) => inFlight === 0);
 		});
--- a/packages/stand-ins/src/lib/engine.ts
+++ b/packages/stand-ins/src/lib/engine.ts
@@ -3,6 +3,7 @@
  * request alone, keeps the prefixes of recent chats in limited memory, is cold
  * after its start, and can fail on command.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import {Hono, type Context} from 'hono';
 import {streamSSE} from 'hono/streaming';
 
@@ -149,10 +150,6 @@
 	c.header('x-engine-load', String(engine.stats.inFlight));
 }
 
-const wait = async (ms: number) => new Promise<void>(resolve => {
-	setTimeout(resolve, ms);
-});
-
 /** Serves an engine over HTTP. */
 export function createEngineApp(engine: Engine, readClock: () => number): Hono {
 	const app = new Hono();
@@ -190,7 +187,7 @@
 				state.isCancelled = true;
 			});
 			try {
-				await wait(isCached ? engine.options.warmPrefillMs : engine.options.coldPrefillMs);
+				await delay(isCached ? engine.options.warmPrefillMs : engine.options.coldPrefillMs);
 				const padding = fault === engineFault.endless ? 'x'.repeat(paddingCharacters) : undefined;
 				const count = fault === engineFault.endless ? Number.POSITIVE_INFINITY : body.max_tokens ?? defaultMaxTokens;
 				for (let index = resumeFrom; index < count && !state.isCancelled; index++) {
@@ -225,7 +222,7 @@
 						await stream.writeSSE({data});
 					}
 
-					await wait(engine.options.tokenMs);
+					await delay(engine.options.tokenMs);
 				}
 
 				if (!state.isCancelled) {
--- a/packages/stand-ins/src/lib/plain-service.ts
+++ b/packages/stand-ins/src/lib/plain-service.ts
@@ -2,6 +2,7 @@
  * A stand-in for a plain service, such as a booking desk. It counts every run
  * per request identifier, so that a test can see a doubled one.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import {Hono} from 'hono';
 
 /** How a plain service fails; `none` is normal. */
@@ -90,9 +91,7 @@
 		}
 
 		service.countRun(c.req.header('x-idempotency-key') ?? requestId);
-		await new Promise<void>(resolve => {
-			setTimeout(resolve, service.runMs);
-		});
+		await delay(service.runMs);
 		if (fault === plainFault.cutAfter) {
 			outgoing.destroy();
 			return c.body(null);
