Placement in one pass over a pool; what nothing reads is gone

Targets are parted once, and the ranks are compared in one pass in place of a sort. The ranking of watchers is kept until members come or go, not sorted 40 times a second, and the own hash is computed once. The order of choice is as before.

Gone: fields of the tables that nothing reads (priorities, connection limit, two caller limits; they were relayed to peers too), the cold time of answers, closeIdle, hasLeft, findNextExpiry.

--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory.ts
@@ -23,7 +23,7 @@
 	readonly name: string;
 	readonly host: string;
 	/** Begins and ends with a slash. */
-	readonly pathPrefix: string;
+	readonly prefix: string;
 	readonly kind: RouteKind;
 	/** True: a broken stream may go on at another target. */
 	readonly canResume: boolean;
@@ -33,8 +33,6 @@
 	readonly latencyTargetMs: number;
 	/** Longest pause between events of an answer that is on time, in milliseconds; 0 for other kinds. */
 	readonly eventGapMs: number;
-	/** 0 is the most urgent. */
-	readonly priority: number;
 	readonly splits: readonly Split[];
 	/** Most targets on which one request may run. */
 	readonly targetLimit: number;
@@ -48,23 +46,17 @@
 	readonly name: string;
 	/** Requests a second that a cold target bears; 0: its targets are never cold. */
 	readonly coldRatePerS: number;
-	/** Connections that one target takes from the whole fleet. */
-	readonly connectionLimit: number;
 };
 
 export type Account = {
 	readonly name: string;
 	/** SHA-256 of each key, in hexadecimal. */
 	readonly keyDigests: readonly string[];
-	/** Overrules the priority of the route; 0 is the most urgent. */
-	readonly priority?: number;
 };
 
-/** What callers may send, and how long they may take. */
+/** What callers may send, and how long they may stay idle. */
 export type CallerLimits = {
-	readonly headBytes: number;
 	readonly bodyBytes: number;
-	readonly headTimeoutMs: number;
 	/** Time after which an idle caller connection may be closed, in milliseconds. */
 	readonly idleTimeoutMs: number;
 };
--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -17,8 +17,8 @@
 const fewestWatchers = 5;
 /** Instances for each watcher of a larger fleet, so that a watcher's load does not grow with the fleet. */
 const instancesPerWatcher = 15;
-/** Fleet up to which every instance reads the platform. */
-const smallFleet = 8;
+/** Other instances below which every instance reads the platform. */
+const allWatchBelow = 8;
 /** Instances that may exist while the list is not settled yet. */
 const assumedFleetSize = 12;
 /** Time for which an instance has to be in touch with others before it trusts its list, in milliseconds. */
@@ -37,6 +37,8 @@
 
 export type MemberState = {
 	byId: Map<string, Member>;
+	/** Members by rank as watchers; undefined: members came or went since. */
+	ranked?: readonly Member[];
 	/** When calls to addresses failed last: what others heard of them before that does not count. */
 	failedAt: Map<string, number>;
 	seedAddresses: readonly string[];
@@ -60,7 +62,7 @@
 export function applyMembers(members: MemberState, message: PeerMessage, selfId: string, now: number): string[] {
 	const added: string[] = [];
 	if (message.isLeaving) {
-		members.byId.delete(message.from.id);
+		deleteMember(members, message.from.id);
 	} else {
 		applyMember(members, message.from, {selfId, now, added});
 	}
@@ -92,6 +94,7 @@
 		members.byId.set(entry.id, {
 			id: entry.id, incarnation: entry.incarnation, address: entry.address, zone: entry.zone, hash: computeRankHash(entry.id), heardAt,
 		});
+		members.ranked = undefined;
 		added.push(entry.id);
 	} else if (heardAt > known.heardAt) {
 		known.incarnation = entry.incarnation;
@@ -101,12 +104,17 @@
 	}
 }
 
+function deleteMember(members: MemberState, id: string): boolean {
+	members.ranked = undefined;
+	return members.byId.delete(id);
+}
+
 /** Takes a member off the list that could not be called; returns whether there was one. */
 export function forgetMember(members: MemberState, address: string, now: number): boolean {
 	members.failedAt.set(address, now);
 	for (const member of members.byId.values()) {
 		if (member.address === address) {
-			return members.byId.delete(member.id);
+			return deleteMember(members, member.id);
 		}
 	}
 
@@ -124,7 +132,7 @@
 
 	for (const {id, heardAt} of members.byId.values()) {
 		if (now - heardAt > memberExpiryMs) {
-			members.byId.delete(id);
+			deleteMember(members, id);
 			expired.push(id);
 		}
 	}
@@ -146,9 +154,8 @@
 }
 
 /** Computes how many instances may exist; large while this one cannot tell. */
-export function computeFleetView(members: MemberState, selfId: string, now: number): FleetView {
+export function computeFleetView(members: MemberState, selfHash: number, now: number): FleetView {
 	const hashes = [...members.byId.values()].map(({hash}) => hash);
-	const selfHash = computeRankHash(selfId);
 	const known = hashes.length + 1;
 	const size = known + Math.ceil(known * unknownPart);
 	return {selfHash, memberHashes: [selfHash, ...hashes], size: isSettled(members, now) ? size : Math.max(size, assumedFleetSize)};
@@ -168,17 +175,21 @@
 };
 
 /** Chooses the watchers by rank; a list that is not settled or small makes everybody one. */
-export function listWatchers(members: MemberState, selfId: string, now: number): Watchers {
-	const others = [...members.byId.values()];
-	if (others.length < smallFleet || !isSettled(members, now)) {
+export function listWatchers(members: MemberState, selfHash: number, now: number): Watchers {
+	const {size} = members.byId;
+	if (size < allWatchBelow || !isSettled(members, now)) {
 		return {includesSelf: true, addresses: []};
 	}
 
-	const count = Math.max(fewestWatchers, Math.ceil((others.length + 1) / instancesPerWatcher));
-	const rankOf = (hash: number) => mixHashes(hash, watcherSeed);
-	const self = {hash: computeRankHash(selfId), address: ''};
-	const first = [...others, self].sort((a, b) => rankOf(b.hash) - rankOf(a.hash)).slice(0, count);
-	return {includesSelf: first.includes(self), addresses: first.filter(member => member !== self).map(({address}) => address)};
+	const count = Math.max(fewestWatchers, Math.ceil((size + 1) / instancesPerWatcher));
+	members.ranked ??= [...members.byId.values()].sort((a, b) => computeWatcherRank(b.hash) - computeWatcherRank(a.hash));
+	const first = members.ranked.slice(0, count);
+	const includesSelf = computeWatcherRank(selfHash) > computeWatcherRank(first.at(-1)!.hash);
+	return {includesSelf, addresses: (includesSelf ? first.slice(0, -1) : first).map(({address}) => address)};
+}
+
+function computeWatcherRank(hash: number): number {
+	return mixHashes(hash, watcherSeed);
 }
 
 /** Keeps the ranking of watchers apart from other rankings. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -19,8 +19,8 @@
 const smallFleetCap: LoadCap = {multiple: 1.9, floor: 3};
 /** Where instances hear of targets rarely and many of them choose by the same word. */
 const largeFleetCap: LoadCap = {multiple: 1.5, floor: 1.5};
-/** Instances up to which a fleet is small. */
-const smallFleet = 12;
+/** Instances, those included that may exist unheard of, up to which the first cap holds. */
+const smallFleetSize = 12;
 /** Part of a pool's targets that has to be in good health; below it, health is no longer looked at. */
 const healthyFloor = 0.4;
 /** What another zone counts for, as a part of a target's slots. */
@@ -38,17 +38,12 @@
 };
 
 export type PlacementRequest = {
-	/** Identifies the longest shared prefix of the prompt; undefined: any target is as good. */
+	/** Identifies the longest shared prefix of the prompt; undefined: there is nothing to reuse. */
 	readonly promptKey?: string;
 	/** Targets that were tried already. */
 	readonly avoidedIds: ReadonlySet<string>;
 };
 
-/** Lists the targets that may get new work, whatever their health. */
-export function listOpenTargets({targets, closedZones}: PlacementView): Target[] {
-	return targets.filter(target => !target.isGone && !closedZones.has(target.record.zone));
-}
-
 /** Why a request does not go where its prompt would be found. */
 export const passedOverReason = {
 	health: 'health', cold: 'cold', load: 'load', tried: 'tried',
@@ -67,55 +62,68 @@
 
 /** Chooses the target of a request; undefined: none may get one now. */
 export function choosePlacement(view: PlacementView, {promptKey, avoidedIds}: PlacementRequest, now: number): Placement | undefined {
-	const open = listOpenTargets(view);
+	const open: Target[] = [];
+	const closed: Target[] = [];
+	for (const target of view.targets) {
+		const isOpen = !target.isGone && !view.closedZones.has(target.record.zone);
+		(isOpen ? open : closed).push(target);
+	}
+
 	const healthy = open.filter(target => isUsable(target.health, now));
-	const usable = healthy.length >= Math.max(1, open.length * healthyFloor) ? healthy : open;
-	const candidates = usable.filter(target => !avoidedIds.has(target.record.id) && hasColdRoom(view, target, now));
+	const usable = new Set(healthy.length >= Math.max(1, open.length * healthyFloor) ? healthy : open);
+	const candidates = [...usable].filter(target => !avoidedIds.has(target.record.id) && hasColdRoom(view, target, now));
 	if (candidates.length === 0) {
 		return undefined;
 	}
 
-	const load = new PoolLoad(open, view.targets.filter(target => !open.includes(target)), now);
+	const load = new PoolLoad(open, closed, now);
 	if (promptKey === undefined) {
 		const target = chooseLeastLoaded(view, candidates, load);
 		return {target, load: load.estimate(target), meanLoad: load.mean};
 	}
 
-	const ranked = sortByHash(open, promptKey);
-	const {multiple, floor} = view.fleet.size <= smallFleet ? smallFleetCap : largeFleetCap;
+	const keyHash = hashText(promptKey);
+	const {multiple, floor} = view.fleet.size <= smallFleetSize ? smallFleetCap : largeFleetCap;
 	const cap = (multiple * load.mean) + floor;
-	const candidateSet = new Set(candidates);
-	const fitting = ranked.filter(other => candidateSet.has(other) && load.estimate(other) + 1 <= cap);
+	const fitting = candidates.filter(target => load.estimate(target) + 1 <= cap);
 	// A cold target is slow and has nothing to reuse: it starts with what the others cannot take.
-	const target = fitting.find(other => other.coldUntil <= now) ?? fitting[0] ?? chooseLeastLoaded(view, candidates, load);
-	const home = ranked[0]!;
-	const passedOver = target === home ? undefined : explainPassedOver(home, {usable, candidateSet, avoidedIds});
+	const target = findFirstRanked(fitting.filter(({coldUntil}) => coldUntil <= now), keyHash)
+		?? findFirstRanked(fitting, keyHash)
+		?? chooseLeastLoaded(view, candidates, load);
+	const home = findFirstRanked(open, keyHash)!;
+	const passedOver = target === home ? undefined : explainPassedOver(home, {usable, candidates, avoidedIds});
 	return {
 		target, load: load.estimate(target), meanLoad: load.mean, passedOver,
 	};
 }
 
-type Considered = {readonly usable: readonly Target[]; readonly candidateSet: ReadonlySet<Target>; readonly avoidedIds: ReadonlySet<string>};
+type Considered = {readonly usable: ReadonlySet<Target>; readonly candidates: readonly Target[]; readonly avoidedIds: ReadonlySet<string>};
 
-function explainPassedOver(home: Target, {usable, candidateSet, avoidedIds}: Considered): PassedOverReason {
+function explainPassedOver(home: Target, {usable, candidates, avoidedIds}: Considered): PassedOverReason {
 	if (avoidedIds.has(home.record.id)) {
 		return passedOverReason.tried;
 	}
 
-	if (!usable.includes(home)) {
+	if (!usable.has(home)) {
 		return passedOverReason.health;
 	}
 
-	return candidateSet.has(home) ? passedOverReason.load : passedOverReason.cold;
+	return candidates.includes(home) ? passedOverReason.load : passedOverReason.cold;
 }
 
-/** Orders targets for a prompt, alike on every instance. */
-function sortByHash(targets: readonly Target[], key: string): Target[] {
-	const keyHash = hashText(key);
-	return targets
-		.map(target => ({target, score: mixHashes(keyHash, target.hash)}))
-		.sort((a, b) => b.score - a.score)
-		.map(({target}) => target);
+/** Finds the target that ranks first for a prompt, alike on every instance; undefined: there is none. */
+function findFirstRanked(targets: readonly Target[], keyHash: number): Target | undefined {
+	let first: Target | undefined;
+	let firstScore = -1;
+	for (const target of targets) {
+		const score = mixHashes(keyHash, target.hash);
+		if (score > firstScore) {
+			first = target;
+			firstScore = score;
+		}
+	}
+
+	return first;
 }
 
 function chooseLeastLoaded({zone}: PlacementView, candidates: readonly Target[], load: PoolLoad): Target {
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -185,7 +185,7 @@
 		recordLog(step, 'members-expired', {members: expired, size: state.members.byId.size + 1});
 	}
 
-	const watchers = listWatchers(state.members, state.self.id, now);
+	const watchers = listWatchers(state.members, state.selfHash, now);
 	updateWatching(step, watchers);
 	if (now >= state.nextCallAt) {
 		callNextPeer(step, watchers);
--- a/packages/dispatch/src/lib/route-index.ts
+++ b/packages/dispatch/src/lib/route-index.ts
@@ -12,7 +12,7 @@
 	for (const route of routes) {
 		const host = route.host.toLowerCase();
 		const byPrefix = index.get(host) ?? new Map<string, Route>();
-		byPrefix.set(route.pathPrefix, route);
+		byPrefix.set(route.prefix, route);
 		index.set(host, byPrefix);
 	}
 
--- a/packages/dispatch/src/lib/sliding-window.ts
+++ b/packages/dispatch/src/lib/sliding-window.ts
@@ -31,9 +31,4 @@
 
 		return this.#times.length - this.#start;
 	}
-
-	/** Time at which the oldest event that counts now leaves the span; undefined: none counts. */
-	findNextExpiry(now: number): number | undefined {
-		return this.count(now) === 0 ? undefined : this.#times[this.#start]! + this.#spanMs;
-	}
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -2,7 +2,7 @@
  * The state of one gateway. The reducer owns it and changes it in place. Each
  * part is typed by its own module; they meet only here.
  */
-import type {ColdBounds, FleetView} from './cold-guard.js';
+import {computeRankHash, type ColdBounds, type FleetView} from './cold-guard.js';
 import {createDirectory, type DirectoryState, type Route} from './directory.js';
 import {effectKind, logLevel, type Effect} from './effect.js';
 import {
@@ -55,6 +55,8 @@
 
 export type State = {
 	readonly self: SelfInfo;
+	/** Place of this instance in rankings. */
+	readonly selfHash: number;
 	readonly bounds: FleetBounds;
 	/** Draws from [0, 1). */
 	readonly draw: () => number;
@@ -85,6 +87,7 @@
 export function createState(self: SelfInfo, bounds: FleetBounds, seedAddresses: readonly string[], draw: () => number): State {
 	return {
 		self,
+		selfHash: computeRankHash(self.id),
 		bounds,
 		draw,
 		directory: createDirectory(),
@@ -116,7 +119,7 @@
 type LogLevel = typeof logLevel[keyof typeof logLevel];
 
 export function findFleetView({state, now}: Step): FleetView {
-	return computeFleetView(state.members, state.self.id, now);
+	return computeFleetView(state.members, state.selfHash, now);
 }
 
 export function recordLog(step: Step, event: string, fields: LogFields, level: LogLevel = logLevel.info): void {
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -162,9 +162,9 @@
 	target.inFlight--;
 }
 
-/** Takes a target's word on its load; what this instance has in flight there is part of it. */
-export function recordLoad(target: Target, load: number, now: number): void {
-	target.told = {at: now, load, others: Math.max(0, load - target.inFlight)};
+/** Takes a target's word of `at` on its load; what this instance has in flight there is part of it. */
+export function recordLoad(target: Target, load: number, at: number): void {
+	target.told = {at, load, others: Math.max(0, load - target.inFlight)};
 }
 
 /** Age up to which loads are told to peers, in milliseconds. */
@@ -190,7 +190,7 @@
 		const target = byId.get(targetId);
 		const at = madeAt - ageMs;
 		if (target !== undefined && at > (target.told?.at ?? Number.NEGATIVE_INFINITY)) {
-			target.told = {at, load, others: Math.max(0, load - target.inFlight)};
+			recordLoad(target, load, at);
 		}
 	}
 }
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -10,29 +10,29 @@
 
 export function createRoute(fields: Partial<Route> = {}): Route {
 	return {
-		name: 'chat', host: 'a.example', pathPrefix: '/chat/', kind: routeKind.stream, canResume: false, timeLimitMs: 5000, latencyTargetMs: 800,
-		eventGapMs: 400, priority: 1, splits: [{pool: 'engines', weight: 1}], targetLimit: 1, isPublic: false, hasPrompts: true, ...fields,
+		name: 'chat', host: 'a.example', prefix: '/chat/', kind: routeKind.stream, canResume: false, timeLimitMs: 5000, latencyTargetMs: 800,
+		eventGapMs: 400, splits: [{pool: 'engines', weight: 1}], targetLimit: 1, isPublic: false, hasPrompts: true, ...fields,
 	};
 }
 
 export const onceRoute = createRoute({
-	name: 'order', pathPrefix: '/order/', kind: routeKind.once, timeLimitMs: 1000, latencyTargetMs: 400, splits: [{pool: 'desk', weight: 1}], hasPrompts: false,
+	name: 'order', prefix: '/order/', kind: routeKind.once, timeLimitMs: 1000, latencyTargetMs: 400, splits: [{pool: 'desk', weight: 1}], hasPrompts: false,
 });
 export const repeatableRoute = createRoute({
-	name: 'look-up', pathPrefix: '/look-up/', kind: routeKind.repeatable, timeLimitMs: 1000, latencyTargetMs: 400, splits: [{pool: 'desk', weight: 1}], hasPrompts: false, targetLimit: 2,
+	name: 'look-up', prefix: '/look-up/', kind: routeKind.repeatable, timeLimitMs: 1000, latencyTargetMs: 400, splits: [{pool: 'desk', weight: 1}], hasPrompts: false, targetLimit: 2,
 });
 export const resumableRoute = createRoute({
-	name: 'answer', pathPrefix: '/answer/', canResume: true, targetLimit: 2,
+	name: 'answer', prefix: '/answer/', canResume: true, targetLimit: 2,
 });
 
 export function createTables(version = 1, fields: Partial<Tables> = {}): Tables {
 	return {
 		version,
 		routes: [createRoute(), onceRoute, repeatableRoute, resumableRoute],
-		pools: [{name: 'engines', coldRatePerS: 10, connectionLimit: 400}, {name: 'desk', coldRatePerS: 0, connectionLimit: 100}],
+		pools: [{name: 'engines', coldRatePerS: 10}, {name: 'desk', coldRatePerS: 0}],
 		accounts: [{name: 'amina', keyDigests: ['digest-a']}],
 		limits: {
-			headBytes: 16_384, bodyBytes: 4_194_304, headTimeoutMs: 3000, idleTimeoutMs: 15_000,
+			bodyBytes: 4_194_304, idleTimeoutMs: 15_000,
 		},
 		...fields,
 	};
@@ -110,7 +110,7 @@
 			openId,
 			requestId: `request-${openId}`,
 			host: route.host,
-			path: `${route.pathPrefix}x`,
+			path: `${route.prefix}x`,
 			keyDigest: 'keyDigest' in fields ? fields.keyDigest : 'digest-a',
 			waitMs: fields.waitMs,
 			promptParts: (fields.prompt ?? []).map(id => ({id, tokenCount: 100})),
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -143,12 +143,12 @@
 	assert.deepEqual(gateway.listRefusals(), [401]);
 	gateway.arrive(onceRoute, {keyDigest: undefined});
 	assert.deepEqual(gateway.listRefusals(), [401]);
-	gateway.arrive(createRoute({pathPrefix: '/elsewhere/'}));
+	gateway.arrive(createRoute({prefix: '/elsewhere/'}));
 	assert.deepEqual(gateway.listRefusals(), [404]);
 	gateway.advance(3000);
 	gateway.arrive(onceRoute, {keyDigest: 'other'});
 	assert.deepEqual(gateway.listRefusals(), [503]);
-	gateway.arrive(createRoute({pathPrefix: '/elsewhere/'}));
+	gateway.arrive(createRoute({prefix: '/elsewhere/'}));
 	assert.deepEqual(gateway.listRefusals(), [503]);
 });
 
--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -44,7 +44,6 @@
 	lastEventId?: string;
 	readonly #response: ServerResponse;
 	readonly #protocol: CallerProtocol;
-	#hasLeft = false;
 
 	constructor(
 		readonly openId: number,
@@ -63,14 +62,6 @@
 		return this.#response.headersSent;
 	}
 
-	get hasLeft(): boolean {
-		return this.#hasLeft;
-	}
-
-	leave(): void {
-		this.#hasLeft = true;
-	}
-
 	/** Tells the caller to use another connection for its next request. */
 	closeAfterAnswer(): void {
 		if (!this.#response.headersSent) {
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -78,11 +78,6 @@
 		}
 	}
 
-	/** Closes connections on which nothing is open. */
-	closeIdle(): void {
-		this.#server.closeIdleConnections();
-	}
-
 	#handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		const chunks: Uint8Array[] = [];
 		let size = 0;
@@ -133,7 +128,6 @@
 		response.on('close', () => {
 			this.open.delete(openId);
 			if (!response.writableFinished) {
-				exchange.leave();
 				this.#parts.emit({kind: eventKind.callerLeft, openId});
 			}
 		});
--- a/packages/gateway/src/lib/connection-pool.ts
+++ b/packages/gateway/src/lib/connection-pool.ts
@@ -4,7 +4,7 @@
  * so the connection is closed.
  */
 import {connect, type Socket} from 'node:net';
-import type {LifecycleManager} from '@sequoiatally/runtime';
+import {parseAddress, type LifecycleManager} from '@sequoiatally/runtime';
 
 /** Idle time after which a connection is closed if the target names none, in milliseconds. */
 const defaultIdleMs = 4000;
@@ -91,8 +91,9 @@
 
 	#open(address: string): Socket {
 		this.openedCount++;
-		const colon = address.lastIndexOf(':');
-		const socket = connect({host: address.slice(0, colon), port: Number(address.slice(colon + 1)), noDelay: true});
+		// Registrations with any other address were not taken.
+		const {host, port} = parseAddress(address)!;
+		const socket = connect({host, port, noDelay: true});
 		socket.on('error', () => {
 			// The exchange that uses the connection is told by its request; an idle one is just closed.
 		});
--- a/packages/gateway/src/lib/peer-link.ts
+++ b/packages/gateway/src/lib/peer-link.ts
@@ -10,7 +10,9 @@
 import {
 	eventKind, type CallPeer, type Event, type PeerMessage,
 } from '@sequoiatally/dispatch';
-import {describeError, type LifecycleManager, type SocketAddress} from '@sequoiatally/runtime';
+import {
+	describeError, parseAddress, type LifecycleManager, type SocketAddress,
+} from '@sequoiatally/runtime';
 import {listenOn} from './listen.js';
 
 const peerPath = '/peers';
@@ -53,11 +55,15 @@
 	call({address, message}: CallPeer): void {
 		const askedAt = this.#parts.readClock();
 		const {body, encoding} = encodeMessage(message);
-		const colon = address.lastIndexOf(':');
+		const target = parseAddress(address);
+		if (target === undefined) {
+			this.#parts.emit({kind: eventKind.peerFailed, address, detail: 'not an address'});
+			return;
+		}
+
 		const request = startRequest({
 			agent: this.#agent,
-			host: address.slice(0, colon),
-			port: Number(address.slice(colon + 1)),
+			...target,
 			method: 'POST',
 			path: peerPath,
 			headers: {'Content-Type': 'application/json', 'Content-Length': body.length, 'Content-Encoding': encoding},
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -51,8 +51,6 @@
 	readonly kind: typeof answerKind[keyof typeof answerKind];
 	/** Requests at the target, if it tells. */
 	readonly targetLoad?: number;
-	/** Time for which the target stays cold, if it tells, in milliseconds. */
-	readonly coldMs?: number;
 };
 
 /** How targets speak. */
