--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -9,8 +9,9 @@
 	callPeers, applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
 } from './reduce-fleet.js';
 import {
-	advanceWaiting, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, drainAcceptMs, endOverdue,
+	advanceWaiting, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, endOverdue,
 } from './reduce-requests.js';
+import {drainAcceptMs} from './resolve-request.js';
 import {recordLog, type State, type Step} from './state.js';
 
 /** Applies one event. Changes `state` in place and returns the effects in the order in which they are to be carried out. */
