An instance that was cut off does not keep targets that have left

Cause: front-sapa-b-1 was cut off from everything for 8 s and read the store again at the end of it. The silence was longer than two seconds, so a registration that was missing was kept for 2.3 s as perhaps lapsed, though the store had been there for all others. A second way to the same fault: an instance that had news all the while took the grace over from a peer that had been cut off.

Now: each message says for how long its sender has read the store without a break; a reading that covers the silence ends the grace at once, and the grace of a peer counts only for instances that had no news themselves.

Before: both new tests fail.

--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -15,7 +15,7 @@
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type Step} from './state.js';
 import {
-	applyLoads, applyTargetChanges, describeLoads, applyTargetRenewals, updateTargets,
+	applyLoads, applyTargetChanges, applyTargetRenewals, describeLoads, endLapses, updateTargets,
 } from './target-state.js';
 
 /** Time between two calls to peers, in milliseconds; a part of it is drawn, so that instances do not call in step. */
@@ -47,16 +47,44 @@
 	if (state.directoryLostAt !== undefined) {
 		recordLog(step, 'platform-regained', {lostForMs: Math.round(now - state.directoryLostAt), revision: update.revision});
 		state.directoryLostAt = undefined;
-		if (now - (state.directory.confirmedAt ?? now) > lapseAfterMs) {
-			state.lapseGraceUntil = now + lapseGraceMs;
+		if (hasNewsGap(step)) {
+			startLapseGrace(step, now + lapseGraceMs);
 		}
 	}
 
+	state.readingSince ??= askedAt;
 	learnUpdate(step, update, askedAt, 'platform');
 }
 
+/** True after a silence in which registrations may have lapsed. */
+function hasNewsGap({state, now}: Step): boolean {
+	return now - (state.directory.confirmedAt ?? now) > lapseAfterMs;
+}
+
+function startLapseGrace({state, now}: Step, until: number): void {
+	state.lapseGapStartedAt = state.directory.confirmedAt ?? now;
+	state.lapseGraceUntil = Math.max(state.lapseGraceUntil, until);
+}
+
+/**
+ * Ends the grace when a peer read the platform through all of the silence: it
+ * was this instance that was cut off, so nothing has lapsed.
+ */
+function endLapseGraceIfRead(step: Step, peerReadsSince: number, peer: string): void {
+	const {state, now} = step;
+	if (now >= state.lapseGraceUntil || peerReadsSince > state.lapseGapStartedAt) {
+		return;
+	}
+
+	state.lapseGraceUntil = 0;
+	recordLog(step, 'lapse-grace-ended', {
+		peer, peerReadingMs: Math.round(now - peerReadsSince), silentForMs: Math.round(now - state.lapseGapStartedAt), gone: endLapses(state.targets),
+	});
+}
+
 export function applyDirectoryLost(step: Step, {detail}: DirectoryLost): void {
 	const {state, now} = step;
+	state.readingSince = undefined;
 	if (state.directoryLostAt === undefined) {
 		state.directoryLostAt = now;
 		recordLog(step, 'platform-lost', {detail, revision: state.directory.revision, tables: state.directory.tables?.version}, logLevel.warn);
@@ -95,7 +123,7 @@
 
 function createMessage({state, now}: Step, update?: DirectoryUpdate): PeerMessage {
 	const {
-		self, directory, members, drainStartedAt, lapseGraceUntil,
+		self, directory, members, drainStartedAt, lapseGraceUntil, readingSince,
 	} = state;
 	return {
 		from: {...self, ageMs: 0},
@@ -104,6 +132,7 @@
 		directoryAgeMs: directory.confirmedAt === undefined ? undefined : Math.round(now - directory.confirmedAt),
 		loads: describeLoads(state.targets, now),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
+		readingMs: readingSince === undefined ? undefined : Math.round(now - readingSince),
 		lapseGraceMs: lapseGraceUntil > now ? Math.round(lapseGraceUntil - now) : undefined,
 		update,
 		isLeaving: drainStartedAt === undefined ? undefined : true,
@@ -137,10 +166,18 @@
 		recordLog(step, 'members-added', {members: added, from: message.from.id, size: state.members.byId.size + 1});
 	}
 
-	const {update, directoryAgeMs, lapseGraceMs} = message;
+	const {
+		update, directoryAgeMs, lapseGraceMs, readingMs,
+	} = message;
 	applyLoads(state.targets, message.loads, madeAt);
-	if (lapseGraceMs !== undefined) {
-		state.lapseGraceUntil = Math.max(state.lapseGraceUntil, madeAt + lapseGraceMs);
+	// An instance that had news all the while knows that the platform was there.
+	if (lapseGraceMs !== undefined && hasNewsGap(step)) {
+		startLapseGrace(step, madeAt + lapseGraceMs);
+	}
+
+	if (readingMs !== undefined) {
+		// Ages count back from when the message came: the peer's start of reading may only look later than it was.
+		endLapseGraceIfRead(step, now - readingMs, message.from.id);
 	}
 
 	if (update === undefined) {
@@ -176,6 +213,7 @@
 	const {state, now} = step;
 	if (state.lastTickAt > 0 && now - state.lastTickAt > pauseMs) {
 		recordLog(step, 'paused', {forMs: Math.round(now - state.lastTickAt)}, logLevel.warn);
+		state.readingSince = undefined;
 	}
 
 	state.lastTickAt = now;
@@ -209,6 +247,7 @@
 
 	state.isWatching = isWatching;
 	state.directoryLostAt = undefined;
+	state.readingSince = undefined;
 	step.effects.push({kind: effectKind.watch, isWatching, revision: state.directory.revision});
 	recordLog(step, isWatching ? 'watch-started' : 'watch-stopped', {
 		directoryAgeMs: Math.round(now - (confirmedAt ?? 0)), revision: state.directory.revision, members: state.members.byId.size + 1,
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -63,8 +63,12 @@
 	directory: DirectoryState;
 	/** Set while the platform does not answer. */
 	directoryLostAt?: number;
+	/** Since when this instance has read the platform without a break. */
+	readingSince?: number;
 	/** Until then a registration that is missing may only have lapsed. */
 	lapseGraceUntil: number;
+	/** Start of the silence for which that is assumed. */
+	lapseGapStartedAt: number;
 	members: MemberState;
 	/** True: this instance reads the platform itself. */
 	isWatching: boolean;
@@ -92,6 +96,7 @@
 		draw,
 		directory: createDirectory(),
 		lapseGraceUntil: 0,
+		lapseGapStartedAt: 0,
 		members: createMemberState(seedAddresses),
 		isWatching: true,
 		nextCallAt: 0,
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -119,6 +119,20 @@
 	};
 }
 
+/** Takes all lapsed registrations as gone; returns their targets. */
+export function endLapses({byId}: TargetState): string[] {
+	const ended: string[] = [];
+	for (const [id, target] of byId) {
+		if (target.lapsesAt !== undefined) {
+			target.lapsesAt = undefined;
+			target.isGone = true;
+			ended.push(id);
+		}
+	}
+
+	return ended;
+}
+
 /** Ends the grace of lapsed registrations and forgets targets that are gone and idle. */
 export function updateTargets(targets: TargetState, now: number): void {
 	let hasChanged = false;
--- a/packages/dispatch/src/test/directory_test.ts
+++ b/packages/dispatch/src/test/directory_test.ts
@@ -105,6 +105,38 @@
 	assert.equal(gateway.state.targets.byId.get('desk-1')?.isGone, true);
 });
 
+const peerMessage = {
+	from: {
+		id: 'gateway-2', incarnation: 'i', address: 'gateway-2:1', zone: 'zone-b', ageMs: 0,
+	},
+	members: [],
+	revision: 9,
+	loads: [],
+	wantsUpdate: false,
+};
+
+test('nothing has lapsed when a peer read the platform all the while: this instance was cut off (score: trouble-1 of Hoang Lien)', () => {
+	const gateway = new GatewayFixture().learn(['desk-1', 'desk-2']);
+	gateway.handle({kind: 'directory-lost', detail: 'cut off'});
+	gateway.advance(9000);
+	gateway.learnChanges(9, [{subject: 'target/desk-1', revision: 8}]);
+	assert.equal(gateway.state.targets.byId.get('desk-1')?.isGone, false);
+	gateway.handle({kind: 'peer-called', callId: 1, message: {...peerMessage, readingMs: 3000}});
+	assert.equal(gateway.state.targets.byId.get('desk-1')?.isGone, false, 'the peer read it for a part of the silence only');
+	gateway.handle({kind: 'peer-called', callId: 2, message: {...peerMessage, readingMs: 20_000}});
+	assert.equal(gateway.state.targets.byId.get('desk-1')?.isGone, true);
+	gateway.learnChanges(10, [{subject: 'target/desk-2', revision: 10}]);
+	assert.equal(gateway.state.targets.byId.get('desk-2')?.isGone, true);
+});
+
+test('an instance that had news all the while does not take over the grace of one that was cut off', () => {
+	const gateway = new GatewayFixture().learn(['desk-1']);
+	gateway.advance(500);
+	gateway.handle({kind: 'peer-called', callId: 1, message: {...peerMessage, revision: 1, lapseGraceMs: 2000}});
+	gateway.learnChanges(9, [{subject: 'target/desk-1', revision: 8}]);
+	assert.equal(gateway.state.targets.byId.get('desk-1')?.isGone, true);
+});
+
 test('a target that was leaving when the platform went away is not kept', () => {
 	const gateway = new GatewayFixture().learn(['desk-1']);
 	gateway.learnChanges(2, [createTargetChange(2, createTargetRecord('desk-1', {isLeaving: true}))]);
