A prompt names another target from which its shared parts can be copied

Engines copy cached state at about a fifth of what reading costs, and in a tenth of the time.

Each send now names a source if its target is not known to have the prompt: a target on which this instance placed it before, else the target that ranks first for it (the one before, for a target that came later), else any that has read its beginning. Leaving targets are sources, and for two seconds those whose registration has gone; targets that are set aside are not.

Ruled out: that memory is short and parts are evicted (the pool holds four times what is shared); that load would have to be spread less (the cap is as it was).

New tests (copy_source_test) name the patterns: returning chats, hot key, release and scale out, scale in, many chats with one beginning, crash.

--- /dev/null
+++ b/packages/dispatch/src/lib/copy-source.ts
@@ -0,0 +1,67 @@
+/**
+ * From where a target may copy the parts of a prompt that it has not read.
+ * Engines copy cached state many times faster than they compute it, so a
+ * prompt that leaves its usual target, or the first prompt with a known
+ * beginning, names another target that has the longest part of it.
+ */
+import {hashText} from '@sequoiatally/core';
+import type {PromptPart} from './event.js';
+import {listSharedParts, type PromptHolders} from './prompt-holders.js';
+import {findFirstRanked} from './ranking.js';
+import type {Target} from './target-state.js';
+
+/** Time after which a target that came later has taken over the prompts that rank it first, in milliseconds. */
+const takeoverMs = 20_000;
+/** Registrations closer together than this count as made at once, in milliseconds. */
+const sameTimeMs = 3000;
+
+/** What the choice may look at. */
+export type CopyView = {
+	/** The pool's targets that may be reached: those that are leaving, too. */
+	readonly targets: readonly Target[];
+	readonly holders: PromptHolders;
+};
+
+/** Chooses the target from which `target` may copy parts of the prompt; undefined: it needs none, or none is known. */
+export function chooseCopySource({targets, holders}: CopyView, target: Target, promptParts: readonly PromptPart[], now: number): Target | undefined {
+	const shared = listSharedParts(promptParts);
+	const longest = shared.at(-1);
+	if (longest === undefined || holders.has(longest.id, target)) {
+		return undefined;
+	}
+
+	const reachable = new Set(targets.filter(other => other !== target && now >= other.health.asideUntil));
+	const canCopy = (other: Target) => reachable.has(other);
+	return holders.findHolder(longest.id, canCopy)
+		?? findUsualTarget(reachable, target, longest.id, now)
+		?? findHolderOfBeginning(holders, target, shared.slice(0, -1), canCopy);
+}
+
+/** Finds the target that served the prompt until now, as far as the order of targets tells; undefined: that is `target` itself. */
+function findUsualTarget(reachable: ReadonlySet<Target>, target: Target, partId: string, now: number): Target | undefined {
+	const keyHash = hashText(partId);
+	const warm = [...reachable].filter(({coldUntil}) => coldUntil <= now);
+	if (findFirstRanked([...warm, target], keyHash) !== target) {
+		return findFirstRanked(warm, keyHash);
+	}
+
+	return now - target.registeredAt < takeoverMs
+		? findFirstRanked(warm.filter(({registeredAt}) => target.registeredAt - registeredAt > sameTimeMs), keyHash)
+		: undefined;
+}
+
+/** Finds a holder of the longest beginning that the target is not known to have. */
+function findHolderOfBeginning(holders: PromptHolders, target: Target, parts: readonly PromptPart[], canCopy: (target: Target) => boolean): Target | undefined {
+	for (const {id} of [...parts].reverse()) {
+		if (holders.has(id, target)) {
+			return undefined;
+		}
+
+		const holder = holders.findHolder(id, canCopy);
+		if (holder !== undefined) {
+			return holder;
+		}
+	}
+
+	return undefined;
+}
--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -30,6 +30,8 @@
 	readonly needsProvenConnection: boolean;
 	/** Event after which a broken stream goes on. */
 	readonly resumeAfter?: string;
+	/** Address of a target from which cached parts of the prompt can be copied. */
+	readonly copyFrom?: string;
 	/** Time at which the answer has to be whole. */
 	readonly deadlineAt: number;
 	/** Silence before the first part of the answer after which the reducer wants to be told, in milliseconds; 0: never. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -4,12 +4,13 @@
  * alike; all others go where the least is in flight, in this zone if it makes
  * no difference.
  */
-import {hashText, mixHashes} from '@sequoiatally/core';
+import {hashText} from '@sequoiatally/core';
 import {
 	computeColdShare, computeWarmShare, type ColdBounds, type FleetView,
 } from './cold-guard.js';
 import type {Pool} from './directory.js';
 import {PoolLoad} from './pool-load.js';
+import {findFirstRanked} from './ranking.js';
 import {isUsable} from './target-health.js';
 import type {Target} from './target-state.js';
 
@@ -111,21 +112,6 @@
 	return candidates.includes(home) ? passedOverReason.load : passedOverReason.cold;
 }
 
-/** Finds the target that ranks first for a prompt, alike on every instance; undefined: there is none. */
-function findFirstRanked(targets: readonly Target[], keyHash: number): Target | undefined {
-	let first: Target | undefined;
-	let firstScore = -1;
-	for (const target of targets) {
-		const score = mixHashes(keyHash, target.hash);
-		if (score > firstScore) {
-			first = target;
-			firstScore = score;
-		}
-	}
-
-	return first;
-}
-
 function chooseLeastLoaded({zone}: PlacementView, candidates: readonly Target[], load: PoolLoad): Target {
 	const [first, ...rest] = candidates.map(target => {
 		const {record} = target;
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -84,6 +84,15 @@
 
 	request.hasStarted = true;
 	recordTargetLoad(step, request, targetLoad);
+	recordReading(step, request);
+}
+
+/** A target that answers has read the prompt. */
+function recordReading({state}: Step, {route, promptParts, current}: OpenRequest): void {
+	const target = state.targets.byId.get(current!.targetId);
+	if (target !== undefined && route.hasPrompts) {
+		state.promptHolders.record(promptParts, target);
+	}
 }
 
 function recordTargetLoad({state, now}: Step, {current}: OpenRequest, load: number | undefined): void {
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -3,6 +3,7 @@
  * the route alone; a request that may not is sent again only after proof that it
  * did not run.
  */
+import {chooseCopySource} from './copy-source.js';
 import {routeKind, type Route} from './directory.js';
 import {effectKind} from './effect.js';
 import {finishWithFailure} from './end-request.js';
@@ -14,7 +15,7 @@
 import {
 	findBudget, findFleetView, recordLog, type OpenRequest, type Step,
 } from './state.js';
-import {recordSend} from './target-state.js';
+import {listReachable, recordSend, type Target} from './target-state.js';
 
 /** Sends beyond those that may have run: refused connections and proofs that nothing ran. */
 const extraSends = 3;
@@ -104,6 +105,7 @@
 	request.runCount++;
 	request.current = {sendId, targetId: target.record.id, sentAt: now};
 	recordSend(target, now);
+	const copySource = findCopySource(step, request, target);
 	const canGiveUp = isRepeatable(route) && request.runCount < route.targetLimit;
 	step.effects.push({
 		kind: effectKind.send,
@@ -115,6 +117,7 @@
 		isStream: route.kind === routeKind.stream,
 		needsProvenConnection: !isRepeatable(route),
 		resumeAfter: request.lastEventId,
+		copyFrom: copySource?.record.address,
 		deadlineAt: request.deadlineAt,
 		firstSilenceMs: canGiveUp ? Math.max(shortestSilenceMs, route.latencyTargetMs * silencePart) : 0,
 		gapSilenceMs: canGiveUp ? route.eventGapMs * gapMultiple : 0,
@@ -125,10 +128,16 @@
 		directoryAgeMs: computeDirectoryAge(step), inFlight: target.inFlight,
 		load: Math.round(load * 10) / 10,
 		meanLoad: Math.round(meanLoad * 10) / 10,
-		passedOver, cold: target.coldUntil > now || undefined,
+		passedOver, copyFrom: copySource?.record.id, cold: target.coldUntil > now || undefined,
 	});
 }
 
+function findCopySource({state, now}: Step, {route, poolName, promptParts}: OpenRequest, target: Target): Target | undefined {
+	return route.hasPrompts
+		? chooseCopySource({targets: listReachable(state.targets, poolName), holders: state.promptHolders}, target, promptParts, now)
+		: undefined;
+}
+
 function isRepeatable({kind, canResume}: Route): boolean {
 	return kind === routeKind.repeatable || (kind === routeKind.stream && canResume);
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -9,6 +9,7 @@
 	computeFleetView, createMemberState, type MemberState, type SelfInfo,
 } from './members.js';
 import type {PromptPart} from './event.js';
+import {PromptHolders} from './prompt-holders.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
 import {createTargetState, type TargetState} from './target-state.js';
 
@@ -76,6 +77,7 @@
 	watchesAloneSince?: number;
 	nextCallAt: number;
 	targets: TargetState;
+	readonly promptHolders: PromptHolders;
 	open: Map<number, OpenRequest>;
 	/** Requests for which no target was found yet, in the order of their arrival. */
 	waiting: Set<OpenRequest>;
@@ -101,6 +103,7 @@
 		isWatching: true,
 		nextCallAt: 0,
 		targets: createTargetState(),
+		promptHolders: new PromptHolders(),
 		open: new Map(),
 		waiting: new Set(),
 		budgets: new Map(),
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -25,6 +25,8 @@
 export type Target = {
 	record: TargetRecord;
 	readonly hash: number;
+	/** When this instance heard of it first. */
+	readonly registeredAt: number;
 	/** Requests of this instance that are in flight there. */
 	inFlight: number;
 	readonly recentSends: SlidingWindow;
@@ -38,13 +40,28 @@
 	told?: ToldLoad;
 };
 
+/** Time for which a target goes on after its registration is gone, in milliseconds: others can copy from it meanwhile. */
+const departedMs = 2000;
+
+type Departed = {readonly target: Target; readonly until: number};
+
 export type TargetState = {
 	byId: Map<string, Target>;
 	byPool: Map<string, Target[]>;
+	/** Targets whose registration has gone, and that may be there still. */
+	departed: Departed[];
 };
 
 export function createTargetState(): TargetState {
-	return {byId: new Map(), byPool: new Map()};
+	return {byId: new Map(), byPool: new Map(), departed: []};
+}
+
+/** Lists the targets of a pool that may be reached, registered or not. */
+export function listReachable({byPool, departed}: TargetState, poolName: string): Target[] {
+	return [
+		...(byPool.get(poolName) ?? []),
+		...departed.filter(({target}) => target.record.pool === poolName).map(({target}) => target),
+	];
 }
 
 /**
@@ -111,6 +128,7 @@
 	return {
 		record,
 		hash: computeRankHash(record.id),
+		registeredAt: now,
 		inFlight: 0,
 		recentSends: new SlidingWindow(sendSpanMs),
 		coldUntil: now + record.coldMs,
@@ -144,10 +162,12 @@
 
 		if (target.isGone && target.inFlight === 0 && !target.record.isLeaving) {
 			targets.byId.delete(id);
+			targets.departed.push({target, until: now + departedMs});
 			hasChanged = true;
 		}
 	}
 
+	targets.departed = targets.departed.filter(({until}) => now < until);
 	if (hasChanged) {
 		indexPools(targets);
 	}
--- /dev/null
+++ b/packages/dispatch/src/test/copy_source_test.ts
@@ -0,0 +1,139 @@
+/**
+ * From where targets copy what others have read of a prompt.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {eventKind, sendOutcome, type Send} from '../index.js';
+import {PromptHolders} from '../lib/prompt-holders.js';
+import {createTargetState, applyTargetChanges} from '../lib/target-state.js';
+import {
+	createRoute, createTargetChange, createTargetRecord, GatewayFixture,
+} from './gateway-fixture.js';
+
+const engines = Array.from({length: 12}, (_, index) => `engine-${index}`);
+const chatRoute = createRoute();
+
+function createGateway(id = 'gateway-1'): GatewayFixture {
+	const gateway = new GatewayFixture(id).learn([]);
+	gateway.learnChanges(2, engines.map((engine, index) => createTargetChange(2, createTargetRecord(engine, {address: `10.0.0.${index + 1}:80`}))));
+	return gateway;
+}
+
+function findAddress(gateway: GatewayFixture, targetId: string): string {
+	return gateway.state.targets.byId.get(targetId)!.record.address;
+}
+
+/** Sends a prompt whose answer begins, and is left open. */
+function open(gateway: GatewayFixture, prompt: readonly string[]): Send {
+	gateway.arrive(chatRoute, {prompt});
+	const send = gateway.takeSend();
+	gateway.handle({kind: eventKind.answerStarted, openId: send.openId, sendId: send.sendId});
+	return send;
+}
+
+function place(gateway: GatewayFixture, prompt: readonly string[]): Send {
+	const send = open(gateway, prompt);
+	gateway.handle({
+		kind: eventKind.sendEnded, openId: send.openId, sendId: send.sendId, outcome: sendOutcome.complete, detail: 'test',
+	});
+	gateway.advance(300);
+	return send;
+}
+
+test('a target that has read the prompt copies nothing (returning chats)', () => {
+	const gateway = createGateway();
+	place(gateway, ['root', 'chat', 'turn-1']);
+	assert.equal(place(gateway, ['root', 'chat', 'turn-2']).copyFrom, undefined);
+});
+
+test('a prompt that overflows its busy target is copied from there (hot key)', () => {
+	const gateway = createGateway();
+	const first = open(gateway, ['root', 'chat', 'turn']);
+	const sends = Array.from({length: 12}, (_, index) => open(gateway, ['root', 'chat', `turn-${index}`]));
+	const other = sends.find(({targetId}) => targetId !== first.targetId)!;
+	assert.equal(other.copyFrom, findAddress(gateway, first.targetId));
+});
+
+test('an instance that has not seen the prompt names its usual target when that is too busy (hot key at many instances)', () => {
+	const usual = place(createGateway(), ['root', 'chat', 'turn']).targetId;
+	const gateway = createGateway('gateway-2');
+	for (const [id, target] of gateway.state.targets.byId) {
+		const load = id === usual ? 60 : 1;
+		target.told = {at: gateway.now, load, others: load};
+	}
+
+	const send = open(gateway, ['root', 'chat', 'turn']);
+	assert.notEqual(send.targetId, usual);
+	assert.equal(send.copyFrom, findAddress(gateway, usual));
+});
+
+test('a target that came later copies from the one that served the prompt before (release, scale out)', () => {
+	const gateway = createGateway();
+	gateway.advance(10_000);
+	const added = Array.from({length: 12}, (_, index) => `engine-new-${index}`);
+	gateway.learnChanges(3, added.map((id, index) => createTargetChange(3, createTargetRecord(id, {address: `10.0.1.${index}:80`}))));
+	const prompts = Array.from({length: 24}, (_, index) => [`root-${index}`, `chat-${index}`, 'turn']);
+	const sends = prompts.map(prompt => place(gateway, prompt));
+	const moved = sends.filter(({targetId}) => added.includes(targetId));
+	assert.ok(moved.length > 0);
+	const usualTarget = createGateway();
+	for (const [index, prompt] of prompts.entries()) {
+		const before = place(usualTarget, prompt).targetId;
+		const send = sends[index]!;
+		assert.equal(send.copyFrom, added.includes(send.targetId) ? findAddress(gateway, before) : undefined);
+	}
+});
+
+test('what a leaving target has read is copied while it is there (scale in)', () => {
+	const gateway = createGateway();
+	const {targetId} = place(gateway, ['root', 'chat', 'turn']);
+	const address = findAddress(gateway, targetId);
+	gateway.learnChanges(3, [createTargetChange(3, createTargetRecord(targetId, {address, isLeaving: true}))]);
+	assert.equal(open(gateway, ['root', 'chat', 'turn-2']).copyFrom, address);
+	const second = createGateway();
+	place(second, ['root', 'chat', 'turn']);
+	second.learnChanges(3, [{subject: `target/${targetId}`, revision: 3}]);
+	second.advance(500);
+	assert.equal(open(second, ['root', 'chat', 'turn-2']).copyFrom, address, 'it goes on for a while after its registration is gone');
+	const third = createGateway();
+	place(third, ['root', 'chat', 'turn']);
+	third.learnChanges(3, [{subject: `target/${targetId}`, revision: 3}]);
+	third.advance(5000);
+	assert.equal(open(third, ['root', 'chat', 'turn-2']).copyFrom, undefined);
+});
+
+test('a beginning that other prompts share is copied from a target that has read it (many chats with one beginning)', () => {
+	const gateway = createGateway();
+	const holders = new Set([findAddress(gateway, place(gateway, ['root', 'chat-0', 'turn']).targetId)]);
+	for (let index = 1; index < 20; index++) {
+		const send = place(gateway, ['root', `chat-${index}`, 'turn']);
+		const address = findAddress(gateway, send.targetId);
+		assert.equal(send.copyFrom !== undefined, !holders.has(address));
+		assert.ok(send.copyFrom === undefined || holders.has(send.copyFrom));
+		holders.add(address);
+	}
+});
+
+test('a target that was set aside is not named (crash)', () => {
+	const gateway = createGateway();
+	const {targetId} = place(gateway, ['root', 'chat', 'turn']);
+	gateway.state.targets.byId.get(targetId)!.health.asideUntil = gateway.now + 4000;
+	const send = open(gateway, ['root', 'chat', 'turn-2']);
+	assert.notEqual(send.targetId, targetId);
+	assert.notEqual(send.copyFrom, findAddress(gateway, targetId));
+});
+
+test('the memory of holders is bounded, and keeps what was used last', () => {
+	const targets = createTargetState();
+	applyTargetChanges(targets, [createTargetChange(1, createTargetRecord('engine-1'))], 0, 0);
+	const target = targets.byId.get('engine-1')!;
+	const holders = new PromptHolders();
+	for (let index = 0; index < 10_000; index++) {
+		holders.record([{id: 'root', tokenCount: 1}, {id: `chat-${index}`, tokenCount: 1}, {id: 'turn', tokenCount: 1}], target);
+	}
+
+	assert.equal(holders.has('chat-0', target), false);
+	assert.equal(holders.has('chat-9999', target), true);
+	assert.equal(holders.has('root', target), true);
+	assert.equal(holders.has('turn', target), false);
+});
