Few instances ask a platform that is away; sources of copies among settled and erring targets

Cause: when the platform is away for all, every instance began to read it after 2.8 s, and went on for 8 s after its return. Now news that is 1.8 s old makes four times as many instances read it as usual; the others do only if none of those answers them, and stop after 4 s. A list of members is trusted for this after 1.5 s.

A failed try: a usual target in every zone.

--- a/packages/dispatch/src/lib/copy-source.ts
+++ b/packages/dispatch/src/lib/copy-source.ts
@@ -8,6 +8,7 @@
 import type {PromptPart} from './event.js';
 import {listSharedParts, type PromptHolders} from './prompt-holders.js';
 import {findFirstRanked} from './ranking.js';
+import {isAnswering} from './target-health.js';
 import type {Target} from './target-state.js';
 
 /** Time after which a target that came later has taken over the prompts that rank it first, in milliseconds. */
@@ -30,24 +31,30 @@
 		return undefined;
 	}
 
-	const reachable = new Set(targets.filter(other => other !== target && now >= other.health.asideUntil));
+	const reachable = new Set(targets.filter(other => other !== target && isAnswering(other.health, now)));
 	const canCopy = (other: Target) => reachable.has(other);
 	return holders.findHolder(longest.id, canCopy)
 		?? findUsualTarget(reachable, target, longest.id, now)
 		?? findHolderOfBeginning(holders, target, shared.slice(0, -1), canCopy);
 }
 
-/** Finds the target that served the prompt until now, as far as the order of targets tells; undefined: that is `target` itself. */
+/**
+ * Finds the target that served the prompt until now, as far as the order of
+ * targets tells; undefined: that is `target` itself. Those that came lately
+ * take prompts over one by one, so the others are asked first.
+ */
 function findUsualTarget(reachable: ReadonlySet<Target>, target: Target, partId: string, now: number): Target | undefined {
 	const keyHash = hashText(partId);
 	const warm = [...reachable].filter(({coldUntil}) => coldUntil <= now);
-	if (findFirstRanked([...warm, target], keyHash) !== target) {
-		return findFirstRanked(warm, keyHash);
+	const first = findFirstRanked([...warm, target], keyHash);
+	const cameLately = (other: Target) => now - other.registeredAt < takeoverMs;
+	if (first === undefined || !cameLately(first)) {
+		return first === target ? undefined : first;
 	}
 
-	return now - target.registeredAt < takeoverMs
-		? findFirstRanked(warm.filter(({registeredAt}) => target.registeredAt - registeredAt > sameTimeMs), keyHash)
-		: undefined;
+	const earlier = warm.filter(({registeredAt}) => first.registeredAt - registeredAt > sameTimeMs);
+	const isUsual = findFirstRanked(cameLately(target) ? earlier : [...earlier, target], keyHash) === target;
+	return isUsual ? undefined : (findFirstRanked(earlier, keyHash) ?? (first === target ? undefined : first));
 }
 
 /** Finds a holder of the longest beginning that the target is not known to have. */
--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -23,6 +23,8 @@
 const assumedFleetSize = 12;
 /** Time for which an instance has to be in touch with others before it trusts its list, in milliseconds. */
 const settleMs = 3000;
+/** The same before it leaves reading the platform to others, in milliseconds: a wrong list costs a few calls only. */
+const watcherSettleMs = 1500;
 /** Instances that may exist beside the known ones, as a part of these: replacements that were not heard of yet. */
 const unknownPart = 0.2;
 
@@ -158,12 +160,12 @@
 	const hashes = [...members.byId.values()].map(({hash}) => hash);
 	const known = hashes.length + 1;
 	const size = known + Math.ceil(known * unknownPart);
-	return {selfHash, memberHashes: [selfHash, ...hashes], size: isSettled(members, now) ? size : Math.max(size, assumedFleetSize)};
+	return {selfHash, memberHashes: [selfHash, ...hashes], size: isInTouch(members, settleMs, now) ? size : Math.max(size, assumedFleetSize)};
 }
 
-/** True when the list can be trusted: others have been heard for a while without a break. */
-function isSettled({inTouchSince, lastHeardAt}: MemberState, now: number): boolean {
-	return inTouchSince !== undefined && now - inTouchSince >= settleMs && now - lastHeardAt! <= memberToldMs;
+/** True when others have been heard for that long without a break, so that the list can be trusted. */
+function isInTouch({inTouchSince, lastHeardAt}: MemberState, forMs: number, now: number): boolean {
+	return inTouchSince !== undefined && now - inTouchSince >= forMs && now - lastHeardAt! <= memberToldMs;
 }
 
 /** The instances that read the platform for the others, the same on every instance that knows all of them. */
@@ -174,14 +176,14 @@
 	readonly addresses: readonly string[];
 };
 
-/** Chooses the watchers by rank; a list that is not settled or small makes everybody one. */
-export function listWatchers(members: MemberState, selfHash: number, now: number): Watchers {
+/** Chooses the watchers by rank, `multiple` times as many as usual; a list that is young or small makes everybody one. */
+export function listWatchers(members: MemberState, selfHash: number, multiple: number, now: number): Watchers {
 	const {size} = members.byId;
-	if (size < allWatchBelow || !isSettled(members, now)) {
+	if (size < allWatchBelow || !isInTouch(members, watcherSettleMs, now)) {
 		return {includesSelf: true, addresses: []};
 	}
 
-	const count = Math.max(fewestWatchers, Math.ceil((size + 1) / instancesPerWatcher));
+	const count = Math.min(size, multiple * Math.max(fewestWatchers, Math.ceil((size + 1) / instancesPerWatcher)));
 	members.ranked ??= [...members.byId.values()].sort((a, b) => computeWatcherRank(b.hash) - computeWatcherRank(a.hash));
 	const first = members.ranked.slice(0, count);
 	const includesSelf = computeWatcherRank(selfHash) > computeWatcherRank(first.at(-1)!.hash);
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -36,6 +36,8 @@
 	readonly loads: readonly SharedLoad[];
 	/** True: the sender does not read the platform now, and wants what it lacks. */
 	readonly wantsUpdate: boolean;
+	/** True: the sender reads the platform, or tries to. */
+	readonly isWatching?: boolean;
 	/** Time for which the sender has read the platform without a break, in milliseconds; undefined: it does not read it now. */
 	readonly readingMs?: number;
 	/** Time for which registrations that lapsed may still come back, in milliseconds. */
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -28,10 +28,16 @@
 const againMs = 100;
 /** Part of such calls that goes to any member instead. */
 const anyMemberPart = 0.1;
-/** Age of the directory from which an instance reads the platform itself, in milliseconds. */
+/**
+ * Age of the directory from which more instances than usual read the platform,
+ * in milliseconds, and how many times as many: those that do may be turned away.
+ */
+const widenAfterMs = 1800;
+const widenedMultiple = 4;
+/** Age from which an instance does if none of those answers it, in milliseconds. */
 const longestUnreadMs = 2800;
-/** Shortest time for which it then goes on, in milliseconds. */
-const watchesAloneMs = 8000;
+/** Time for which an instance then goes on, in milliseconds. */
+const watchesAloneMs = 4000;
 /**
  * Time after the platform's return in which lapsed registrations come back, in
  * milliseconds: two seconds by its pages, and the time until they are read.
@@ -132,6 +138,7 @@
 		directoryAgeMs: directory.confirmedAt === undefined ? undefined : Math.round(now - directory.confirmedAt),
 		loads: describeLoads(state.targets, now),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
+		isWatching: state.isWatching,
 		readingMs: readingSince === undefined ? undefined : Math.round(now - readingSince),
 		lapseGraceMs: lapseGraceUntil > now ? Math.round(lapseGraceUntil - now) : undefined,
 		update,
@@ -148,6 +155,10 @@
 }
 
 export function applyPeerAnswered(step: Step, {address, message, askedAt}: PeerAnswered): void {
+	if (message.isWatching) {
+		step.state.watcherAnsweredAt = step.now;
+	}
+
 	learnMessage(step, message, askedAt);
 	const {directory} = step.state;
 	if (message.wantsUpdate && message.revision < directory.revision) {
@@ -223,34 +234,44 @@
 		recordLog(step, 'members-expired', {members: expired, size: state.members.byId.size + 1});
 	}
 
-	const watchers = listWatchers(state.members, state.selfHash, now);
-	updateWatching(step, watchers);
+	const watchers = updateWatching(step);
 	if (now >= state.nextCallAt) {
 		callNextPeer(step, watchers);
 	}
 }
 
-/** Reads the platform if this instance is a watcher, or hears too little from those that are. */
-function updateWatching(step: Step, {includesSelf}: Watchers): void {
+/**
+ * Reads the platform if this instance is a watcher, or while the news that it
+ * gets from the watchers is old. When the platform is away for all, most
+ * instances stay quiet: the watchers answer them, and have nothing to tell.
+ */
+function updateWatching(step: Step): Watchers {
 	const {state, now} = step;
 	const {confirmedAt} = state.directory;
-	if (confirmedAt === undefined || now - confirmedAt > longestUnreadMs) {
-		state.watchesAloneSince = now;
-	} else if (state.watchesAloneSince !== undefined && now - state.watchesAloneSince > watchesAloneMs) {
-		state.watchesAloneSince = undefined;
+	const ageMs = now - (confirmedAt ?? Number.NEGATIVE_INFINITY);
+	const usual = listWatchers(state.members, state.selfHash, 1, now);
+	const watchers = ageMs > widenAfterMs ? listWatchers(state.members, state.selfHash, widenedMultiple, now) : usual;
+	const isUnanswered = confirmedAt === undefined || now - state.watcherAnsweredAt > longestUnreadMs;
+	if ((ageMs > widenAfterMs && watchers.includesSelf) || (ageMs > longestUnreadMs && isUnanswered)) {
+		state.watchesUntil = now + watchesAloneMs;
 	}
 
-	const isWatching = includesSelf || state.watchesAloneSince !== undefined;
-	if (isWatching === state.isWatching) {
-		return;
+	const isWatching = usual.includesSelf || now < state.watchesUntil;
+	if (isWatching !== state.isWatching) {
+		setWatching(step, isWatching);
 	}
 
+	return watchers;
+}
+
+function setWatching(step: Step, isWatching: boolean): void {
+	const {state, now} = step;
 	state.isWatching = isWatching;
 	state.directoryLostAt = undefined;
 	state.readingSince = undefined;
 	step.effects.push({kind: effectKind.watch, isWatching, revision: state.directory.revision});
 	recordLog(step, isWatching ? 'watch-started' : 'watch-stopped', {
-		directoryAgeMs: Math.round(now - (confirmedAt ?? 0)), revision: state.directory.revision, members: state.members.byId.size + 1,
+		directoryAgeMs: Math.round(now - (state.directory.confirmedAt ?? 0)), revision: state.directory.revision, members: state.members.byId.size + 1,
 	});
 }
 
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -73,8 +73,10 @@
 	members: MemberState;
 	/** True: this instance reads the platform itself. */
 	isWatching: boolean;
-	/** Since when it does, for lack of news from others. */
-	watchesAloneSince?: number;
+	/** Until then it does, for lack of news from others. */
+	watchesUntil: number;
+	/** When an instance that reads the platform for others answered last. */
+	watcherAnsweredAt: number;
 	nextCallAt: number;
 	targets: TargetState;
 	readonly promptHolders: PromptHolders;
@@ -101,6 +103,8 @@
 		lapseGapStartedAt: 0,
 		members: createMemberState(seedAddresses),
 		isWatching: true,
+		watchesUntil: 0,
+		watcherAnsweredAt: 0,
 		nextCallAt: 0,
 		targets: createTargetState(),
 		promptHolders: new PromptHolders(),
--- a/packages/dispatch/src/lib/target-health.ts
+++ b/packages/dispatch/src/lib/target-health.ts
@@ -41,6 +41,8 @@
 	pauses: number;
 	/** Time until which the target is set aside. */
 	asideUntil: number;
+	/** What the last answer said. */
+	last: Verdict;
 	/** True: it was set aside, and the next answer decides. */
 	isOnTrial: boolean;
 	/** A single request that tries the target again is out. */
@@ -49,7 +51,7 @@
 
 export function createHealth(): TargetHealth {
 	return {
-		weight: 0, failures: 0, lostRow: 0, pauses: 0, asideUntil: 0, isOnTrial: false, hasTrial: false,
+		weight: 0, failures: 0, lostRow: 0, pauses: 0, asideUntil: 0, last: verdict.good, isOnTrial: false, hasTrial: false,
 	};
 }
 
@@ -58,9 +60,15 @@
 	return now >= health.asideUntil && !(health.isOnTrial && health.hasTrial);
 }
 
+/** True when the target is there, even if it is set aside because requests fail. */
+export function isAnswering({asideUntil, last}: TargetHealth, now: number): boolean {
+	return now >= asideUntil || last === verdict.failed;
+}
+
 /** Counts an answer; returns true when the target is set aside by it. */
 export function recordVerdict(health: TargetHealth, found: Verdict, poolShare: number, now: number): boolean {
 	const isBad = found !== verdict.good;
+	health.last = found;
 	health.weight = (health.weight * decay) + 1;
 	health.failures = (health.failures * decay) + (isBad ? 1 : 0);
 	health.lostRow = found === verdict.lost || found === verdict.unreached ? health.lostRow + 1 : 0;
--- a/packages/dispatch/src/test/copy_source_test.ts
+++ b/packages/dispatch/src/test/copy_source_test.ts
@@ -5,7 +5,8 @@
 import {test} from 'node:test';
 import {eventKind, sendOutcome, type Send} from '../index.js';
 import {PromptHolders} from '../lib/prompt-holders.js';
-import {createTargetState, applyTargetChanges} from '../lib/target-state.js';
+import {recordVerdict, verdict} from '../lib/target-health.js';
+import {applyTargetChanges, createTargetState} from '../lib/target-state.js';
 import {
 	createRoute, createTargetChange, createTargetRecord, GatewayFixture,
 } from './gateway-fixture.js';
@@ -123,6 +124,59 @@
 	assert.notEqual(send.copyFrom, findAddress(gateway, targetId));
 });
 
+test('what a target has read whose requests fail is copied from it (grey workers)', () => {
+	const usual = place(createGateway(), ['root', 'chat', 'turn']).targetId;
+	const gateway = createGateway('gateway-2');
+	const {health} = gateway.state.targets.byId.get(usual)!;
+	for (let index = 0; index < 8; index++) {
+		recordVerdict(health, verdict.failed, 0, gateway.now);
+	}
+
+	assert.ok(health.asideUntil > gateway.now);
+	const send = open(gateway, ['root', 'chat', 'turn']);
+	assert.notEqual(send.targetId, usual);
+	assert.equal(send.copyFrom, findAddress(gateway, usual));
+});
+
+test('a prompt that a new target cannot take yet goes on where it was, and copies nothing (cold return of a zone)', () => {
+	const prompts = Array.from({length: 24}, (_, index) => [`root-${index}`, `chat-${index}`, 'turn']);
+	const before = createGateway();
+	const usual = prompts.map(prompt => place(before, prompt).targetId);
+	const gateway = createGateway('gateway-2');
+	gateway.advance(10_000);
+	const added = Array.from({length: 12}, (_, index) => `engine-new-${index}`);
+	gateway.learnChanges(3, added.map((id, index) => createTargetChange(3, createTargetRecord(id, {address: `10.0.1.${index}:80`}))));
+	for (const id of added) {
+		gateway.state.targets.byId.get(id)!.coldUntil = gateway.now + 30_000;
+	}
+
+	for (const [index, prompt] of prompts.entries()) {
+		const send = place(gateway, prompt);
+		assert.equal(send.targetId, usual[index]);
+		assert.equal(send.copyFrom, undefined);
+	}
+});
+
+test('a prompt that moves on from a busy new target is copied from where it was before that came (scale out, hot key)', () => {
+	const prompts = Array.from({length: 24}, (_, index) => [`root-${index}`, `chat-${index}`, 'turn']);
+	const before = createGateway();
+	const usual = prompts.map(prompt => place(before, prompt).targetId);
+	const gateway = createGateway('gateway-2');
+	gateway.advance(10_000);
+	const added = Array.from({length: 12}, (_, index) => `engine-new-${index}`);
+	gateway.learnChanges(3, added.map((id, index) => createTargetChange(3, createTargetRecord(id, {address: `10.0.1.${index}:80`}))));
+	for (const [id, target] of gateway.state.targets.byId) {
+		const load = added.slice(0, 10).includes(id) || engines.slice(0, 8).includes(id) ? 60 : 1;
+		target.told = {at: gateway.now, load, others: load};
+	}
+
+	const sends = prompts.map(prompt => open(gateway, prompt));
+	assert.ok(sends.filter(({targetId}, index) => targetId !== usual[index]).length > 12);
+	for (const [index, {targetId, copyFrom}] of sends.entries()) {
+		assert.equal(copyFrom, targetId === usual[index] ? undefined : findAddress(gateway, usual[index]!), `prompt ${index} at ${targetId}`);
+	}
+});
+
 test('the memory of holders is bounded, and keeps what was used last', () => {
 	const targets = createTargetState();
 	applyTargetChanges(targets, [createTargetChange(1, createTargetRecord('engine-1'))], 0, 0);
--- a/packages/dispatch/src/test/fleet_test.ts
+++ b/packages/dispatch/src/test/fleet_test.ts
@@ -235,6 +235,37 @@
 	assert.ok(confirmWatchers(fleet, 100) > 0);
 });
 
+test('while the platform is away for all, most of a large fleet leaves it alone, and all hear of its return (platform down)', () => {
+	const fleet = createFleet(40);
+	for (const gateway of fleet.values()) {
+		gateway.learn(['desk-1']);
+	}
+
+	for (let index = 0; index < 40; index++) {
+		passTime(fleet, 300);
+		confirmWatchers(fleet, index + 2);
+	}
+
+	passTime(fleet, 8000);
+	const asking = [...fleet.values()].filter(({state}) => state.isWatching);
+	assert.ok(asking.length >= 10 && asking.length <= 24, `${asking.length} of 40`);
+	for (let index = 0; index < 4; index++) {
+		confirmWatchers(fleet, 60 + index, [createTablesChange(60, createTables(2))]);
+		passTime(fleet, 300);
+	}
+
+	for (const gateway of fleet.values()) {
+		assert.equal(gateway.state.directory.tables?.version, 2, gateway.state.self.id);
+	}
+
+	for (let index = 0; index < 20; index++) {
+		confirmWatchers(fleet, 70 + index);
+		passTime(fleet, 300);
+	}
+
+	assert.ok(confirmWatchers(fleet, 99) <= 10);
+});
+
 test('instances tell each other of busy targets, so that a prompt is not sent where many others went (large fleet, hot key)', () => {
 	const fleet = createFleet(2);
 	const [first, second] = [...fleet.values()];
