--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory.ts
@@ -56,6 +56,7 @@
 
 /** What callers may send, and how long they may stay idle. */
 export type CallerLimits = {
+	readonly headBytes: number;
 	readonly bodyBytes: number;
 	/** Time after which an idle caller connection may be closed, in milliseconds. */
 	readonly idleTimeoutMs: number;
--- a/packages/dispatch/src/lib/failure.ts
+++ b/packages/dispatch/src/lib/failure.ts
@@ -9,6 +9,7 @@
 	keyUnknown: 'key-unknown',
 	noRoute: 'no-route',
 	bodyTooLarge: 'body-too-large',
+	headTooLarge: 'head-too-large',
 	/** No tables are known yet. */
 	notReady: 'not-ready',
 	/** What is known may be out of date, and says no. */
@@ -37,6 +38,7 @@
 	[failureReason.keyUnknown]: 401,
 	[failureReason.noRoute]: 404,
 	[failureReason.bodyTooLarge]: 413,
+	[failureReason.headTooLarge]: 431,
 	[failureReason.notReady]: 503,
 	[failureReason.directoryStale]: 503,
 	[failureReason.draining]: 503,
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -32,7 +32,7 @@
 		pools: [{name: 'engines', coldRatePerS: 10}, {name: 'desk', coldRatePerS: 0}],
 		accounts: [{name: 'amina', keyDigests: ['digest-a']}],
 		limits: {
-			bodyBytes: 4_194_304, idleTimeoutMs: 15_000,
+			headBytes: 16_384, bodyBytes: 4_194_304, idleTimeoutMs: 15_000,
 		},
 		...fields,
 	};
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -36,6 +36,7 @@
 	readonly open = new Map<number, CallerExchange>();
 	readonly #parts: CallerServerParts;
 	readonly #server: Server;
+	#headLimit = largestHeadBytes;
 	#bodyLimit = defaultBodyBytes;
 	#nextOpenId = 1;
 	#isDraining = false;
@@ -65,7 +66,8 @@
 	}
 
 	/** Takes the limits of new tables. */
-	useLimits({bodyBytes, idleTimeoutMs}: CallerLimits): void {
+	useLimits({headBytes, bodyBytes, idleTimeoutMs}: CallerLimits): void {
+		this.#headLimit = headBytes;
 		this.#bodyLimit = bodyBytes;
 		this.#server.keepAliveTimeout = idleTimeoutMs + idleMarginMs;
 	}
@@ -89,7 +91,9 @@
 			}
 		};
 
-		if (Number(request.headers['content-length'] ?? 0) > this.#bodyLimit) {
+		if (computeHeadBytes(request) > this.#headLimit) {
+			refuse(failureReason.headTooLarge, 'the head is larger than the tables allow');
+		} else if (Number(request.headers['content-length'] ?? 0) > this.#bodyLimit) {
 			refuse(failureReason.bodyTooLarge, 'the body is larger than the tables allow');
 		}
 
@@ -141,3 +145,13 @@
 		response.end();
 	}
 }
+
+/** Size of the request line and the headers as they were sent, without optional spaces. */
+function computeHeadBytes({method = '', url = '', rawHeaders}: IncomingMessage): number {
+	let size = method.length + url.length + ' '.length + ' HTTP/1.1\r\n\r\n'.length;
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		size += rawHeaders[index]!.length + rawHeaders[index + 1]!.length + ': \r\n'.length;
+	}
+
+	return size;
+}
