--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -24,6 +24,16 @@
 	readonly ageMs: number;
 };
 
+/** A target that has read the shared parts of a prompt. */
+export type SharedReading = {
+	/** The shared parts, the first part first. */
+	readonly partIds: readonly string[];
+	readonly targetId: string;
+	/** Unix time of the target's start in milliseconds: what it read before a restart is lost. */
+	readonly bornAt: number;
+	readonly ageMs: number;
+};
+
 export type PeerMessage = {
 	readonly from: MemberEntry;
 	/** Some of the members that the sender knows. */
@@ -34,6 +44,8 @@
 	readonly directoryAgeMs?: number;
 	/** Loads that targets told lately. */
 	readonly loads: readonly SharedLoad[];
+	/** Targets that were lately found to have read a prompt. */
+	readonly readings: readonly SharedReading[];
 	/** True: the sender does not read the platform now, and wants what it lacks. */
 	readonly wantsUpdate: boolean;
 	/** True: the sender reads the platform, or tries to. */
--- a/packages/dispatch/src/lib/prompt-holders.ts
+++ b/packages/dispatch/src/lib/prompt-holders.ts
@@ -1,38 +1,57 @@
 /**
  * Remembers which targets have read which parts of prompts, from the requests
- * that this instance placed. A target that lacks a part can copy it from one
+ * that this instance placed and from what its peers tell. A target that lacks a part can copy it from one
  * that has it, which costs a small part of reading it again.
  *
  * The memory is a hint: a target that has dropped a part meanwhile copies
  * nothing and reads it.
  */
 import type {PromptPart} from './event.js';
+import type {SharedReading} from './peer-message.js';
 import type {Target} from './target-state.js';
 
 /** Parts that are remembered; the one used longest ago is forgotten first. */
 const partLimit = 8192;
 /** Holders that are remembered for each part, the latest. */
 const holderLimit = 64;
+/** Readings told in one message, the latest. */
+const toldLimit = 16;
+/** Readings that are kept to be told. */
+const newsLimit = 64;
+/** Age up to which readings are told, in milliseconds: by then most prompts have been asked for again. */
+const toldMs = 4000;
+
+/** A target that was found to have read a prompt. */
+type Reading = {readonly partIds: readonly string[]; readonly target: Target; readonly at: number};
 
 export class PromptHolders {
+	/** New holders, the latest last. */
+	#news: Reading[] = [];
 	/** Holders of each part, the latest last; parts in the order of their last use. */
 	readonly #byPart = new Map<string, Target[]>();
 
 	/** Records that the target has read the shared parts of a prompt. */
-	record(parts: readonly PromptPart[], target: Target): void {
-		for (const {id} of listSharedParts(parts)) {
-			const holders = this.#byPart.get(id)?.filter(holder => holder !== target) ?? [];
-			holders.push(target);
-			this.#byPart.delete(id);
-			this.#byPart.set(id, holders.slice(-holderLimit));
-		}
+	record(parts: readonly PromptPart[], target: Target, now: number): void {
+		this.#add({partIds: listSharedParts(parts).map(({id}) => id), target, at: now});
+	}
 
-		for (const id of this.#byPart.keys()) {
-			if (this.#byPart.size <= partLimit) {
-				break;
-			}
+	/** Describes the latest news for peers. */
+	describeNews(now: number): SharedReading[] {
+		this.#news = this.#news.filter(({at}) => now - at <= toldMs);
+		return this.#news.slice(-toldLimit).map(({partIds, target, at}) => ({
+			partIds, targetId: target.record.id, bornAt: target.record.bornAt, ageMs: Math.round(now - at),
+		}));
+	}
 
-			this.#byPart.delete(id);
+	/** Takes a peer's news; `madeAt` is a time before the peer's message. */
+	learn(readings: readonly SharedReading[], targets: ReadonlyMap<string, Target>, madeAt: number): void {
+		for (const {
+			partIds, targetId, bornAt, ageMs,
+		} of readings) {
+			const target = targets.get(targetId);
+			if (target?.record.bornAt === bornAt) {
+				this.#add({partIds, target, at: madeAt - ageMs});
+			}
 		}
 	}
 
@@ -45,6 +64,30 @@
 	findHolder(partId: string, canCopy: (target: Target) => boolean): Target | undefined {
 		return this.#byPart.get(partId)?.findLast(target => canCopy(target));
 	}
+
+	#add(reading: Reading): void {
+		const {partIds, target} = reading;
+		const longest = partIds.at(-1);
+		if (longest !== undefined && !this.has(longest, target)) {
+			this.#news.push(reading);
+			this.#news = this.#news.slice(-newsLimit);
+		}
+
+		for (const id of partIds) {
+			const holders = this.#byPart.get(id)?.filter(holder => holder !== target) ?? [];
+			holders.push(target);
+			this.#byPart.delete(id);
+			this.#byPart.set(id, holders.slice(-holderLimit));
+		}
+
+		for (const id of this.#byPart.keys()) {
+			if (this.#byPart.size <= partLimit) {
+				break;
+			}
+
+			this.#byPart.delete(id);
+		}
+	}
 }
 
 /** Lists the parts that other requests share, the first part first: the last part belongs to the request itself. */
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -137,6 +137,7 @@
 		revision: directory.revision,
 		directoryAgeMs: directory.confirmedAt === undefined ? undefined : Math.round(now - directory.confirmedAt),
 		loads: describeLoads(state.targets, now),
+		readings: state.promptHolders.describeNews(now),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
 		isWatching: state.isWatching,
 		readingMs: readingSince === undefined ? undefined : Math.round(now - readingSince),
@@ -181,6 +182,7 @@
 		update, directoryAgeMs, lapseGraceMs, readingMs,
 	} = message;
 	applyLoads(state.targets, message.loads, madeAt);
+	state.promptHolders.learn(message.readings, state.targets.byId, madeAt);
 	// An instance that had news all the while knows that the platform was there.
 	if (lapseGraceMs !== undefined && hasNewsGap(step)) {
 		startLapseGrace(step, madeAt + lapseGraceMs);
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -88,10 +88,10 @@
 }
 
 /** A target that answers has read the prompt. */
-function recordReading({state}: Step, {route, promptParts, current}: OpenRequest): void {
+function recordReading({state, now}: Step, {route, promptParts, current}: OpenRequest): void {
 	const target = state.targets.byId.get(current!.targetId);
 	if (target !== undefined && route.hasPrompts) {
-		state.promptHolders.record(promptParts, target);
+		state.promptHolders.record(promptParts, target, now);
 	}
 }
 
--- a/packages/dispatch/src/test/copy_source_test.ts
+++ b/packages/dispatch/src/test/copy_source_test.ts
@@ -3,7 +3,9 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {eventKind, sendOutcome, type Send} from '../index.js';
+import {
+	effectKind, eventKind, sendOutcome, type PeerMessage, type Send,
+} from '../index.js';
 import {PromptHolders} from '../lib/prompt-holders.js';
 import {recordVerdict, verdict} from '../lib/target-health.js';
 import {applyTargetChanges, createTargetState} from '../lib/target-state.js';
@@ -177,13 +179,64 @@
 	}
 });
 
+test('peers hear where a prompt went that its usual target could not take (hot key at many instances)', () => {
+	const first = createGateway();
+	const second = createGateway('gateway-2');
+	const prompt = ['root', 'chat', 'turn'];
+	const usual = place(first, prompt).targetId;
+	first.state.targets.byId.get(usual)!.health.asideUntil = first.now + 4000;
+	const other = place(first, prompt).targetId;
+	assert.notEqual(other, usual);
+	const message = tellPeer(first);
+	assert.ok(message.readings.length <= 16);
+	second.handle({kind: eventKind.peerCalled, callId: 1, message});
+	// The usual target is lost, and so is the next in rank.
+	second.learnChanges(3, [{subject: `target/${usual}`, revision: 3}]);
+	second.advance(5000);
+	const {health} = second.state.targets.byId.get(other)!;
+	assert.ok(second.state.promptHolders.has('chat', second.state.targets.byId.get(other)!));
+	recordVerdict(health, verdict.failed, 0, second.now);
+	health.asideUntil = second.now + 4000;
+	assert.equal(open(second, prompt).copyFrom, findAddress(second, other));
+});
+
+test('a peer\'s word on a target does not hold for what starts anew under its id (release)', () => {
+	const first = createGateway();
+	const second = createGateway('gateway-2');
+	const {targetId} = place(first, ['root', 'chat', 'turn']);
+	const message = tellPeer(first);
+	second.advance(1000);
+	second.learnChanges(3, [createTargetChange(3, createTargetRecord(targetId, {bornAt: 2}))]);
+	second.handle({kind: eventKind.peerCalled, callId: 1, message});
+	assert.equal(second.state.promptHolders.has('chat', second.state.targets.byId.get(targetId)!), false);
+});
+
+/** The message with which an instance answers a peer that knows nothing. */
+function tellPeer(gateway: GatewayFixture): PeerMessage {
+	const answer = gateway.handle({
+		kind: eventKind.peerCalled,
+		callId: 9,
+		message: {
+			from: {
+				id: 'gateway-9', incarnation: 'i', address: 'gateway-9:1', zone: 'zone-b', ageMs: 0,
+			},
+			members: [],
+			revision: 0,
+			loads: [],
+			readings: [],
+			wantsUpdate: false,
+		},
+	}).find(effect => effect.kind === effectKind.answerPeer);
+	return answer!.message;
+}
+
 test('the memory of holders is bounded, and keeps what was used last', () => {
 	const targets = createTargetState();
 	applyTargetChanges(targets, [createTargetChange(1, createTargetRecord('engine-1'))], 0, 0);
 	const target = targets.byId.get('engine-1')!;
 	const holders = new PromptHolders();
 	for (let index = 0; index < 10_000; index++) {
-		holders.record([{id: 'root', tokenCount: 1}, {id: `chat-${index}`, tokenCount: 1}, {id: 'turn', tokenCount: 1}], target);
+		holders.record([{id: 'root', tokenCount: 1}, {id: `chat-${index}`, tokenCount: 1}, {id: 'turn', tokenCount: 1}], target, 0);
 	}
 
 	assert.equal(holders.has('chat-0', target), false);
--- a/packages/dispatch/src/test/directory_test.ts
+++ b/packages/dispatch/src/test/directory_test.ts
@@ -112,6 +112,7 @@
 	members: [],
 	revision: 9,
 	loads: [],
+	readings: [],
 	wantsUpdate: false,
 };
 
