--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -14,14 +14,12 @@
 import {isUsable} from './target-health.js';
 import type {Target} from './target-state.js';
 
-/** What a target may hold: a multiple of its pool's mean load, and a floor beside it. */
-type LoadCap = {readonly multiple: number; readonly floor: number};
-/** Where every instance hears of every target about once a second; the platform's bound is 2 x mean + 3. */
-const smallFleetCap: LoadCap = {multiple: 1.9, floor: 3};
-/** Where instances hear of targets rarely and many of them choose by the same word. */
-const largeFleetCap: LoadCap = {multiple: 1.5, floor: 1.5};
-/** Instances, those included that may exist unheard of, up to which the first cap holds. */
-const smallFleetSize = 12;
+/**
+ * What a target may hold: a multiple of its pool's mean load, and a floor
+ * beside it. The platform's bound is 2 x mean + 3; the rest is for what other
+ * instances send meanwhile (`load_cap_test`).
+ */
+const loadCap = {multiple: 1.5, floor: 1.5};
 /** Part of a pool's targets that has to be in good health; below it, health is no longer looked at. */
 const healthyFloor = 0.4;
 /** What another zone counts for, as a part of a target's slots. */
@@ -84,8 +82,7 @@
 	}
 
 	const keyHash = hashText(promptKey);
-	const {multiple, floor} = view.fleet.size <= smallFleetSize ? smallFleetCap : largeFleetCap;
-	const cap = (multiple * load.mean) + floor;
+	const cap = (loadCap.multiple * load.mean) + loadCap.floor;
 	const fitting = candidates.filter(target => load.estimate(target) + 1 <= cap);
 	// A cold target is slow and has nothing to reuse: it starts with what the others cannot take.
 	const target = findFirstRanked(fitting.filter(({coldUntil}) => coldUntil <= now), keyHash)
--- /dev/null
+++ b/packages/dispatch/src/test/fleet-fixture.ts
@@ -0,0 +1,55 @@
+/**
+ * Several gateways that call each other, under a clock that tests move.
+ */
+import {effectKind, eventKind, type CallPeer} from '../index.js';
+import {GatewayFixture} from './gateway-fixture.js';
+
+/** Takes the calls that a gateway wants to make. */
+export function takeCalls(gateway: GatewayFixture): CallPeer[] {
+	const calls = gateway.effects.filter(effect => effect.kind === effectKind.callPeer);
+	gateway.effects = [];
+	return calls;
+}
+
+/** Carries all calls between gateways until none is left, or for a number of rounds. */
+export function exchange(gateways: ReadonlyMap<string, GatewayFixture>, rounds: number): void {
+	for (let round = 0; round < rounds; round++) {
+		for (const caller of gateways.values()) {
+			for (const {address, message} of takeCalls(caller)) {
+				const callee = gateways.get(address);
+				if (callee === undefined) {
+					caller.handle({kind: eventKind.peerFailed, address, detail: 'gone'});
+					continue;
+				}
+
+				callee.handle({kind: eventKind.peerCalled, callId: 1, message});
+				const answer = callee.effects.find(effect => effect.kind === effectKind.answerPeer);
+				callee.effects = callee.effects.filter(effect => effect !== answer);
+				caller.handle({
+					kind: eventKind.peerAnswered, address, message: answer!.message, askedAt: caller.now,
+				});
+			}
+		}
+	}
+}
+
+export function createFleet(size: number): Map<string, GatewayFixture> {
+	const fleet = new Map<string, GatewayFixture>();
+	for (let index = 0; index < size; index++) {
+		const gateway = new GatewayFixture(`gateway-${index}`, 'zone-a', index + 1);
+		gateway.handle({kind: eventKind.settingsChanged, seedAddresses: ['gateway-0:1']});
+		fleet.set(`gateway-${index}:1`, gateway);
+	}
+
+	return fleet;
+}
+
+export function advanceFleet(fleet: ReadonlyMap<string, GatewayFixture>, timeMs: number): void {
+	for (let passed = 0; passed < timeMs; passed += 100) {
+		for (const gateway of fleet.values()) {
+			gateway.advance(100);
+		}
+
+		exchange(fleet, 1);
+	}
+}
--- a/packages/dispatch/src/test/fleet_test.ts
+++ b/packages/dispatch/src/test/fleet_test.ts
@@ -4,9 +4,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {effectKind, eventKind, type CallPeer} from '../index.js';
+import {effectKind, eventKind} from '../index.js';
 import {computeColdShare, computeRankHash, type FleetView} from '../lib/cold-guard.js';
 import {RetryBudget} from '../lib/retry-budget.js';
+import {createFleet, advanceFleet, takeCalls} from './fleet-fixture.js';
 import {
 	createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
 } from './gateway-fixture.js';
@@ -81,64 +82,15 @@
 	assert.ok(sent >= 1 && sent <= 2, `${sent} in a second, of a fleet of unknown size`);
 });
 
-function takeCalls(gateway: GatewayFixture): CallPeer[] {
-	const calls = gateway.effects.filter(effect => effect.kind === effectKind.callPeer);
-	gateway.effects = [];
-	return calls;
-}
-
-/** Carries all calls between gateways until none is left, or for a number of rounds. */
-function exchange(gateways: ReadonlyMap<string, GatewayFixture>, rounds: number): void {
-	for (let round = 0; round < rounds; round++) {
-		for (const caller of gateways.values()) {
-			for (const {address, message} of takeCalls(caller)) {
-				const callee = gateways.get(address);
-				if (callee === undefined) {
-					caller.handle({kind: eventKind.peerFailed, address, detail: 'gone'});
-					continue;
-				}
-
-				callee.handle({kind: eventKind.peerCalled, callId: 1, message});
-				const answer = callee.effects.find(effect => effect.kind === effectKind.answerPeer);
-				callee.effects = callee.effects.filter(effect => effect !== answer);
-				caller.handle({
-					kind: eventKind.peerAnswered, address, message: answer!.message, askedAt: caller.now,
-				});
-			}
-		}
-	}
-}
-
-function createFleet(size: number): Map<string, GatewayFixture> {
-	const fleet = new Map<string, GatewayFixture>();
-	for (let index = 0; index < size; index++) {
-		const gateway = new GatewayFixture(`gateway-${index}`, 'zone-a', index + 1);
-		gateway.handle({kind: eventKind.settingsChanged, seedAddresses: ['gateway-0:1']});
-		fleet.set(`gateway-${index}:1`, gateway);
-	}
-
-	return fleet;
-}
-
-function passTime(fleet: ReadonlyMap<string, GatewayFixture>, timeMs: number): void {
-	for (let passed = 0; passed < timeMs; passed += 100) {
-		for (const gateway of fleet.values()) {
-			gateway.advance(100);
-		}
-
-		exchange(fleet, 1);
-	}
-}
-
 test('instances find each other from one seed, and forget those that are gone', () => {
 	const fleet = createFleet(7);
-	passTime(fleet, 6000);
+	advanceFleet(fleet, 6000);
 	for (const gateway of fleet.values()) {
 		assert.equal(gateway.state.members.byId.size, 6);
 	}
 
 	fleet.delete('gateway-3:1');
-	passTime(fleet, 16_000);
+	advanceFleet(fleet, 16_000);
 	for (const gateway of fleet.values()) {
 		assert.equal(gateway.state.members.byId.has('gateway-3'), false);
 	}
@@ -151,7 +103,7 @@
 		gateway.learn(['desk-1', 'desk-2']);
 	}
 
-	passTime(fleet, 4000);
+	advanceFleet(fleet, 4000);
 	const cut = gateways[4]!;
 	cut.handle({kind: eventKind.directoryLost, detail: 'turned away'});
 	for (const gateway of gateways) {
@@ -160,7 +112,7 @@
 		}
 	}
 
-	passTime(fleet, 1500);
+	advanceFleet(fleet, 1500);
 	assert.equal(cut.state.directory.tables?.version, 8);
 	assert.equal(cut.state.targets.byId.get('desk-1')?.isGone, true);
 });
@@ -170,7 +122,7 @@
 	const [first, second] = [...fleet.values()];
 	first!.learn(['desk-1']);
 	second!.handle({kind: eventKind.directoryLost, detail: 'down'});
-	passTime(fleet, 3000);
+	advanceFleet(fleet, 3000);
 	assert.equal(second!.state.directory.tables?.version, 1);
 });
 
@@ -194,7 +146,7 @@
 	}
 
 	for (let index = 0; index < 40; index++) {
-		passTime(fleet, 300);
+		advanceFleet(fleet, 300);
 		confirmWatchers(fleet, index + 2);
 	}
 
@@ -203,7 +155,7 @@
 	assert.ok(count >= 5 && count <= 10, `${count} of 40`);
 	confirmWatchers(fleet, 60, [createTablesChange(59, createTables(2)), createTargetChange(60, createTargetRecord('desk-1', {isLeaving: true}))]);
 	for (let index = 0; index < 6; index++) {
-		passTime(fleet, 300);
+		advanceFleet(fleet, 300);
 		confirmWatchers(fleet, 61 + index);
 	}
 
@@ -220,7 +172,7 @@
 	}
 
 	for (let index = 0; index < 40; index++) {
-		passTime(fleet, 300);
+		advanceFleet(fleet, 300);
 		confirmWatchers(fleet, index + 2);
 	}
 
@@ -231,7 +183,7 @@
 	}
 
 	assert.ok(fleet.size >= 30);
-	passTime(fleet, 2500);
+	advanceFleet(fleet, 2500);
 	assert.ok(confirmWatchers(fleet, 100) > 0);
 });
 
@@ -242,16 +194,16 @@
 	}
 
 	for (let index = 0; index < 40; index++) {
-		passTime(fleet, 300);
+		advanceFleet(fleet, 300);
 		confirmWatchers(fleet, index + 2);
 	}
 
-	passTime(fleet, 8000);
+	advanceFleet(fleet, 8000);
 	const asking = [...fleet.values()].filter(({state}) => state.isWatching);
 	assert.ok(asking.length >= 10 && asking.length <= 24, `${asking.length} of 40`);
 	for (let index = 0; index < 4; index++) {
 		confirmWatchers(fleet, 60 + index, [createTablesChange(60, createTables(2))]);
-		passTime(fleet, 300);
+		advanceFleet(fleet, 300);
 	}
 
 	for (const gateway of fleet.values()) {
@@ -260,7 +212,7 @@
 
 	for (let index = 0; index < 20; index++) {
 		confirmWatchers(fleet, 70 + index);
-		passTime(fleet, 300);
+		advanceFleet(fleet, 300);
 	}
 
 	assert.ok(confirmWatchers(fleet, 99) <= 10);
@@ -273,7 +225,7 @@
 		gateway.learn(Array.from({length: 8}, (_, index) => `engine-${index}`));
 	}
 
-	passTime(fleet, 3000);
+	advanceFleet(fleet, 3000);
 	const route = createTables().routes[0]!;
 	const prompt = ['hot', 'own'];
 	second!.arrive(route, {prompt});
@@ -284,7 +236,7 @@
 			first!.state.targets.byId.get(record.id)!.told = {at: first!.now, load, others: load - target.inFlight};
 		}
 
-		passTime(fleet, 300);
+		advanceFleet(fleet, 300);
 	}
 
 	second!.arrive(route, {prompt});
