Prompts that cost little to copy leave a busy target first; overflow goes to known holders

Long prompts now have 1.8 x mean + 2.5 and short ones 1.4 x mean + 1.5: streams of short prompts are most of what a target holds, and cost a tenth to move. The property test now draws long and short prompts; its bounds are as they were.

--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -17,9 +17,13 @@
 /**
  * What a target may hold: a multiple of its pool's mean load, and a floor
  * beside it. The platform's bound is 2 x mean + 3; the rest is for what other
- * instances send meanwhile (`load_cap_test`).
+ * instances send meanwhile (`load_cap_test`). Prompts that cost little to copy
+ * leave a busy target first.
  */
-const loadCap = {multiple: 1.5, floor: 1.5};
+const longPromptCap = {multiple: 1.8, floor: 2.5};
+const shortPromptCap = {multiple: 1.4, floor: 1.5};
+/** Shared tokens from which a prompt is long: reading them takes an engine longer than a round trip through the fleet. */
+const longPromptTokens = 2000;
 /** Part of a pool's targets that has to be in good health; below it, health is no longer looked at. */
 const healthyFloor = 0.4;
 /** What another zone counts for, as a part of a target's slots. */
@@ -39,6 +43,10 @@
 export type PlacementRequest = {
 	/** Identifies the longest shared prefix of the prompt; undefined: there is nothing to reuse. */
 	readonly promptKey?: string;
+	/** Tokens of that prefix. */
+	readonly sharedTokens?: number;
+	/** True for a target that is known to have read that prefix. */
+	readonly isHolder?: (target: Target) => boolean;
 	/** Targets that were tried already. */
 	readonly avoidedIds: ReadonlySet<string>;
 };
@@ -60,7 +68,9 @@
 };
 
 /** Chooses the target of a request; undefined: none may get one now. */
-export function choosePlacement(view: PlacementView, {promptKey, avoidedIds}: PlacementRequest, now: number): Placement | undefined {
+export function choosePlacement(view: PlacementView, {
+	promptKey, sharedTokens = 0, avoidedIds, isHolder = () => false,
+}: PlacementRequest, now: number): Placement | undefined {
 	const open: Target[] = [];
 	const closed: Target[] = [];
 	for (const target of view.targets) {
@@ -82,13 +92,17 @@
 	}
 
 	const keyHash = hashText(promptKey);
-	const cap = (loadCap.multiple * load.mean) + loadCap.floor;
+	const {multiple, floor} = sharedTokens >= longPromptTokens ? longPromptCap : shortPromptCap;
+	const cap = (multiple * load.mean) + floor;
 	const fitting = candidates.filter(target => load.estimate(target) + 1 <= cap);
+	const home = findFirstRanked(open, keyHash)!;
 	// A cold target is slow and has nothing to reuse: it starts with what the others cannot take.
-	const target = findFirstRanked(fitting.filter(({coldUntil}) => coldUntil <= now), keyHash)
+	const warm = fitting.filter(({coldUntil}) => coldUntil <= now);
+	const target = warm.find(other => other === home)
+		?? findFirstRanked(warm.filter(other => isHolder(other)), keyHash)
+		?? findFirstRanked(warm, keyHash)
 		?? findFirstRanked(fitting, keyHash)
 		?? chooseLeastLoaded(view, candidates, load);
-	const home = findFirstRanked(open, keyHash)!;
 	const passedOver = target === home ? undefined : explainPassedOver(home, {usable, candidates, avoidedIds});
 	return {
 		target, load: load.estimate(target), meanLoad: load.mean, passedOver,
--- a/packages/dispatch/src/lib/prompt-holders.ts
+++ b/packages/dispatch/src/lib/prompt-holders.ts
@@ -90,6 +90,16 @@
 	}
 }
 
+/** Counts the tokens that other requests share. */
+export function countSharedTokens(parts: readonly PromptPart[]): number {
+	let count = 0;
+	for (const {tokenCount} of listSharedParts(parts)) {
+		count += tokenCount;
+	}
+
+	return count;
+}
+
 /** Lists the parts that other requests share, the first part first: the last part belongs to the request itself. */
 export function listSharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
 	return parts.length > 1 ? parts.slice(0, -1) : parts;
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -9,6 +9,7 @@
 import {finishWithFailure} from './end-request.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {choosePlacement, type Placement, type PlacementView} from './placement.js';
+import {countSharedTokens} from './prompt-holders.js';
 import {
 	choosePool, computeDirectoryAge, findPromptKey, resolveRequest,
 } from './resolve-request.js';
@@ -35,10 +36,13 @@
 	}
 
 	const view = createPlacementView(step, request.poolName);
+	const promptKey = request.route.hasPrompts ? findPromptKey(request.promptParts) : undefined;
 	const placement = view === undefined
 		? undefined
 		: choosePlacement(view, {
-			promptKey: request.route.hasPrompts ? findPromptKey(request.promptParts) : undefined,
+			promptKey,
+			sharedTokens: countSharedTokens(request.promptParts),
+			isHolder: target => promptKey !== undefined && state.promptHolders.has(promptKey, target),
 			avoidedIds: request.avoidedIds,
 		}, now);
 	if (placement === undefined) {
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -61,6 +61,8 @@
 	};
 }
 
+type ArrivalFields = {readonly prompt?: readonly string[]; readonly partTokens?: number; readonly keyDigest?: string; readonly waitMs?: number};
+
 export class GatewayFixture {
 	now = 1_000_000;
 	readonly state: State;
@@ -102,7 +104,7 @@
 	}
 
 	/** A request arrives; returns its number. */
-	arrive(route: Route, fields: {readonly prompt?: readonly string[]; readonly keyDigest?: string; readonly waitMs?: number} = {}): number {
+	arrive(route: Route, fields: ArrivalFields = {}): number {
 		const openId = this.#nextOpenId++;
 		this.effects = [];
 		this.handle({
@@ -113,7 +115,7 @@
 			path: `${route.prefix}x`,
 			keyDigest: 'keyDigest' in fields ? fields.keyDigest : 'digest-a',
 			waitMs: fields.waitMs,
-			promptParts: (fields.prompt ?? []).map(id => ({id, tokenCount: 100})),
+			promptParts: (fields.prompt ?? []).map(id => ({id, tokenCount: fields.partTokens ?? 100})),
 		});
 		return openId;
 	}
--- a/packages/dispatch/src/test/load_cap_test.ts
+++ b/packages/dispatch/src/test/load_cap_test.ts
@@ -80,8 +80,11 @@
 		for (due += perS * stepMs / 1000; due >= 1; due--) {
 			const address = addresses[Math.floor(draw() * addresses.length)]!;
 			const gateway = fleet.get(address)!;
-			const key = draw() < hotShare ? 'hot' : `chat-${Math.floor(draw() * 60)}`;
-			gateway.arrive(route, {prompt: [key, 'turn']});
+			const chat = Math.floor(draw() * 60);
+			const isHot = draw() < hotShare;
+			// A third of the chats, and in half of the runs the hot one, are long.
+			const isLong = isHot ? seed % 2 === 0 : chat % 3 === 0;
+			gateway.arrive(route, {prompt: [isHot ? 'hot' : `chat-${chat}`, 'turn'], partTokens: isLong ? 8000 : 500});
 			const send = gateway.effects.find(effect => effect.kind === effectKind.send);
 			if (send === undefined) {
 				continue;
--- a/packages/dispatch/src/test/placement_test.ts
+++ b/packages/dispatch/src/test/placement_test.ts
@@ -60,6 +60,24 @@
 	assert.ok(Math.max(...counts.values()) <= (2 * mean) + 3, JSON.stringify([...counts]));
 });
 
+test('a prompt that its usual target cannot take goes to another that has it already (hot key)', () => {
+	const gateway = new GatewayFixture().learn(engines);
+	const prompt = ['hot', 'turn'];
+	const home = place(gateway, prompt);
+	const last = gateway.state.targets.byId.get(engines.findLast(id => id !== home)!)!;
+	const next = gateway.state.targets.byId.get(home)!;
+	next.health.asideUntil = gateway.now + 1000;
+	const second = place(gateway, prompt);
+	assert.notEqual(second, home);
+	for (const target of gateway.state.targets.byId.values()) {
+		target.told = {at: gateway.now, load: target.record.id === home ? 60 : 1, others: target.record.id === home ? 60 : 1};
+	}
+
+	gateway.state.promptHolders.record([{id: 'hot', tokenCount: 1}, {id: 'turn', tokenCount: 1}], last, gateway.now);
+	gateway.state.targets.byId.get(second)!.told = {at: gateway.now, load: 60, others: 60};
+	assert.equal(place(gateway, prompt), last.record.id);
+});
+
 test('warm targets come before cold ones as long as they have room (release, scale out)', () => {
 	const gateway = new GatewayFixture().learn(engines);
 	const prompts = Array.from({length: 20}, (_, index) => [`document-${index}`, 'own']);
