--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -32,7 +32,7 @@
  * Age of the directory from which more instances than usual read the platform,
  * in milliseconds, and how many times as many: those that do may be turned away.
  */
-const widenAfterMs = 1800;
+const widenAfterMs = 2300;
 const widenedMultiple = 4;
 /** Age from which an instance does if none of those answers it, in milliseconds. */
 const longestUnreadMs = 2800;
