--- a/packages/dispatch/src/test/copy_source_test.ts
+++ b/packages/dispatch/src/test/copy_source_test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	effectKind, eventKind, factKind, sendOutcome, type PeerMessage, type Send,
+	eventKind, factKind, sendOutcome, type Send,
 } from '../index.js';
 import {PromptHolders} from '../lib/prompt-holders.js';
 import {recordVerdict, verdict} from '../lib/target-health.js';
@@ -201,7 +201,7 @@
 	first.state.targets.byId.get(usual)!.health.asideUntil = first.now + 4000;
 	const other = place(first, prompt).targetId;
 	assert.notEqual(other, usual);
-	const message = tellPeer(first);
+	const message = first.tellPeer();
 	assert.ok(message.readings.length <= 16);
 	second.handle({kind: eventKind.peerCalled, callId: 1, message});
 	// The usual target is lost, and so is the next in rank.
@@ -218,32 +218,13 @@
 	const first = createGateway();
 	const second = createGateway('gateway-2');
 	const {targetId} = place(first, ['root', 'chat', 'turn']);
-	const message = tellPeer(first);
+	const message = first.tellPeer();
 	second.advance(1000);
 	second.learnChanges(3, [createTargetChange(3, createTargetRecord(targetId, {bornAt: 2}))]);
 	second.handle({kind: eventKind.peerCalled, callId: 1, message});
 	assert.equal(second.state.promptHolders.has('chat', second.state.targets.byId.get(targetId)!), false);
 });
 
-/** The message with which an instance answers a peer that knows nothing. */
-function tellPeer(gateway: GatewayFixture): PeerMessage {
-	const answer = gateway.handle({
-		kind: eventKind.peerCalled,
-		callId: 9,
-		message: {
-			from: {
-				id: 'gateway-9', incarnation: 'i', address: 'gateway-9:1', zone: 'zone-b', ageMs: 0,
-			},
-			members: [],
-			revision: 0,
-			loads: [],
-			readings: [],
-			wantsUpdate: false,
-		},
-	}).find(effect => effect.kind === effectKind.answerPeer);
-	return answer!.message;
-}
-
 test('the memory of holders is bounded, and keeps what was used last', () => {
 	const targets = createTargetState();
 	applyTargetChanges(targets, [createTargetChange(1, createTargetRecord('engine-1'))], 0, 0);
--- /dev/null
+++ b/packages/dispatch/src/test/freeze_test.ts
@@ -0,0 +1,56 @@
+/**
+ * Processes that stand still, and clocks that jump.
+ */
+import assert from 'node:assert/strict';
+import {readdir, readFile} from 'node:fs/promises';
+import {test} from 'node:test';
+import {eventKind} from '../index.js';
+import {
+	createTargetChange, createTargetRecord, GatewayFixture, onceRoute,
+} from './gateway-fixture.js';
+
+const sources = new URL('../../src/lib/', import.meta.url);
+
+test('an instance that stood still ends at once what is overdue, and sends nothing for it any more (freeze)', () => {
+	const gateway = new GatewayFixture().learn(['desk-1']);
+	gateway.advance(100);
+	const openId = gateway.arrive(onceRoute);
+	gateway.takeSend();
+	gateway.now += 6000;
+	gateway.handle({kind: eventKind.tick});
+	assert.deepEqual(gateway.listRefusals(), [504]);
+	assert.deepEqual(gateway.listSends(), []);
+	assert.equal(gateway.state.open.has(openId), false);
+});
+
+test('an instance that stood still refuses nothing for good until it has read the tables again (freeze)', () => {
+	const gateway = new GatewayFixture().learn(['desk-1']);
+	gateway.now += 6000;
+	gateway.handle({kind: eventKind.tick});
+	gateway.arrive(onceRoute, {keyDigest: 'digest-of-a-key-that-was-added'});
+	assert.deepEqual(gateway.listRefusals(), [503]);
+	gateway.learnChanges(2, []);
+	gateway.arrive(onceRoute, {keyDigest: 'digest-of-nobody'});
+	assert.deepEqual(gateway.listRefusals(), [401]);
+});
+
+test('an instance that stood still does not claim to have read the platform all the while (freeze)', () => {
+	const gateway = new GatewayFixture().learn(['desk-1']);
+	gateway.advance(5000);
+	assert.ok(gateway.tellPeer().readingMs! >= 5000);
+	gateway.now += 6000;
+	gateway.handle({kind: eventKind.tick});
+	assert.equal(gateway.tellPeer().readingMs, undefined);
+	gateway.learnChanges(2, [createTargetChange(2, createTargetRecord('desk-2'))]);
+	gateway.advance(500);
+	assert.ok(gateway.tellPeer().readingMs! < 1000);
+});
+
+test('no decision reads a clock or draws by itself, so that a time of day that jumps changes nothing (clock step)', async () => {
+	const names = await readdir(sources);
+	assert.ok(names.includes('reducer.ts'));
+	for (const name of names) {
+		const text = await readFile(new URL(name, sources), 'utf8');
+		assert.doesNotMatch(text, /\bDate\b|performance\.now|hrtime|Math\.random|setTimeout|setInterval/, name);
+	}
+});
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -3,7 +3,7 @@
  */
 import {
 	createState, effectKind, eventKind, factKind, reduce, routeKind, type Effect, type Event, type FactChange,
-	type Route, type Send, type State, type Tables, type TargetRecord,
+	type PeerMessage, type Route, type Send, type State, type Tables, type TargetRecord,
 } from '../index.js';
 
 export const spanMs = 10_000;
@@ -120,6 +120,25 @@
 		return openId;
 	}
 
+	/** The message with which it answers a peer that knows nothing. */
+	tellPeer(): PeerMessage {
+		const answer = this.handle({
+			kind: eventKind.peerCalled,
+			callId: 1,
+			message: {
+				from: {
+					id: 'gateway-9', incarnation: 'i', address: 'gateway-9:1', zone: 'zone-b', ageMs: 0,
+				},
+				members: [],
+				revision: 0,
+				loads: [],
+				readings: [],
+				wantsUpdate: false,
+			},
+		}).find(effect => effect.kind === effectKind.answerPeer);
+		return answer!.message;
+	}
+
 	/** Sends among the effects since the last look. */
 	listSends(): Send[] {
 		return this.effects.filter(effect => effect.kind === effectKind.send);
