Instances that hear only of watchers that are turned away read the store themselves in time

Now it asks every 150 ms once news is 2.3 s old, and reads the store itself at 2.8 s unless three watchers have said that they cannot and none that it can.

--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -13,7 +13,7 @@
 	applyMembers, choosePartners, describeMembers, forgetMember, listWatchers, updateMembers, type Watchers,
 } from './members.js';
 import type {PeerMessage} from './peer-message.js';
-import {recordLog, type Step} from './state.js';
+import {recordLog, type State, type Step} from './state.js';
 import {
 	applyLoads, applyTargetChanges, applyTargetRenewals, describeLoads, endLapses, updateTargets,
 } from './target-state.js';
@@ -34,8 +34,11 @@
  */
 const widenAfterMs = 2300;
 const widenedMultiple = 4;
-/** Age from which an instance does if none of those answers it, in milliseconds. */
+/** Age from which an instance reads it, in milliseconds, unless so many watchers said since that they cannot. */
 const longestUnreadMs = 2800;
+const lostWatcherCount = 3;
+/** Time between two calls to watchers while news is old, in milliseconds: most of them may be turned away. */
+const hurriedIntervalMs = 150;
 /** Time for which an instance then goes on, in milliseconds. */
 const watchesAloneMs = 4000;
 /**
@@ -156,10 +159,7 @@
 }
 
 export function applyPeerAnswered(step: Step, {address, message, askedAt}: PeerAnswered): void {
-	if (message.isWatching) {
-		step.state.watcherAnsweredAt = step.now;
-	}
-
+	recordWatcher(step.state, address, message, step.now);
 	learnMessage(step, message, askedAt);
 	const {directory} = step.state;
 	if (message.wantsUpdate && message.revision < directory.revision) {
@@ -170,6 +170,24 @@
 	}
 }
 
+function recordWatcher({lostWatchers}: State, address: string, {isWatching, readingMs}: PeerMessage, now: number): void {
+	if (isWatching && readingMs === undefined) {
+		lostWatchers.set(address, now);
+	} else if (readingMs !== undefined) {
+		lostWatchers.clear();
+	}
+}
+
+/** True when several watchers said lately that they cannot read the platform, and none that it can. */
+function isAwayForAll({lostWatchers}: State, now: number): boolean {
+	let count = 0;
+	for (const at of lostWatchers.values()) {
+		count += now - at <= longestUnreadMs ? 1 : 0;
+	}
+
+	return count >= lostWatcherCount;
+}
+
 /** `madeAt` is a time before the message was made: its ages count from there. */
 function learnMessage(step: Step, message: PeerMessage, madeAt: number): void {
 	const {state, now} = step;
@@ -244,8 +262,8 @@
 
 /**
  * Reads the platform if this instance is a watcher, or while the news that it
- * gets from the watchers is old. When the platform is away for all, most
- * instances stay quiet: the watchers answer them, and have nothing to tell.
+ * gets from the watchers is old. When the platform is away for all, the
+ * watchers say so, and most instances leave it alone.
  */
 function updateWatching(step: Step): Watchers {
 	const {state, now} = step;
@@ -253,8 +271,7 @@
 	const ageMs = now - (confirmedAt ?? Number.NEGATIVE_INFINITY);
 	const usual = listWatchers(state.members, state.selfHash, 1, now);
 	const watchers = ageMs > widenAfterMs ? listWatchers(state.members, state.selfHash, widenedMultiple, now) : usual;
-	const isUnanswered = confirmedAt === undefined || now - state.watcherAnsweredAt > longestUnreadMs;
-	if ((ageMs > widenAfterMs && watchers.includesSelf) || (ageMs > longestUnreadMs && isUnanswered)) {
+	if ((ageMs > widenAfterMs && watchers.includesSelf) || (ageMs > longestUnreadMs && !isAwayForAll(state, now))) {
 		state.watchesUntil = now + watchesAloneMs;
 	}
 
@@ -281,7 +298,8 @@
 	const {state, now} = step;
 	const {draw} = state;
 	const isFollowing = !state.isWatching && addresses.length > 0;
-	const intervalMs = isFollowing ? followIntervalMs : callIntervalMs;
+	const isOld = now - (state.directory.confirmedAt ?? now) > widenAfterMs;
+	const intervalMs = isFollowing ? (isOld ? hurriedIntervalMs : followIntervalMs) : callIntervalMs;
 	const spread = isFollowing ? followIntervalDraw : callIntervalDraw;
 	state.nextCallAt = now + (intervalMs * (1 - spread + (2 * spread * draw())));
 	const partners = isFollowing && draw() >= anyMemberPart
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -75,8 +75,8 @@
 	isWatching: boolean;
 	/** Until then it does, for lack of news from others. */
 	watchesUntil: number;
-	/** When an instance that reads the platform for others answered last. */
-	watcherAnsweredAt: number;
+	/** Watchers that said that they cannot read the platform, and when; empty as soon as one says that it can. */
+	lostWatchers: Map<string, number>;
 	nextCallAt: number;
 	targets: TargetState;
 	readonly promptHolders: PromptHolders;
@@ -104,7 +104,7 @@
 		members: createMemberState(seedAddresses),
 		isWatching: true,
 		watchesUntil: 0,
-		watcherAnsweredAt: 0,
+		lostWatchers: new Map(),
 		nextCallAt: 0,
 		targets: createTargetState(),
 		promptHolders: new PromptHolders(),
