--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -2,6 +2,7 @@
  * One caller's request and its response, which is either sent at once or
  * streamed in complete events.
  */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestHead, Failure} from '@sequoiatally/dispatch';
 import type {CallerProtocol, RawHeaders} from './protocol.js';
@@ -102,7 +103,7 @@
 		this.#response.writeHead(failure.status, {
 			...this.#protocol.createFailureHeaders(failure),
 			'Content-Type': 'application/json',
-			'Content-Length': String(body.length),
+			'Content-Length': String(Buffer.byteLength(body)),
 		});
 		this.#response.end(body);
 	}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -61,6 +61,10 @@
 		this.#gateway.handle({kind: eventKind.directoryLost, detail});
 	}
 
+	override handleHistoryLost(revision: number): void {
+		this.#gateway.log.write('warn', {event: 'platform-history-lost', revision});
+	}
+
 	override handleUnreadableEntry(key: string, detail: string): void {
 		this.#gateway.log.write('warn', {event: 'unreadable-entry', subject: key, detail});
 	}
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -55,6 +55,8 @@
 	abstract handleUpdate(update: DirectoryUpdate, confirmedAt: number): void;
 	/** Handles a read of the directory that failed. */
 	abstract handleReadFailure(detail: string): void;
+	/** Handles the loss of the history after `revision`; the directory is read again in full. */
+	abstract handleHistoryLost(revision: number): void;
 	/** Handles an entry that cannot be decoded, with its key at the platform; the other entries remain valid. */
 	abstract handleUnreadableEntry(key: string, detail: string): void;
 }
