Targets, members and peer messages keep to what is known

Causes, found by the last reading of the code; each has a test that failed first: - A target that was leaving when its registration went was never removed, and counted in the mean load of its pool. - The end of a send to an earlier process counted at the process that was started again under the same id (in flight -1, a verdict that was not its own). - Ages in a peer's call counted from its receipt, so a call that had waited while the process was paused made an old directory look current (401 where 503 was due). - Ages of members in a response counted from the receipt. - A request counted as a first send before it was sent, or without being sent. - After a partition of more than 12 s each part divided the fleet's limits by its own size. Instances count for 60 s after they left the list. - Registrations that went while an instance heard nothing were kept in use for 2.3 s even if most of the pool was still registered. They are used now only if most of the pool has lapsed, which happens when the platform was away and not when a few targets leave.

Ruled out: ignoring the directory's age in all calls; 25 of 40 instances then read the platform during an outage (fleet_test, at most 24).

--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -19,10 +19,10 @@
 
 /** Ends the current send and records its verdict in the target's health; without a verdict the send did not run. */
 export function endCurrentSend(step: Step, request: OpenRequest, sendVerdict: Verdict | undefined, detail: string): void {
-	const {state, now} = step;
-	const {targetId, sentAt} = request.currentSend!;
+	const {now} = step;
+	const {target, sentAt} = request.currentSend!;
+	const targetId = target.record.id;
 	request.currentSend = undefined;
-	const target = state.targets.byId.get(targetId);
 	if (sendVerdict !== verdict.good) {
 		request.triedTargetIds.add(targetId);
 	}
@@ -30,10 +30,6 @@
 	recordLog(step, 'send-ended', {
 		requestId: request.requestId, target: targetId, verdict: sendVerdict ?? 'not-run', detail, tookMs: Math.round(now - sentAt),
 	});
-	if (target === undefined) {
-		return;
-	}
-
 	recordSendEnd(target);
 	if (sendVerdict === undefined) {
 		target.health.hasTrialInFlight = false;
@@ -57,17 +53,14 @@
 
 	request.currentSend = undefined;
 	step.effects.push({kind: effectKind.cancel, openId, sendId: currentSend.sendId});
-	const target = step.state.targets.byId.get(currentSend.targetId);
-	if (target !== undefined) {
-		recordSendEnd(target);
-		target.health.hasTrialInFlight = false;
-	}
+	recordSendEnd(currentSend.target);
+	currentSend.target.health.hasTrialInFlight = false;
 }
 
 /** Records a lost response for the current target if no part of a response was delivered until the deadline. */
 export function recordTimedOutSend(step: Step, {currentSend, hasResponseStarted}: OpenRequest): void {
-	const target = step.state.targets.byId.get(currentSend!.targetId);
-	if (target !== undefined && !hasResponseStarted) {
+	const {target} = currentSend!;
+	if (!hasResponseStarted) {
 		recordVerdict(target.health, verdict.lost, computePoolFailureRatio(step, target), step.now);
 	}
 }
--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -27,6 +27,11 @@
 const instancesPerWatcher = 15;
 /** Number of peers below which every instance is a watcher. */
 const minPeersForFollowers = 8;
+/**
+ * Time for which an instance counts in the size of the fleet after it left the list,
+ * in milliseconds: it may still run beyond a network partition.
+ */
+const sizeRetentionMs = 60_000;
 /** Smallest assumed fleet size while the list has not settled yet or the instance is isolated. */
 const assumedFleetSize = 12;
 /** Time for which an instance has to be in contact with peers before it trusts its list, in milliseconds. */
@@ -52,6 +57,11 @@
 	/** Times of the last failed calls by address; a report is ignored if the member was last seen before the failed call. */
 	failedAtByAddress: Map<string, number>;
 	seedAddresses: readonly string[];
+	/**
+	 * The largest recent number of instances, including this one, and the time at
+	 * which the list last had as many.
+	 */
+	largestSize: {readonly count: number; readonly at: number};
 	/** Time since which messages have arrived from peers without interruption. */
 	inContactSince?: number;
 	lastContactAt?: number;
@@ -65,20 +75,22 @@
 };
 
 export function createMemberState(seedAddresses: readonly string[]): MemberState {
-	return {byId: new Map(), failedAtByAddress: new Map(), seedAddresses};
+	return {
+		byId: new Map(), failedAtByAddress: new Map(), seedAddresses, largestSize: {count: 1, at: 0},
+	};
 }
 
-/** Applies the members that a message reports; returns the ids of new members. */
-export function applyMembers(members: MemberState, message: PeerMessage, selfId: string, now: number): string[] {
+/** Applies the members that a message reports, whose ages are subtracted from `createdAt`; returns the ids of new members. */
+export function applyMembers(members: MemberState, message: PeerMessage, {selfId, createdAt}: {selfId: string; createdAt: number}, now: number): string[] {
 	const added: string[] = [];
 	if (message.isLeaving) {
 		removeMember(members, message.from.id);
 	} else {
-		applyMember(members, message.from, {selfId, now, added});
+		applyMember(members, message.from, {selfId, createdAt, added});
 	}
 
 	for (const entry of message.members) {
-		applyMember(members, entry, {selfId, now, added});
+		applyMember(members, entry, {selfId, createdAt, added});
 	}
 
 	if (members.lastContactAt === undefined || now - members.lastContactAt > isolationTimeoutMs) {
@@ -89,12 +101,12 @@
 	return added;
 }
 
-function applyMember(members: MemberState, entry: MemberEntry, {selfId, now, added}: {selfId: string; now: number; added: string[]}): void {
+function applyMember(members: MemberState, entry: MemberEntry, {selfId, createdAt, added}: {selfId: string; createdAt: number; added: string[]}): void {
 	if (entry.id === selfId || entry.ageMs > memberReportMaxAgeMs) {
 		return;
 	}
 
-	const lastSeenAt = now - entry.ageMs;
+	const lastSeenAt = createdAt - entry.ageMs;
 	if (lastSeenAt <= (members.failedAtByAddress.get(entry.address) ?? Number.NEGATIVE_INFINITY)) {
 		return;
 	}
@@ -131,7 +143,7 @@
 	return false;
 }
 
-/** Removes members that were not reported within the expiry time; returns their ids. */
+/** Removes members that were not reported within the expiry time and updates the largest size of the fleet; returns the ids of removed members. */
 export function expireMembers(members: MemberState, now: number): string[] {
 	const expired: string[] = [];
 	for (const [address, failedAt] of members.failedAtByAddress) {
@@ -147,6 +159,11 @@
 		}
 	}
 
+	const count = members.byId.size + 1;
+	if (count >= members.largestSize.count || now - members.largestSize.at > sizeRetentionMs) {
+		members.largestSize = {count, at: now};
+	}
+
 	return expired;
 }
 
@@ -168,13 +185,14 @@
  * this number: a member that has ended makes shares smaller until it expires, and
  * a missing member makes them larger. `unknownInstanceFraction` covers a few
  * missing members, and `assumedFleetSize` a short list that has not settled or
- * belongs to an isolated instance. If more members are missing, for example because
- * a network partition has separated two parts of the fleet, the shares of all
- * instances can add up to more than a limit.
+ * belongs to an isolated instance. Members that were removed count for
+ * `sizeRetentionMs` longer, since a network partition may only have separated them;
+ * after a longer partition the shares of all instances can add up to more than a
+ * limit.
  */
 export function computeFleetView(members: MemberState, selfHash: number, now: number): FleetView {
 	const hashes = [...members.byId.values()].map(({hash}) => hash);
-	const knownCount = hashes.length + 1;
+	const knownCount = Math.max(hashes.length + 1, members.largestSize.count);
 	const size = knownCount + Math.ceil(knownCount * unknownInstanceFraction);
 	return {selfHash, memberHashes: [selfHash, ...hashes], size: isInContact(members, memberListSettleMs, now) ? size : Math.max(size, assumedFleetSize)};
 }
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -74,13 +74,20 @@
 
 /** Chooses the target of a request; returns `undefined` if no target may receive the request now. */
 export function choosePlacement(view: PlacementView, {requestId, prefix, triedTargetIds}: PlacementRequest, now: number): Placement | undefined {
-	const accepting: Target[] = [];
+	let accepting: Target[] = [];
 	const draining: Target[] = [];
 	for (const target of view.targets) {
 		const isAccepting = !target.isGone && !view.closedZones.has(target.record.zone);
 		(isAccepting ? accepting : draining).push(target);
 	}
 
+	// Without registrations for most of the pool, the platform was probably unavailable; otherwise the other targets are probably leaving.
+	const registered = accepting.filter(({isRegistered}) => isRegistered);
+	if (registered.length * 2 > accepting.length) {
+		draining.push(...accepting.filter(({isRegistered}) => !isRegistered));
+		accepting = registered;
+	}
+
 	const healthy = accepting.filter(target => isUsable(target.health, now));
 	const usable = new Set(healthy.length >= Math.max(1, accepting.length * minHealthyFraction) ? healthy : accepting);
 	const candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasColdCapacity(view, target, now));
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -60,6 +60,9 @@
 const lapseSilenceMs = 2000;
 /** Time between two ticks above which the process counts as paused, in milliseconds. */
 const pauseThresholdMs = 1000;
+/** Time between two ticks above which calls may have waited for the process, in milliseconds, and the time after it in which they are handled. */
+const tickGapMs = 150;
+const callWaitMs = 1000;
 
 export function applyDirectoryRead(step: Step, {update, confirmedAt}: DirectoryReadEvent): void {
 	const {state, now} = step;
@@ -161,9 +164,18 @@
 	};
 }
 
+/** Finds a time before which a peer's call was certainly not created: it may have waited while this process did not run. */
+function findCallCreatedAt({state: {lastTickAt, lastTickGap}, now}: Step): number {
+	if (lastTickGap !== undefined && now - lastTickGap.endedAt <= callWaitMs) {
+		return lastTickGap.startedAt;
+	}
+
+	return lastTickAt > 0 && now - lastTickAt > tickGapMs ? lastTickAt : now;
+}
+
 /** Responds to a peer's call, with the changes that the peer requests and does not know yet. */
 export function applyPeerCalled(step: Step, {callId, message}: PeerCalledEvent): void {
-	applyPeerMessage(step, message, step.now);
+	applyPeerMessage(step, message, findCallCreatedAt(step));
 	const {directory} = step.state;
 	const update = message.wantsUpdate && message.revision < directory.revision ? describeUpdate(directory, message.revision) : undefined;
 	step.effects.push({kind: effectKind.answerPeer, callId, message: createMessage(step, update)});
@@ -200,15 +212,14 @@
 }
 
 /**
- * Applies a peer's message. The ages of the loads, the prompt cache entries and
- * the directory are subtracted from `messageCreatedAt`. For a response, this is
- * the time at which the call was sent, which is certainly before the response was
- * created, so that none of them appears more recent than it is. For a call, it is
- * the time of receipt. The ages of members always count back from the receipt.
+ * Applies a peer's message, in which ages are relative to `messageCreatedAt`. For a
+ * response, this is the time at which the call was sent; for a call, it is the time
+ * from `findCallCreatedAt`. Both are certainly before the message was created, so that
+ * nothing appears more recent than it is.
  */
 function applyPeerMessage(step: Step, message: PeerMessage, messageCreatedAt: number): void {
 	const {state, now} = step;
-	const added = applyMembers(state.members, message, state.self.id, now);
+	const added = applyMembers(state.members, message, {selfId: state.self.id, createdAt: messageCreatedAt}, now);
 	if (added.length > 0) {
 		recordLog(step, 'members-added', {members: added, from: message.from.id, size: state.members.byId.size + 1});
 	}
@@ -264,6 +275,10 @@
 		state.platformReadableSince = undefined;
 	}
 
+	if (state.lastTickAt > 0 && now - state.lastTickAt > tickGapMs) {
+		state.lastTickGap = {startedAt: state.lastTickAt, endedAt: now};
+	}
+
 	state.lastTickAt = now;
 	updateTargets(state.targets, now);
 	const expired = expireMembers(state.members, now);
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -13,9 +13,7 @@
 import {
 	hasOtherTarget, mayRetry, retryOrFail, trySend,
 } from './send-request.js';
-import {
-	findRetryBudget, recordLog, type OpenRequest, type Step,
-} from './state.js';
+import {recordLog, type OpenRequest, type Step} from './state.js';
 import {verdict, type Verdict} from './target-health.js';
 import {recordReportedLoad} from './target-state.js';
 
@@ -53,7 +51,6 @@
 		hasHeldFailure: false,
 	};
 	state.openRequests.set(request.openId, request);
-	findRetryBudget(step, request.poolName).recordFirstSend(now);
 	sendOrQueue(step, request);
 }
 
@@ -91,16 +88,14 @@
 
 /** Records the target as cache holder of the prompt, since a target that responds has read the prompt. */
 function recordCacheHolder({state, now}: Step, {route, promptParts, currentSend}: OpenRequest): void {
-	const target = state.targets.byId.get(currentSend!.targetId);
-	if (target !== undefined && route.hasPrompts) {
-		state.cacheHolders.record(promptParts, target, now);
+	if (route.hasPrompts) {
+		state.cacheHolders.record(promptParts, currentSend!.target, now);
 	}
 }
 
-function recordTargetLoad({state, now}: Step, {currentSend}: OpenRequest, load: number | undefined): void {
-	const target = state.targets.byId.get(currentSend?.targetId ?? '');
-	if (target !== undefined && load !== undefined) {
-		recordReportedLoad(target, load, now);
+function recordTargetLoad({now}: Step, {currentSend}: OpenRequest, load: number | undefined): void {
+	if (load !== undefined) {
+		recordReportedLoad(currentSend!.target, load, now);
 	}
 }
 
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -52,7 +52,7 @@
 
 /** True when a target is available other than the current target and those to which the request was already sent. */
 export function hasOtherTarget(step: Step, request: OpenRequest): boolean {
-	return findPlacement(step, request, new Set([...request.triedTargetIds, request.currentSend!.targetId])) !== undefined;
+	return findPlacement(step, request, new Set([...request.triedTargetIds, request.currentSend!.target.record.id])) !== undefined;
 }
 
 function findPlacement(step: Step, {
@@ -117,14 +117,17 @@
 }: Placement): void {
 	const {state, now} = step;
 	const {route} = request;
-	if (request.sendCount > 0) {
-		findRetryBudget(step, request.poolName).recordRetry(now);
+	const budget = findRetryBudget(step, request.poolName);
+	if (request.sendCount === 0) {
+		budget.recordFirstSend(now);
+	} else {
+		budget.recordRetry(now);
 	}
 
 	const sendId = state.nextSendId++;
 	request.sendCount++;
 	request.possibleRunCount++;
-	request.currentSend = {sendId, targetId: target.record.id, sentAt: now};
+	request.currentSend = {sendId, target, sentAt: now};
 	recordSend(target, now);
 	const copySource = findCopySource(step, request, target);
 	const canTimeOut = isRetryable(route) && request.possibleRunCount < route.targetLimit;
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -11,7 +11,7 @@
 import type {PromptPart} from './event.js';
 import {CacheHolders} from './cache-holders.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
-import {createTargetState, type TargetState} from './target-state.js';
+import {createTargetState, type Target, type TargetState} from './target-state.js';
 
 /** Bounds that apply to the whole fleet, from the settings. */
 export type FleetBounds = {
@@ -22,7 +22,12 @@
 };
 
 /** A send in progress. */
-export type CurrentSend = {readonly sendId: number; readonly targetId: string; readonly sentAt: number};
+export type CurrentSend = {
+	readonly sendId: number;
+	/** The process that the request was sent to; a later process may be registered under the same id. */
+	readonly target: Target;
+	readonly sentAt: number;
+};
 
 /** A request whose response is not complete yet. */
 export type OpenRequest = {
@@ -87,6 +92,8 @@
 	nextSendId: number;
 	drainStartedAt?: number;
 	lastTickAt: number;
+	/** The last time between two ticks in which the process did not run. */
+	lastTickGap?: {readonly startedAt: number; readonly endedAt: number};
 };
 
 /** One step of the reducer. */
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -34,8 +34,10 @@
 	readonly recentSends: SlidingWindow;
 	/** Time until which the target counts as cold. */
 	coldUntil: number;
-	/** True if the target is no longer registered, or is leaving. */
+	/** True if the target receives no new requests, because it is leaving or no longer registered. */
 	isGone: boolean;
+	/** False if the target's registration was removed. */
+	isRegistered: boolean;
 	/** Time until which the target stays in use without a registration; set while a missing registration may be renewed. */
 	lapseGraceUntil?: number;
 	health: TargetHealth;
@@ -84,6 +86,7 @@
 			continue;
 		}
 
+		known.isRegistered = false;
 		if (now < lapseGraceUntil && !known.isGone) {
 			known.lapseGraceUntil = lapseGraceUntil;
 		} else {
@@ -122,6 +125,7 @@
 
 	known.record = record;
 	known.isGone = record.isLeaving;
+	known.isRegistered = true;
 	known.lapseGraceUntil = undefined;
 	known.coldUntil = now + record.coldMs;
 }
@@ -135,6 +139,7 @@
 		recentSends: new SlidingWindow(sendWindowMs),
 		coldUntil: now + record.coldMs,
 		isGone: record.isLeaving,
+		isRegistered: true,
 		health: createHealth(),
 	};
 }
@@ -153,10 +158,7 @@
 	return expired;
 }
 
-/**
- * Ends the grace period of lapsed registrations, and removes targets that are gone
- * and idle, except those whose last registration was leaving.
- */
+/** Ends the grace period of lapsed registrations, and removes idle targets without a registration. */
 export function updateTargets(targets: TargetState, now: number): void {
 	let hasChanged = false;
 	for (const [id, target] of targets.byId) {
@@ -165,7 +167,7 @@
 			target.isGone = true;
 		}
 
-		if (target.isGone && target.inFlight === 0 && !target.record.isLeaving) {
+		if (target.isGone && target.inFlight === 0 && !target.isRegistered) {
 			targets.byId.delete(id);
 			targets.departed.push({target, retainedUntil: now + departedRetentionMs});
 			hasChanged = true;
--- a/packages/dispatch/src/test/directory_test.ts
+++ b/packages/dispatch/src/test/directory_test.ts
@@ -8,7 +8,7 @@
 	applyUpdate, createDirectory, describeUpdate, factKind, type FactChange,
 } from '../index.js';
 import {
-	createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
+	createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture, onceRoute,
 } from './gateway-fixture.js';
 
 const now = 1000;
@@ -147,6 +147,44 @@
 	assert.notEqual(gateway.state.targets.byId.get('desk-1')?.isGone, false);
 });
 
+test('a target that was leaving is removed when its registration is removed and its last request has ended', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2']);
+	const openId = gateway.receiveRequest(onceRoute);
+	const {targetId, sendId} = gateway.takeLastSend();
+	gateway.applyChanges(2, [createTargetChange(2, createTargetRecord(targetId, {isLeaving: true}))]);
+	gateway.applyChanges(3, [{subject: `target/${targetId}`, revision: 3}]);
+	gateway.advance(100);
+	assert.ok(gateway.state.targets.byId.has(targetId), 'its request is in flight');
+	gateway.handle({
+		kind: 'send-ended', openId, sendId, outcome: 'complete', detail: 'test',
+	});
+	gateway.advance(100);
+	assert.equal(gateway.state.targets.byId.has(targetId), false);
+	assert.deepEqual(gateway.state.targets.byPool.get('desk')?.map(({record}) => record.id), ['desk-1', 'desk-2'].filter(id => id !== targetId));
+});
+
+test('a few registrations that disappeared during an outage are not used, since the targets are probably leaving (score: scale-1 of the grown Pirouette)', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
+	gateway.handle({kind: 'directory-lost', detail: 'test'});
+	gateway.advance(4000);
+	gateway.applyChanges(9, [{subject: 'target/desk-1', revision: 8}]);
+	const usedIds = new Set<string>();
+	for (let index = 0; index < 20; index++) {
+		gateway.receiveRequest(onceRoute);
+		usedIds.add(gateway.takeLastSend().targetId);
+	}
+
+	assert.deepEqual([...usedIds].sort(), ['desk-2', 'desk-3']);
+	gateway.applyChanges(10, [{subject: 'target/desk-2', revision: 10}]);
+	usedIds.clear();
+	for (let index = 0; index < 20; index++) {
+		gateway.receiveRequest(onceRoute);
+		usedIds.add(gateway.takeLastSend().targetId);
+	}
+
+	assert.deepEqual([...usedIds].sort(), ['desk-1', 'desk-2', 'desk-3'], 'most of the pool has lapsed, so the platform was unavailable');
+});
+
 test('a target restarted under the same id starts with a new state', () => {
 	const gateway = new GatewayFixture().loadDirectory(['desk-1']);
 	const before = gateway.state.targets.byId.get('desk-1')!;
--- a/packages/dispatch/src/test/fleet_test.ts
+++ b/packages/dispatch/src/test/fleet_test.ts
@@ -7,6 +7,7 @@
 import fc from 'fast-check';
 import {effectKind, eventKind} from '../index.js';
 import {computeColdShare, computeRankHash, type FleetView} from '../lib/cold-target-limits.js';
+import {computeFleetView} from '../lib/members.js';
 import {RetryBudget} from '../lib/retry-budget.js';
 import {createFleet, advanceFleet, takePeerCalls} from './fleet-fixture.js';
 import {
@@ -155,6 +156,44 @@
 	return fleet;
 }
 
+test('the shares of a fleet that a partition splits into four parts stay within the shared allowance', () => {
+	const fleet = createFleet(12);
+	for (const gateway of fleet.values()) {
+		gateway.loadDirectory(['desk-1']);
+	}
+
+	advanceFleet(fleet, 10_000);
+	const parts = Array.from({length: 4}, (_, part) => new Map([...fleet].filter((_entry, index) => index % 4 === part)));
+	for (let elapsedMs = 0; elapsedMs < 30_000; elapsedMs += 1000) {
+		for (const part of parts) {
+			advanceFleet(part, 1000);
+		}
+	}
+
+	let allowance = 0;
+	for (const {state, now} of fleet.values()) {
+		const {size} = computeFleetView(state.members, state.selfHash, now);
+		const budget = new RetryBudget(bounds);
+		while (budget.mayRetry(size, now)) {
+			budget.recordRetry(now);
+			allowance++;
+		}
+
+		assert.equal(state.members.byId.size, 2, 'only the own part is known');
+	}
+
+	assert.ok(allowance <= bounds.allowance, `${allowance} retries without a first send`);
+});
+
+test('the ages of members in a response count from the call, not from the receipt', () => {
+	const [gateway, other] = [...createFleet(2).values()] as [GatewayFixture, GatewayFixture];
+	const message = {...other.createPeerAnswer(), members: []};
+	gateway.handle({
+		kind: eventKind.peerAnswered, address: 'gateway-1:1', message, requestedAt: gateway.now - 700,
+	});
+	assert.equal(gateway.state.members.byId.get('gateway-1')?.lastSeenAt, gateway.now - 700);
+});
+
 test('in a large fleet a few watchers read the platform, and the followers receive changes in time', () => {
 	const fleet = createSettledFleet();
 
--- a/packages/dispatch/src/test/freeze_test.ts
+++ b/packages/dispatch/src/test/freeze_test.ts
@@ -34,6 +34,24 @@
 	assert.deepEqual(gateway.listRefusalStatuses(), [401]);
 });
 
+test('a peer\'s call that waited while the instance was suspended does not make its directory current (freeze)', () => {
+	for (const ticksFirst of [true, false]) {
+		const gateway = new GatewayFixture().loadDirectory(['desk-1']);
+		gateway.advance(500);
+		const {message} = gateway.takePeerCall();
+		gateway.now += 6000;
+		if (ticksFirst) {
+			gateway.handle({kind: eventKind.tick});
+		}
+
+		gateway.handle({
+			kind: eventKind.peerCalled, callId: 1, message: {...message, from: {...message.from, id: 'gateway-2'}, directoryAgeMs: 10},
+		});
+		gateway.receiveRequest(onceRoute, {keyDigest: 'digest-of-a-key-that-was-added'});
+		assert.deepEqual(gateway.listRefusalStatuses(), [503], ticksFirst ? 'after a tick' : 'before a tick');
+	}
+});
+
 test('an instance that was suspended does not report uninterrupted reading of the platform (freeze)', () => {
 	const gateway = new GatewayFixture().loadDirectory(['desk-1']);
 	gateway.advance(5000);
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -3,7 +3,7 @@
  * tests advance.
  */
 import {
-	createState, effectKind, eventKind, factKind, reduce, routeKind, type Effect, type Event, type FactChange,
+	createState, effectKind, eventKind, factKind, reduce, routeKind, type CallPeerEffect, type Effect, type Event, type FactChange,
 	type PeerMessage, type Route, type SendEffect, type State, type Tables, type TargetRecord,
 } from '../index.js';
 
@@ -141,6 +141,19 @@
 		return answer!.message;
 	}
 
+	/** Waits until the gateway calls a peer and returns the call; throws if it calls none. */
+	takePeerCall(): CallPeerEffect {
+		this.handle({kind: eventKind.settingsChanged, seedAddresses: ['gateway-9:1']});
+		this.advance(2000);
+		const call = this.effects.findLast(effect => effect.kind === effectKind.callPeer);
+		if (call === undefined) {
+			throw new TypeError('no call to a peer');
+		}
+
+		this.effects = [];
+		return call;
+	}
+
 	/** Lists the sends among `effects`. */
 	listSends(): SendEffect[] {
 		return this.effects.filter(effect => effect.kind === effectKind.send);
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -248,3 +248,30 @@
 	gateway.advance(7600);
 	assert.ok(gateway.effects.some(({kind}) => kind === effectKind.finishDrain));
 });
+
+test('a send to an earlier process does not count at a target restarted under the same id', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1']);
+	gateway.receiveRequest(onceRoute);
+	const send = gateway.takeLastSend();
+	gateway.applyChanges(2, [createTargetChange(2, createTargetRecord('desk-1', {bornAt: 2}))]);
+	const {inFlight, health} = gateway.state.targets.byId.get('desk-1')!;
+	const sampleWeightBefore = health.sampleWeight;
+	endSend(gateway, send, sendOutcome.lost);
+	const restarted = gateway.state.targets.byId.get('desk-1')!;
+	assert.equal(inFlight, 0);
+	assert.equal(restarted.inFlight, 0);
+	assert.equal(restarted.health.sampleWeight, sampleWeightBefore);
+});
+
+test('requests that are never sent do not increase the retry budget (burst without targets)', () => {
+	const gateway = new GatewayFixture().loadDirectory([]);
+	for (let index = 0; index < 500; index++) {
+		gateway.receiveRequest(repeatableRoute);
+	}
+
+	gateway.advance(200);
+	assert.equal(gateway.state.openRequests.size, 0);
+	const budget = gateway.state.retryBudgets.get('desk');
+	const fleetSize = 1000;
+	assert.notEqual(budget?.mayRetry(fleetSize, gateway.now), true, 'without first sends, only the shared allowance is left');
+});
