Endless bytes, slow callers, late copies and malformed messages do no harm

Now events end at 1 MB, all exchanges together hold at most 48 MB, parts are copied into one growing buffer, and interim responses are counted. - Stalled streams that send a byte or a comment now and then restarted the time-out each time. Only new events do. - Streams whose caller reads slowly were reported as silent and moved to another target. The time-out stops while the caller does not read. - A late second copy was told apart by the identifier alone. A connection on which a response named no request is not used again, and a success has to name its request. - A planned stop ended the process although a response was still on its way to a slow caller, or a request was half received; it waits until the drain limit now. - Messages of peers were checked in outline only, so that a malformed part stayed in the state. All fields are checked now.

--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -77,8 +77,8 @@
 	readonly revision: number;
 };
 
-/** End the process: the drain is finished. */
-export type FinishDrainEffect = {readonly kind: typeof effectKind.finishDrain};
+/** End the process: no request is open, or the drain limit is reached. Repeated until the process ends. */
+export type FinishDrainEffect = {readonly kind: typeof effectKind.finishDrain; readonly isLimitReached: boolean};
 
 export type Effect =
 	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | CallPeerEffect
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -152,7 +152,7 @@
 		from: {...self, ageMs: 0},
 		members: describeMembers(members, now, state.random),
 		revision: directory.revision,
-		directoryAgeMs: directory.confirmedAt === undefined ? undefined : Math.round(now - directory.confirmedAt),
+		directoryAgeMs: Number.isFinite(directory.confirmedAt) ? Math.round(now - directory.confirmedAt!) : undefined,
 		loads: describeLoads(state.targets, now),
 		readings: state.cacheHolders.describeRecentEntries(now),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -119,8 +119,9 @@
 	}
 
 	const elapsed = now - state.drainStartedAt;
-	if ((state.openRequests.size === 0 && elapsed >= drainAcceptDurationMs + drainCloseDurationMs) || elapsed >= state.bounds.drainLimitMs) {
-		step.effects.push({kind: effectKind.finishDrain});
+	const isLimitReached = elapsed >= state.bounds.drainLimitMs;
+	if (isLimitReached || (state.openRequests.size === 0 && elapsed >= drainAcceptDurationMs + drainCloseDurationMs)) {
+		step.effects.push({kind: effectKind.finishDrain, isLimitReached});
 	}
 }
 
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -275,3 +275,19 @@
 	const fleetSize = 1000;
 	assert.notEqual(budget?.mayRetry(fleetSize, gateway.now), true, 'without first sends, only the shared allowance is left');
 });
+
+test('a request in flight continues when its target is silent, lapses or reports that it is leaving', () => {
+	for (const route of [onceRoute, createRoute()]) {
+		const target = route === onceRoute ? 'desk-1' : 'engine-1';
+		const gateway = new GatewayFixture().loadDirectory([target]);
+		gateway.receiveRequest(route);
+		const send = gateway.takeLastSend();
+		gateway.handle({kind: eventKind.answerSilent, openId: send.openId, sendId: send.sendId});
+		gateway.applyChanges(2, [createTargetChange(2, createTargetRecord(target, {isLeaving: true}))]);
+		gateway.applyChanges(3, [{subject: `target/${target}`, revision: 3}]);
+		gateway.advance(route.timeLimitMs - 100);
+		assert.ok(gateway.effects.every(({kind}) => kind !== effectKind.cancel && kind !== effectKind.send && kind !== effectKind.refuse));
+		endSend(gateway, send, sendOutcome.complete);
+		assert.equal(gateway.state.openRequests.size, 0);
+	}
+});
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -2,7 +2,6 @@
  * HTTP server for callers: buffers each request, emits it as an event for the
  * reducer, and reports callers that disconnect before their response is sent.
  */
-import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -10,6 +9,7 @@
 	createFailure, eventKind, failureReason, type CallerLimits, type Event, type FailureReason,
 } from '@sequoiatally/dispatch';
 import type {LifecycleManager, SocketAddress} from '@sequoiatally/runtime';
+import {ByteCollector} from './byte-collector.js';
 import {CallerExchange} from './caller-exchange.js';
 import type {CallerProtocol} from './protocol.js';
 import {listenOn} from './listen.js';
@@ -40,6 +40,8 @@
 	#maxBodyBytes = defaultMaxBodyBytes;
 	#nextOpenId = 1;
 	#isDraining = false;
+	/** Number of requests that were received in part. */
+	#incomingCount = 0;
 
 	constructor(options: CallerServerOptions) {
 		this.#options = options;
@@ -65,6 +67,11 @@
 		await listenOn(this.#server, address, lifecycle);
 	}
 
+	/** True if a request is being received, or a response has not been sent completely. */
+	get isBusy(): boolean {
+		return this.#incomingCount > 0 || this.openExchanges.size > 0;
+	}
+
 	/** Applies the limits of new configuration tables. */
 	applyLimits({headBytes, bodyBytes, idleTimeoutMs}: CallerLimits): void {
 		this.#maxHeadBytes = headBytes;
@@ -81,8 +88,7 @@
 	}
 
 	#handleRequest(request: IncomingMessage, response: ServerResponse): void {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
+		const body = new ByteCollector();
 		let isRefused = false;
 		const refuse = (reason: FailureReason, detail: string) => {
 			if (!isRefused) {
@@ -98,19 +104,22 @@
 		}
 
 		request.on('data', (chunk: Uint8Array) => {
-			size += chunk.length;
-			if (size > this.#maxBodyBytes) {
+			if (body.length + chunk.length > this.#maxBodyBytes) {
 				refuse(failureReason.bodyTooLarge, 'the request body exceeds the configured limit');
 			} else if (!isRefused) {
-				chunks.push(chunk);
+				body.add(chunk);
 			}
 		});
+		this.#incomingCount++;
+		request.once('close', () => {
+			this.#incomingCount--;
+		});
 		request.on('error', () => {
 			// Nothing to report before an exchange starts; later, the `close` event of the response reports it.
 		});
 		request.on('end', () => {
 			if (!isRefused) {
-				this.#startExchange(request, response, chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+				this.#startExchange(request, response, body.toBytes());
 			}
 		});
 	}
--- a/packages/gateway/src/lib/event-splitter.ts
+++ b/packages/gateway/src/lib/event-splitter.ts
@@ -4,6 +4,7 @@
  * target can resume the stream after the last of them.
  */
 import {Buffer} from 'node:buffer';
+import {ByteCollector} from './byte-collector.js';
 
 const lineFeed = 10;
 const carriageReturn = 13;
@@ -13,23 +14,31 @@
 	lastEventId?: string;
 	/** Identifier of the first complete event. */
 	firstEventId?: string;
-	#partialEvent: Uint8Array = new Uint8Array(0);
+	#partialEvent = new ByteCollector();
 
-	/** True if no partial event is buffered. */
-	get isAtEventBoundary(): boolean {
-		return this.#partialEvent.length === 0;
+	/** Number of bytes of the partial event that is buffered. */
+	get partialLength(): number {
+		return this.#partialEvent.length;
 	}
 
 	/** Adds bytes; returns all complete events not returned before, or no bytes if there are none. */
 	push(chunk: Uint8Array): Uint8Array {
-		const bytes = this.#partialEvent.length === 0 ? chunk : Buffer.concat([this.#partialEvent, chunk]);
-		const end = findLastBoundary(bytes);
-		this.#partialEvent = bytes.subarray(end);
-		const completeEvents = bytes.subarray(0, end);
-		if (end > 0) {
-			this.#readIds(completeEvents);
+		// An event ends with at most four bytes, of which at least one is new.
+		const searchFrom = Math.max(0, this.partialLength - 3);
+		this.#partialEvent.add(chunk);
+		const bytes = this.#partialEvent.toBytes();
+		const end = findLastBoundary(bytes, searchFrom);
+		if (end === 0) {
+			return new Uint8Array(0);
+		}
+
+		this.#partialEvent = new ByteCollector();
+		if (end < bytes.length) {
+			this.#partialEvent.add(bytes.subarray(end));
 		}
 
+		const completeEvents = bytes.subarray(0, end);
+		this.#readIds(completeEvents);
 		return completeEvents;
 	}
 
@@ -42,9 +51,9 @@
 	}
 }
 
-/** Finds the offset after the last empty line, which ends the last complete event; 0 if there is none. */
-function findLastBoundary(bytes: Uint8Array): number {
-	for (let index = bytes.length - 1; index > 0; index--) {
+/** Finds the offset after the last empty line, which ends the last complete event; 0 if there is none that ends after `from`. */
+function findLastBoundary(bytes: Uint8Array, from: number): number {
+	for (let index = bytes.length - 1; index > from; index--) {
 		if (bytes[index] !== lineFeed) {
 			continue;
 		}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -260,7 +260,11 @@
 			}
 
 			case effectKind.finishDrain: {
-				this.#onDrained?.();
+				// A response that is complete for the reducer may still be on its way to a slow caller.
+				if (effect.isLimitReached || !this.#callers.isBusy) {
+					this.#onDrained?.();
+				}
+
 				break;
 			}
 		}
--- /dev/null
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -0,0 +1,101 @@
+/**
+ * Parses messages of peers. A message is applied only if all of its fields have the
+ * form that instances send: a part of it that cannot be used would otherwise remain
+ * in the state and fail every later decision.
+ */
+import {factKind, routeKind, type PeerMessage} from '@sequoiatally/dispatch';
+import {err, ok, type Result} from 'neverthrow';
+
+type Check = (value: unknown) => boolean;
+
+const isString: Check = value => typeof value === 'string';
+const isBoolean: Check = value => typeof value === 'boolean';
+const isNumber: Check = value => typeof value === 'number' && Number.isFinite(value);
+
+function createOptionalCheck(check: Check): Check {
+	return value => value === undefined || check(value);
+}
+
+function createListCheck(check: Check): Check {
+	return value => Array.isArray(value) && value.every(item => check(item));
+}
+
+/** Checks the named fields of an object; other fields are ignored. */
+function createObjectCheck(checks: Readonly<Record<string, Check>>): Check {
+	const entries = Object.entries(checks);
+	return value => typeof value === 'object' && value !== null && entries.every(([name, check]) => check((value as Readonly<Record<string, unknown>>)[name]));
+}
+
+const isMemberEntry = createObjectCheck({
+	id: isString, incarnation: isString, address: isString, zone: isString, ageMs: isNumber,
+});
+
+const kinds = new Set<unknown>(Object.values(routeKind));
+
+const isTables = createObjectCheck({
+	version: isNumber,
+	routes: createListCheck(createObjectCheck({
+		name: isString,
+		host: isString,
+		prefix: isString,
+		kind: value => kinds.has(value),
+		canResume: isBoolean,
+		timeLimitMs: isNumber,
+		latencyTargetMs: isNumber,
+		eventGapMs: isNumber,
+		splits: createListCheck(createObjectCheck({pool: isString, weight: isNumber})),
+		targetLimit: isNumber,
+		isPublic: isBoolean,
+		hasPrompts: isBoolean,
+	})),
+	pools: createListCheck(createObjectCheck({name: isString, coldRatePerS: isNumber})),
+	accounts: createOptionalCheck(createListCheck(createObjectCheck({name: isString, keyDigests: createListCheck(isString)}))),
+	limits: createObjectCheck({headBytes: isNumber, bodyBytes: isNumber, idleTimeoutMs: isNumber}),
+});
+
+const isTarget = createObjectCheck({
+	id: isString, pool: isString, address: isString, zone: isString, slots: isNumber, isLeaving: isBoolean, coldMs: isNumber, bornAt: isNumber,
+});
+
+const factChecks: ReadonlyArray<readonly [string, Check]> = [
+	[factKind.tables, createObjectCheck({tables: isTables})],
+	[factKind.zoneClosed, createObjectCheck({zone: isString})],
+	[factKind.target, createObjectCheck({target: isTarget})],
+];
+
+const isFact: Check = value => factChecks.some(([kind, check]) => (value as {readonly kind?: unknown} | null)?.kind === kind && check(value)); // eslint-disable-line @typescript-eslint/no-restricted-types -- a value of JSON
+
+const isUpdate = createObjectCheck({
+	changes: createListCheck(createObjectCheck({subject: isString, revision: isNumber, fact: createOptionalCheck(isFact)})),
+	revision: isNumber,
+	since: isNumber,
+});
+
+const isPeerMessage = createObjectCheck({
+	from: isMemberEntry,
+	members: createListCheck(isMemberEntry),
+	revision: isNumber,
+	directoryAgeMs: createOptionalCheck(isNumber),
+	loads: createListCheck(createObjectCheck({targetId: isString, load: isNumber, ageMs: isNumber})),
+	readings: createListCheck(createObjectCheck({
+		partIds: createListCheck(isString), targetId: isString, bornAt: isNumber, ageMs: isNumber,
+	})),
+	wantsUpdate: isBoolean,
+	isWatching: createOptionalCheck(isBoolean),
+	readingMs: createOptionalCheck(isNumber),
+	lapseGraceMs: createOptionalCheck(isNumber),
+	update: createOptionalCheck(isUpdate),
+	isLeaving: createOptionalCheck(isBoolean),
+});
+
+/** Parses the JSON text of a message; the error describes the fault. */
+export function parsePeerMessage(text: string): Result<PeerMessage, string> {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch {
+		return err('the message is not JSON');
+	}
+
+	return isPeerMessage(value) ? ok(value as PeerMessage) : err('the message lacks fields, or some of its fields are malformed');
+}
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -14,6 +14,7 @@
 	describeError, parseAddress, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {listenOn} from './listen.js';
+import {parsePeerMessage} from './parse-peer-message.js';
 
 const peerPath = '/peers';
 const metricsPath = '/metrics';
@@ -121,6 +122,11 @@
 			this.#pendingCalls.set(callId, response);
 			this.#options.emit({kind: eventKind.peerCalled, callId, message});
 		} catch (error) {
+			if (response.headersSent) {
+				response.destroy();
+				return;
+			}
+
 			response.writeHead(400, {'Content-Type': 'text/plain'});
 			response.end(describeError(error));
 		}
@@ -154,12 +160,12 @@
 	override readonly name = 'PeerMessageError';
 }
 
-/** Checks the outline only, since all instances of a fleet run the same build. Throws `PeerMessageError` or a `SyntaxError`. */
+/** Parses a message; throws `PeerMessageError`. */
 function parseMessage(text: string): PeerMessage {
-	const message = JSON.parse(text) as Partial<PeerMessage> | undefined;
-	if (typeof message?.from?.id !== 'string' || !Array.isArray(message.members) || typeof message.revision !== 'number') {
-		throw new PeerMessageError('the message has no sender, members or revision');
+	const message = parsePeerMessage(text);
+	if (message.isErr()) {
+		throw new PeerMessageError(message.error);
 	}
 
-	return message as PeerMessage;
+	return message.value;
 }
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -36,6 +36,8 @@
 /** What the head of a target's response states. */
 export type ResponseHead = {
 	readonly kind: typeof responseKind[keyof typeof responseKind];
+	/** True if the response names the request that it belongs to. */
+	readonly isIdentified: boolean;
 	/** Requests that the target runs or queues, if it reports them. */
 	readonly targetLoad?: number;
 };
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -3,12 +3,13 @@
  * more than the exchange proves, and only the target's response to this request
  * is forwarded to the caller.
  */
-import {Buffer} from 'node:buffer';
 import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {
 	eventKind, sendOutcome, type Event, type SendEffect, type SendOutcome,
 } from '@sequoiatally/dispatch';
 import {describeError} from '@sequoiatally/runtime';
+import {BufferBudget, type BufferAccount} from './buffer-budget.js';
+import {ByteCollector} from './byte-collector.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ConnectionPool, LeasedConnection} from './connection-pool.js';
 import {EventSplitter} from './event-splitter.js';
@@ -16,8 +17,12 @@
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
 const connectTimeoutMs = 300;
-/** Largest response that is buffered. */
-const maxBufferedBytes = 16 * 1024 * 1024;
+/** Largest event of a stream. */
+const maxEventBytes = 1024 * 1024;
+/** Largest number of parts of a buffered response: each costs time, however small it is. */
+const maxBodyParts = 65_536;
+/** Largest number of interim responses (status 1xx) before a response. */
+const maxInterimResponses = 8;
 
 /** Statuses that tell a caller that its request has not run; without the target's proof, the response is not forwarded but counts as lost. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
@@ -32,6 +37,7 @@
 
 export class TargetClient {
 	readonly #options: TargetClientOptions;
+	readonly #bufferBudget = new BufferBudget();
 	readonly #activeExchanges = new Map<number, TargetExchange>();
 
 	constructor(options: TargetClientOptions) {
@@ -40,8 +46,12 @@
 
 	/** Starts a send; its end is emitted as an event. */
 	startSend(send: SendEffect, caller: CallerExchange): void {
-		const exchange = new TargetExchange(send, caller, this.#options, () => {
-			this.#activeExchanges.delete(send.sendId);
+		const exchange = new TargetExchange(send, caller, {
+			...this.#options,
+			buffer: this.#bufferBudget.openAccount(),
+			onEnd: () => {
+				this.#activeExchanges.delete(send.sendId);
+			},
 		});
 		this.#activeExchanges.set(send.sendId, exchange);
 		exchange.start();
@@ -54,11 +64,16 @@
 	}
 }
 
+type TargetExchangeOptions = TargetClientOptions & {
+	/** Memory for the parts of the response that cannot be passed on yet. */
+	readonly buffer: BufferAccount;
+	readonly onEnd: () => void;
+};
+
 class TargetExchange {
 	readonly #send: SendEffect;
 	readonly #caller: CallerExchange;
-	readonly #options: TargetClientOptions;
-	readonly #onEnd: () => void;
+	readonly #options: TargetExchangeOptions;
 	readonly #connection: LeasedConnection;
 	#request?: ClientRequest;
 	#connectTimer?: NodeJS.Timeout;
@@ -66,13 +81,13 @@
 	#hasConnected: boolean;
 	#hasEnded = false;
 	#hasDeliveredEvents = false;
+	#interimResponseCount = 0;
 	#responseHead?: ResponseHead;
 
-	constructor(send: SendEffect, caller: CallerExchange, options: TargetClientOptions, onEnd: () => void) {
+	constructor(send: SendEffect, caller: CallerExchange, options: TargetExchangeOptions) {
 		this.#send = send;
 		this.#caller = caller;
 		this.#options = options;
-		this.#onEnd = onEnd;
 		this.#connection = options.pool.lease(send.address, send.needsFreshConnection);
 		this.#hasConnected = !this.#connection.isNew;
 	}
@@ -99,6 +114,11 @@
 		});
 		// Without an agent, Node.js assumes that the connection closes after the response.
 		this.#request.shouldKeepAlive = true;
+		this.#request.on('information', () => {
+			if (++this.#interimResponseCount > maxInterimResponses) {
+				this.#abort(this.#failureOutcome, 'too many interim responses');
+			}
+		});
 		this.#request.on('response', response => {
 			this.#handleResponse(response);
 		});
@@ -170,22 +190,24 @@
 	}
 
 	#bufferBody(response: IncomingMessage, onComplete: (body: Uint8Array) => void): void {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
+		const collector = new ByteCollector();
+		let partCount = 0;
 		response.on('data', (chunk: Uint8Array) => {
-			size += chunk.length;
-			if (size > maxBufferedBytes) {
-				this.#abort(this.#failureOutcome, 'response exceeds the size limit');
+			if (this.#hasEnded) {
 				return;
 			}
 
-			chunks.push(chunk);
+			if (++partCount <= maxBodyParts && this.#options.buffer.trySet(collector.length + chunk.length)) {
+				collector.add(chunk);
+			} else {
+				this.#abort(this.#failureOutcome, 'response exceeds the size limit');
+			}
 		});
 		response.on('end', () => {
 			if (!isSelfDelimited(response)) {
 				this.#abort(this.#failureOutcome, 'response has neither a length nor chunked encoding');
 			} else if (response.complete) {
-				onComplete(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+				onComplete(collector.toBytes());
 			}
 		});
 	}
@@ -218,8 +240,18 @@
 				return;
 			}
 
-			this.#silenceTimer?.refresh();
+			const {lastEventId} = splitter;
 			const events = splitter.push(chunk);
+			if (splitter.partialLength > maxEventBytes || !this.#options.buffer.trySet(splitter.partialLength)) {
+				this.#abort(this.#failureOutcome, 'event exceeds the size limit');
+				return;
+			}
+
+			// Bytes without a new event, such as comments, are no progress.
+			if (splitter.lastEventId !== lastEventId) {
+				this.#silenceTimer?.refresh();
+			}
+
 			if (events.length > 0) {
 				this.#relayEvents(response, splitter, events);
 			}
@@ -231,7 +263,7 @@
 
 			// A resumed stream may have no events left.
 			const hasEvents = this.#hasDeliveredEvents || this.#send.resumeAfterEventId !== undefined;
-			if (!splitter.isAtEventBoundary || !hasEvents || !isSelfDelimited(response)) {
+			if (splitter.partialLength > 0 || !hasEvents || !isSelfDelimited(response)) {
 				this.#abort(this.#failureOutcome, 'stream ended with a partial event, without events or without an explicit end');
 				return;
 			}
@@ -262,9 +294,14 @@
 
 		this.#caller.lastEventId = splitter.lastEventId ?? this.#caller.lastEventId;
 		if (!this.#caller.writeEvents(events)) {
+			// A caller that reads slowly is no silence of the target.
 			response.pause();
+			clearInterval(this.#silenceTimer);
 			this.#caller.waitForDrain(() => {
-				response.resume();
+				if (!this.#hasEnded) {
+					response.resume();
+					this.#startSilenceTimer();
+				}
 			});
 		}
 	}
@@ -274,7 +311,10 @@
 		const {socket} = this.#connection;
 		const {address} = this.#send;
 		const targetIdleTimeoutMs = readKeepAliveTimeout(response);
-		if (this.#request?.shouldKeepAlive && !socket.destroyed) {
+		// Another copy of a response without an identifier could be taken for the next response.
+		if (!this.#responseHead?.isIdentified) {
+			socket.destroy();
+		} else if (this.#request?.shouldKeepAlive && !socket.destroyed) {
 			socket.once('free', () => {
 				this.#options.pool.release(address, socket, targetIdleTimeoutMs);
 			});
@@ -300,7 +340,7 @@
 		}
 
 		this.#markEnded();
-		this.#onEnd();
+		this.#options.onEnd();
 		this.#options.emit({
 			kind: eventKind.sendEnded, openId: this.#send.openId, sendId: this.#send.sendId, outcome, detail,
 			lastEventId: this.#caller.lastEventId, targetLoad: this.#hasDeliveredEvents ? undefined : this.#responseHead?.targetLoad,
@@ -311,6 +351,7 @@
 		this.#hasEnded = true;
 		clearTimeout(this.#connectTimer);
 		clearInterval(this.#silenceTimer);
+		this.#options.buffer.release();
 	}
 }
 
--- /dev/null
+++ b/packages/gateway/src/test/parse-peer-message_test.ts
@@ -0,0 +1,63 @@
+/**
+ * Checks that each message that an instance creates is accepted by its peers, after
+ * its way through JSON.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	createState, effectKind, eventKind, factKind, reduce, routeKind, type PeerMessage,
+} from '@sequoiatally/dispatch';
+import {parsePeerMessage} from '../lib/parse-peer-message.js';
+
+const peer = {
+	id: 'peer', incarnation: 'i', address: '127.0.0.1:1', zone: 'zone-a', ageMs: 0,
+};
+const call: PeerMessage = {
+	from: peer, members: [], revision: 0, loads: [], readings: [], wantsUpdate: true,
+};
+const tables = {
+	version: 3,
+	routes: [{
+		name: 'chat', host: 'a.example', prefix: '/chat/', kind: routeKind.stream, canResume: true, timeLimitMs: 5000, latencyTargetMs: 800, eventGapMs: 400,
+		splits: [{pool: 'engines', weight: 1}], targetLimit: 2, isPublic: false, hasPrompts: true,
+	}],
+	pools: [{name: 'engines', coldRatePerS: 5}],
+	accounts: [{name: 'crews', keyDigests: ['digest']}],
+	limits: {headBytes: 16_384, bodyBytes: 100_000, idleTimeoutMs: 15_000},
+};
+const target = {
+	id: 't', pool: 'engines', address: '127.0.0.1:2', zone: 'zone-a', slots: 8, isLeaving: false, coldMs: 0, bornAt: 1,
+};
+const update = {
+	changes: [
+		{subject: 'tables', revision: 1, fact: {kind: factKind.tables, tables}},
+		{subject: 'target/t', revision: 2, fact: {kind: factKind.target, target}},
+		{subject: 'zone/zone-b', revision: 3, fact: {kind: factKind.zoneClosed, zone: 'zone-b'}},
+		{subject: 'target/u', revision: 4},
+	],
+	revision: 4,
+	since: 0,
+};
+
+test('the response to a call is accepted, whether the age of the directory is known or not', () => {
+	for (const directoryAgeMs of [undefined, 100]) {
+		const state = createState({
+			id: 'self', incarnation: 'i', address: '127.0.0.1:3', zone: 'zone-a',
+		}, {retry: {ratio: 0.2, allowance: 52, spanMs: 10_000}, cold: {overshoot: 1.5, slack: 5}, drainLimitMs: 7500}, [], () => 0.5);
+		reduce(state, {
+			kind: eventKind.peerCalled, callId: 1, message: {
+				...call, update, directoryAgeMs, loads: [{targetId: 't', load: 3, ageMs: 20}],
+			},
+		}, 1000);
+		const effects = reduce(state, {kind: eventKind.peerCalled, callId: 2, message: call}, 1500);
+		const answer = effects.find(effect => effect.kind === effectKind.answerPeer)!;
+		const parsed = parsePeerMessage(JSON.stringify(answer.message))._unsafeUnwrap();
+		assert.equal(parsed.directoryAgeMs, directoryAgeMs === undefined ? undefined : 600);
+		assert.equal(parsed.update?.changes.length, 3);
+		assert.equal(parsed.from.id, 'self');
+	}
+});
+
+test('text that is not JSON is refused', () => {
+	assert.ok(parsePeerMessage('{"from"').isErr());
+});
