Log the prompt that a request was placed by

Placements could not be compared across instances from the logs: the line 'sent' named the target and the source of a copy but not the prompt. It has the identifier of the longest shared part and its tokens now.

--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -152,6 +152,8 @@
 		directoryAgeMs: computeDirectoryAge(step), inFlight: target.inFlight,
 		load: Math.round(load * 10) / 10,
 		meanLoad: Math.round(meanLoad * 10) / 10,
+		prompt: route.hasPrompts ? findPromptKey(request.promptParts) : undefined,
+		sharedTokens: route.hasPrompts ? countSharedTokens(request.promptParts) : undefined,
 		passedOver: preferredSkipReason, copyFrom: copySource?.record.id, cold: target.coldUntil > now || undefined,
 	});
 }
