Synchronization follows the time limits of the deployment

Cause: the intervals of followers and the ages at which more instances read the store were constants for a limit of 3 s. Deployments give 2 to 4 s: a fleet of more than nine instances with 2 s missed the limit when a watcher stood still (sync_test, 14 instances), and one with 4 s paid for calls that it did not need.

Followers mostly call a watcher in their own zone, and watchers call each other every second time, so that what a zone learns still reaches the others.

Ruled out: a lower age for the first extra watchers alone (26 of 40 instances read the platform during an outage, fleet_test allows 24).

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,3 +11,4 @@
 export * from './lib/state.js';
 export type {SelfInfo} from './lib/members.js';
 export {targetSubjectPrefix} from './lib/target-state.js';
+export * from './lib/sync-timing.js';
--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -206,22 +206,22 @@
 export type Watchers = {
 	/** True if this instance is a watcher. */
 	readonly includesSelf: boolean;
-	/** Addresses of the other watchers. */
-	readonly addresses: readonly string[];
+	/** The other watchers. */
+	readonly others: ReadonlyArray<{readonly address: string; readonly zone: string}>;
 };
 
 /** Lists the watchers by rank, `multiplier` times as many as usual; with an unsettled or small list every instance is a watcher. */
 export function listWatchers(members: MemberState, selfHash: number, multiplier: number, now: number): Watchers {
 	const {size} = members.byId;
 	if (size < minPeersForFollowers || !isInContact(members, watcherSettleMs, now)) {
-		return {includesSelf: true, addresses: []};
+		return {includesSelf: true, others: []};
 	}
 
 	const count = Math.min(size, multiplier * Math.max(minWatcherCount, Math.ceil((size + 1) / instancesPerWatcher)));
 	members.byWatcherRank ??= [...members.byId.values()].sort((a, b) => computeWatcherRank(b.hash) - computeWatcherRank(a.hash));
 	const first = members.byWatcherRank.slice(0, count);
 	const includesSelf = computeWatcherRank(selfHash) > computeWatcherRank(first.at(-1)!.hash);
-	return {includesSelf, addresses: (includesSelf ? first.slice(0, -1) : first).map(({address}) => address)};
+	return {includesSelf, others: includesSelf ? first.slice(0, -1) : first};
 }
 
 function computeWatcherRank(hash: number): number {
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -26,25 +26,17 @@
 const peerCallIntervalMs = 1000;
 const peerCallJitter = 0.5;
 const followerCallJitter = 0.2;
-/** Time between two calls of a follower to a watcher, in milliseconds; shorter, because followers have to receive changes in time. */
-const followerCallIntervalMs = 700;
 /** Longest time from a failed call to the next call, in milliseconds. */
 const failedCallRetryDelayMs = 100;
 /** Fraction of a follower's calls that go to a random peer instead of a watcher. */
 const randomPeerFraction = 0.1;
-/**
- * Age of the directory above which more instances than usual become watchers,
- * in milliseconds, and the factor by which their number grows: the platform may
- * refuse the regular watchers.
- */
-const extraWatchersAgeMs = 2300;
+/** The same fraction for a watcher; its other calls go to watchers, which pass on what the instances of each zone report to them. */
+const randomPeerFractionOfWatchers = 0.5;
+/** Fraction of a follower's calls to watchers that stay in its zone if there is a watcher. */
+const sameZoneFraction = 0.8;
+/** Factor by which the number of watchers grows when the directory is too old. */
 const extraWatchersMultiplier = 4;
-/**
- * Age of the directory above which an instance reads the platform itself, in
- * milliseconds, unless `failingWatcherQuorum` watchers reported within this time
- * that they cannot read it.
- */
-const fallbackWatchAgeMs = 2800;
+/** Number of watchers that have to report that they cannot read the platform before an instance with an old directory does not try it itself. */
 const failingWatcherQuorum = 3;
 /** Time between two calls to watchers while the directory is stale, in milliseconds; short, because the platform may refuse most watchers. */
 const staleCallIntervalMs = 150;
@@ -56,8 +48,6 @@
  * time until the renewals are read.
  */
 const lapseGraceDurationMs = 2300;
-/** Time without updates, from the platform or from peers that read it, after which registrations may have lapsed, in milliseconds. */
-const lapseSilenceMs = 2000;
 /** Time between two ticks above which the process counts as paused, in milliseconds. */
 const pauseThresholdMs = 1000;
 /** Time between two ticks above which calls may have waited for the process, in milliseconds, and the time after it in which they are handled. */
@@ -80,7 +70,7 @@
 
 /** True after a time without updates in which registrations may have lapsed. */
 function hasLapseSilence({state, now}: Step): boolean {
-	return now - (state.directory.confirmedAt ?? now) > lapseSilenceMs;
+	return now - (state.directory.confirmedAt ?? now) > state.timing.lapseSilenceMs;
 }
 
 function startLapseGrace({state, now}: Step, until: number): void {
@@ -202,10 +192,10 @@
 }
 
 /** True when enough watchers reported recently that they cannot read the platform, and none reported since that it can. */
-function isPlatformUnreachable({failingWatchers}: State, now: number): boolean {
+function isPlatformUnreachable({failingWatchers, timing}: State, now: number): boolean {
 	let count = 0;
 	for (const at of failingWatchers.values()) {
-		count += now - at <= fallbackWatchAgeMs ? 1 : 0;
+		count += now - at <= timing.fallbackWatchAgeMs ? 1 : 0;
 	}
 
 	return count >= failingWatcherQuorum;
@@ -299,6 +289,7 @@
  */
 function updateWatching(step: Step): Watchers {
 	const {state, now} = step;
+	const {extraWatchersAgeMs, fallbackWatchAgeMs} = state.timing;
 	const {confirmedAt} = state.directory;
 	const ageMs = now - (confirmedAt ?? Number.NEGATIVE_INFINITY);
 	const regularWatchers = listWatchers(state.members, state.selfHash, 1, now);
@@ -326,18 +317,25 @@
 	});
 }
 
-function callNextPeer(step: Step, {addresses}: Watchers): void {
+function callNextPeer(step: Step, {others}: Watchers): void {
 	const {state, now} = step;
-	const {random} = state;
-	const isFollowing = !state.isWatching && addresses.length > 0;
-	const isStale = now - (state.directory.confirmedAt ?? now) > extraWatchersAgeMs;
-	const intervalMs = isFollowing ? (isStale ? staleCallIntervalMs : followerCallIntervalMs) : peerCallIntervalMs;
+	const {random, timing} = state;
+	const isFollowing = !state.isWatching && others.length > 0;
+	const isStale = now - (state.directory.confirmedAt ?? now) > timing.extraWatchersAgeMs;
+	const intervalMs = isFollowing ? (isStale ? staleCallIntervalMs : timing.followerCallIntervalMs) : peerCallIntervalMs;
 	const jitter = isFollowing ? followerCallJitter : peerCallJitter;
 	state.nextPeerCallAt = now + (intervalMs * (1 - jitter + (2 * jitter * random())));
-	const peers = isFollowing && random() >= randomPeerFraction
-		? [addresses[Math.floor(random() * addresses.length)]!]
+	const peers = others.length > 0 && random() >= (isFollowing ? randomPeerFraction : randomPeerFractionOfWatchers)
+		? [chooseWatcher(state, others, isFollowing && !isStale)]
 		: choosePeers(state.members, state.self.address, 1, random);
 	for (const address of peers) {
 		callPeer(step, address);
 	}
 }
+
+/** Chooses a watcher; with `prefersZone` mostly one in the own zone, if there is one, since traffic between zones costs more. */
+function chooseWatcher({self, random}: State, watchers: Watchers['others'], prefersZone: boolean): string {
+	const near = prefersZone && random() < sameZoneFraction ? watchers.filter(({zone}) => zone === self.zone) : [];
+	const candidates = near.length > 0 ? near : watchers;
+	return candidates[Math.floor(random() * candidates.length)]!.address;
+}
--- a/packages/dispatch/src/lib/resolve-request.ts
+++ b/packages/dispatch/src/lib/resolve-request.ts
@@ -15,8 +15,6 @@
 /** Smallest retry delay that is sent to callers, and the largest random addition, which spreads their retries, in milliseconds. */
 const minRetryAfterMs = 50;
 const retryAfterJitterMs = 250;
-/** Age of the directory above which a missing route or key is no longer certain, in milliseconds. */
-const authoritativeAgeMs = 1500;
 /** Time after the start of the drain in which all new requests are accepted, in milliseconds; later, only requests that are sure to end in time. */
 export const drainAcceptDurationMs = 2600;
 
@@ -56,7 +54,7 @@
 /** Creates the failure for a missing route or key; with an old directory it asks for a retry, since another instance may have a newer directory. */
 function createLookupFailure(step: Step, reason: typeof failureReason.noRoute | typeof failureReason.keyUnknown): Failure {
 	const age = computeDirectoryAge(step);
-	return age === undefined || age > authoritativeAgeMs
+	return age === undefined || age > step.state.timing.authoritativeAgeMs
 		? createFailure(failureReason.directoryStale, drawRetryAfterMs(step))
 		: createFailure(reason);
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -11,12 +11,15 @@
 import type {PromptPart} from './event.js';
 import {CacheHolders} from './cache-holders.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
+import {computeSyncTiming, type SyncTiming} from './sync-timing.js';
 import {createTargetState, type Target, type TargetState} from './target-state.js';
 
 /** Bounds that apply to the whole fleet, from the settings. */
 export type FleetBounds = {
 	readonly retry: RetryBounds;
 	readonly cold: ColdBounds;
+	/** Time within which changes of the platform have to be in force, in milliseconds. */
+	readonly changeLimitMs: number;
 	/** Longest time from the start of the drain to the end of the process, in milliseconds. */
 	readonly drainLimitMs: number;
 };
@@ -64,6 +67,7 @@
 	/** Hash that decides this instance's position in rankings. */
 	readonly selfHash: number;
 	readonly bounds: FleetBounds;
+	readonly timing: SyncTiming;
 	/** Random source in [0, 1). */
 	readonly random: () => number;
 	directory: DirectoryState;
@@ -104,6 +108,7 @@
 		self,
 		selfHash: computeRankHash(self.id),
 		bounds,
+		timing: computeSyncTiming(bounds.changeLimitMs),
 		random,
 		directory: createDirectory(),
 		lapseGraceUntil: 0,
--- a/packages/dispatch/src/test/fleet-fixture.ts
+++ b/packages/dispatch/src/test/fleet-fixture.ts
@@ -4,6 +4,8 @@
 import {effectKind, eventKind, type CallPeerEffect} from '../index.js';
 import {GatewayFixture} from './gateway-fixture.js';
 
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+
 /** Returns the pending calls of a gateway to its peers and clears its effects. */
 export function takePeerCalls(gateway: GatewayFixture): CallPeerEffect[] {
 	const calls = gateway.effects.filter(effect => effect.kind === effectKind.callPeer);
@@ -33,11 +35,11 @@
 	}
 }
 
-/** Creates gateways with a common seed address; the keys are their peer addresses. */
-export function createFleet(size: number): Map<string, GatewayFixture> {
+/** Creates gateways in three zones with a common seed address; the keys are their peer addresses. */
+export function createFleet(size: number, changeLimitMs?: number): Map<string, GatewayFixture> {
 	const fleet = new Map<string, GatewayFixture>();
 	for (let index = 0; index < size; index++) {
-		const gateway = new GatewayFixture(`gateway-${index}`, 'zone-a', index + 1);
+		const gateway = new GatewayFixture(`gateway-${index}`, zones[index % zones.length], index + 1, changeLimitMs);
 		gateway.handle({kind: eventKind.settingsChanged, seedAddresses: ['gateway-0:1']});
 		fleet.set(`gateway-${index}:1`, gateway);
 	}
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -71,11 +71,11 @@
 	effects: Effect[] = [];
 	#nextOpenId = 1;
 
-	constructor(id = 'gateway-1', zone = 'zone-a', seed = 1) {
+	constructor(id = 'gateway-1', zone = 'zone-a', seed = 1, changeLimitMs = 3000) {
 		this.state = createState({
 			id, incarnation: `${id}-i`, address: `${id}:1`, zone,
 		}, {
-			retry: {ratio: 0.2, allowance: 52, spanMs: retryWindowMs}, cold: {overshoot: 1.5, slack: 5}, drainLimitMs: 7500,
+			retry: {ratio: 0.2, allowance: 52, spanMs: retryWindowMs}, cold: {overshoot: 1.5, slack: 5}, drainLimitMs: 7500, changeLimitMs,
 		}, [], createRandom(seed));
 	}
 
--- a/packages/gateway/src/test/parse-peer-message_test.ts
+++ b/packages/gateway/src/test/parse-peer-message_test.ts
@@ -43,7 +43,9 @@
 	for (const directoryAgeMs of [undefined, 100]) {
 		const state = createState({
 			id: 'self', incarnation: 'i', address: '127.0.0.1:3', zone: 'zone-a',
-		}, {retry: {ratio: 0.2, allowance: 52, spanMs: 10_000}, cold: {overshoot: 1.5, slack: 5}, drainLimitMs: 7500}, [], () => 0.5);
+		}, {
+			retry: {ratio: 0.2, allowance: 52, spanMs: 10_000}, cold: {overshoot: 1.5, slack: 5}, drainLimitMs: 7500, changeLimitMs: 3000,
+		}, [], () => 0.5);
 		reduce(state, {
 			kind: eventKind.peerCalled, callId: 1, message: {
 				...call, update, directoryAgeMs, loads: [{targetId: 't', load: 3, ageMs: 20}],
