Instances tell each other which sends failed, and eject faulty targets together

Change: messages carry the failed sends of the last 3 s (identifier, target, age; at most 32), and instances pass them on. A target that failed four times or more, and more than three times as often as the mean of its pool, is ejected at every instance. A request that cannot be repeated is not the first one after an ejection if another target can serve it.

Ruled out: sharing counts instead of single failures (passed on, they are counted twice); probes (priced, and health may be reported falsely).

All targets failing alike stay in use.

--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -3,6 +3,7 @@
  * a request ends with the best available response, or with a failure that
  * guarantees no more than is known.
  */
+import {hashText} from '@sequoiatally/core';
 import {effectKind} from './effect.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {computeDirectoryAge, drawRetryAfterMs} from './resolve-request.js';
@@ -20,7 +21,7 @@
 /** Ends the current send and records its verdict in the target's health; without a verdict the send did not run. */
 export function endCurrentSend(step: Step, request: OpenRequest, sendVerdict: Verdict | undefined, detail: string): void {
 	const {now} = step;
-	const {target, sentAt} = request.currentSend!;
+	const {target, sentAt, sendId} = request.currentSend!;
 	const targetId = target.record.id;
 	request.currentSend = undefined;
 	if (sendVerdict !== verdict.good) {
@@ -37,6 +38,10 @@
 	}
 
 	const wasEjected = recordVerdict(target.health, sendVerdict, computePoolFailureRatio(step, target), now);
+	if (sendVerdict !== verdict.good && sendVerdict !== verdict.replaced) {
+		recordFailure(step, target, sendId);
+	}
+
 	if (wasEjected) {
 		recordLog(step, 'target-set-aside', {
 			target: targetId, verdict: sendVerdict, detail, failingShare: computeFailureRatio(target.health),
@@ -45,6 +50,24 @@
 	}
 }
 
+/** Records a failed send for all instances; the target may be ejected because of it. */
+function recordFailure(step: Step, target: Target, sendId: number): void {
+	const {state, now} = step;
+	state.failureReports.record(`${hashText(state.self.incarnation).toString(36)}-${sendId}`, target, now);
+	ejectIfFaulty(step, target);
+}
+
+/** Ejects the target if all instances together find it faulty. */
+export function ejectIfFaulty(step: Step, target: Target): void {
+	const {state, now} = step;
+	const failures = state.failureReports.ejectIfFaulty(target, state.targets, now);
+	if (failures !== undefined) {
+		recordLog(step, 'target-set-aside', {
+			target: target.record.id, verdict: 'reported', detail: `${failures} recent failures at all instances`, forMs: Math.round(target.health.ejectedUntil - now),
+		});
+	}
+}
+
 export function cancelCurrentSend(step: Step, request: OpenRequest): void {
 	const {currentSend, openId} = request;
 	if (currentSend === undefined) {
@@ -59,9 +82,10 @@
 
 /** Records a lost response for the current target if no part of a response was delivered until the deadline. */
 export function recordTimedOutSend(step: Step, {currentSend, hasResponseStarted}: OpenRequest): void {
-	const {target} = currentSend!;
+	const {target, sendId} = currentSend!;
 	if (!hasResponseStarted) {
 		recordVerdict(target.health, verdict.lost, computePoolFailureRatio(step, target), step.now);
+		recordFailure(step, target, sendId);
 	}
 }
 
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -1,6 +1,6 @@
 /**
- * Messages between instances: known members, target loads, prompt cache entries
- * and directory updates. Ages are relative to the creation of the message.
+ * Messages between instances: known members, target loads, prompt cache entries,
+ * failures of targets and directory updates. Ages are relative to the creation of the message.
  */
 import type {DirectoryUpdate} from './directory.js';
 
@@ -34,6 +34,16 @@
 	readonly ageMs: number;
 };
 
+/** A failure of a target: an error response, a lost response or a failed connection. */
+export type SharedFailure = {
+	/** Identifier of the failed send, unique in the fleet. */
+	readonly id: string;
+	readonly targetId: string;
+	/** Unix time of the target's start in milliseconds. */
+	readonly bornAt: number;
+	readonly ageMs: number;
+};
+
 export type PeerMessage = {
 	readonly from: MemberEntry;
 	/** Some of the members that the sender knows. */
@@ -46,6 +56,8 @@
 	readonly loads: readonly SharedTargetLoad[];
 	/** Recent prompt cache entries. */
 	readonly readings: readonly SharedCacheEntry[];
+	/** Recent failures of targets. */
+	readonly failures?: readonly SharedFailure[];
 	/** True if the sender cannot rely on its own reads of the platform and requests missing changes. */
 	readonly wantsUpdate: boolean;
 	/** True if the sender reads the platform or tries to. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -11,7 +11,7 @@
 import type {Pool} from './directory.js';
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked} from './ranking.js';
-import {isUsable} from './target-health.js';
+import {isUsable, needsTrial} from './target-health.js';
 import type {Target} from './target-state.js';
 
 /**
@@ -54,6 +54,8 @@
 	readonly prefix?: PromptPrefix;
 	/** Targets to which the request was already sent. */
 	readonly triedTargetIds: ReadonlySet<string>;
+	/** True if the request can be sent again after a failure. */
+	readonly isRetryable: boolean;
 };
 
 /** Reason why a request is not sent to the target that ranks first for its prompt. */
@@ -73,7 +75,9 @@
 };
 
 /** Chooses the target of a request; returns `undefined` if no target may receive the request now. */
-export function choosePlacement(view: PlacementView, {requestId, prefix, triedTargetIds}: PlacementRequest, now: number): Placement | undefined {
+export function choosePlacement(view: PlacementView, {
+	requestId, prefix, triedTargetIds, isRetryable,
+}: PlacementRequest, now: number): Placement | undefined {
 	let accepting: Target[] = [];
 	const draining: Target[] = [];
 	for (const target of view.targets) {
@@ -90,11 +94,17 @@
 
 	const healthy = accepting.filter(target => isUsable(target.health, now));
 	const usable = new Set(healthy.length >= Math.max(1, accepting.length * minHealthyFraction) ? healthy : accepting);
-	const candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasColdCapacity(view, target, now));
+	let candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasColdCapacity(view, target, now));
 	if (candidates.length === 0) {
 		return undefined;
 	}
 
+	if (!isRetryable) {
+		// A request that cannot be repeated is not used to find out whether a target has recovered.
+		const proven = candidates.filter(({health}) => !needsTrial(health, now));
+		candidates = proven.length > 0 ? proven : candidates;
+	}
+
 	const load = new PoolLoad(accepting, draining, now);
 	if (prefix === undefined) {
 		const target = chooseLeastLoaded(view, candidates, load, requestId);
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -12,6 +12,7 @@
 import {
 	applyMembers, choosePeers, describeMembers, removeUnreachableMember, listWatchers, expireMembers, type Watchers,
 } from './members.js';
+import {ejectIfFaulty} from './end-request.js';
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type State, type Step} from './state.js';
 import {
@@ -145,6 +146,7 @@
 		directoryAgeMs: Number.isFinite(directory.confirmedAt) ? Math.round(now - directory.confirmedAt!) : undefined,
 		loads: describeLoads(state.targets, now),
 		readings: state.cacheHolders.describeRecentEntries(now),
+		failures: state.failureReports.describe(now),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
 		isWatching: state.isWatching,
 		readingMs: platformReadableSince === undefined ? undefined : Math.round(now - platformReadableSince),
@@ -219,6 +221,10 @@
 	} = message;
 	applyLoads(state.targets, message.loads, messageCreatedAt);
 	state.cacheHolders.applyEntries(message.readings, state.targets.byId, messageCreatedAt);
+	for (const target of state.failureReports.applyShared(message.failures ?? [], state.targets, messageCreatedAt, now)) {
+		ejectIfFaulty(step, target);
+	}
+
 	// An instance that received updates throughout knows that the platform was available.
 	if (lapseGraceMs !== undefined && hasLapseSilence(step)) {
 		startLapseGrace(step, messageCreatedAt + lapseGraceMs);
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -69,6 +69,7 @@
 				? undefined
 				: {key, tokenCount: countSharedTokens(promptParts), isHolder: target => state.cacheHolders.has(key, target)},
 			triedTargetIds,
+			isRetryable: isRetryable(route),
 		}, now);
 }
 
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -10,6 +10,7 @@
 } from './members.js';
 import type {PromptPart} from './event.js';
 import {CacheHolders} from './cache-holders.js';
+import {FailureReports} from './failure-reports.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
 import {computeSyncTiming, type SyncTiming} from './sync-timing.js';
 import {createTargetState, type Target, type TargetState} from './target-state.js';
@@ -89,6 +90,7 @@
 	nextPeerCallAt: number;
 	targets: TargetState;
 	readonly cacheHolders: CacheHolders;
+	readonly failureReports: FailureReports;
 	openRequests: Map<number, OpenRequest>;
 	/** Requests for which no target was available yet, in order of arrival. */
 	queuedRequests: Set<OpenRequest>;
@@ -120,6 +122,7 @@
 		nextPeerCallAt: 0,
 		targets: createTargetState(),
 		cacheHolders: new CacheHolders(),
+		failureReports: new FailureReports(),
 		openRequests: new Map(),
 		queuedRequests: new Set(),
 		retryBudgets: new Map(),
--- a/packages/dispatch/src/lib/target-health.ts
+++ b/packages/dispatch/src/lib/target-health.ts
@@ -24,6 +24,8 @@
 const maxEjectionMs = 4000;
 /** Duration of the ejection of a target whose address another process has, in milliseconds; its registration lapses within this time. */
 const replacedEjectionMs = 5000;
+/** Time after an ejection for which a target waits for a request that can be repeated, in milliseconds. */
+const trialDurationMs = 3000;
 /** Number of consecutive lost responses after which a target is ejected. */
 const consecutiveLossLimit = 2;
 /** Smallest weight of verdicts from which the failure ratio is evaluated; fewer verdicts are not significant. */
@@ -62,6 +64,11 @@
 	return now >= health.ejectedUntil && !(health.isOnProbation && health.hasTrialInFlight);
 }
 
+/** True when a request that can be repeated should be the first after an ejection. */
+export function needsTrial({isOnProbation, ejectedUntil}: TargetHealth, now: number): boolean {
+	return isOnProbation && now < ejectedUntil + trialDurationMs;
+}
+
 /** True when the target is expected to respond, even if it is ejected because of error responses. */
 export function isResponding({ejectedUntil, lastVerdict}: TargetHealth, now: number): boolean {
 	return now >= ejectedUntil || lastVerdict === verdict.failed;
@@ -102,7 +109,8 @@
 	return false;
 }
 
-function eject(health: TargetHealth, now: number): void {
+/** Ejects the target for a time that doubles with each further ejection. */
+export function eject(health: TargetHealth, now: number): void {
 	health.ejectedUntil = now + Math.min(maxEjectionMs, baseEjectionMs * (2 ** health.ejectionCount));
 	health.ejectionCount++;
 	health.isOnProbation = true;
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -112,7 +112,7 @@
 		this.handle({
 			kind: eventKind.requestArrived,
 			openId,
-			requestId: `request-${openId}`,
+			requestId: `${this.state.self.id}-request-${openId}`,
 			host: route.host,
 			path: `${route.prefix}x`,
 			keyDigest: 'keyDigest' in fields ? fields.keyDigest : 'digest-a',
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -80,6 +80,9 @@
 	readings: createListCheck(createObjectCheck({
 		partIds: createListCheck(isString), targetId: isString, bornAt: isNumber, ageMs: isNumber,
 	})),
+	failures: createOptionalCheck(createListCheck(createObjectCheck({
+		id: isString, targetId: isString, bornAt: isNumber, ageMs: isNumber,
+	}))),
 	wantsUpdate: isBoolean,
 	isWatching: createOptionalCheck(isBoolean),
 	readingMs: createOptionalCheck(isNumber),
