An instance that read the whole directory no longer hides removals from its peers

One that has just started reads the directory as a whole at revision R; it has no record of what was removed before, but described 'all changes' since an older revision to its peers, which then advanced past the removals.

Change: after a complete read or a complete update, an instance answers peers with an older revision with its whole directory.

Also: only error responses count as shared failures now, and six are needed.

--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory.ts
@@ -125,8 +125,12 @@
 	/** Latest time at which the directory is known to have been current. */
 	confirmedAt?: number;
 	facts: Map<string, KnownFact>;
-	/** Latest revision of a dropped tombstone; updates for peers with an older directory have to be complete. */
-	droppedTombstoneRevision: number;
+	/**
+	 * Revision up to which this instance may not know which subjects were removed,
+	 * because it dropped tombstones or read the directory as a whole; updates for peers
+	 * with an older directory have to be complete.
+	 */
+	unknownRemovalsUntil: number;
 	tables?: Tables;
 	routes: RouteIndex;
 	accountByDigest: Map<string, Account>;
@@ -138,7 +142,7 @@
 	return {
 		revision: 0,
 		facts: new Map(),
-		droppedTombstoneRevision: 0,
+		unknownRemovalsUntil: 0,
 		routes: createRouteIndex([]),
 		accountByDigest: new Map(),
 		poolByName: new Map(),
@@ -179,6 +183,10 @@
 		appliedChanges.push(acceptedChange);
 	}
 
+	if (update.since === 0) {
+		directory.unknownRemovalsUntil = Math.max(directory.unknownRemovalsUntil, update.revision);
+	}
+
 	if (!hasGap) {
 		if (update.revision >= directory.revision) {
 			directory.confirmedAt = Math.max(directory.confirmedAt ?? Number.NEGATIVE_INFINITY, confirmedAt);
@@ -265,13 +273,13 @@
 	tombstones.sort((a, b) => a.revision - b.revision);
 	for (const {subject, revision} of tombstones.slice(0, tombstones.length - tombstoneLimit)) {
 		directory.facts.delete(subject);
-		directory.droppedTombstoneRevision = Math.max(directory.droppedTombstoneRevision, revision);
+		directory.unknownRemovalsUntil = Math.max(directory.unknownRemovalsUntil, revision);
 	}
 }
 
 /** Describes the changes that a peer at revision `since` lacks, or the whole directory if these are no longer known. */
 export function describeUpdate(directory: DirectoryState, since: number): DirectoryUpdate {
-	const isComplete = since < directory.droppedTombstoneRevision || since === 0;
+	const isComplete = since < directory.unknownRemovalsUntil || since === 0;
 	const changes = [...directory.facts.values()]
 		.filter(({changeRevision, fact}) => isComplete ? fact !== undefined : changeRevision > since)
 		.map(({subject, revision, fact}) => ({subject, revision, fact}));
--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -20,7 +20,7 @@
 
 /** Ends the current send and records its verdict in the target's health; without a verdict the send did not run. */
 export function endCurrentSend(step: Step, request: OpenRequest, sendVerdict: Verdict | undefined, detail: string): void {
-	const {now} = step;
+	const {state, now} = step;
 	const {target, sentAt, sendId} = request.currentSend!;
 	const targetId = target.record.id;
 	request.currentSend = undefined;
@@ -38,8 +38,9 @@
 	}
 
 	const wasEjected = recordVerdict(target.health, sendVerdict, computePoolFailureRatio(step, target), now);
-	if (sendVerdict !== verdict.good && sendVerdict !== verdict.replaced) {
-		recordFailure(step, target, sendId);
+	if (sendVerdict === verdict.failed) {
+		state.failureReports.record(`${hashText(state.self.incarnation).toString(36)}-${sendId}`, target, now);
+		ejectIfFaulty(step, target);
 	}
 
 	if (wasEjected) {
@@ -50,13 +51,6 @@
 	}
 }
 
-/** Records a failed send for all instances; the target may be ejected because of it. */
-function recordFailure(step: Step, target: Target, sendId: number): void {
-	const {state, now} = step;
-	state.failureReports.record(`${hashText(state.self.incarnation).toString(36)}-${sendId}`, target, now);
-	ejectIfFaulty(step, target);
-}
-
 /** Ejects the target if all instances together find it faulty. */
 export function ejectIfFaulty(step: Step, target: Target): void {
 	const {state, now} = step;
@@ -82,10 +76,9 @@
 
 /** Records a lost response for the current target if no part of a response was delivered until the deadline. */
 export function recordTimedOutSend(step: Step, {currentSend, hasResponseStarted}: OpenRequest): void {
-	const {target, sendId} = currentSend!;
+	const {target} = currentSend!;
 	if (!hasResponseStarted) {
 		recordVerdict(target.health, verdict.lost, computePoolFailureRatio(step, target), step.now);
-		recordFailure(step, target, sendId);
 	}
 }
 
--- a/packages/dispatch/src/lib/failure-reports.ts
+++ b/packages/dispatch/src/lib/failure-reports.ts
@@ -1,7 +1,10 @@
 /**
- * Recent failures of targets, from all instances. In a large fleet one instance sends
- * each target too few requests to tell a faulty target from bad luck before many
+ * Recent error responses of targets, from all instances. In a large fleet one instance
+ * sends each target too few requests to tell a faulty target from bad luck before many
  * callers were affected; together the instances can tell within a second or two.
+ *
+ * Lost responses do not count: an engine that loses a few still holds its prompts, and
+ * to read these elsewhere costs more than the responses.
  */
 import type {SharedFailure} from './peer-message.js';
 import {eject} from './target-health.js';
@@ -10,7 +13,7 @@
 /** Time for which failures are counted and passed on, in milliseconds. */
 const windowMs = 3000;
 /** Smallest number of failures, and multiple of the mean of the pool's other targets, above which a target counts as faulty. */
-const minFailures = 4;
+const minFailures = 6;
 const poolMeanMultiplier = 3;
 /** Number of failures above that multiple which are taken for chance. */
 const chanceFailures = 2;
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -34,7 +34,7 @@
 	readonly ageMs: number;
 };
 
-/** A failure of a target: an error response, a lost response or a failed connection. */
+/** An error response of a target. */
 export type SharedFailure = {
 	/** Identifier of the failed send, unique in the fleet. */
 	readonly id: string;
@@ -56,7 +56,7 @@
 	readonly loads: readonly SharedTargetLoad[];
 	/** Recent prompt cache entries. */
 	readonly readings: readonly SharedCacheEntry[];
-	/** Recent failures of targets. */
+	/** Recent error responses of targets. */
 	readonly failures?: readonly SharedFailure[];
 	/** True if the sender cannot rely on its own reads of the platform and requests missing changes. */
 	readonly wantsUpdate: boolean;
