A stale directory adds a fixed number of watchers instead of four times as many

Four times 13 regular watchers are 52; the others followed at the next age limit.

Change: 15 further watchers, as four times the five watchers of a smaller fleet were.

After it only fleet_test: 91 tests pass.

--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -210,14 +210,14 @@
 	readonly others: ReadonlyArray<{readonly address: string; readonly zone: string}>;
 };
 
-/** Lists the watchers by rank, `multiplier` times as many as usual; with an unsettled or small list every instance is a watcher. */
-export function listWatchers(members: MemberState, selfHash: number, multiplier: number, now: number): Watchers {
+/** Lists the watchers by rank, with `extraCount` more than usual; with an unsettled or small list every instance is a watcher. */
+export function listWatchers(members: MemberState, selfHash: number, extraCount: number, now: number): Watchers {
 	const {size} = members.byId;
 	if (size < minPeersForFollowers || !isInContact(members, watcherSettleMs, now)) {
 		return {includesSelf: true, others: []};
 	}
 
-	const count = Math.min(size, multiplier * Math.max(minWatcherCount, Math.ceil((size + 1) / instancesPerWatcher)));
+	const count = Math.min(size, extraCount + Math.max(minWatcherCount, Math.ceil((size + 1) / instancesPerWatcher)));
 	members.byWatcherRank ??= [...members.byId.values()].sort((a, b) => computeWatcherRank(b.hash) - computeWatcherRank(a.hash));
 	const first = members.byWatcherRank.slice(0, count);
 	const includesSelf = computeWatcherRank(selfHash) > computeWatcherRank(first.at(-1)!.hash);
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -35,8 +35,8 @@
 const randomPeerFractionOfWatchers = 0.5;
 /** Fraction of a follower's calls to watchers that stay in its zone if there is a watcher. */
 const sameZoneFraction = 0.8;
-/** Factor by which the number of watchers grows when the directory is too old. */
-const extraWatchersMultiplier = 4;
+/** Number of further watchers when the directory is too old; the platform may refuse some instances, but hardly that many in a row. */
+const extraWatcherCount = 15;
 /** Number of watchers that have to report that they cannot read the platform before an instance with an old directory does not try it itself. */
 const failingWatcherQuorum = 3;
 /** Time between two calls to watchers while the directory is stale, in milliseconds; short, because the platform may refuse most watchers. */
@@ -298,8 +298,8 @@
 	const {extraWatchersAgeMs, fallbackWatchAgeMs} = state.timing;
 	const {confirmedAt} = state.directory;
 	const ageMs = now - (confirmedAt ?? Number.NEGATIVE_INFINITY);
-	const regularWatchers = listWatchers(state.members, state.selfHash, 1, now);
-	const watchers = ageMs > extraWatchersAgeMs ? listWatchers(state.members, state.selfHash, extraWatchersMultiplier, now) : regularWatchers;
+	const regularWatchers = listWatchers(state.members, state.selfHash, 0, now);
+	const watchers = ageMs > extraWatchersAgeMs ? listWatchers(state.members, state.selfHash, extraWatcherCount, now) : regularWatchers;
 	if ((ageMs > extraWatchersAgeMs && watchers.includesSelf) || (ageMs > fallbackWatchAgeMs && !isPlatformUnreachable(state, now))) {
 		state.fallbackWatchUntil = now + fallbackWatchDurationMs;
 	}
