--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -11,7 +11,7 @@
 import type {Pool} from './directory.js';
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked} from './ranking.js';
-import {isUsable, needsTrial} from './target-health.js';
+import {isUsable, isAwaitingTrial} from './target-health.js';
 import type {Target} from './target-state.js';
 
 /**
@@ -101,7 +101,7 @@
 
 	if (!isRetryable) {
 		// A request that cannot be repeated is not used to find out whether a target has recovered.
-		const proven = candidates.filter(({health}) => !needsTrial(health, now));
+		const proven = candidates.filter(({health}) => !isAwaitingTrial(health, now));
 		candidates = proven.length > 0 ? proven : candidates;
 	}
 
--- a/packages/dispatch/src/lib/target-health.ts
+++ b/packages/dispatch/src/lib/target-health.ts
@@ -65,7 +65,7 @@
 }
 
 /** True when a request that can be repeated should be the first after an ejection. */
-export function needsTrial({isOnProbation, ejectedUntil}: TargetHealth, now: number): boolean {
+export function isAwaitingTrial({isOnProbation, ejectedUntil}: TargetHealth, now: number): boolean {
 	return isOnProbation && now < ejectedUntil + trialDurationMs;
 }
 
