Requests find another target when many targets are gone at once

Change: the retry budget counts sends after one that may have arrived; a send after a refused or failed connection is the first arrival and costs nothing. Instances report targets whose address has no process, or another one, and two reports from different instances eject a target everywhere for the usual time. Watchers call each other twice a second, so that reports cross zones soon.

Ruled out: one report alone (a single instance may be cut off in a way that refuses connections); sharing connection time-outs (the same, and lost packets).

--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -7,7 +7,10 @@
 import {effectKind} from './effect.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {computeDirectoryAge, drawRetryAfterMs} from './resolve-request.js';
-import {recordLog, type OpenRequest, type Step} from './state.js';
+import type {FailureKind} from './failure-reports.js';
+import {
+	recordLog, type CurrentSend, type OpenRequest, type Step,
+} from './state.js';
 import {
 	computeFailureRatio, recordVerdict, verdict, type Verdict,
 } from './target-health.js';
@@ -20,8 +23,8 @@
 
 /** Ends the current send and records its verdict in the target's health; without a verdict the send did not run. */
 export function endCurrentSend(step: Step, request: OpenRequest, sendVerdict: Verdict | undefined, detail: string): void {
-	const {state, now} = step;
-	const {target, sentAt, sendId} = request.currentSend!;
+	const {now} = step;
+	const {target, sentAt} = request.currentSend!;
 	const targetId = target.record.id;
 	request.currentSend = undefined;
 	if (sendVerdict !== verdict.good) {
@@ -38,11 +41,6 @@
 	}
 
 	const wasEjected = recordVerdict(target.health, sendVerdict, computePoolFailureRatio(step, target), now);
-	if (sendVerdict === verdict.failed) {
-		state.failureReports.record(`${hashText(state.self.incarnation).toString(36)}-${sendId}`, target, now);
-		ejectIfFaulty(step, target);
-	}
-
 	if (wasEjected) {
 		recordLog(step, 'target-set-aside', {
 			target: targetId, verdict: sendVerdict, detail, failingShare: computeFailureRatio(target.health),
@@ -51,13 +49,23 @@
 	}
 }
 
+/** Reports a failed send to all instances; the target may be ejected because of it. */
+export function reportFailure(step: Step, {target, sendId}: CurrentSend, kind: FailureKind): void {
+	const {state, now} = step;
+	const instance = hashText(state.self.incarnation).toString(36);
+	state.failureReports.record(`${instance}-${sendId}`, {
+		target, kind, instance, at: now,
+	}, now);
+	ejectIfFaulty(step, target);
+}
+
 /** Ejects the target if all instances together find it faulty. */
 export function ejectIfFaulty(step: Step, target: Target): void {
 	const {state, now} = step;
 	const failures = state.failureReports.ejectIfFaulty(target, state.targets, now);
 	if (failures !== undefined) {
 		recordLog(step, 'target-set-aside', {
-			target: target.record.id, verdict: 'reported', detail: `${failures} recent failures at all instances`, forMs: Math.round(target.health.ejectedUntil - now),
+			target: target.record.id, verdict: 'reported', detail: `${failures} recent failures reported by instances`, forMs: Math.round(target.health.ejectedUntil - now),
 		});
 	}
 }
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -50,6 +50,8 @@
 	complete: 'complete',
 	/** No byte of the request left this process. */
 	notSent: 'unreached',
+	/** The target's address refused the connection: no process listens there. */
+	connectionRefused: 'connection-refused',
 	/** The target reported that it did not run the request. */
 	rejected: 'rejected',
 	/** Another process has the target's address and did not run the request. */
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -3,6 +3,7 @@
  * failures of targets and directory updates. Ages are relative to the creation of the message.
  */
 import type {DirectoryUpdate} from './directory.js';
+import type {FailureKind} from './failure-reports.js';
 
 export type MemberEntry = {
 	/** Name of the instance. */
@@ -34,10 +35,13 @@
 	readonly ageMs: number;
 };
 
-/** An error response of a target. */
+/** A failed send to a target. */
 export type SharedFailure = {
-	/** Identifier of the failed send, unique in the fleet. */
+	/** Identifier of the send, unique in the fleet. */
 	readonly id: string;
+	readonly kind: FailureKind;
+	/** Identifier of the process that sent it. */
+	readonly instance: string;
 	readonly targetId: string;
 	/** Unix time of the target's start in milliseconds. */
 	readonly bornAt: number;
@@ -56,7 +60,7 @@
 	readonly loads: readonly SharedTargetLoad[];
 	/** Recent prompt cache entries. */
 	readonly readings: readonly SharedCacheEntry[];
-	/** Recent error responses of targets. */
+	/** Recent failed sends to targets. */
 	readonly failures?: readonly SharedFailure[];
 	/** True if the sender cannot rely on its own reads of the platform and requests missing changes. */
 	readonly wantsUpdate: boolean;
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -20,19 +20,19 @@
 } from './target-state.js';
 
 /**
- * Time between two calls to peers, in milliseconds, and the jitter of this interval
- * and of a follower's interval, as fractions; it keeps instances from calling in
- * step.
+ * How an instance calls its peers: the time between two calls in milliseconds, the
+ * jitter of this time as a fraction, which keeps instances from calling in step, and the
+ * fraction of the calls that go to a random peer instead of a watcher.
  */
-const peerCallIntervalMs = 1000;
-const peerCallJitter = 0.5;
-const followerCallJitter = 0.2;
+const callPlan = {
+	withoutFollowers: {intervalMs: 1000, jitter: 0.5, randomPeerFraction: 1},
+	/** Watchers call each other often, because they pass on what their followers report. */
+	watcher: {intervalMs: 500, jitter: 0.5, randomPeerFraction: 0.25},
+	/** The interval of followers follows from the time limit for changes. */
+	follower: {intervalMs: 0, jitter: 0.2, randomPeerFraction: 0.1},
+} as const;
 /** Longest time from a failed call to the next call, in milliseconds. */
 const failedCallRetryDelayMs = 100;
-/** Fraction of a follower's calls that go to a random peer instead of a watcher. */
-const randomPeerFraction = 0.1;
-/** The same fraction for a watcher; its other calls go to watchers, which pass on what the instances of each zone report to them. */
-const randomPeerFractionOfWatchers = 0.5;
 /** Fraction of a follower's calls to watchers that stay in its zone if there is a watcher. */
 const sameZoneFraction = 0.8;
 /** Number of further watchers when the directory is too old; the platform may refuse some instances, but hardly that many in a row. */
@@ -326,17 +326,15 @@
 function callNextPeer(step: Step, {others}: Watchers): void {
 	const {state, now} = step;
 	const {random, timing} = state;
-	const isFollowing = !state.isWatching && others.length > 0;
 	const isStale = now - (state.directory.confirmedAt ?? now) > timing.extraWatchersAgeMs;
-	const intervalMs = isFollowing ? (isStale ? staleCallIntervalMs : timing.followerCallIntervalMs) : peerCallIntervalMs;
-	const jitter = isFollowing ? followerCallJitter : peerCallJitter;
-	state.nextPeerCallAt = now + (intervalMs * (1 - jitter + (2 * jitter * random())));
-	const peers = others.length > 0 && random() >= (isFollowing ? randomPeerFraction : randomPeerFractionOfWatchers)
-		? [chooseWatcher(state, others, isFollowing && !isStale)]
-		: choosePeers(state.members, state.self.address, 1, random);
-	for (const address of peers) {
-		callPeer(step, address);
-	}
+	const plan = others.length === 0 ? callPlan.withoutFollowers : (state.isWatching ? callPlan.watcher : callPlan.follower);
+	const followerIntervalMs = isStale ? staleCallIntervalMs : timing.followerCallIntervalMs;
+	const intervalMs = plan === callPlan.follower ? followerIntervalMs : plan.intervalMs;
+	state.nextPeerCallAt = now + (intervalMs * (1 - plan.jitter + (2 * plan.jitter * random())));
+	const peers = random() < plan.randomPeerFraction
+		? choosePeers(state.members, state.self.address, 1, random)
+		: [chooseWatcher(state, others, plan === callPlan.follower && !isStale)];
+	callPeers(step, peers);
 }
 
 /** Chooses a watcher; with `prefersZone` mostly one in the own zone, if there is one, since traffic between zones costs more. */
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -3,12 +3,13 @@
  */
 import {effectKind} from './effect.js';
 import {
-	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend,
+	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, reportFailure,
 } from './end-request.js';
 import {
 	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent,
 } from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
+import {failureKind, type FailureKind} from './failure-reports.js';
 import {choosePool, computeDirectoryAge, resolveRequest} from './resolve-request.js';
 import {
 	hasOtherTarget, mayRetry, retryOrFail, trySend,
@@ -45,6 +46,7 @@
 		poolName: choosePool(route.splits, event),
 		tablesVersion: state.directory.tables!.version,
 		sendCount: 0,
+		arrivalCount: 0,
 		possibleRunCount: 0,
 		triedTargetIds: new Set(),
 		hasResponseStarted: false,
@@ -120,6 +122,7 @@
 const verdictByOutcome: Readonly<Record<SendEndedEvent['outcome'], Verdict | undefined>> = {
 	[sendOutcome.complete]: verdict.good,
 	[sendOutcome.notSent]: verdict.connectionFailed,
+	[sendOutcome.connectionRefused]: verdict.connectionFailed,
 	[sendOutcome.rejected]: undefined,
 	[sendOutcome.misdirected]: verdict.replaced,
 	[sendOutcome.failed]: verdict.failed,
@@ -127,6 +130,13 @@
 	[sendOutcome.interrupted]: verdict.lost,
 };
 
+/** Failures that other instances can use; a lost response says too little about the target. */
+const failureKindByOutcome: Readonly<Partial<Record<SendEndedEvent['outcome'], FailureKind>>> = {
+	[sendOutcome.failed]: failureKind.errorResponse,
+	[sendOutcome.connectionRefused]: failureKind.noProcess,
+	[sendOutcome.misdirected]: failureKind.noProcess,
+};
+
 export function applySendEnded(step: Step, event: SendEndedEvent): void {
 	const request = findCurrentRequest(step, event.openId, event.sendId);
 	if (request === undefined) {
@@ -134,7 +144,13 @@
 	}
 
 	recordTargetLoad(step, request, event.targetLoad);
+	const send = request.currentSend!;
 	endCurrentSend(step, request, verdictByOutcome[event.outcome], event.detail);
+	const kind = failureKindByOutcome[event.outcome];
+	if (kind !== undefined) {
+		reportFailure(step, send, kind);
+	}
+
 	request.lastEventId = event.lastEventId ?? request.lastEventId;
 	switch (event.outcome) {
 		case sendOutcome.complete: {
@@ -143,9 +159,11 @@
 		}
 
 		case sendOutcome.notSent:
+		case sendOutcome.connectionRefused:
 		case sendOutcome.misdirected:
 		case sendOutcome.rejected: {
 			request.possibleRunCount--;
+			request.arrivalCount -= event.outcome === sendOutcome.misdirected || event.outcome === sendOutcome.rejected ? 0 : 1;
 			retryOrFail(step, request, createNotRunFailure(step, request, failureReason.notRun));
 			break;
 		}
--- a/packages/dispatch/src/lib/retry-budget.ts
+++ b/packages/dispatch/src/lib/retry-budget.ts
@@ -42,6 +42,11 @@
 		this.#retries.record(now);
 	}
 
+	/** Returns the number of retries in the window. */
+	countRetries(now: number): number {
+		return this.#retries.count(now);
+	}
+
 	/** True when the budget allows one more retry; `fleetSize` is the number of instances that may exist. */
 	mayRetry(fleetSize: number, now: number): boolean {
 		const {ratio, allowance} = this.#bounds;
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -118,15 +118,11 @@
 }: Placement): void {
 	const {state, now} = step;
 	const {route} = request;
-	const budget = findRetryBudget(step, request.poolName);
-	if (request.sendCount === 0) {
-		budget.recordFirstSend(now);
-	} else {
-		budget.recordRetry(now);
-	}
+	recordInBudget(step, request);
 
 	const sendId = state.nextSendId++;
 	request.sendCount++;
+	request.arrivalCount++;
 	request.possibleRunCount++;
 	request.currentSend = {sendId, target, sentAt: now};
 	recordSend(target, now);
@@ -159,6 +155,18 @@
 	});
 }
 
+/** Counts the send in the retry budget: the first send of a request, and each send after one that may have arrived. */
+function recordInBudget(step: Step, {poolName, sendCount, arrivalCount}: OpenRequest): void {
+	const budget = findRetryBudget(step, poolName);
+	if (sendCount === 0) {
+		budget.recordFirstSend(step.now);
+	}
+
+	if (arrivalCount > 0) {
+		budget.recordRetry(step.now);
+	}
+}
+
 function findCopySource({state, now}: Step, {route, promptParts}: OpenRequest, target: Target): Target | undefined {
 	return route.hasPrompts
 		? chooseCopySource({targets: state.targets, holders: state.cacheHolders}, target, promptParts, now)
@@ -180,7 +188,7 @@
 /** True when one more send of the request is allowed; `mayHaveRun` is true if an earlier send may have run. */
 export function mayRetry(step: Step, request: OpenRequest, mayHaveRun: boolean): boolean {
 	const {now} = step;
-	const {route, sendCount, possibleRunCount, deadlineAt, hasResponseStarted} = request;
+	const {route, sendCount, possibleRunCount, arrivalCount, deadlineAt, hasResponseStarted} = request;
 	if (deadlineAt - now < minRetryTimeMs || sendCount >= route.targetLimit + extraSendLimit) {
 		return false;
 	}
@@ -188,5 +196,5 @@
 	const isAllowed = mayHaveRun
 		? isRetryable(route) && possibleRunCount < route.targetLimit && (!hasResponseStarted || route.canResume)
 		: !hasResponseStarted;
-	return isAllowed && findRetryBudget(step, request.poolName).mayRetry(findFleetView(step).size, now);
+	return isAllowed && (arrivalCount === 0 || findRetryBudget(step, request.poolName).mayRetry(findFleetView(step).size, now));
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -51,6 +51,8 @@
 	currentSend?: CurrentSend;
 	/** Number of sends so far. */
 	sendCount: number;
+	/** Number of sends that may have arrived at a target. */
+	arrivalCount: number;
 	/** Number of sends whose target may have run the request. */
 	possibleRunCount: number;
 	readonly triedTargetIds: Set<string>;
--- a/packages/dispatch/src/test/failure_reports_test.ts
+++ b/packages/dispatch/src/test/failure_reports_test.ts
@@ -3,7 +3,8 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {eventKind, sendOutcome} from '../index.js';
+import {eventKind, sendOutcome, type SendEffect} from '../index.js';
+import {failureKind} from '../lib/failure-reports.js';
 import {isUsable} from '../lib/target-health.js';
 import {advanceFleet, createFleet} from './fleet-fixture.js';
 import {
@@ -74,7 +75,7 @@
 		members: [], revision: 0, loads: [], readings: [], wantsUpdate: false,
 	};
 	const createFailures = (count: number, ageMs: number) => Array.from({length: count}, (_, index) => ({
-		id: `${ageMs}-${index}`, targetId: 'desk-1', bornAt: 1, ageMs,
+		id: `${ageMs}-${index}`, kind: failureKind.errorResponse, instance: 'other', targetId: 'desk-1', bornAt: 1, ageMs,
 	}));
 	const {health} = gateway.state.targets.byId.get('desk-1')!;
 	gateway.handle({kind: eventKind.peerCalled, callId: 1, message: {...message, failures: createFailures(5, 10)}});
@@ -97,7 +98,7 @@
 			},
 			members: [], revision: 0, loads: [], readings: [], wantsUpdate: false,
 			failures: Array.from({length: 9}, (_, index) => ({
-				id: String(index), targetId: 'desk-1', bornAt: 1, ageMs: 0,
+				id: String(index), kind: failureKind.errorResponse, instance: 'other', targetId: 'desk-1', bornAt: 1, ageMs: 0,
 			})),
 		},
 	});
@@ -126,3 +127,31 @@
 	const targetIds = new Set(Array.from({length: 10}, () => sendRequest(gateway, [])));
 	assert.ok(targetIds.has('desk-1'));
 });
+
+test('a target at whose address two instances found no process is not tried by the others (many targets crash, large fleet)', () => {
+	for (const outcome of [sendOutcome.connectionRefused, sendOutcome.misdirected]) {
+		const fleet = createFleet(12);
+		for (const gateway of fleet.values()) {
+			gateway.loadDirectory(desks);
+		}
+
+		advanceFleet(fleet, 6000);
+		const [first, second, ...others] = [...fleet.values()];
+		for (const [gateway, expected] of [[first!, 0], [second!, others.length]] as const) {
+			const calls = gateway.effects;
+			let send: SendEffect;
+			do {
+				gateway.receiveRequest(onceRoute);
+				send = gateway.takeLastSend();
+			} while (send.targetId !== 'desk-1');
+
+			gateway.handle({
+				kind: eventKind.sendEnded, openId: send.openId, sendId: send.sendId, outcome, detail: 'test',
+			});
+			gateway.effects = calls;
+			advanceFleet(fleet, 1500);
+			const ejectedCount = others.filter(({state}) => state.targets.byId.get('desk-1')!.health.ejectionCount > 0).length;
+			assert.equal(ejectedCount, expected, `after ${outcome} at ${gateway.state.self.id}`);
+		}
+	}
+});
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -291,3 +291,26 @@
 		assert.equal(gateway.state.openRequests.size, 0);
 	}
 });
+
+test('a send after refused connections needs no retry budget, since nothing has arrived (many targets crash)', () => {
+	const gateway = new GatewayFixture().loadDirectory(desks);
+	let served = 0;
+	for (let index = 0; index < 40; index++) {
+		gateway.receiveRequest(onceRoute);
+		endSend(gateway, gateway.takeLastSend(), index % 2 === 0 ? sendOutcome.connectionRefused : sendOutcome.notSent);
+		served += gateway.listSends().length;
+		for (const {openId} of gateway.listSends()) {
+			gateway.handle({kind: eventKind.callerLeft, openId});
+		}
+
+		gateway.advance(100);
+	}
+
+	assert.equal(served, 40);
+	assert.equal(gateway.state.retryBudgets.get('desk')?.countRetries(gateway.now), 0);
+	gateway.receiveRequest(repeatableRoute);
+	endSend(gateway, gateway.takeLastSend(), sendOutcome.connectionRefused);
+	endSend(gateway, gateway.takeLastSend(), sendOutcome.failed);
+	assert.equal(gateway.listSends().length, 1);
+	assert.equal(gateway.state.retryBudgets.get('desk')?.countRetries(gateway.now), 1, 'a send after one that arrived is a retry');
+});
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -81,7 +81,7 @@
 		partIds: createListCheck(isString), targetId: isString, bornAt: isNumber, ageMs: isNumber,
 	})),
 	failures: createOptionalCheck(createListCheck(createObjectCheck({
-		id: isString, targetId: isString, bornAt: isNumber, ageMs: isNumber,
+		id: isString, kind: isString, instance: isString, targetId: isString, bornAt: isNumber, ageMs: isNumber,
 	}))),
 	wantsUpdate: isBoolean,
 	isWatching: createOptionalCheck(isBoolean),
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -122,8 +122,9 @@
 		this.#request.on('response', response => {
 			this.#handleResponse(response);
 		});
-		this.#request.on('error', error => {
-			this.#abort(this.#hasConnected ? this.#failureOutcome : sendOutcome.notSent, describeError(error));
+		this.#request.on('error', (error: Error & {code?: string}) => {
+			const unsentOutcome = error.code === 'ECONNREFUSED' ? sendOutcome.connectionRefused : sendOutcome.notSent;
+			this.#abort(this.#hasConnected ? this.#failureOutcome : unsentOutcome, describeError(error));
 		});
 		this.#request.end(body);
 		this.#startSilenceTimer();
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -127,9 +127,8 @@
 function startSend(fields: Partial<SendEffect> = {}): RecordingCaller {
 	const openId = nextOpenId++;
 	const caller = new RecordingCaller(openId);
-	const {port} = server!.address() as AddressInfo;
 	client.startSend({
-		kind: effectKind.send, openId, sendId: openId, targetId: 't', address: `127.0.0.1:${port}`, isStream: false, needsFreshConnection: false,
+		kind: effectKind.send, openId, sendId: openId, targetId: 't', address: fields.address ?? `127.0.0.1:${(server!.address() as AddressInfo).port}`, isStream: false, needsFreshConnection: false,
 		deadlineAt: readMonotonicMs() + 60_000, responseStartTimeoutMs: 0, eventGapTimeoutMs: 0, ...fields,
 	}, caller as unknown as CallerExchange);
 	return caller;
@@ -208,6 +207,17 @@
 	assert.equal(second.received, '');
 });
 
+test('a connection that the address refuses is told apart from one that fails', async () => {
+	await startTarget(() => {
+		assert.fail('nothing arrives');
+	});
+	const {port} = server!.address() as AddressInfo;
+	server!.close();
+	await once(server!, 'close');
+	startSend({address: `127.0.0.1:${port}`});
+	await assertOutcome(sendOutcome.connectionRefused);
+});
+
 test('a connection is not used again after a response that does not name its request', async () => {
 	await startTarget((socket, requestId) => {
 		socket.write(socket === [...sockets][0] ? 'HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n' : createResponse(requestId, 'answer'));
