Requests with prompts return to an ejected target at once

A request that cannot be repeated avoids a target on probation since the ejections are shared. Not measured by itself.

--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -11,7 +11,7 @@
 import type {Pool} from './directory.js';
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked} from './ranking.js';
-import {isUsable, isAwaitingTrial} from './target-health.js';
+import {isAwaitingTrial, isUsable} from './target-health.js';
 import type {Target} from './target-state.js';
 
 /**
@@ -99,8 +99,8 @@
 		return undefined;
 	}
 
-	if (!isRetryable) {
-		// A request that cannot be repeated is not used to find out whether a target has recovered.
+	if (!isRetryable && prefix === undefined) {
+		// A request that cannot be repeated is not used to find out whether a target has recovered. One with a prompt is, since its prompt would be read elsewhere.
 		const proven = candidates.filter(({health}) => !isAwaitingTrial(health, now));
 		candidates = proven.length > 0 ? proven : candidates;
 	}
