--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -49,8 +49,8 @@
 	}
 }
 
-/** Reports a failed send to all instances; the target may be ejected because of it. */
-export function reportFailure(step: Step, {target, sendId}: CurrentSend, kind: FailureKind): void {
+/** Records a failed send, which the other instances learn about; the target may be ejected because of it. */
+export function recordFailure(step: Step, {target, sendId}: CurrentSend, kind: FailureKind): void {
 	const {state, now} = step;
 	const instance = hashText(state.self.incarnation).toString(36);
 	state.failureReports.record(`${instance}-${sendId}`, {
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -3,7 +3,7 @@
  */
 import {effectKind} from './effect.js';
 import {
-	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, reportFailure,
+	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, recordFailure,
 } from './end-request.js';
 import {
 	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent,
@@ -148,7 +148,7 @@
 	endCurrentSend(step, request, verdictByOutcome[event.outcome], event.detail);
 	const kind = failureKindByOutcome[event.outcome];
 	if (kind !== undefined) {
-		reportFailure(step, send, kind);
+		recordFailure(step, send, kind);
 	}
 
 	request.lastEventId = event.lastEventId ?? request.lastEventId;
