Requests stay at a silent target that responds to others

Cause: a request that can be repeated was canceled after 0.7 of its latency target without an event and started again elsewhere.

Change: the event of silence says since when the send has made no progress and when the target last responded to this instance; loads from peers tell the same for others. A request stays at a target that has been heard since, until its time-out has expired four times; a target that nobody has heard of is left at once, as before.

Ruled out: a longer time-out for all, which would keep requests at dark targets.

Two new tests fail without the change.

--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -81,6 +81,10 @@
 	readonly sendId: number;
 	/** Identifier of the last event that was delivered. */
 	readonly lastEventId?: string;
+	/** Time since which this send has made no progress: it was sent, or its last event arrived. */
+	readonly silentSince: number;
+	/** Time at which the target last started a response or sent an event, for any request of this instance; `undefined` if it never did. */
+	readonly targetHeardAt?: number;
 };
 
 /** A send ended. */
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -14,7 +14,9 @@
 import {
 	hasOtherTarget, mayRetry, retryOrFail, trySend,
 } from './send-request.js';
-import {recordLog, type OpenRequest, type Step} from './state.js';
+import {
+	recordLog, type CurrentSend, type OpenRequest, type Step,
+} from './state.js';
 import {verdict, type Verdict} from './target-health.js';
 import {recordReportedLoad} from './target-state.js';
 
@@ -106,10 +108,10 @@
 	return request?.currentSend?.sendId === sendId ? request : undefined;
 }
 
-/** Cancels the send to a silent target if the request can be sent to another target. */
+/** Cancels the send to a target that does not respond if the request can be sent to another target. */
 export function applyAnswerSilent(step: Step, event: AnswerSilentEvent): void {
 	const request = findCurrentRequest(step, event.openId, event.sendId);
-	if (request === undefined || !mayRetry(step, request, true) || !hasOtherTarget(step, request)) {
+	if (request === undefined || isBusy(request.currentSend!, event) || !mayRetry(step, request, true) || !hasOtherTarget(step, request)) {
 		return;
 	}
 
@@ -119,6 +121,19 @@
 	retryOrFail(step, request, createFailure(failureReason.answerLost));
 }
 
+/** Number of expired timeouts of a send after which a send is canceled although its target responds to other requests. */
+const maxSilences = 4;
+
+/**
+ * True if the target has responded to another request of any instance since this one is
+ * silent: then it is rather busy than gone, and the request would lose its place.
+ */
+function isBusy(send: CurrentSend, {silentSince, targetHeardAt = Number.NEGATIVE_INFINITY}: AnswerSilentEvent): boolean {
+	send.silenceCount++;
+	const heardAt = Math.max(targetHeardAt, send.target.reportedLoad?.at ?? Number.NEGATIVE_INFINITY);
+	return heardAt > silentSince && send.silenceCount < maxSilences;
+}
+
 const verdictByOutcome: Readonly<Record<SendEndedEvent['outcome'], Verdict | undefined>> = {
 	[sendOutcome.complete]: verdict.good,
 	[sendOutcome.notSent]: verdict.connectionFailed,
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -124,7 +124,9 @@
 	request.sendCount++;
 	request.arrivalCount++;
 	request.possibleRunCount++;
-	request.currentSend = {sendId, target, sentAt: now};
+	request.currentSend = {
+		sendId, target, sentAt: now, silenceCount: 0,
+	};
 	recordSend(target, now);
 	const copySource = findCopySource(step, request, target);
 	const canTimeOut = isRetryable(route) && request.possibleRunCount < route.targetLimit;
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -31,6 +31,8 @@
 	/** The process that the request was sent to; a later process may be registered under the same id. */
 	readonly target: Target;
 	readonly sentAt: number;
+	/** Number of times that a timeout of the send has expired. */
+	silenceCount: number;
 };
 
 /** A request whose response is not complete yet. */
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -83,7 +83,7 @@
 	const first = gateway.takeLastSend();
 	gateway.handle({kind: eventKind.answerStarted, openId: first.openId, sendId: first.sendId});
 	gateway.handle({
-		kind: eventKind.answerSilent, openId: first.openId, sendId: first.sendId, lastEventId: '11',
+		kind: eventKind.answerSilent, openId: first.openId, sendId: first.sendId, silentSince: gateway.now, lastEventId: '11',
 	});
 	assert.ok(gateway.effects.some(effect => effect.kind === effectKind.cancel && effect.sendId === first.sendId));
 	assert.equal(gateway.takeLastSend().resumeAfterEventId, '11');
@@ -93,13 +93,53 @@
 	const gateway = new GatewayFixture().loadDirectory(['desk-1']);
 	const openId = gateway.receiveRequest(repeatableRoute);
 	const {sendId} = gateway.takeLastSend();
-	gateway.handle({kind: eventKind.answerSilent, openId, sendId});
+	gateway.handle({
+		kind: eventKind.answerSilent, openId, sendId, silentSince: gateway.now,
+	});
 	assert.deepEqual(gateway.effects.filter(({kind}) => kind !== effectKind.log), []);
 	gateway.applyChanges(2, [createTargetChange(2, createTargetRecord('desk-2'))]);
-	gateway.handle({kind: eventKind.answerSilent, openId, sendId});
+	gateway.handle({
+		kind: eventKind.answerSilent, openId, sendId, silentSince: gateway.now,
+	});
 	assert.equal(gateway.takeLastSend().targetId, 'desk-2');
 });
 
+test('a request is not moved away from a target that responds to others, until it is silent for long (busy engines)', () => {
+	for (const source of ['own responses', 'loads from peers']) {
+		const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2']);
+		gateway.receiveRequest(resumableRoute, {prompt: ['root', 'own']});
+		const {openId, sendId, targetId} = gateway.takeLastSend();
+		const silentSince = gateway.now;
+		gateway.advance(560);
+		const target = gateway.state.targets.byId.get(targetId)!;
+		if (source === 'loads from peers') {
+			target.reportedLoad = {at: gateway.now - 50, load: 90, othersLoad: 89};
+		}
+
+		const reportSilence = () => {
+			gateway.effects = [];
+			gateway.handle({
+				kind: eventKind.answerSilent, openId, sendId, silentSince, targetHeardAt: source === 'own responses' ? gateway.now - 50 : undefined,
+			});
+			return gateway.listSends().length;
+		};
+
+		assert.deepEqual([reportSilence(), reportSilence(), reportSilence()], [0, 0, 0], source);
+		assert.equal(reportSilence(), 1, source);
+	}
+});
+
+test('a request is moved at once away from a target that has sent nothing to anybody since (dark engine)', () => {
+	const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2']);
+	gateway.receiveRequest(resumableRoute, {prompt: ['root', 'own']});
+	const {openId, sendId, targetId} = gateway.takeLastSend();
+	gateway.state.targets.byId.get(targetId)!.reportedLoad = {at: gateway.now - 10, load: 3, othersLoad: 2};
+	gateway.handle({
+		kind: eventKind.answerSilent, openId, sendId, silentSince: gateway.now, targetHeardAt: gateway.now - 10,
+	});
+	assert.notEqual(gateway.takeLastSend().targetId, targetId);
+});
+
 test('the connection of an interrupted non-resumable stream is aborted, not ended normally', () => {
 	const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2']);
 	gateway.receiveRequest(createRoute(), {prompt: ['root', 'doc', 'own']});
@@ -282,7 +322,9 @@
 		const gateway = new GatewayFixture().loadDirectory([target]);
 		gateway.receiveRequest(route);
 		const send = gateway.takeLastSend();
-		gateway.handle({kind: eventKind.answerSilent, openId: send.openId, sendId: send.sendId});
+		gateway.handle({
+			kind: eventKind.answerSilent, openId: send.openId, sendId: send.sendId, silentSince: gateway.now,
+		});
 		gateway.applyChanges(2, [createTargetChange(2, createTargetRecord(target, {isLeaving: true}))]);
 		gateway.applyChanges(3, [{subject: `target/${target}`, revision: 3}]);
 		gateway.advance(route.timeLimitMs - 100);
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -14,6 +14,7 @@
 import type {ConnectionPool, LeasedConnection} from './connection-pool.js';
 import {EventSplitter} from './event-splitter.js';
 import {responseKind, type ResponseHead, type TargetProtocol} from './protocol.js';
+import {TargetActivity} from './target-activity.js';
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
 const connectTimeoutMs = 300;
@@ -38,6 +39,7 @@
 export class TargetClient {
 	readonly #options: TargetClientOptions;
 	readonly #bufferBudget = new BufferBudget();
+	readonly #activity = new TargetActivity();
 	readonly #activeExchanges = new Map<number, TargetExchange>();
 
 	constructor(options: TargetClientOptions) {
@@ -49,6 +51,7 @@
 		const exchange = new TargetExchange(send, caller, {
 			...this.#options,
 			buffer: this.#bufferBudget.openAccount(),
+			activity: this.#activity,
 			onEnd: () => {
 				this.#activeExchanges.delete(send.sendId);
 			},
@@ -67,6 +70,7 @@
 type TargetExchangeOptions = TargetClientOptions & {
 	/** Memory for the parts of the response that cannot be passed on yet. */
 	readonly buffer: BufferAccount;
+	readonly activity: TargetActivity;
 	readonly onEnd: () => void;
 };
 
@@ -82,6 +86,8 @@
 	#hasEnded = false;
 	#hasDeliveredEvents = false;
 	#interimResponseCount = 0;
+	/** Time at which the request was sent or the last event of the response arrived. */
+	#progressAt: number;
 	#responseHead?: ResponseHead;
 
 	constructor(send: SendEffect, caller: CallerExchange, options: TargetExchangeOptions) {
@@ -90,6 +96,7 @@
 		this.#options = options;
 		this.#connection = options.pool.lease(send.address, send.needsFreshConnection);
 		this.#hasConnected = !this.#connection.isNew;
+		this.#progressAt = options.readClock();
 	}
 
 	start(): void {
@@ -140,6 +147,14 @@
 		return this.#caller.hasStarted ? sendOutcome.interrupted : sendOutcome.lost;
 	}
 
+	/** Records that the target started a response or sent an event; returns the time. */
+	#recordActivity(): number {
+		const {activity, readClock} = this.#options;
+		const now = readClock();
+		activity.record(this.#send.address, now);
+		return now;
+	}
+
 	#createHeaders(body: Uint8Array): string[] {
 		const headers = this.#options.protocol.createSendHeaders(this.#caller.request.rawHeaders, this.#send, this.#options.readClock());
 		if (body.length > 0 || this.#caller.request.headers['content-length'] !== undefined || this.#caller.request.headers['transfer-encoding'] !== undefined) {
@@ -157,7 +172,12 @@
 		if (timeoutMs > 0) {
 			this.#silenceTimer = setInterval(() => {
 				this.#options.emit({
-					kind: eventKind.answerSilent, openId, sendId, lastEventId: this.#caller.lastEventId,
+					kind: eventKind.answerSilent,
+					openId,
+					sendId,
+					lastEventId: this.#caller.lastEventId,
+					silentSince: this.#progressAt,
+					targetHeardAt: this.#options.activity.findTime(this.#send.address),
 				});
 			}, timeoutMs);
 		}
@@ -167,6 +187,7 @@
 		const {statusCode = 0, headers} = response;
 		const responseHead = this.#options.protocol.readResponseHead(statusCode, headers, this.#caller.head.requestId);
 		this.#responseHead = responseHead;
+		this.#recordActivity();
 		response.on('error', error => {
 			this.#abort(this.#failureOutcome, describeError(error));
 		});
@@ -250,6 +271,7 @@
 
 			// Bytes without a new event, such as comments, are no progress.
 			if (splitter.lastEventId !== lastEventId) {
+				this.#progressAt = this.#recordActivity();
 				this.#silenceTimer?.refresh();
 			}
 
@@ -301,6 +323,7 @@
 			this.#caller.waitForDrain(() => {
 				if (!this.#hasEnded) {
 					response.resume();
+					this.#progressAt = this.#options.readClock();
 					this.#startSilenceTimer();
 				}
 			});
