A condition no longer changes state; clearer comments after reading the change

isBusy counted the expired time-outs itself; applyAnswerSilent counts them now. The number of sends that may have arrived is reduced by a condition instead of a subtracted choice. Behavior is the same.

--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -111,7 +111,13 @@
 /** Cancels the send to a target that does not respond if the request can be sent to another target. */
 export function applyAnswerSilent(step: Step, event: AnswerSilentEvent): void {
 	const request = findCurrentRequest(step, event.openId, event.sendId);
-	if (request === undefined || isBusy(request.currentSend!, event) || !mayRetry(step, request, true) || !hasOtherTarget(step, request)) {
+	if (request === undefined) {
+		return;
+	}
+
+	const send = request.currentSend!;
+	send.silenceCount++;
+	if (isBusy(send, event) || !mayRetry(step, request, true) || !hasOtherTarget(step, request)) {
 		return;
 	}
 
@@ -129,7 +135,6 @@
  * silent: then it is rather busy than gone, and the request would lose its place.
  */
 function isBusy(send: CurrentSend, {silentSince, targetHeardAt = Number.NEGATIVE_INFINITY}: AnswerSilentEvent): boolean {
-	send.silenceCount++;
 	const heardAt = Math.max(targetHeardAt, send.target.reportedLoad?.at ?? Number.NEGATIVE_INFINITY);
 	return heardAt > silentSince && send.silenceCount < maxSilences;
 }
@@ -178,7 +183,10 @@
 		case sendOutcome.misdirected:
 		case sendOutcome.rejected: {
 			request.possibleRunCount--;
-			request.arrivalCount -= event.outcome === sendOutcome.misdirected || event.outcome === sendOutcome.rejected ? 0 : 1;
+			if (event.outcome === sendOutcome.notSent || event.outcome === sendOutcome.connectionRefused) {
+				request.arrivalCount--;
+			}
+
 			retryOrFail(step, request, createNotRunFailure(step, request, failureReason.notRun));
 			break;
 		}
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -317,7 +317,7 @@
 
 		this.#caller.lastEventId = splitter.lastEventId ?? this.#caller.lastEventId;
 		if (!this.#caller.writeEvents(events)) {
-			// A caller that reads slowly is no silence of the target.
+			// While the caller reads too slowly, the target cannot send, so it does not count as silent.
 			response.pause();
 			clearInterval(this.#silenceTimer);
 			this.#caller.waitForDrain(() => {
