The log names the prompt parts of lost requests, and whether their response had begun

A line for each lost response now names all shared parts by their ids, and whether any event had been delivered, which rules a request out as the cause.

--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -8,6 +8,7 @@
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {computeDirectoryAge, drawRetryAfterMs} from './resolve-request.js';
 import type {FailureKind} from './failure-reports.js';
+import {listSharedParts} from './prompt.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step,
 } from './state.js';
@@ -33,6 +34,7 @@
 
 	recordLog(step, 'send-ended', {
 		requestId: request.requestId, target: targetId, verdict: sendVerdict ?? 'not-run', detail, tookMs: Math.round(now - sentAt),
+		...(sendVerdict === verdict.lost && {parts: listSharedParts(request.promptParts).map(({id}) => id), hasBegun: request.hasResponseStarted}),
 	});
 	recordSendEnd(target);
 	if (sendVerdict === undefined) {
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -356,3 +356,19 @@
 	assert.equal(gateway.listSends().length, 1);
 	assert.equal(gateway.state.retryBudgets.get('desk')?.countRetries(gateway.now), 1, 'a send after one that arrived is a retry');
 });
+
+test('the log names the shared prompt parts of a request whose response was lost, and whether the response had begun', () => {
+	for (const hasBegun of [false, true]) {
+		const gateway = new GatewayFixture().loadDirectory(['engine-1']);
+		const openId = gateway.receiveRequest(createRoute(), {prompt: ['shared', 'chat', 'turn']});
+		const send = gateway.takeLastSend();
+		if (hasBegun) {
+			gateway.handle({kind: eventKind.answerStarted, openId, sendId: send.sendId});
+		}
+
+		endSend(gateway, send, sendOutcome.interrupted);
+		const line = gateway.effects.find(effect => effect.kind === effectKind.log && effect.event === 'send-ended');
+		assert.ok(line?.kind === effectKind.log);
+		assert.deepEqual([line.fields.parts, line.fields.hasBegun], [['shared', 'chat'], hasBegun]);
+	}
+});
