--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -69,7 +69,8 @@
 	readonly state: State;
 	/** Effects since the test last cleared or took them. */
 	effects: Effect[] = [];
-	#nextOpenId = 1;
+	/** Identifier of the next request that this gateway receives. */
+	nextOpenId = 1;
 
 	constructor(id = 'gateway-1', zone = 'zone-a', seed = 1, changeLimitMs = 3000) {
 		this.state = createState({
@@ -107,7 +108,7 @@
 
 	/** Receives a request; returns its `openId`. Clears the effects of earlier events. */
 	receiveRequest(route: Route, fields: RequestFields = {}): number {
-		const openId = this.#nextOpenId++;
+		const openId = this.nextOpenId++;
 		this.effects = [];
 		this.handle({
 			kind: eventKind.requestArrived,
--- /dev/null
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -0,0 +1,386 @@
+/**
+ * A fleet of gateways and engines in virtual time. Peer calls take time and can be lost,
+ * instances pause and restart, and engines crash: by chance, or by a request with a
+ * certain prompt part. The simulation records what arrives at the engines.
+ */
+import {
+	effectKind, eventKind, sendOutcome, type CallPeerEffect, type Effect, type FactChange, type PeerMessage, type Route, type SendEffect,
+} from '../index.js';
+import {
+	createRandom, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
+} from './gateway-fixture.js';
+
+const stepMs = 25;
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+/** Time after a crash at which the engine's registration lapses, and at which its replacement starts, in milliseconds. */
+const lapseMs = 2600;
+const restartMs = 4000;
+/** Time from the start of a lost peer call to its failure, in milliseconds. */
+const lostCallMs = 800;
+/** Shortest time until a response begins, its random addition, and the same for its end, in milliseconds. */
+const beginMs = {min: 60, extra: 200};
+const endMs = {min: 100, extra: 600};
+
+export type FleetOptions = {
+	readonly gatewayCount: number;
+	readonly engineCount: number;
+	readonly seed: number;
+	/** Fraction of the peer calls that are lost. */
+	readonly callLoss?: number;
+};
+
+type Node = {
+	readonly address: string;
+	gateway: GatewayFixture;
+	/** Time since which the process has run without interruption. */
+	runningSince: number;
+	pausedUntil: number;
+	readRevision: number;
+};
+
+type Engine = {readonly id: string; readonly address: string; readonly zone: string; isRunning: boolean};
+
+type Run = {
+	readonly node: Node;
+	/** The process that sent the request; after a restart of the node, its runs report to nobody. */
+	readonly gateway: GatewayFixture;
+	readonly send: SendEffect;
+	readonly engine: Engine;
+	readonly prompt: readonly string[];
+	readonly beginsAt: number;
+	readonly endsAt: number;
+	hasBegun: boolean;
+};
+
+/** A request that reached a running engine. */
+export type Arrival = {
+	readonly at: number;
+	readonly engineId: string;
+	readonly prompt: readonly string[];
+	/** Time since which the sending instance had run without interruption. */
+	readonly senderRunningSince: number;
+	readonly sender: string;
+};
+
+/** A request of a caller and how its first attempt went. */
+export type SimulatedRequest = {readonly at: number; readonly prompt: readonly string[]; hasBegun: boolean; refusalStatus?: number; refusalReason?: string};
+
+export class SimulatedFleet {
+	now = 1_000_000;
+	readonly random: () => number;
+	readonly nodes: Node[] = [];
+	readonly arrivals: Arrival[] = [];
+	readonly requests: SimulatedRequest[] = [];
+	/** Times at which engines crashed because of a prompt part. */
+	readonly crashes: number[] = [];
+	/** Prompt part that crashes each engine that begins to respond to it. */
+	crashingPart?: string;
+	readonly #options: FleetOptions;
+	readonly #engines = new Map<string, Engine>();
+	readonly #history: FactChange[] = [];
+	readonly #requestByKey = new Map<string, SimulatedRequest>();
+	readonly #scheduled: Array<{readonly at: number; readonly run: () => void}> = [];
+	readonly #pendingAnswers = new Map<number, (message: PeerMessage) => void>();
+	#runs: Run[] = [];
+	#nextCallId = 1;
+	#nextEngineNumber = 0;
+
+	constructor(options: FleetOptions) {
+		this.#options = options;
+		this.random = createRandom(options.seed);
+		this.#history.push(createTablesChange(1, createTables()));
+		for (let index = 0; index < options.engineCount; index++) {
+			this.#addEngine();
+		}
+
+		for (let index = 0; index < options.gatewayCount; index++) {
+			this.nodes.push({
+				address: `gateway-${index}:1`, gateway: this.#createGateway(index, 0), runningSince: this.now, pausedUntil: 0, readRevision: 0,
+			});
+		}
+	}
+
+	/** Instances that run and are not paused. */
+	listRunning(): Node[] {
+		return this.nodes.filter(({pausedUntil}) => pausedUntil <= this.now);
+	}
+
+	/** Advances the fleet by `durationMs`; `onStep` is called before each step. */
+	advance(durationMs: number, onStep?: () => void): void {
+		for (const end = this.now + durationMs; this.now < end;) {
+			onStep?.();
+			this.now += stepMs;
+			this.#runScheduled();
+			this.#advanceRuns();
+			for (const node of this.listRunning()) {
+				node.gateway.now = this.now;
+				node.gateway.handle({kind: eventKind.tick});
+				this.#readDirectory(node);
+				this.#drainEffects(node);
+			}
+		}
+	}
+
+	/** Sends a caller's request to one of the running instances. */
+	sendRequest(route: Route, prompt: readonly string[]): void {
+		const running = this.listRunning();
+		const node = running[Math.floor(this.random() * running.length)];
+		if (node === undefined) {
+			return;
+		}
+
+		this.#drainEffects(node);
+		node.gateway.now = this.now;
+		const request: SimulatedRequest = {at: this.now, prompt, hasBegun: false};
+		this.requests.push(request);
+		// The fixture assigns the identifier before it returns it.
+		const openId = node.gateway.nextOpenId;
+		this.#requestByKey.set(`${node.gateway.state.self.incarnation}/${openId}`, request);
+		node.gateway.receiveRequest(route, {prompt, partTokens: 400});
+		this.#drainEffects(node);
+	}
+
+	/** Suspends an instance for `durationMs`. */
+	pause(node: Node, durationMs: number): void {
+		node.pausedUntil = this.now + durationMs;
+		node.runningSince = node.pausedUntil;
+	}
+
+	/** Kills an instance, which starts again as a new process after `downMs`. */
+	restart(node: Node, downMs: number): void {
+		const index = this.nodes.indexOf(node);
+		this.pause(node, downMs);
+		node.gateway = this.#createGateway(index, Math.round(this.now));
+		node.readRevision = 0;
+		// The engines drop the requests of the closed connections.
+		this.#runs = this.#runs.filter(run => run.node !== node);
+	}
+
+	/** Crashes some running engines at once. */
+	crashEngines(count: number): void {
+		const running = [...this.#engines.values()].filter(({isRunning}) => isRunning);
+		for (let index = 0; index < count && running.length > 0; index++) {
+			this.#crash(running.splice(Math.floor(this.random() * running.length), 1)[0]!);
+		}
+	}
+
+	/** Resets the connections of some requests that have not begun, while their engines go on. */
+	resetRuns(fraction: number): void {
+		for (const run of this.#runs.filter(({hasBegun}) => !hasBegun)) {
+			if (this.random() < fraction) {
+				this.#endRun(run, sendOutcome.lost);
+			}
+		}
+	}
+
+	#createGateway(index: number, startedAt: number): GatewayFixture {
+		const gateway = new GatewayFixture(`gateway-${index}`, zones[index % zones.length], this.#options.seed + index + startedAt);
+		gateway.now = this.now;
+		Object.assign(gateway.state.self, {incarnation: `gateway-${index}-${startedAt}`});
+		gateway.handle({kind: eventKind.settingsChanged, seedAddresses: ['gateway-0:1', 'gateway-1:1', 'gateway-2:1']});
+		return gateway;
+	}
+
+	#addEngine(): void {
+		const number = this.#nextEngineNumber++;
+		const engine = {
+			id: `engine-${number}`, address: `10.0.0.${number}:80`, zone: zones[number % zones.length]!, isRunning: true,
+		};
+		this.#engines.set(engine.id, engine);
+		this.#history.push(createTargetChange(this.#history.length + 1, createTargetRecord(engine.id, {address: engine.address, zone: engine.zone})));
+	}
+
+	#crash(engine: Engine): void {
+		engine.isRunning = false;
+		for (const run of this.#runs.filter(other => other.engine === engine)) {
+			this.#endRun(run, run.hasBegun ? sendOutcome.interrupted : sendOutcome.lost);
+		}
+
+		this.#schedule(lapseMs, () => {
+			this.#history.push({subject: `target/${engine.id}`, revision: this.#history.length + 1});
+			this.#engines.delete(engine.id);
+		});
+		this.#schedule(restartMs, () => {
+			this.#addEngine();
+		});
+	}
+
+	#schedule(delayMs: number, run: () => void): void {
+		this.#scheduled.push({at: this.now + delayMs, run});
+	}
+
+	#runScheduled(): void {
+		const due = this.#scheduled.filter(({at}) => at <= this.now);
+		for (const item of due) {
+			this.#scheduled.splice(this.#scheduled.indexOf(item), 1);
+			item.run();
+		}
+	}
+
+	#advanceRuns(): void {
+		for (const run of this.#runs) {
+			if (!this.#runs.includes(run)) {
+				continue;
+			}
+
+			const {send: {openId, sendId}} = run;
+			if (!run.hasBegun && run.beginsAt <= this.now) {
+				if (this.crashingPart !== undefined && run.prompt.includes(this.crashingPart)) {
+					this.crashes.push(this.now);
+					this.#crash(run.engine);
+					continue;
+				}
+
+				run.hasBegun = true;
+				const request = this.#requestByKey.get(`${run.gateway.state.self.incarnation}/${openId}`);
+				if (request !== undefined) {
+					request.hasBegun = true;
+				}
+
+				this.#handle(run, {kind: eventKind.answerStarted, openId, sendId});
+			} else if (run.endsAt <= this.now) {
+				this.#endRun(run, sendOutcome.complete);
+			}
+		}
+	}
+
+	#endRun(run: Run, outcome: typeof sendOutcome[keyof typeof sendOutcome]): void {
+		this.#runs = this.#runs.filter(other => other !== run);
+		const {openId, sendId} = run.send;
+		this.#handle(run, {
+			kind: eventKind.sendEnded, openId, sendId, outcome, detail: 'simulated',
+		});
+	}
+
+	/** Delivers an event of a run once its instance is not paused. */
+	#handle(run: Run, event: Parameters<GatewayFixture['handle']>[0]): void {
+		const {node, gateway} = run;
+		this.#schedule(Math.max(0, node.pausedUntil - this.now), () => {
+			if (node.gateway === gateway) {
+				gateway.now = this.now;
+				gateway.handle(event);
+				this.#drainEffects(node);
+			}
+		});
+	}
+
+	/** Watchers read all changes, the other instances only if they fall back to it. */
+	#readDirectory(node: Node): void {
+		const {gateway} = node;
+		if (gateway.state.isWatching && (node.readRevision < this.#history.length || this.now % 1000 === 0)) {
+			const since = gateway.state.directory.revision;
+			node.readRevision = this.#history.length;
+			const changes = this.#history.filter(({revision}) => revision > since);
+			gateway.handle({kind: eventKind.directoryRead, update: {revision: this.#history.length, since, changes}, confirmedAt: this.now});
+		}
+	}
+
+	#drainEffects(node: Node): void {
+		const {effects} = node.gateway;
+		node.gateway.effects = [];
+		for (const effect of effects) {
+			this.#execute(node, effect);
+		}
+	}
+
+	#execute(node: Node, effect: Effect): void {
+		switch (effect.kind) {
+			case effectKind.send: {
+				this.#startRun(node, effect);
+				break;
+			}
+
+			case effectKind.cancel: {
+				this.#runs = this.#runs.filter(({gateway, send}) => gateway !== node.gateway || send.sendId !== effect.sendId);
+				break;
+			}
+
+			case effectKind.refuse: {
+				const request = this.#requestByKey.get(`${node.gateway.state.self.incarnation}/${effect.openId}`);
+				if (request !== undefined) {
+					request.refusalStatus = effect.failure.status;
+					request.refusalReason = effect.failure.reason;
+				}
+
+				break;
+			}
+
+			case effectKind.callPeer: {
+				this.#callPeer(node, effect);
+				break;
+			}
+
+			case effectKind.answerPeer: {
+				this.#pendingAnswers.get(effect.callId)?.(effect.message);
+				this.#pendingAnswers.delete(effect.callId);
+				break;
+			}
+
+			case effectKind.log:
+			case effectKind.watch:
+			case effectKind.breakOff:
+			case effectKind.deliverHeld:
+			case effectKind.finishDrain: {
+				break;
+			}
+		}
+	}
+
+	#startRun(node: Node, send: SendEffect): void {
+		const {gateway} = node;
+		const engine = this.#engines.get(send.targetId);
+		const {promptParts} = gateway.state.openRequests.get(send.openId)!;
+		const prompt = promptParts.map(({id}) => id);
+		const beginsAt = this.now + beginMs.min + (this.random() * beginMs.extra);
+		const run: Run = {
+			node, gateway, send, engine: engine!, prompt, beginsAt, endsAt: beginsAt + endMs.min + (this.random() * endMs.extra), hasBegun: false,
+		};
+		if (!engine?.isRunning) {
+			this.#endRun(run, sendOutcome.connectionRefused);
+			return;
+		}
+
+		this.arrivals.push({
+			at: this.now, engineId: engine.id, prompt, sender: node.address, senderRunningSince: node.runningSince,
+		});
+		this.#runs.push(run);
+	}
+
+	#callPeer(node: Node, {address, message}: CallPeerEffect): void {
+		const callee = this.nodes.find(other => other.address === address);
+		const {gateway} = node;
+		const requestedAt = this.now;
+		const isLost = this.random() < (this.#options.callLoss ?? 0);
+		const callId = this.#nextCallId++;
+		let isOver = false;
+		const finish = (event: Parameters<GatewayFixture['handle']>[0]) => {
+			if (!isOver && node.gateway === gateway && node.pausedUntil <= this.now) {
+				gateway.now = this.now;
+				gateway.handle(event);
+				this.#drainEffects(node);
+			}
+
+			isOver = true;
+		};
+
+		this.#schedule(lostCallMs, () => {
+			finish({kind: eventKind.peerFailed, address, detail: 'timeout'});
+		});
+		this.#schedule(stepMs, () => {
+			if (callee === undefined || isLost || callee.pausedUntil > this.now) {
+				return;
+			}
+
+			this.#pendingAnswers.set(callId, answer => {
+				this.#schedule(stepMs, () => {
+					finish({
+						kind: eventKind.peerAnswered, address, message: answer, requestedAt,
+					});
+				});
+			});
+			callee.gateway.now = this.now;
+			callee.gateway.handle({kind: eventKind.peerCalled, callId, message});
+			this.#drainEffects(callee);
+		});
+	}
+}
