--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -10,6 +10,7 @@
 	refuse: 'refuse',
 	deliverHeld: 'deliver-held',
 	breakOff: 'break-off',
+	checkTarget: 'check-target',
 	callPeer: 'call-peer',
 	answerPeer: 'answer-peer',
 	watch: 'watch',
@@ -56,6 +57,9 @@
 /** Close the caller's connection because its response cannot be completed. */
 export type BreakOffEffect = {readonly kind: typeof effectKind.breakOff; readonly openId: number};
 
+/** Find out whether a process listens on a target's address; the result is emitted as an event. */
+export type CheckTargetEffect = {readonly kind: typeof effectKind.checkTarget; readonly targetId: string; readonly address: string};
+
 export type CallPeerEffect = {readonly kind: typeof effectKind.callPeer; readonly address: string; readonly message: PeerMessage};
 export type AnswerPeerEffect = {readonly kind: typeof effectKind.answerPeer; readonly callId: number; readonly message: PeerMessage};
 
@@ -81,5 +85,5 @@
 export type FinishDrainEffect = {readonly kind: typeof effectKind.finishDrain; readonly isLimitReached: boolean};
 
 export type Effect =
-	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | CallPeerEffect
-	| AnswerPeerEffect | WatchEffect | LogEffect | FinishDrainEffect;
+	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | CheckTargetEffect
+	| CallPeerEffect | AnswerPeerEffect | WatchEffect | LogEffect | FinishDrainEffect;
--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -7,7 +7,7 @@
 import {effectKind} from './effect.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {computeDirectoryAge, drawRetryAfterMs} from './resolve-request.js';
-import type {FailureKind} from './failure-reports.js';
+import {failureKind, type FailureKind} from './failure-reports.js';
 import {listSharedParts} from './prompt.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step,
@@ -52,7 +52,7 @@
 }
 
 /** Records a failed send, which the other instances learn about; the target may be ejected because of it. */
-export function recordFailure(step: Step, {target, sendId}: CurrentSend, kind: FailureKind): void {
+export function recordFailure(step: Step, {target, sendId}: Pick<CurrentSend, 'target' | 'sendId'>, kind: FailureKind): void {
 	const {state, now} = step;
 	const instance = hashText(state.self.incarnation).toString(36);
 	state.failureReports.record(`${instance}-${sendId}`, {
@@ -61,6 +61,12 @@
 	ejectIfFaulty(step, target);
 }
 
+/** Records that no process listens on the target's address; `sendId` is the send after which this was found. */
+export function recordNoProcess(step: Step, target: Target, sendId: number): void {
+	recordVerdict(target.health, verdict.connectionFailed, computePoolFailureRatio(step, target), step.now);
+	recordFailure(step, {target, sendId}, failureKind.noProcess);
+}
+
 /** Ejects the target if all instances together find it faulty. */
 export function ejectIfFaulty(step: Step, target: Target): void {
 	const {state, now} = step;
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -11,6 +11,7 @@
 	answerSilent: 'answer-silent',
 	sendEnded: 'send-ended',
 	callerLeft: 'caller-left',
+	targetChecked: 'target-checked',
 	directoryRead: 'directory-read',
 	directoryLost: 'directory-lost',
 	peerCalled: 'peer-called',
@@ -103,6 +104,15 @@
 /** The caller closed its connection. */
 export type CallerLeftEvent = {readonly kind: typeof eventKind.callerLeft; readonly openId: number};
 
+/** The result of a check whether a process listens on a target's address. */
+export type TargetCheckedEvent = {
+	readonly kind: typeof eventKind.targetChecked;
+	readonly targetId: string;
+	readonly address: string;
+	/** False if the address refused the connection, `undefined` if it did not respond. */
+	readonly isListening?: boolean;
+};
+
 /** The directory, or changes of it, were read from the platform. */
 export type DirectoryReadEvent = {
 	readonly kind: typeof eventKind.directoryRead;
@@ -135,6 +145,6 @@
 export type TickEvent = {readonly kind: typeof eventKind.tick};
 
 export type Event =
-	| RequestArrivedEvent | AnswerStartedEvent | AnswerSilentEvent | SendEndedEvent | CallerLeftEvent
+	| RequestArrivedEvent | AnswerStartedEvent | AnswerSilentEvent | SendEndedEvent | CallerLeftEvent | TargetCheckedEvent
 	| DirectoryReadEvent | DirectoryLostEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
 	| DrainRequestedEvent | SettingsChangedEvent | TickEvent;
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -1,6 +1,6 @@
 /**
  * Messages between instances: known members, target loads, prompt cache entries,
- * failures of targets and directory updates. Ages are relative to the creation of the message.
+ * failures of targets, prompt parts that may crash targets, and directory updates. Ages are relative to the creation of the message.
  */
 import type {DirectoryUpdate} from './directory.js';
 import type {FailureKind} from './failure-reports.js';
@@ -48,6 +48,15 @@
 	readonly ageMs: number;
 };
 
+/** A prompt part that was present at crashes of targets. */
+export type SharedSuspect = {
+	readonly partId: string;
+	/** The processes that crashed; `bornAt` is the Unix time of their start in milliseconds. */
+	readonly crashes: ReadonlyArray<{readonly targetId: string; readonly bornAt: number; readonly ageMs: number}>;
+	/** Time since a response to a request with the part last began; `undefined` if none is known. */
+	readonly begunAgeMs?: number;
+};
+
 export type PeerMessage = {
 	readonly from: MemberEntry;
 	/** Some of the members that the sender knows. */
@@ -62,6 +71,8 @@
 	readonly readings: readonly SharedCacheEntry[];
 	/** Recent failed sends to targets. */
 	readonly failures?: readonly SharedFailure[];
+	/** Prompt parts that may crash targets; absent if there are none. */
+	readonly suspects?: readonly SharedSuspect[];
 	/** True if the sender cannot rely on its own reads of the platform and requests missing changes. */
 	readonly wantsUpdate: boolean;
 	/** True if the sender reads the platform or tries to. */
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -49,6 +49,9 @@
  * time until the renewals are read.
  */
 const lapseGraceDurationMs = 2300;
+/** Number of peers that are notified of a crash at once, and shortest time between two such notices, in milliseconds. */
+const noticeCount = 2;
+const noticeIntervalMs = 200;
 /** Time between two ticks above which the process counts as paused, in milliseconds. */
 const pauseThresholdMs = 1000;
 /** Time between two ticks above which calls may have waited for the process, in milliseconds, and the time after it in which they are handled. */
@@ -139,6 +142,7 @@
 	const {
 		self, directory, members, drainStartedAt, lapseGraceUntil, platformReadableSince,
 	} = state;
+	const suspects = state.quarantine.describe(now);
 	return {
 		from: {...self, ageMs: 0},
 		members: describeMembers(members, now, state.random),
@@ -147,6 +151,7 @@
 		loads: describeLoads(state.targets, now),
 		readings: state.cacheHolders.describeRecentEntries(now),
 		failures: state.failureReports.describe(now),
+		...(suspects.length > 0 && {suspects}),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
 		isWatching: state.isWatching,
 		readingMs: platformReadableSince === undefined ? undefined : Math.round(now - platformReadableSince),
@@ -225,6 +230,10 @@
 		ejectIfFaulty(step, target);
 	}
 
+	if (state.quarantine.applyShared(message.suspects ?? [], messageCreatedAt, now) && state.isWatching) {
+		state.hasCrashNews = true;
+	}
+
 	// An instance that received updates throughout knows that the platform was available.
 	if (lapseGraceMs !== undefined && hasLapseSilence(step)) {
 		startLapseGrace(step, messageCreatedAt + lapseGraceMs);
@@ -286,6 +295,10 @@
 	if (now >= state.nextPeerCallAt) {
 		callNextPeer(step, watchers);
 	}
+
+	if (state.hasCrashNews && now >= state.nextNoticeAt) {
+		notifyOfCrash(step, watchers);
+	}
 }
 
 /**
@@ -323,6 +336,20 @@
 	});
 }
 
+/** Reports crashes to peers at once: to watchers, which forward them, since every instance calls a watcher often. */
+function notifyOfCrash(step: Step, {others}: Watchers): void {
+	const {state, now} = step;
+	state.hasCrashNews = false;
+	state.nextNoticeAt = now + noticeIntervalMs;
+	if (others.length === 0) {
+		callPeers(step, choosePeers(state.members, state.self.address, noticeCount, state.random));
+		return;
+	}
+
+	const addresses = Array.from({length: noticeCount}, () => chooseWatcher(state, others, false));
+	callPeers(step, [...new Set(addresses)]);
+}
+
 function callNextPeer(step: Step, {others}: Watchers): void {
 	const {state, now} = step;
 	const {random, timing} = state;
--- /dev/null
+++ b/packages/dispatch/src/lib/reduce-quarantine.ts
@@ -0,0 +1,108 @@
+/**
+ * Applies the quarantine of prompt parts that crash targets. A lost response alone does
+ * not tell a crash from a broken connection, so the target's address is checked first: a
+ * process that crashed no longer listens.
+ */
+import {logLevel, effectKind} from './effect.js';
+import {recordNoProcess} from './end-request.js';
+import type {TargetCheckedEvent} from './event.js';
+import {createFailure, failureReason, type Failure} from './failure.js';
+import {listSharedParts} from './prompt.js';
+import type {Quarantine} from './prompt-quarantine.js';
+import {
+	findFleetView, recordLog, type CurrentSend, type OpenRequest, type Step,
+} from './state.js';
+
+/** Smallest retry delay that is sent to callers of quarantined requests, in milliseconds. */
+const minRetryAfterMs = 1000;
+
+/** Lists the parts that can be the cause of a crash: those of a prompt that other requests may share. */
+export function listSuspectParts({route, promptParts}: OpenRequest): string[] {
+	return route.hasPrompts && promptParts.length > 1 ? listSharedParts(promptParts).map(({id}) => id) : [];
+}
+
+/** Records that a target has begun to respond to the request, which clears the parts of its prompt. */
+export function recordResponseBegun({state, now}: Step, request: OpenRequest): void {
+	if (request.route.hasPrompts) {
+		state.quarantine.recordBegun(listSuspectParts(request), now);
+	}
+}
+
+/** Checks whether the target of a lost send has crashed, if the request can be the cause. */
+export function checkForCrash({state, now, effects}: Step, request: OpenRequest, {target, sendId}: CurrentSend): void {
+	const partIds = listSuspectParts(request);
+	if (request.hasResponseStarted || partIds.length === 0) {
+		return;
+	}
+
+	const loss = {partIds, at: now};
+	const {id, address, bornAt} = target.record;
+	const pending = state.crashChecks.get(id);
+	if (pending?.target === target) {
+		pending.losses.push(loss);
+		return;
+	}
+
+	state.crashChecks.set(id, {
+		target, bornAt, sendId, losses: [loss],
+	});
+	effects.push({kind: effectKind.checkTarget, targetId: id, address});
+}
+
+/** Records a crash for all requests that were lost at the target if no process listens on its address. */
+export function applyTargetChecked(step: Step, {targetId, isListening}: TargetCheckedEvent): void {
+	const {state, now} = step;
+	const check = state.crashChecks.get(targetId);
+	state.crashChecks.delete(targetId);
+	if (check === undefined || isListening !== false) {
+		return;
+	}
+
+	const {
+		target, bornAt, sendId, losses,
+	} = check;
+	for (const {partIds, at} of losses) {
+		state.quarantine.recordCrash(partIds, {id: targetId, bornAt}, at, now);
+	}
+
+	recordLog(step, 'target-crashed', {target: targetId, suspects: losses.map(({partIds}) => partIds)}, logLevel.warn);
+	recordNoProcess(step, target, sendId);
+	state.hasCrashNews = true;
+	updateQuarantine(step);
+}
+
+/** Logs what the quarantine has changed since the last call. */
+export function updateQuarantine(step: Step): void {
+	const {state, now} = step;
+	const {quarantined, released} = state.quarantine.update(now);
+	for (const {partIds, crashCount, requiredCount, until} of quarantined) {
+		recordLog(step, 'prompt-quarantined', {
+			parts: partIds, crashes: crashCount, requiredCrashes: requiredCount, forMs: Math.round(until - now),
+		}, logLevel.warn);
+	}
+
+	for (const {partIds} of released) {
+		recordLog(step, 'prompt-released', {parts: partIds}, logLevel.warn);
+	}
+}
+
+/** Returns the failure of a request with quarantined parts; `undefined` if it may be sent, if only to try the parts again. */
+export function findQuarantineFailure(step: Step, request: OpenRequest): Failure | undefined {
+	const {state, now} = step;
+	const partIds = listSuspectParts(request);
+	const quarantine = partIds.length === 0 ? undefined : state.quarantine.findQuarantine(partIds);
+	if (quarantine === undefined) {
+		return undefined;
+	}
+
+	if (state.quarantine.claimTrial(quarantine, findFleetView(step), now)) {
+		recordLog(step, 'prompt-tried', {requestId: request.requestId, parts: quarantine.partIds}, logLevel.warn);
+		return undefined;
+	}
+
+	return createQuarantineFailure(quarantine, request, now);
+}
+
+function createQuarantineFailure({until}: Quarantine, {possibleRunCount}: OpenRequest, now: number): Failure {
+	return createFailure(possibleRunCount === 0 ? failureReason.promptQuarantined : failureReason.answerLost, Math.max(minRetryAfterMs, until - now));
+}
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -10,6 +10,7 @@
 } from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {failureKind, type FailureKind} from './failure-reports.js';
+import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
 import {choosePool, computeDirectoryAge, resolveRequest} from './resolve-request.js';
 import {
 	hasOtherTarget, mayRetry, retryOrFail, trySend,
@@ -88,6 +89,7 @@
 	request.hasResponseStarted = true;
 	recordTargetLoad(step, request, targetLoad);
 	recordCacheHolder(step, request);
+	recordResponseBegun(step, request);
 }
 
 /** Records the target as cache holder of the prompt, since a target that responds has read the prompt. */
@@ -174,6 +176,10 @@
 	request.lastEventId = event.lastEventId ?? request.lastEventId;
 	switch (event.outcome) {
 		case sendOutcome.complete: {
+			if (!request.hasResponseStarted) {
+				recordResponseBegun(step, request);
+			}
+
 			finishRequest(step, request, 'answered', event.detail);
 			break;
 		}
@@ -199,6 +205,7 @@
 
 		case sendOutcome.lost:
 		case sendOutcome.interrupted: {
+			checkForCrash(step, request, send);
 			retryOrFail(step, request, createFailure(failureReason.answerLost));
 			break;
 		}
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -11,6 +11,7 @@
 import {
 	advanceQueuedRequests, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, endTimedOutRequests,
 } from './reduce-requests.js';
+import {applyTargetChecked, updateQuarantine} from './reduce-quarantine.js';
 import {drainAcceptDurationMs} from './resolve-request.js';
 import {recordLog, type State, type Step} from './state.js';
 
@@ -50,6 +51,11 @@
 			break;
 		}
 
+		case eventKind.targetChecked: {
+			applyTargetChecked(step, event);
+			break;
+		}
+
 		case eventKind.directoryRead: {
 			applyDirectoryRead(step, event);
 			advanceQueuedRequests(step);
@@ -89,6 +95,7 @@
 
 		case eventKind.tick: {
 			updateFleet(step);
+			updateQuarantine(step);
 			advanceQueuedRequests(step);
 			endTimedOutRequests(step);
 			finishDrainIfIdle(step);
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -10,6 +10,7 @@
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {choosePlacement, type Placement, type PlacementView} from './placement.js';
 import {countSharedTokens, findPromptKey} from './prompt.js';
+import {findQuarantineFailure, listSuspectParts} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, resolveRequest,
 } from './resolve-request.js';
@@ -30,7 +31,7 @@
 
 /**
  * Sends the request if a target may receive it now, and refuses it if the
- * configuration tables no longer allow it. Returns false if the request is
+ * configuration tables no longer allow it or its prompt is quarantined. Returns false if the request is
  * neither sent nor refused.
  */
 export function trySend(step: Step, request: OpenRequest): boolean {
@@ -39,6 +40,12 @@
 		return true;
 	}
 
+	const quarantineFailure = findQuarantineFailure(step, request);
+	if (quarantineFailure !== undefined) {
+		finishWithFailure(step, request, quarantineFailure);
+		return true;
+	}
+
 	const placement = findPlacement(step, request, request.triedTargetIds);
 	if (placement === undefined) {
 		return false;
@@ -195,6 +202,10 @@
 		return false;
 	}
 
+	if (mayHaveRun && !hasResponseStarted && step.state.quarantine.hasRepeatedCrash(listSuspectParts(request))) {
+		return false;
+	}
+
 	const isAllowed = mayHaveRun
 		? isRetryable(route) && possibleRunCount < route.targetLimit && (!hasResponseStarted || route.canResume)
 		: !hasResponseStarted;
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -11,6 +11,7 @@
 import type {PromptPart} from './event.js';
 import {CacheHolders} from './cache-holders.js';
 import {FailureReports} from './failure-reports.js';
+import {PromptQuarantine} from './prompt-quarantine.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
 import {computeSyncTiming, type SyncTiming} from './sync-timing.js';
 import {createTargetState, type Target, type TargetState} from './target-state.js';
@@ -67,6 +68,15 @@
 	queuedUntil?: number;
 };
 
+/** A check whether a target has crashed, with the requests that were lost there before it began to respond to them. */
+type CrashCheck = {
+	readonly target: Target;
+	readonly bornAt: number;
+	/** The first of the lost sends. */
+	readonly sendId: number;
+	readonly losses: Array<{readonly partIds: readonly string[]; readonly at: number}>;
+};
+
 export type State = {
 	readonly self: SelfInfo;
 	/** Hash that decides this instance's position in rankings. */
@@ -95,6 +105,13 @@
 	targets: TargetState;
 	readonly cacheHolders: CacheHolders;
 	readonly failureReports: FailureReports;
+	readonly quarantine: PromptQuarantine;
+	/** Checks in progress by target. */
+	crashChecks: Map<string, CrashCheck>;
+	/** True if peers have to learn soon about crashes. */
+	hasCrashNews: boolean;
+	/** Time from which peers may be notified of crashes again. */
+	nextNoticeAt: number;
 	openRequests: Map<number, OpenRequest>;
 	/** Requests for which no target was available yet, in order of arrival. */
 	queuedRequests: Set<OpenRequest>;
@@ -127,6 +144,10 @@
 		targets: createTargetState(),
 		cacheHolders: new CacheHolders(),
 		failureReports: new FailureReports(),
+		quarantine: new PromptQuarantine(),
+		crashChecks: new Map(),
+		hasCrashNews: false,
+		nextNoticeAt: 0,
 		openRequests: new Map(),
 		queuedRequests: new Set(),
 		retryBudgets: new Map(),
--- a/packages/dispatch/src/test/prompt_quarantine_test.ts
+++ b/packages/dispatch/src/test/prompt_quarantine_test.ts
@@ -1,134 +1,261 @@
 /**
- * Tests requests that crash each target that begins to respond to them, because of one
- * part of their prompt. No two of them are alike or come to the same instance.
+ * Tests which prompt parts are quarantined because of crashes, and for how long.
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createRoute, resumableRoute} from './gateway-fixture.js';
-import {SimulatedFleet, type SimulatedRequest} from './simulated-fleet.js';
-
-/** Time without disruption after which an instance has to know what its peers know, in milliseconds. */
-const contactMs = 3000;
-/** Number of crashes after which requests with the part have to be withheld, and number that may reach targets afterwards. */
-const crashLimit = 5;
-const maxLaterArrivals = 3;
-const crashingPart = 'crashing';
-const route = createRoute();
-
-type Scenario = {
-	readonly gatewayCount: number;
-	readonly engineCount: number;
-	readonly requestsPerSecond: number;
-	readonly crashingPerSecond: number;
-	readonly seed: number;
-	readonly callLoss: number;
-	/** Mean number of instances that pause or restart a second. */
-	readonly interruptionsPerSecond: number;
-	/** Mean number of engines a second that crash for another reason. */
-	readonly otherCrashesPerSecond: number;
-	readonly canResume: boolean;
-};
-
-const beforeMs = 6000;
-const troubleMs = 24_000;
-
-/** Plays sound traffic alone, then beside requests that crash their targets. */
-function playScenario({
-	gatewayCount, engineCount, requestsPerSecond, crashingPerSecond, seed, callLoss, interruptionsPerSecond, otherCrashesPerSecond, canResume,
-}: Scenario): {fleet: SimulatedFleet; troubleStartedAt: number} {
-	const fleet = new SimulatedFleet({
-		gatewayCount, engineCount, seed, callLoss,
-	});
-	const {random} = fleet;
-	let turn = 0;
-	const drawCount = (perSecond: number) => {
-		const mean = perSecond * 0.025;
-		return Math.floor(mean) + (random() < mean % 1 ? 1 : 0);
-	};
-
-	const sendSound = () => {
-		for (let count = drawCount(requestsPerSecond); count > 0; count--) {
-			const first = Math.floor(random() * 8);
-			fleet.sendRequest(route, [`first-${first}`, `chat-${first}-${Math.floor(random() * 10)}`, `turn-${turn++}`]);
-		}
-	};
-
-	const sendCrashing = () => {
-		for (let count = drawCount(crashingPerSecond); count > 0; count--) {
-			const first = Math.floor(random() * 8);
-			const prompt = random() < 0.5
-				? [`first-${first}`, crashingPart, `turn-${turn++}`]
-				: [`first-${first}`, crashingPart, `chat-${first}-${Math.floor(random() * 10)}`, `turn-${turn++}`];
-			fleet.sendRequest(canResume ? resumableRoute : route, prompt);
-		}
-	};
-
-	const interrupt = () => {
-		const running = fleet.listRunning();
-		for (let count = drawCount(interruptionsPerSecond); count > 0; count--) {
-			const node = running[Math.floor(random() * running.length)]!;
-			if (random() < 0.5) {
-				fleet.pause(node, 500 + (random() * 2500));
-			} else {
-				fleet.restart(node, 500 + (random() * 1500));
-			}
-		}
+import {effectKind, eventKind, sendOutcome} from '../index.js';
+import type {FleetView} from '../lib/cold-target-limits.js';
+import {PromptQuarantine} from '../lib/prompt-quarantine.js';
+import {
+	createRoute, createTargetChange, createTargetRecord, GatewayFixture,
+} from './gateway-fixture.js';
 
-		fleet.crashEngines(drawCount(otherCrashesPerSecond));
-	};
-
-	fleet.advance(5000);
-	fleet.advance(beforeMs, sendSound);
-	const troubleStartedAt = fleet.now;
-	fleet.crashingPart = crashingPart;
-	fleet.advance(troubleMs, () => {
-		sendSound();
-		sendCrashing();
-		interrupt();
-	});
-	return {fleet, troubleStartedAt};
-}
+const start = 1_000_000;
+const alone: FleetView = {selfHash: 1, memberHashes: [1], size: 1};
 
-/** Counts requests with the part that reached engines too late, sent by instances that had been in touch for `contactMs`. */
-function countLateArrivals({crashes, arrivals}: SimulatedFleet): number {
-	const fifthCrashAt = crashes[crashLimit - 1] ?? Number.POSITIVE_INFINITY;
-	const late = arrivals.filter(({at, prompt}) => at > fifthCrashAt + contactMs && prompt.includes(crashingPart));
-	return late.filter(({at, senderRunningSince}) => at - senderRunningSince >= contactMs).length;
+/** A quarantine of an instance that has served other prompts. */
+function createQuarantine(): PromptQuarantine {
+	const quarantine = new PromptQuarantine();
+	for (let index = 0; index < 40; index++) {
+		quarantine.recordBegun([`other-${index}`], start - 1000);
+	}
+
+	return quarantine;
 }
 
-function computeBegunShare(requests: readonly SimulatedRequest[]): number {
-	return requests.filter(({hasBegun}) => hasBegun).length / requests.length;
+/** Crashes one target a second under requests with these parts; returns the time of the last crash. */
+function recordCrashes(quarantine: PromptQuarantine, partIds: readonly string[], count: number, from = start): number {
+	let at = from;
+	for (let index = 0; index < count; index++) {
+		at = from + (index * 1000);
+		quarantine.recordCrash(partIds, {id: `engine-${at}`, bornAt: 1}, at, at);
+		quarantine.update(at);
+	}
+
+	return at;
 }
 
-const sizes = [
-	{gatewayCount: 7, engineCount: 18, requestsPerSecond: 60},
-	{gatewayCount: 60, engineCount: 40, requestsPerSecond: 200},
-	{gatewayCount: 195, engineCount: 114, requestsPerSecond: 400},
-];
-const conditions = [
-	{
-		name: 'a calm fleet', crashingPerSecond: 2, callLoss: 0, interruptionsPerSecond: 0, otherCrashesPerSecond: 0, canResume: false,
-	},
-	{
-		name: 'a fleet with lost messages, pauses, restarts and other crashes', crashingPerSecond: 1.5, callLoss: 0.15, interruptionsPerSecond: 0.4, otherCrashesPerSecond: 0.3, canResume: false,
-	},
-	{
-		name: 'requests that are sent again after a failure', crashingPerSecond: 3, callLoss: 0.05, interruptionsPerSecond: 0.2, otherCrashesPerSecond: 0.1, canResume: true,
-	},
-];
-
-for (const {name, ...condition} of conditions) {
-	for (const size of sizes) {
-		// Guards against targets that crash one after the other under requests that share a prompt part (incident BUDGET).
-		test(`requests with a prompt part that crashes targets are withheld after five crashes, and sound ones are served (query of death; ${size.gatewayCount} instances, ${name})`, () => {
-			const {fleet, troubleStartedAt} = playScenario({...size, ...condition, seed: 7});
-			assert.ok(fleet.crashes.length >= 3, 'the part crashes targets');
-			assert.ok(countLateArrivals(fleet) <= maxLaterArrivals, `${countLateArrivals(fleet)} requests reached targets too late; ${fleet.crashes.length} crashes`);
-			const sound = fleet.requests.filter(({prompt}) => !prompt.includes(crashingPart));
-			const settledAt = (fleet.crashes[Math.min(crashLimit, fleet.crashes.length) - 1]!) + (2 * contactMs);
-			const before = computeBegunShare(sound.filter(({at}) => at < troubleStartedAt));
-			const during = computeBegunShare(sound.filter(({at}) => at >= settledAt && at < fleet.now - 1000));
-			assert.ok(during >= before / 2, `${during} of the sound requests begin, ${before} before`);
+test('a part is quarantined after two crashes without a response, one that had been served before after three', () => {
+	for (const [servedBefore, limit] of [[false, 2], [true, 3]] as const) {
+		const quarantine = createQuarantine();
+		if (servedBefore) {
+			quarantine.recordBegun(['bad'], start - 5000);
+		}
+
+		recordCrashes(quarantine, ['bad'], limit - 1);
+		assert.equal(quarantine.findQuarantine(['bad']), undefined);
+		recordCrashes(quarantine, ['bad'], 1, start + 4000);
+		assert.deepEqual(quarantine.findQuarantine(['x', 'bad'])?.partIds, ['bad']);
+		assert.equal(quarantine.findQuarantine(['x']), undefined);
+	}
+});
+
+test('a part that was present at all crashes stays in use if responses to other requests with it begin', () => {
+	const quarantine = createQuarantine();
+	for (let index = 0; index < 6; index++) {
+		const at = start + (index * 1000);
+		quarantine.recordCrash(['shared', 'bad'], {id: `engine-${index}`, bornAt: 1}, at, at);
+		quarantine.recordBegun(['shared', 'chat'], at + 100);
+		quarantine.update(at + 100);
+	}
+
+	assert.deepEqual(quarantine.findQuarantine(['shared', 'bad'])?.partIds, ['bad']);
+	assert.equal(quarantine.findQuarantine(['shared', 'chat']), undefined);
+});
+
+test('of two parts that were present at the same crashes, the one is spared that responses had begun for before', () => {
+	const quarantine = createQuarantine();
+	quarantine.recordBegun(['shared'], start - 5000);
+	recordCrashes(quarantine, ['shared', 'bad'], 3);
+	assert.deepEqual(quarantine.findQuarantine(['shared', 'bad'])?.partIds, ['bad']);
+	assert.equal(quarantine.findQuarantine(['shared', 'chat']), undefined);
+});
+
+test('parts that cannot be told apart are withheld only together, until one of them is cleared or crashes alone', () => {
+	for (const settle of ['cleared', 'crashes'] as const) {
+		const quarantine = createQuarantine();
+		const at = recordCrashes(quarantine, ['new', 'bad'], 3);
+		assert.notEqual(quarantine.findQuarantine(['new', 'bad']), undefined);
+		assert.equal(quarantine.findQuarantine(['new']), undefined);
+		assert.equal(quarantine.findQuarantine(['bad']), undefined);
+		if (settle === 'cleared') {
+			quarantine.recordBegun(['new'], at + 1000);
+			quarantine.update(at + 1000);
+		} else {
+			recordCrashes(quarantine, ['bad'], 1, at + 1000);
+		}
+
+		assert.deepEqual(quarantine.findQuarantine(['bad'])?.partIds, ['bad'], settle);
+		assert.equal(quarantine.findQuarantine(['new']), undefined, settle);
+	}
+});
+
+test('half of a pool that crashes at once convicts no part (rack, kill of all targets)', () => {
+	const quarantine = createQuarantine();
+	for (let index = 0; index < 20; index++) {
+		const at = start + (index * 10);
+		quarantine.recordCrash(['hot', `chat-${index}`], {id: `engine-${index}`, bornAt: 1}, at, at);
+		quarantine.update(at);
+	}
+
+	assert.equal(quarantine.size, 0);
+});
+
+test('when crashes cost many requests, more of them are needed to convict a part, and without any response none is convicted', () => {
+	const busy = createQuarantine();
+	for (let index = 0; index < 30; index++) {
+		busy.recordCrash([`chat-${index}`], {id: `engine-${index}`, bornAt: 1}, start, start);
+	}
+
+	busy.recordBegun(['unlucky'], start - 5000);
+	recordCrashes(busy, ['unlucky'], 4);
+	assert.equal(busy.findQuarantine(['unlucky']), undefined);
+	const failing = new PromptQuarantine();
+	recordCrashes(failing, ['hot'], 8);
+	assert.equal(failing.size, 0);
+});
+
+test('a crash that several instances report counts once, and a restart under the same id is another process', () => {
+	const quarantine = createQuarantine();
+	const report = (bornAt: number, ageMs: number) => [{partId: 'bad', crashes: [{targetId: 'engine-1', bornAt, ageMs}]}];
+	for (const ageMs of [0, 500, 1000, 1500]) {
+		quarantine.applyShared(report(1, ageMs), start, start);
+	}
+
+	quarantine.update(start);
+	assert.equal(quarantine.size, 0);
+	assert.equal(quarantine.applyShared(report(2, 4000), start, start), true);
+	assert.equal(quarantine.applyShared(report(3, 8000), start, start), true);
+	assert.equal(quarantine.applyShared(report(3, 8000), start, start), false);
+	quarantine.update(start);
+	assert.equal(quarantine.size, 1);
+});
+
+test('instances that exchange suspects come to the same result in any order, also one that starts later', () => {
+	const [first, second, late] = [createQuarantine(), createQuarantine(), createQuarantine()];
+	for (const [index, quarantine] of [first, second, first].entries()) {
+		const at = start + (index * 1000);
+		quarantine.recordCrash(['shared', 'bad'], {id: `engine-${index}`, bornAt: 1}, at, at);
+	}
+
+	second.recordBegun(['shared'], start + 2100);
+	const now = start + 2200;
+	for (const [from, to] of [[first, second], [second, first], [second, late]] as const) {
+		to.applyShared(from.describe(now), now, now);
+	}
+
+	for (const quarantine of [first, second, late]) {
+		quarantine.update(now);
+		assert.deepEqual(quarantine.findQuarantine(['shared', 'bad'])?.partIds, ['bad']);
+	}
+});
+
+test('one request tries a quarantined part after a while; a response releases the part everywhere, a crash doubles the time', () => {
+	const quarantine = createQuarantine();
+	const peer = createQuarantine();
+	const crashedAt = recordCrashes(quarantine, ['bad'], 2);
+	peer.applyShared(quarantine.describe(crashedAt), crashedAt, crashedAt);
+	peer.update(crashedAt);
+	const convicted = quarantine.findQuarantine(['bad'])!;
+	const dueAt = crashedAt + 30_000;
+	assert.equal(convicted.until, dueAt);
+	assert.equal(quarantine.claimTrial(convicted, alone, dueAt - 1), false);
+	assert.equal(quarantine.claimTrial(convicted, alone, dueAt), true);
+	assert.equal(quarantine.claimTrial(convicted, alone, dueAt + 1), false);
+
+	quarantine.recordBegun(['other'], dueAt);
+	quarantine.recordCrash(['bad'], {id: 'engine-again', bornAt: 1}, dueAt + 100, dueAt + 100);
+	quarantine.update(dueAt + 100);
+	const again = quarantine.findQuarantine(['bad'])!;
+	assert.equal(again.until, dueAt + 100 + 60_000);
+	assert.equal(quarantine.claimTrial(again, alone, again.until), true);
+	quarantine.recordBegun(['bad'], again.until + 100);
+	assert.equal(quarantine.update(again.until + 100).released.length, 1);
+	peer.applyShared(quarantine.describe(again.until + 200), again.until + 200, again.until + 200);
+	peer.update(again.until + 500);
+	assert.equal(peer.size, 0);
+});
+
+test('few instances of a large fleet may try a part at once, and all of them after some time', () => {
+	const memberHashes = Array.from({length: 195}, (_, index) => Math.imul(index + 1, 0x9E_37_79_B1) >>> 0); // eslint-disable-line no-bitwise
+	const countTrials = (overdueMs: number) => memberHashes.filter(selfHash => {
+		const quarantine = createQuarantine();
+		recordCrashes(quarantine, ['bad'], 3);
+		const convicted = quarantine.findQuarantine(['bad'])!;
+		return quarantine.claimTrial(convicted, {selfHash, memberHashes, size: 195}, convicted.until + overdueMs);
+	}).length;
+	assert.equal(countTrials(0), 1);
+	assert.equal(countTrials(2000), 2);
+	assert.equal(countTrials(16_000), 195);
+});
+
+test('suspects are bounded under many forged parts, and a convicted part outlasts them', () => {
+	const quarantine = createQuarantine();
+	const at = recordCrashes(quarantine, ['bad'], 3);
+	for (let index = 0; index < 2000; index++) {
+		quarantine.recordCrash([`forged-${index}`], {id: 'engine-x', bornAt: 1}, at, at);
+	}
+
+	quarantine.update(at + 300);
+	assert.notEqual(quarantine.findQuarantine(['bad']), undefined);
+	assert.ok(quarantine.describe(at).length <= 16);
+	assert.ok(quarantine.describe(at).some(({partId}) => partId === 'bad'));
+});
+
+const prompt = ['shared', 'bad', 'turn'];
+
+/** Sends requests whose responses are lost, each at another target; a check then finds a process there or not. */
+function loseResponses(gateway: GatewayFixture, count: number, isListening: boolean | undefined): void {
+	for (let index = 0; index < count; index++) {
+		gateway.receiveRequest(createRoute(), {prompt: ['shared', `chat-${index}`, 'turn']});
+		const sound = gateway.takeLastSend();
+		gateway.handle({kind: eventKind.answerStarted, openId: sound.openId, sendId: sound.sendId});
+		gateway.receiveRequest(createRoute(), {prompt});
+		const {openId, sendId} = gateway.takeLastSend();
+		gateway.handle({
+			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.lost, detail: 'test',
 		});
+		const check = gateway.effects.find(effect => effect.kind === effectKind.checkTarget);
+		assert.ok(check, 'the target is checked');
+		gateway.handle({...check, kind: eventKind.targetChecked, isListening});
+		// The target starts again under its id.
+		const revision = gateway.state.directory.revision + 1;
+		gateway.applyChanges(revision, [createTargetChange(revision, createTargetRecord(check.targetId, {bornAt: revision}))]);
+		gateway.advance(1000);
 	}
 }
+
+const engines = Array.from({length: 12}, (_, index) => `engine-${index}`);
+
+test('a request with a quarantined part is refused at once with a true and long retry delay, and sound ones are served', () => {
+	const gateway = new GatewayFixture().loadDirectory(engines);
+	loseResponses(gateway, 2, false);
+	gateway.receiveRequest(createRoute(), {prompt});
+	assert.deepEqual(gateway.listSends(), []);
+	const refusal = gateway.effects.find(effect => effect.kind === effectKind.refuse);
+	assert.equal(refusal?.failure.status, 503);
+	assert.equal(refusal.failure.reason, 'prompt-quarantined');
+	assert.ok(refusal.failure.retryAfterMs! > 25_000);
+	gateway.receiveRequest(createRoute(), {prompt: ['shared', 'chat', 'turn']});
+	assert.equal(gateway.listSends().length, 1);
+});
+
+test('responses that are lost while their targets still listen, or do not respond to a check, convict no part (broken streams, resets, frozen targets)', () => {
+	for (const isListening of [true, undefined]) {
+		const gateway = new GatewayFixture().loadDirectory(engines);
+		loseResponses(gateway, 6, isListening);
+		gateway.receiveRequest(createRoute(), {prompt});
+		assert.equal(gateway.listSends().length, 1);
+	}
+});
+
+test('a crash in the middle of a response convicts no part', () => {
+	const gateway = new GatewayFixture().loadDirectory(engines);
+	const openId = gateway.receiveRequest(createRoute(), {prompt});
+	const {sendId} = gateway.takeLastSend();
+	gateway.handle({kind: eventKind.answerStarted, openId, sendId});
+	gateway.handle({
+		kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.interrupted, detail: 'test',
+	});
+	assert.ok(!gateway.effects.some(effect => effect.kind === effectKind.checkTarget));
+});
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -305,6 +305,21 @@
 				break;
 			}
 
+			case effectKind.checkTarget: {
+				const {targetId, address} = effect;
+				const {gateway} = node;
+				this.#schedule(stepMs, () => {
+					if (node.gateway === gateway && node.pausedUntil <= this.now) {
+						gateway.now = this.now;
+						gateway.handle({
+							kind: eventKind.targetChecked, targetId, address, isListening: this.#engines.get(targetId)?.isRunning ?? false,
+						});
+						this.#drainEffects(node);
+					}
+				});
+				break;
+			}
+
 			case effectKind.callPeer: {
 				this.#callPeer(node, effect);
 				break;
--- a/packages/gateway/src/lib/connection-pool.ts
+++ b/packages/gateway/src/lib/connection-pool.ts
@@ -12,6 +12,8 @@
 const idleTimeoutMarginMs = 700;
 /** Idle time up to which a connection is assumed to be open at the target, in milliseconds. */
 const freshIdleMs = 1000;
+/** Time limit of a check, in milliseconds. */
+const checkTimeoutMs = 300;
 /** Largest number of idle connections to one address. */
 const maxIdlePerTarget = 16;
 
@@ -89,6 +91,38 @@
 		});
 	}
 
+	/**
+	 * Finds out whether a process listens on the address: false if it refuses the
+	 * connection, `undefined` if it does not respond. A connection that opens is kept for the next request.
+	 */
+	check(address: string, onResult: (isListening: boolean | undefined) => void): void {
+		const socket = this.#open(address);
+		let isOver = false;
+		const finish = (isListening: boolean | undefined) => {
+			if (isOver) {
+				return;
+			}
+
+			isOver = true;
+			clearTimeout(timer);
+			if (isListening) {
+				this.release(address, socket, undefined);
+			} else {
+				socket.destroy();
+			}
+
+			onResult(isListening);
+		};
+
+		const timer = setTimeout(finish, checkTimeoutMs, undefined);
+		socket.once('connect', () => {
+			finish(true);
+		});
+		socket.once('error', (error: Error & {code?: string}) => {
+			finish(error.code === 'ECONNREFUSED' ? false : undefined);
+		});
+	}
+
 	#addIdle(address: string, idle: IdleConnection): void {
 		const list = this.#idle.get(address) ?? [];
 		idle.socket.on('data', idle.close);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,7 +6,7 @@
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {
-	createState, effectKind, eventKind, isReady, reduce, type Effect, type Event, type FleetBounds, type State,
+	createState, effectKind, eventKind, isReady, reduce, type CheckTargetEffect, type Effect, type Event, type FleetBounds, type LogEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
 	BoundedLog, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
@@ -83,6 +83,7 @@
 	});
 
 	readonly #callers: CallerServer;
+	readonly #pool: ConnectionPool;
 	readonly #targets: TargetClient;
 	readonly #peers: PeerTransport;
 	readonly #metrics: GatewayMetrics;
@@ -105,6 +106,7 @@
 		};
 
 		const pool = new ConnectionPool(readMonotonicMs, lifecycle);
+		this.#pool = pool;
 		this.#callers = new CallerServer({
 			protocol: protocols.callers,
 			emit,
@@ -122,6 +124,7 @@
 			['tables_version', () => this.state.directory.tables?.version ?? 0],
 			['directory_revision', () => this.state.directory.revision],
 			['directory_age_ms', () => readMonotonicMs() - (this.state.directory.confirmedAt ?? 0)],
+			['quarantined_prompts', () => this.state.quarantine.size],
 			['target_connections_opened', () => pool.openedCount],
 			['log_lines_dropped', () => this.log.droppedTotal],
 		]);
@@ -191,6 +194,23 @@
 		}
 	}
 
+	#checkTarget({targetId, address}: CheckTargetEffect): void {
+		this.#pool.check(address, isListening => {
+			this.handle({
+				kind: eventKind.targetChecked, targetId, address, isListening,
+			});
+		});
+	}
+
+	#writeLog({level, event, fields}: LogEffect): void {
+		this.#metrics.count(event);
+		if (typeof fields.tookMs === 'number') {
+			this.#metrics.recordLatency(event, fields.tookMs);
+		}
+
+		this.log.write(level, {event, ...fields});
+	}
+
 	#executeEffect(effect: Effect): void {
 		try {
 			this.#dispatchEffect(effect);
@@ -234,6 +254,11 @@
 				break;
 			}
 
+			case effectKind.checkTarget: {
+				this.#checkTarget(effect);
+				break;
+			}
+
 			case effectKind.callPeer: {
 				this.#peers.call(effect);
 				break;
@@ -250,12 +275,7 @@
 			}
 
 			case effectKind.log: {
-				this.#metrics.count(effect.event);
-				if (typeof effect.fields.tookMs === 'number') {
-					this.#metrics.recordLatency(effect.event, effect.fields.tookMs);
-				}
-
-				this.log.write(effect.level, {event: effect.event, ...effect.fields});
+				this.#writeLog(effect);
 				break;
 			}
 
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -83,6 +83,11 @@
 	failures: createOptionalCheck(createListCheck(createObjectCheck({
 		id: isString, kind: isString, instance: isString, targetId: isString, bornAt: isNumber, ageMs: isNumber,
 	}))),
+	suspects: createOptionalCheck(createListCheck(createObjectCheck({
+		partId: isString,
+		crashes: createListCheck(createObjectCheck({targetId: isString, bornAt: isNumber, ageMs: isNumber})),
+		begunAgeMs: createOptionalCheck(isNumber),
+	}))),
 	wantsUpdate: isBoolean,
 	isWatching: createOptionalCheck(isBoolean),
 	readingMs: createOptionalCheck(isNumber),
