The gateway reads the limits that targets name, and logs their changes (LIMIT)

Nothing in the logs could show whether a target named a limit, what it was, or that it had ended. A response's head is now decoded into a report with load and limit, and a change of the limit is logged as target-limit. No decision depends on it yet. A response from another process at the address no longer counts as the target's load.

--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -66,13 +66,20 @@
 } as const;
 export type SendOutcome = typeof sendOutcome[keyof typeof sendOutcome];
 
+/** What a target states about itself in a response. */
+export type TargetReport = {
+	/** Number of requests that the target runs or queues; `undefined` if it does not report them. */
+	readonly load?: number;
+	/** Number of requests a second that the target takes from all instances together; `undefined` if it sets no limit. */
+	readonly requestsPerS?: number;
+};
+
 /** A send delivered the first events of a stream. */
 export type AnswerStartedEvent = {
 	readonly kind: typeof eventKind.answerStarted;
 	readonly openId: number;
 	readonly sendId: number;
-	/** Number of requests at the target, as reported in its response. */
-	readonly targetLoad?: number;
+	readonly targetReport?: TargetReport;
 };
 
 /** A timeout of a send, `responseStartTimeoutMs` or `eventGapTimeoutMs`, has expired; emitted again each time that it expires again. */
@@ -98,7 +105,8 @@
 	readonly detail: string;
 	/** Identifier of the last event that was delivered. */
 	readonly lastEventId?: string;
-	readonly targetLoad?: number;
+	/** What the response stated; `undefined` if its head was not read, or was reported before. */
+	readonly targetReport?: TargetReport;
 };
 
 /** The caller closed its connection. */
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -6,7 +6,7 @@
 	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, recordFailure,
 } from './end-request.js';
 import {
-	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent,
+	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent, type TargetReport,
 } from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {failureKind, type FailureKind} from './failure-reports.js';
@@ -19,7 +19,7 @@
 	recordLog, type CurrentSend, type OpenRequest, type Step,
 } from './state.js';
 import {verdict, type Verdict} from './target-health.js';
-import {recordReportedLoad} from './target-state.js';
+import {recordNamedLimit, recordReportedLoad} from './target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
 const queueTimeoutFraction = 0.125;
@@ -80,14 +80,14 @@
 	state.queuedRequests.add(request);
 }
 
-export function applyAnswerStarted(step: Step, {openId, sendId, targetLoad}: AnswerStartedEvent): void {
+export function applyAnswerStarted(step: Step, {openId, sendId, targetReport}: AnswerStartedEvent): void {
 	const request = findCurrentRequest(step, openId, sendId);
 	if (request === undefined) {
 		return;
 	}
 
 	request.hasResponseStarted = true;
-	recordTargetLoad(step, request, targetLoad);
+	recordTargetReport(step, request, targetReport);
 	recordCacheHolder(step, request);
 	recordResponseBegun(step, request);
 }
@@ -99,9 +99,19 @@
 	}
 }
 
-function recordTargetLoad({now}: Step, {currentSend}: OpenRequest, load: number | undefined): void {
-	if (load !== undefined) {
-		recordReportedLoad(currentSend!.target, load, now);
+/** Records what the target states about itself; without a report, its response was not read. */
+function recordTargetReport(step: Step, {currentSend}: OpenRequest, report: TargetReport | undefined): void {
+	if (report === undefined) {
+		return;
+	}
+
+	const {target} = currentSend!;
+	if (report.load !== undefined) {
+		recordReportedLoad(target, report.load, step.now);
+	}
+
+	if (recordNamedLimit(target, report.requestsPerS, step.now)) {
+		recordLog(step, 'target-limit', {target: target.record.id, perS: report.requestsPerS ?? 'none'});
 	}
 }
 
@@ -165,7 +175,7 @@
 		return;
 	}
 
-	recordTargetLoad(step, request, event.targetLoad);
+	recordTargetReport(step, request, event.targetReport);
 	const send = request.currentSend!;
 	endCurrentSend(step, request, verdictByOutcome[event.outcome], event.detail);
 	const kind = failureKindByOutcome[event.outcome];
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -24,6 +24,9 @@
 	readonly othersLoad: number;
 };
 
+/** The limit on requests that a target named, or that it named none. */
+type NamedLimit = {readonly at: number; readonly requestsPerS?: number};
+
 export type Target = {
 	record: TargetRecord;
 	readonly hash: number;
@@ -42,6 +45,7 @@
 	lapseGraceUntil?: number;
 	health: TargetHealth;
 	reportedLoad?: ReportedLoad;
+	namedLimit?: NamedLimit;
 };
 
 /** Time for which a target keeps running after its registration is removed, in milliseconds; other targets can copy from it meanwhile. */
@@ -208,6 +212,13 @@
 	target.reportedLoad = {at, load, othersLoad: Math.max(0, load - target.inFlight)};
 }
 
+/** Records the limit that a response named at time `at`, or that it named none; returns true if that differs from the known limit. */
+export function recordNamedLimit(target: Target, requestsPerS: number | undefined, at: number): boolean {
+	const known = target.namedLimit;
+	target.namedLimit = {at, requestsPerS};
+	return known?.requestsPerS !== requestsPerS;
+}
+
 /** Age up to which load reports are shared with peers, in milliseconds. */
 const sharedLoadMaxAgeMs = 2000;
 /** Number of load reports in one message, the latest first: a choice by load would overstate the load of the pool. */
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {
-	RequestHead, DirectoryUpdate, Failure, SendEffect,
+	RequestHead, DirectoryUpdate, Failure, SendEffect, TargetReport,
 } from '@sequoiatally/dispatch';
 import type {LifecycleManager} from '@sequoiatally/runtime';
 import type {Result} from 'neverthrow';
@@ -38,8 +38,8 @@
 	readonly kind: typeof responseKind[keyof typeof responseKind];
 	/** True if the response names the request that it belongs to. */
 	readonly isIdentified: boolean;
-	/** Requests that the target runs or queues, if it reports them. */
-	readonly targetLoad?: number;
+	/** What the target states about itself; `undefined` if another process responded. */
+	readonly targetReport?: TargetReport;
 };
 
 /** The protocol of targets. */
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -311,7 +311,7 @@
 			}
 
 			this.#options.emit({
-				kind: eventKind.answerStarted, openId, sendId, targetLoad: this.#responseHead?.targetLoad,
+				kind: eventKind.answerStarted, openId, sendId, targetReport: this.#responseHead?.targetReport,
 			});
 		}
 
@@ -367,7 +367,7 @@
 		this.#options.onEnd();
 		this.#options.emit({
 			kind: eventKind.sendEnded, openId: this.#send.openId, sendId: this.#send.sendId, outcome, detail,
-			lastEventId: this.#caller.lastEventId, targetLoad: this.#hasDeliveredEvents ? undefined : this.#responseHead?.targetLoad,
+			lastEventId: this.#caller.lastEventId, targetReport: this.#hasDeliveredEvents ? undefined : this.#responseHead?.targetReport,
 		});
 	}
 
