Failing test: targets that name a limit get more requests (LIMIT)

A fleet of 7, 60 and 195 gateways in virtual time, calm and beside lost messages, pauses and restarts; 60% of the targets name a limit for 15 s. The check counts as the rule does: from the contact time on, in windows of 4 s, requests of instances that passed on such a response half a second before.

--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -4,7 +4,7 @@
  * certain prompt part. The simulation records what arrives at the engines.
  */
 import {
-	effectKind, eventKind, sendOutcome, type CallPeerEffect, type Effect, type FactChange, type PeerMessage, type Route, type SendEffect,
+	effectKind, eventKind, sendOutcome, type CallPeerEffect, type Effect, type FactChange, type PeerMessage, type Route, type SendEffect, type TargetReport,
 } from '../index.js';
 import {
 	createRandom, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
@@ -73,6 +73,10 @@
 	readonly requests: SimulatedRequest[] = [];
 	/** Times at which engines crashed because of a prompt part. */
 	readonly crashes: number[] = [];
+	/** Limits that engines name in their responses, in requests a second. */
+	readonly engineLimits = new Map<string, number>();
+	/** Times at which processes of instances first passed on a response that named a limit, by instance and engine. */
+	readonly limitHeardAt = new Map<string, number>();
 	/** Prompt part that crashes each engine that begins to respond to it. */
 	crashingPart?: string;
 	readonly #options: FleetOptions;
@@ -100,6 +104,11 @@
 		}
 	}
 
+	/** Ids of the engines that run. */
+	listEngineIds(): string[] {
+		return [...this.#engines.values()].filter(({isRunning}) => isRunning).map(({id}) => id);
+	}
+
 	/** Instances that run and are not paused. */
 	listRunning(): Node[] {
 		return this.nodes.filter(({pausedUntil}) => pausedUntil <= this.now);
@@ -237,13 +246,25 @@
 					request.hasBegun = true;
 				}
 
-				this.#handle(run, {kind: eventKind.answerStarted, openId, sendId});
+				this.#handle(run, {
+					kind: eventKind.answerStarted, openId, sendId, targetReport: this.#createReport(run),
+				});
 			} else if (run.endsAt <= this.now) {
 				this.#endRun(run, sendOutcome.complete);
 			}
 		}
 	}
 
+	#createReport({node, gateway, engine}: Run): TargetReport {
+		const requestsPerS = this.engineLimits.get(engine.id);
+		const key = `${node.address} ${engine.id}`;
+		if (requestsPerS !== undefined && !this.limitHeardAt.has(key) && node.gateway === gateway) {
+			this.limitHeardAt.set(key, Math.max(this.now, node.pausedUntil));
+		}
+
+		return {load: this.#runs.filter(other => other.engine === engine).length, requestsPerS};
+	}
+
 	#endRun(run: Run, outcome: typeof sendOutcome[keyof typeof sendOutcome]): void {
 		this.#runs = this.#runs.filter(other => other !== run);
 		const {openId, sendId} = run.send;
