The test of crashing prompts compares shares as the rule does, and over the whole trouble

When an instance that has just started lets a request with the part through near the end, no requests remain after twice the contact time, and the share of none was compared (NaN). The rule compares from 20 requests on. The share over the whole trouble is now checked as well, which always has enough.

--- a/packages/dispatch/src/test/crashing_prompts_test.ts
+++ b/packages/dispatch/src/test/crashing_prompts_test.ts
@@ -12,6 +12,8 @@
 /** Number of crashes after which requests with the part have to be withheld, and number that may reach targets afterwards. */
 const crashLimit = 5;
 const maxLaterArrivals = 3;
+/** Number of requests from which shares are compared. */
+const minComparedRequests = 20;
 const crashingPart = 'crashing';
 const route = createRoute();
 
@@ -138,8 +140,12 @@
 			assert.equal(sound.filter(({refusalReason}) => refusalReason === 'prompt-quarantined').length, 0, 'sound requests are not withheld');
 			const settledAt = (fleet.crashes[Math.min(crashLimit, fleet.crashes.length) - 1]!) + (2 * contactMs);
 			const before = computeBegunShare(sound.filter(({at}) => at < troubleStartedAt));
-			const during = computeBegunShare(sound.filter(({at}) => at >= settledAt && at < fleet.now - 1000));
-			assert.ok(during >= before / 2, `${during} of the sound requests begin, ${before} before`);
+			const inTrouble = sound.filter(({at}) => at >= troubleStartedAt && at < fleet.now - 1000);
+			const settled = inTrouble.filter(({at}) => at >= settledAt);
+			for (const requests of [inTrouble, settled]) {
+				// The last crash may be near the end: an instance that has just started does not know the part yet.
+				assert.ok(requests.length < minComparedRequests || computeBegunShare(requests) >= before / 2, `${computeBegunShare(requests)} of the sound requests begin, ${before} before`);
+			}
 		});
 	}
 }
