--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -67,13 +67,16 @@
 export type SendOutcome = typeof sendOutcome[keyof typeof sendOutcome];
 
 /** What a target states about itself in a response. */
-export type TargetReport = {
+export type TargetStatement = {
 	/** Number of requests that the target runs or queues; `undefined` if it does not report them. */
 	readonly load?: number;
 	/** Number of requests a second that the target takes from all instances together; `undefined` if it sets no limit. */
 	readonly requestsPerS?: number;
 };
 
+/** A target's statement, and the time at which the head of the response was read. */
+export type TargetReport = TargetStatement & {readonly at: number};
+
 /** A send delivered the first events of a stream. */
 export type AnswerStartedEvent = {
 	readonly kind: typeof eventKind.answerStarted;
--- a/packages/dispatch/src/lib/failure.ts
+++ b/packages/dispatch/src/lib/failure.ts
@@ -17,6 +17,8 @@
 	draining: 'draining',
 	/** No target may receive the request now. */
 	noTarget: 'no-target',
+	/** All targets name a limit, and this instance has used its share. */
+	targetsLimited: 'targets-limited',
 	/** The request has prompt parts that crashed several targets, and was not sent. */
 	promptQuarantined: 'prompt-quarantined',
 	/** The request was sent, but no target ran it. */
@@ -45,6 +47,7 @@
 	[failureReason.directoryStale]: 503,
 	[failureReason.draining]: 503,
 	[failureReason.noTarget]: 503,
+	[failureReason.targetsLimited]: 503,
 	[failureReason.promptQuarantined]: 503,
 	[failureReason.notRun]: 503,
 	[failureReason.answerLost]: 502,
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -1,5 +1,5 @@
 /**
- * Messages between instances: known members, target loads, prompt cache entries,
+ * Messages between instances: known members, target loads and limits, prompt cache entries,
  * failures of targets, prompt parts that may crash targets, and directory updates. Ages are relative to the creation of the message.
  */
 import type {DirectoryUpdate} from './directory.js';
@@ -25,6 +25,17 @@
 	readonly ageMs: number;
 };
 
+/** A limit that a target named in a response, or that it named none any more. */
+export type SharedTargetLimit = {
+	readonly targetId: string;
+	/** Unix time of the target's start in milliseconds. */
+	readonly bornAt: number;
+	/** Requests a second from all instances together; `undefined` if the limit has ended. */
+	readonly requestsPerS?: number;
+	/** Time since that response, in milliseconds. */
+	readonly ageMs: number;
+};
+
 /** A target that holds the shared parts of a prompt in its cache. */
 export type SharedCacheEntry = {
 	/** Identifiers of the shared parts, in prompt order. */
@@ -67,6 +78,8 @@
 	readonly directoryAgeMs?: number;
 	/** Loads that targets reported recently. */
 	readonly loads: readonly SharedTargetLoad[];
+	/** Limits that targets named recently; absent if there are none. */
+	readonly limits?: readonly SharedTargetLimit[];
 	/** Recent prompt cache entries. */
 	readonly readings: readonly SharedCacheEntry[];
 	/** Recent failed sends to targets. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -7,12 +7,12 @@
 import {hashText, mixHashes} from '@sequoiatally/core';
 import {
 	computeColdShare, computeWarmShare, type ColdBounds, type FleetView,
-} from './cold-target-limits.js';
+} from './target-limits.js';
 import type {Pool} from './directory.js';
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked} from './ranking.js';
 import {isAwaitingTrial, isUsable} from './target-health.js';
-import type {Target} from './target-state.js';
+import {findNamedLimitEnd, isWithinNamedLimit, type Target} from './target-state.js';
 
 /**
  * Load limit of a target: a multiple of its pool's mean load plus a constant.
@@ -60,7 +60,7 @@
 
 /** Reason why a request is not sent to the target that ranks first for its prompt. */
 export const skipReason = {
-	health: 'health', cold: 'cold', load: 'load', tried: 'tried',
+	health: 'health', cold: 'cold', limit: 'limit', load: 'load', tried: 'tried',
 } as const;
 export type SkipReason = typeof skipReason[keyof typeof skipReason];
 
@@ -94,7 +94,7 @@
 
 	const healthy = accepting.filter(target => isUsable(target.health, now));
 	const usable = new Set(healthy.length >= Math.max(1, accepting.length * minHealthyFraction) ? healthy : accepting);
-	let candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasColdCapacity(view, target, now));
+	let candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasCapacity(view, target, now));
 	if (candidates.length === 0) {
 		return undefined;
 	}
@@ -122,21 +122,48 @@
 		?? findFirstRanked(warm, keyHash)
 		?? findFirstRanked(belowLimit, keyHash)
 		?? chooseLeastLoaded(view, candidates, load, requestId);
-	const preferredSkipReason = target === preferred ? undefined : explainSkip(preferred, {usable, candidates, triedTargetIds});
+	const isWithinLimit = isWithinNamedLimit(preferred, view.fleet, now);
+	const preferredSkipReason = target === preferred
+		? undefined
+		: explainSkip(preferred, {
+			usable, candidates, triedTargetIds, isWithinLimit,
+		});
 	return {
 		target, load: load.estimate(target), meanLoad: load.mean, preferredSkipReason,
 	};
 }
 
+/**
+ * Finds the time from which a target may receive the request if the limits that targets
+ * name are the only reason why none may now; `undefined` if there is another reason,
+ * and infinite if this instance has no share of any limit.
+ */
+export function findLimitEnd({targets, closedZones, fleet}: PlacementView, triedTargetIds: ReadonlySet<string>, now: number): number | undefined {
+	const accepting = targets.filter(({isGone, record}) => !isGone && !closedZones.has(record.zone) && !triedTargetIds.has(record.id));
+	if (accepting.length === 0 || accepting.some(target => isWithinNamedLimit(target, fleet, now))) {
+		return undefined;
+	}
+
+	return Math.min(...accepting.map(target => findNamedLimitEnd(target, fleet, now)));
+}
+
 /** Computes the largest number of requests that a target may hold, including the new request. */
 function computeLoadLimit(meanLoad: number, {tokenCount}: PromptPrefix): number {
 	const {multiple, floor} = tokenCount >= longPromptMinTokens ? longPromptLoadLimit : shortPromptLoadLimit;
 	return (multiple * meanLoad) + floor;
 }
 
-type CandidateSets = {readonly usable: ReadonlySet<Target>; readonly candidates: readonly Target[]; readonly triedTargetIds: ReadonlySet<string>};
+type SkipContext = {
+	readonly usable: ReadonlySet<Target>;
+	readonly candidates: readonly Target[];
+	readonly triedTargetIds: ReadonlySet<string>;
+	/** False if the target names a limit that allows this instance no further request. */
+	readonly isWithinLimit: boolean;
+};
 
-function explainSkip(preferred: Target, {usable, candidates, triedTargetIds}: CandidateSets): SkipReason {
+function explainSkip(preferred: Target, {
+	usable, candidates, triedTargetIds, isWithinLimit,
+}: SkipContext): SkipReason {
 	if (triedTargetIds.has(preferred.record.id)) {
 		return skipReason.tried;
 	}
@@ -145,6 +172,10 @@
 		return skipReason.health;
 	}
 
+	if (!isWithinLimit) {
+		return skipReason.limit;
+	}
+
 	return candidates.includes(preferred) ? skipReason.load : skipReason.cold;
 }
 
@@ -166,6 +197,11 @@
 	return best.target;
 }
 
+/** True if the target's limits allow this instance another request. */
+function hasCapacity(view: PlacementView, target: Target, now: number): boolean {
+	return hasColdCapacity(view, target, now) && isWithinNamedLimit(target, view.fleet, now);
+}
+
 function hasColdCapacity({pool, fleet, coldBounds}: PlacementView, target: Target, now: number): boolean {
 	if (pool.coldRatePerS === 0) {
 		return true;
--- a/packages/dispatch/src/lib/prompt-quarantine.ts
+++ b/packages/dispatch/src/lib/prompt-quarantine.ts
@@ -13,7 +13,7 @@
  * and a crash that several instances report counts once.
  */
 import {hashText, mixHashes} from '@sequoiatally/core';
-import type {FleetView} from './cold-target-limits.js';
+import type {FleetView} from './target-limits.js';
 import type {SharedSuspect} from './peer-message.js';
 import {SlidingWindow} from './sliding-window.js';
 
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -16,7 +16,7 @@
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type State, type Step} from './state.js';
 import {
-	applyLoads, applyTargetChanges, applyTargetRenewals, describeLoads, expireLapsedTargets, updateTargets,
+	applyLoads, applyNamedLimits, applyTargetChanges, applyTargetRenewals, describeLoads, describeNamedLimits, expireLapsedTargets, updateTargets,
 } from './target-state.js';
 
 /**
@@ -143,12 +143,14 @@
 		self, directory, members, drainStartedAt, lapseGraceUntil, platformReadableSince,
 	} = state;
 	const suspects = state.quarantine.describe(now);
+	const limits = describeNamedLimits(state.targets, now);
 	return {
 		from: {...self, ageMs: 0},
 		members: describeMembers(members, now, state.random),
 		revision: directory.revision,
 		directoryAgeMs: Number.isFinite(directory.confirmedAt) ? Math.round(now - directory.confirmedAt!) : undefined,
 		loads: describeLoads(state.targets, now),
+		...(limits.length > 0 && {limits}),
 		readings: state.cacheHolders.describeRecentEntries(now),
 		failures: state.failureReports.describe(now),
 		...(suspects.length > 0 && {suspects}),
@@ -225,6 +227,7 @@
 		update, directoryAgeMs, lapseGraceMs, readingMs,
 	} = message;
 	applyLoads(state.targets, message.loads, messageCreatedAt);
+	applyNamedLimits(state.targets, message.limits ?? [], messageCreatedAt);
 	state.cacheHolders.applyEntries(message.readings, state.targets.byId, messageCreatedAt);
 	for (const target of state.failureReports.applyShared(message.failures ?? [], state.targets, messageCreatedAt, now)) {
 		ejectIfFaulty(step, target);
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -11,9 +11,11 @@
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {failureKind, type FailureKind} from './failure-reports.js';
 import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
-import {choosePool, computeDirectoryAge, resolveRequest} from './resolve-request.js';
 import {
-	hasOtherTarget, mayRetry, retryOrFail, trySend,
+	choosePool, computeDirectoryAge, drawRetryAfterMs, resolveRequest,
+} from './resolve-request.js';
+import {
+	findSendLimitEnd, hasOtherTarget, mayRetry, retryOrFail, trySend,
 } from './send-request.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step,
@@ -68,7 +70,7 @@
 	});
 }
 
-/** Sends the request, or queues it for a short time until a target is available. */
+/** Sends the request, or queues it for a short time until a target is available; refuses it at once if the limits of all targets last longer. */
 function sendOrQueue(step: Step, request: OpenRequest): void {
 	if (trySend(step, request)) {
 		return;
@@ -76,6 +78,14 @@
 
 	const {state, now} = step;
 	const queuedUntil = Math.min(now + (request.route.latencyTargetMs * queueTimeoutFraction), request.deadlineAt);
+	const limitEnd = findSendLimitEnd(step, request);
+	if (limitEnd !== undefined && limitEnd > queuedUntil) {
+		// Another instance may have a share left even if this one has none.
+		const waitMs = Number.isFinite(limitEnd) ? limitEnd - now : 0;
+		finishWithFailure(step, request, createFailure(failureReason.targetsLimited, waitMs + drawRetryAfterMs(step)));
+		return;
+	}
+
 	request.queuedUntil ??= queuedUntil;
 	state.queuedRequests.add(request);
 }
@@ -110,7 +120,7 @@
 		recordReportedLoad(target, report.load, step.now);
 	}
 
-	if (recordNamedLimit(target, report.requestsPerS, step.now)) {
+	if (recordNamedLimit(target, report)) {
 		recordLog(step, 'target-limit', {target: target.record.id, perS: report.requestsPerS ?? 'none'});
 	}
 }
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -8,7 +8,9 @@
 import {effectKind} from './effect.js';
 import {finishWithFailure} from './end-request.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
-import {choosePlacement, type Placement, type PlacementView} from './placement.js';
+import {
+	choosePlacement, findLimitEnd, type Placement, type PlacementView,
+} from './placement.js';
 import {countSharedTokens, findPromptKey} from './prompt.js';
 import {findQuarantineFailure, listSuspectParts} from './reduce-quarantine.js';
 import {
@@ -80,6 +82,12 @@
 		}, now);
 }
 
+/** Finds the time from which the limits that targets name allow the request; `undefined` if they are not the reason why it cannot be sent. */
+export function findSendLimitEnd(step: Step, {poolName, triedTargetIds}: OpenRequest): number | undefined {
+	const view = createPlacementView(step, poolName);
+	return view === undefined ? undefined : findLimitEnd(view, triedTargetIds, step.now);
+}
+
 function createPlacementView(step: Step, poolName: string): PlacementView | undefined {
 	const {state} = step;
 	const pool = state.directory.poolByName.get(poolName);
--- a/packages/dispatch/src/lib/sliding-window.ts
+++ b/packages/dispatch/src/lib/sliding-window.ts
@@ -17,6 +17,12 @@
 		this.#times.push(now);
 	}
 
+	/** Finds the time from which the window contains fewer than `limit` events, if none is added; `limit` is at least 1. */
+	findFreeAt(limit: number, now: number): number {
+		const excess = this.count(now) - limit;
+		return excess < 0 ? now : this.#times[this.#start + excess]! + this.#windowMs;
+	}
+
 	/** Counts the events of the window that ends at `now`. */
 	count(now: number): number {
 		const oldest = now - this.#windowMs;
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -2,7 +2,7 @@
  * The state of one gateway. The reducer owns the state and changes it in place.
  * Each part is typed by its own module; only this module combines them.
  */
-import {computeRankHash, type ColdBounds, type FleetView} from './cold-target-limits.js';
+import {computeRankHash, type ColdBounds, type FleetView} from './target-limits.js';
 import {createDirectory, type DirectoryState, type Route} from './directory.js';
 import {effectKind, logLevel, type Effect} from './effect.js';
 import {
--- a/packages/dispatch/src/lib/target-limits.ts
+++ b/packages/dispatch/src/lib/target-limits.ts
@@ -1,12 +1,12 @@
 /**
- * Keeps the fleet from overloading cold targets. A target can become cold at any
- * time and reports it late, so the targets of pools with a cold rate are limited at
- * all times: loosely while they count as warm, tightly while they are known to be
- * cold.
+ * Keeps the fleet from overloading targets that are cold or name a limit in their
+ * responses. A target can become cold at any time and reports it late, so the targets of
+ * pools with a cold rate are limited at all times: loosely while they count as warm,
+ * tightly while they are known to be cold.
  *
- * The instances do not coordinate: a limit in whole requests per second is
- * divided by the number of instances. If there are more instances than requests
- * per second, only the instances that rank first for the target may send.
+ * The instances do not coordinate: a limit in whole requests is divided by the number of
+ * instances, and the instances that rank first for the target have one request more. If
+ * there are more instances than requests, only these may send.
  */
 import {hashText, mixHashes} from '@sequoiatally/core';
 
@@ -41,6 +41,15 @@
 /** Fraction of the cold rate that is used; the margin is for member lists that differ between instances. */
 const usedColdRateFraction = 0.8;
 
+/** Window in which requests to a target that names a limit are counted, in milliseconds; long, so that small limits amount to whole requests. */
+export const namedLimitWindowMs = 4000;
+
+/** Computes the requests that this instance may send in `namedLimitWindowMs` to a target that takes `requestsPerS` from all instances together. */
+export function computeNamedLimitShare(targetHash: number, requestsPerS: number, fleet: FleetView): number {
+	// At least one request, since only a response tells that the limit has ended.
+	return computeShare(targetHash, Math.max(1, Math.floor(requestsPerS * namedLimitWindowMs / 1000)), fleet);
+}
+
 /** Computes the requests per second that this instance may send to a cold target. */
 export function computeColdShare(targetHash: number, ratePerS: number, fleet: FleetView): number {
 	return computeShare(targetHash, Math.max(1, Math.floor(ratePerS * usedColdRateFraction)), fleet);
@@ -56,15 +65,18 @@
 	return Math.max(minWarmShare, Math.floor(total * warmOvercommit / size));
 }
 
-function computeShare(targetHash: number, totalRate: number, {selfHash, memberHashes, size}: FleetView): number {
-	if (totalRate >= size) {
-		return Math.floor(totalRate / size);
+/** Divides `total` requests among the instances. */
+function computeShare(targetHash: number, total: number, {selfHash, memberHashes, size}: FleetView): number {
+	const base = Math.floor(total / size);
+	const remainder = total - (base * size);
+	if (remainder === 0) {
+		return base;
 	}
 
-	// Members that are missing from this list can make this instance rank too high, but never too low; `usedColdRateFraction` leaves a margin for that.
+	// Members that are missing from this list can make this instance rank too high, but never too low; both limits have a margin for that.
 	const ownRank = mixHashes(targetHash, selfHash);
 	const higherRankedCount = memberHashes.filter(hash => mixHashes(targetHash, hash) > ownRank).length;
-	return higherRankedCount < totalRate ? 1 : 0;
+	return higherRankedCount < remainder ? base + 1 : base;
 }
 
 /** Computes the hash of an instance or target for rankings. */
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -2,18 +2,18 @@
  * The targets as known to this instance: their registrations, the requests in
  * flight from this instance, their reported load and their health.
  */
-import {computeRankHash} from './cold-target-limits.js';
+import {
+	computeNamedLimitShare, computeRankHash, namedLimitWindowMs, type FleetView,
+} from './target-limits.js';
 import {factKind, type FactChange, type TargetRecord} from './directory.js';
-import type {SharedTargetLoad} from './peer-message.js';
+import type {SharedTargetLimit, SharedTargetLoad} from './peer-message.js';
 import {SlidingWindow} from './sliding-window.js';
 import {createHealth, type TargetHealth} from './target-health.js';
 
-/**
- * Window in which sends to a target are counted, in milliseconds: the limits
- * apply to one second at the target, and sends can arrive closer together than
- * they were sent.
- */
-const sendWindowMs = 1150;
+/** Time by which sends can arrive closer together at the target than they were sent, in milliseconds. */
+const arrivalSpreadMs = 150;
+/** Window in which sends to a target are counted, in milliseconds: the limits of cold targets apply to one second at the target. */
+const sendWindowMs = 1000 + arrivalSpreadMs;
 
 /** A load report of a target. */
 type ReportedLoad = {
@@ -24,8 +24,15 @@
 	readonly othersLoad: number;
 };
 
-/** The limit on requests that a target named, or that it named none. */
-type NamedLimit = {readonly at: number; readonly requestsPerS?: number};
+/** The limit on requests that a target named in its latest response. */
+type NamedLimit = {
+	/** Time of that response. */
+	readonly at: number;
+	/** Requests a second from all instances together; `undefined` if the target named no limit. */
+	readonly requestsPerS?: number;
+	/** Time of the latest response that named a limit. */
+	readonly limitedAt: number;
+};
 
 export type Target = {
 	record: TargetRecord;
@@ -35,6 +42,8 @@
 	/** Number of requests from this instance in flight at the target. */
 	inFlight: number;
 	readonly recentSends: SlidingWindow;
+	/** The sends that count for a limit that the target names, now or later. */
+	readonly recentLimitedSends: SlidingWindow;
 	/** Time until which the target counts as cold. */
 	coldUntil: number;
 	/** True if the target receives no new requests, because it is leaving or no longer registered. */
@@ -141,6 +150,7 @@
 		registeredAt: now,
 		inFlight: 0,
 		recentSends: new SlidingWindow(sendWindowMs),
+		recentLimitedSends: new SlidingWindow(namedLimitWindowMs + arrivalSpreadMs),
 		coldUntil: now + record.coldMs,
 		isGone: record.isLeaving,
 		isRegistered: true,
@@ -197,6 +207,7 @@
 export function recordSend(target: Target, now: number): void {
 	target.inFlight++;
 	target.recentSends.record(now);
+	target.recentLimitedSends.record(now);
 	if (target.health.isOnProbation) {
 		target.health.hasTrialInFlight = true;
 	}
@@ -212,13 +223,33 @@
 	target.reportedLoad = {at, load, othersLoad: Math.max(0, load - target.inFlight)};
 }
 
-/** Records the limit that a response named at time `at`, or that it named none; returns true if that differs from the known limit. */
-export function recordNamedLimit(target: Target, requestsPerS: number | undefined, at: number): boolean {
+/** Records the limit that a response at time `at` named, or that it named none; returns true if that changes the known limit. */
+export function recordNamedLimit(target: Target, {requestsPerS, at}: {readonly requestsPerS?: number; readonly at: number}): boolean {
 	const known = target.namedLimit;
-	target.namedLimit = {at, requestsPerS};
+	if (known !== undefined && at <= known.at) {
+		return false;
+	}
+
+	target.namedLimit = {at, requestsPerS, limitedAt: requestsPerS === undefined ? known?.limitedAt ?? Number.NEGATIVE_INFINITY : at};
 	return known?.requestsPerS !== requestsPerS;
 }
 
+/** Computes how many requests this instance may send to the target in `namedLimitWindowMs`; infinite if the target names no limit. */
+function computeNamedShare({namedLimit, hash}: Target, fleet: FleetView): number {
+	return namedLimit?.requestsPerS === undefined ? Number.POSITIVE_INFINITY : computeNamedLimitShare(hash, namedLimit.requestsPerS, fleet);
+}
+
+/** True if the limit that the target names, if any, allows this instance another request. */
+export function isWithinNamedLimit(target: Target, fleet: FleetView, now: number): boolean {
+	return target.namedLimit?.requestsPerS === undefined || target.recentLimitedSends.count(now) < computeNamedShare(target, fleet);
+}
+
+/** Finds the time from which the limit that the target names allows this instance another request; infinite if it never does. */
+export function findNamedLimitEnd(target: Target, fleet: FleetView, now: number): number {
+	const share = computeNamedShare(target, fleet);
+	return share === 0 ? Number.POSITIVE_INFINITY : target.recentLimitedSends.findFreeAt(share, now);
+}
+
 /** Age up to which load reports are shared with peers, in milliseconds. */
 const sharedLoadMaxAgeMs = 2000;
 /** Number of load reports in one message, the latest first: a choice by load would overstate the load of the pool. */
@@ -249,3 +280,35 @@
 		}
 	}
 }
+
+/** Time for which a named limit is shared with peers, and for which its end is, in milliseconds. */
+const sharedLimitMaxAgeMs = 10_000;
+/** Number of named limits in one message, the latest first. */
+const limitsPerMessage = 64;
+
+/** Describes the limits that targets named recently, and those that have ended, for peers. */
+export function describeNamedLimits({byId}: TargetState, now: number): SharedTargetLimit[] {
+	const limits: SharedTargetLimit[] = [];
+	for (const [targetId, {record, namedLimit}] of byId) {
+		if (namedLimit !== undefined && now - namedLimit.limitedAt <= sharedLimitMaxAgeMs) {
+			const {requestsPerS, at} = namedLimit;
+			limits.push({
+				targetId, bornAt: record.bornAt, requestsPerS, ageMs: Math.round(now - at),
+			});
+		}
+	}
+
+	return limits.sort((a, b) => a.ageMs - b.ageMs).slice(0, limitsPerMessage);
+}
+
+/** Applies the limits of a peer's message that are newer than the known ones; their ages are subtracted from `messageCreatedAt`. */
+export function applyNamedLimits({byId}: TargetState, limits: readonly SharedTargetLimit[], messageCreatedAt: number): void {
+	for (const {
+		targetId, bornAt, requestsPerS, ageMs,
+	} of limits) {
+		const target = byId.get(targetId);
+		if (target?.record.bornAt === bornAt) {
+			recordNamedLimit(target, {requestsPerS, at: messageCreatedAt - ageMs});
+		}
+	}
+}
--- a/packages/dispatch/src/test/fleet_test.ts
+++ b/packages/dispatch/src/test/fleet_test.ts
@@ -6,7 +6,7 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {effectKind, eventKind} from '../index.js';
-import {computeColdShare, computeRankHash, type FleetView} from '../lib/cold-target-limits.js';
+import {computeColdShare, computeRankHash, type FleetView} from '../lib/target-limits.js';
 import {computeFleetView} from '../lib/members.js';
 import {RetryBudget} from '../lib/retry-budget.js';
 import {createFleet, advanceFleet, takePeerCalls} from './fleet-fixture.js';
--- a/packages/dispatch/src/test/prompt_quarantine_test.ts
+++ b/packages/dispatch/src/test/prompt_quarantine_test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {effectKind, eventKind, sendOutcome} from '../index.js';
-import type {FleetView} from '../lib/cold-target-limits.js';
+import type {FleetView} from '../lib/target-limits.js';
 import {PromptQuarantine} from '../lib/prompt-quarantine.js';
 import {
 	createRoute, createTargetChange, createTargetRecord, GatewayFixture,
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -262,7 +262,7 @@
 			this.limitHeardAt.set(key, Math.max(this.now, node.pausedUntil));
 		}
 
-		return {load: this.#runs.filter(other => other.engine === engine).length, requestsPerS};
+		return {load: this.#runs.filter(other => other.engine === engine).length, requestsPerS, at: this.now};
 	}
 
 	#endRun(run: Run, outcome: typeof sendOutcome[keyof typeof sendOutcome]): void {
--- a/packages/dispatch/src/test/target_limits_test.ts
+++ b/packages/dispatch/src/test/target_limits_test.ts
@@ -4,7 +4,11 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createRoute} from './gateway-fixture.js';
+import {eventKind, effectKind, sendOutcome} from '../index.js';
+import {
+	createRoute, createTables, createTargetChange, createTargetRecord, GatewayFixture, onceRoute,
+} from './gateway-fixture.js';
+import {computeNamedLimitShare} from '../lib/target-limits.js';
 import {SimulatedFleet} from './simulated-fleet.js';
 
 /** Time after which all instances have to keep to a limit, in milliseconds. */
@@ -123,3 +127,114 @@
 		});
 	}
 }
+
+const desks = ['desk-1', 'desk-2'];
+
+/** Answers the last send; the response names a limit, or none. */
+function answerNamingLimit(gateway: GatewayFixture, requestsPerS: number | undefined, at = gateway.now): string {
+	const {openId, sendId, targetId} = gateway.takeLastSend();
+	gateway.handle({
+		kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.complete, detail: 'test', targetReport: {requestsPerS, at},
+	});
+	return targetId;
+}
+
+/** Creates an instance that every target has told its limit. */
+function createLimitedGateway(requestsPerS: number): GatewayFixture {
+	const gateway = new GatewayFixture().loadDirectory(desks, createTables());
+	while ([...gateway.state.targets.byId.values()].some(({namedLimit}) => namedLimit === undefined)) {
+		gateway.receiveRequest(onceRoute);
+		answerNamingLimit(gateway, requestsPerS);
+		gateway.advance(25);
+	}
+
+	return gateway;
+}
+
+/** Sends requests that are answered at once until one is refused; returns how many were sent to each target. */
+function countSends(gateway: GatewayFixture, most: number): Map<string, number> {
+	const counts = new Map<string, number>();
+	for (let count = 0; count < most; count++) {
+		gateway.receiveRequest(onceRoute);
+		const send = gateway.listSends().at(-1);
+		if (send === undefined) {
+			break;
+		}
+
+		const limit = gateway.state.targets.byId.get(send.targetId)!.namedLimit?.requestsPerS;
+		counts.set(answerNamingLimit(gateway, limit), (counts.get(send.targetId) ?? 0) + 1);
+		gateway.advance(25);
+	}
+
+	return counts;
+}
+
+test('a request is refused at once when the limits of all targets are used, with the time until one allows more', () => {
+	const gateway = createLimitedGateway(6);
+	countSends(gateway, 50);
+	gateway.receiveRequest(onceRoute);
+	const refusal = gateway.effects.find(effect => effect.kind === effectKind.refuse);
+	assert.equal(refusal?.failure.reason, 'targets-limited');
+	assert.equal(refusal.failure.status, 503);
+	const {retryAfterMs = 0} = refusal.failure;
+	assert.ok(retryAfterMs > 2000 && retryAfterMs < 4500, `${retryAfterMs} ms`);
+	gateway.advance(retryAfterMs);
+	gateway.receiveRequest(onceRoute);
+	assert.equal(gateway.listSends().length, 1);
+});
+
+test('a request goes to a target without a limit when the share of the others is used', () => {
+	const gateway = createLimitedGateway(6);
+	gateway.applyChanges(2, [createTargetChange(2, createTargetRecord('desk-3'))]);
+	const counts = countSends(gateway, 50);
+	assert.ok((counts.get('desk-3') ?? 0) >= 45, `${counts.get('desk-3')} of 50`);
+});
+
+test('a limit holds until a later response names another one or none, in whatever order responses are handled', () => {
+	const gateway = createLimitedGateway(0);
+	const {byId} = gateway.state.targets;
+	countSends(gateway, 10);
+	const target = byId.get('desk-1')!;
+	const named = target.namedLimit!;
+	gateway.advance(5000);
+	assert.deepEqual(target.namedLimit, named);
+	gateway.receiveRequest(onceRoute);
+	const send = gateway.listSends().at(-1);
+	if (send !== undefined) {
+		answerNamingLimit(gateway, undefined, named.at - 1);
+		assert.equal(byId.get(send.targetId)!.namedLimit!.requestsPerS, 0);
+	}
+
+	gateway.handle({
+		kind: eventKind.peerCalled, callId: 1, message: {...gateway.createPeerAnswer(), limits: [{targetId: 'desk-1', bornAt: 1, ageMs: 0}]},
+	});
+	assert.equal(target.namedLimit.requestsPerS, undefined);
+	assert.equal(countSends(gateway, 30).get('desk-1'), 30);
+});
+
+test('an instance keeps to a limit that it knows from a peer only, and forgets it when the target restarts', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1']);
+	const createMessage = (bornAt: number) => ({
+		...gateway.createPeerAnswer(), limits: [{
+			targetId: 'desk-1', bornAt, requestsPerS: 0.1, ageMs: 100,
+		}],
+	});
+	gateway.handle({kind: eventKind.peerCalled, callId: 1, message: createMessage(2)});
+	assert.equal(gateway.state.targets.byId.get('desk-1')!.namedLimit, undefined);
+	gateway.handle({kind: eventKind.peerCalled, callId: 1, message: createMessage(1)});
+	assert.ok([...countSends(gateway, 20).values()].every(count => count <= 1));
+	gateway.applyChanges(2, [createTargetChange(2, createTargetRecord('desk-1', {bornAt: 2}))]);
+	assert.equal(countSends(gateway, 20).get('desk-1'), 20);
+});
+
+test('a limit of less than one request for each instance is divided into whole requests (small limit, large fleet)', () => {
+	const memberHashes = Array.from({length: 195}, (_, index) => Math.imul(index + 1, 0x9E_37_79_B1) >>> 0); // eslint-disable-line no-bitwise
+	for (const [requestsPerS, expected] of [[0, 1], [0.4, 1], [3.1, 12], [60, 240]] as const) {
+		let total = 0;
+		for (const selfHash of memberHashes) {
+			total += computeNamedLimitShare(77, requestsPerS, {selfHash, memberHashes, size: 195});
+		}
+
+		assert.equal(total, expected);
+	}
+});
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -77,6 +77,9 @@
 	revision: isNumber,
 	directoryAgeMs: createOptionalCheck(isNumber),
 	loads: createListCheck(createObjectCheck({targetId: isString, load: isNumber, ageMs: isNumber})),
+	limits: createOptionalCheck(createListCheck(createObjectCheck({
+		targetId: isString, bornAt: isNumber, requestsPerS: createOptionalCheck(isNumber), ageMs: isNumber,
+	}))),
 	readings: createListCheck(createObjectCheck({
 		partIds: createListCheck(isString), targetId: isString, bornAt: isNumber, ageMs: isNumber,
 	})),
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {
-	RequestHead, DirectoryUpdate, Failure, SendEffect, TargetReport,
+	RequestHead, DirectoryUpdate, Failure, SendEffect, TargetStatement,
 } from '@sequoiatally/dispatch';
 import type {LifecycleManager} from '@sequoiatally/runtime';
 import type {Result} from 'neverthrow';
@@ -39,7 +39,7 @@
 	/** True if the response names the request that it belongs to. */
 	readonly isIdentified: boolean;
 	/** What the target states about itself; `undefined` if another process responded. */
-	readonly targetReport?: TargetReport;
+	readonly statement?: TargetStatement;
 };
 
 /** The protocol of targets. */
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -5,7 +5,7 @@
  */
 import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {
-	eventKind, sendOutcome, type Event, type SendEffect, type SendOutcome,
+	eventKind, sendOutcome, type Event, type SendEffect, type SendOutcome, type TargetReport,
 } from '@sequoiatally/dispatch';
 import {describeError} from '@sequoiatally/runtime';
 import {BufferBudget, type BufferAccount} from './buffer-budget.js';
@@ -89,6 +89,7 @@
 	/** Time at which the request was sent or the last event of the response arrived. */
 	#progressAt: number;
 	#responseHead?: ResponseHead;
+	#targetReport?: TargetReport;
 
 	constructor(send: SendEffect, caller: CallerExchange, options: TargetExchangeOptions) {
 		this.#send = send;
@@ -187,7 +188,8 @@
 		const {statusCode = 0, headers} = response;
 		const responseHead = this.#options.protocol.readResponseHead(statusCode, headers, this.#caller.head.requestId);
 		this.#responseHead = responseHead;
-		this.#recordActivity();
+		const at = this.#recordActivity();
+		this.#targetReport = responseHead.statement === undefined ? undefined : {...responseHead.statement, at};
 		response.on('error', error => {
 			this.#abort(this.#failureOutcome, describeError(error));
 		});
@@ -311,7 +313,7 @@
 			}
 
 			this.#options.emit({
-				kind: eventKind.answerStarted, openId, sendId, targetReport: this.#responseHead?.targetReport,
+				kind: eventKind.answerStarted, openId, sendId, targetReport: this.#targetReport,
 			});
 		}
 
@@ -367,7 +369,7 @@
 		this.#options.onEnd();
 		this.#options.emit({
 			kind: eventKind.sendEnded, openId: this.#send.openId, sendId: this.#send.sendId, outcome, detail,
-			lastEventId: this.#caller.lastEventId, targetReport: this.#hasDeliveredEvents ? undefined : this.#responseHead?.targetReport,
+			lastEventId: this.#caller.lastEventId, targetReport: this.#hasDeliveredEvents ? undefined : this.#targetReport,
 		});
 	}
 
