A limit in a response reaches the decisions once, with the time of its head (LIMIT)

A raw server names a limit in the head of a stream whose first event comes later. The report carries the time of the head, so that a response that began before a limit does not end it.

--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -26,9 +26,10 @@
 		return ['id', String(openId)];
 	}
 
-	override readResponseHead(status: number, {id}: IncomingHttpHeaders, requestId: string): ResponseHead {
+	override readResponseHead(status: number, {id, limit}: IncomingHttpHeaders, requestId: string): ResponseHead {
 		const isIdentified = id !== undefined;
-		return {kind: isIdentified && id !== requestId ? responseKind.stray : (status === 503 ? responseKind.notRun : responseKind.own), isIdentified};
+		const statement = {requestsPerS: limit === undefined ? undefined : Number(limit)};
+		return {kind: isIdentified && id !== requestId ? responseKind.stray : (status === 503 ? responseKind.notRun : responseKind.own), isIdentified, statement};
 	}
 
 	override selectResponseHeaders(): string[] {
@@ -343,3 +344,24 @@
 		server!.close();
 	}
 });
+
+test('a limit in a response is reported once, with the time at which the head was read (capped targets)', async () => {
+	await startTarget(async (socket, requestId) => {
+		socket.write(`HTTP/1.1 200 OK\r\nid: ${requestId}\r\nlimit: 3.1\r\ntransfer-encoding: chunked\r\n\r\n`);
+		await delay(60);
+		writeChunk(socket, 'id: 1\ndata: a\n\n');
+		await delay(20);
+		socket.write('0\r\n\r\n');
+	});
+	startSend({isStream: true});
+	await waitForEvent();
+	const startedAt = readMonotonicMs();
+	const [started] = events;
+	assert.ok(started?.kind === eventKind.answerStarted);
+	assert.equal(started.targetReport?.requestsPerS, 3.1);
+	assert.ok(startedAt - started.targetReport.at >= 40, 'the head was read before the first event');
+	await waitForEvent();
+	const ended = events.at(-1);
+	assert.ok(ended?.kind === eventKind.sendEnded);
+	assert.equal(ended.targetReport, undefined);
+});
