--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -29,7 +29,8 @@
 	override readResponseHead(status: number, {id, limit}: IncomingHttpHeaders, requestId: string): ResponseHead {
 		const isIdentified = id !== undefined;
 		const statement = {requestsPerS: limit === undefined ? undefined : Number(limit)};
-		return {kind: isIdentified && id !== requestId ? responseKind.stray : (status === 503 ? responseKind.notRun : responseKind.own), isIdentified, statement};
+		const ownKind = status === 503 ? responseKind.notRun : responseKind.own;
+		return {kind: isIdentified && id !== requestId ? responseKind.stray : ownKind, isIdentified, statement};
 	}
 
 	override selectResponseHeaders(): string[] {
@@ -365,3 +366,23 @@
 	assert.ok(ended?.kind === eventKind.sendEnded);
 	assert.equal(ended.targetReport, undefined);
 });
+
+test('a whole response with neither a length nor chunks that ends with its connection is delivered', async () => {
+	for (const isStream of [false, true]) {
+		await startTarget((socket, requestId) => {
+			socket.end(`HTTP/1.1 200 OK\r\nid: ${requestId}\r\nconnection: close\r\n\r\nid: 1\ndata: a\n\n`);
+		});
+		const caller = startSend({isStream});
+		await assertOutcome(sendOutcome.complete);
+		assert.equal(caller.received, isStream ? 'id: 1\ndata: a\n\n(end)' : 'id: 1\ndata: a\n\n');
+	}
+});
+
+test('a stream with neither a length nor chunks that ends inside an event is broken off', async () => {
+	await startTarget((socket, requestId) => {
+		socket.end(`HTTP/1.1 200 OK\r\nid: ${requestId}\r\nconnection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\nda`);
+	});
+	const caller = startSend({isStream: true});
+	await assertOutcome(sendOutcome.interrupted);
+	assert.equal(caller.received, 'id: 1\ndata: a\n\n');
+});
