--- a/packages/dispatch/src/lib/prompt-quarantine.ts
+++ b/packages/dispatch/src/lib/prompt-quarantine.ts
@@ -134,13 +134,14 @@
 		}
 	}
 
-	/** Applies the suspects of a peer's message, whose ages are subtracted from `messageCreatedAt`; returns true if they contain unknown crashes of parts that are not cleared. */
+	/** Applies the suspects of a peer's message, whose ages are subtracted from `messageCreatedAt`; returns true if they contain unknown and recent crashes of parts that are not cleared. */
 	applyShared(suspects: readonly SharedSuspect[], messageCreatedAt: number, now: number): boolean {
 		let hasNews = false;
 		for (const {partId, crashes, begunAgeMs} of suspects.slice(0, suspectsPerMessage)) {
 			for (const {targetId, bornAt, ageMs} of crashes.slice(0, crashesPerSuspect)) {
-				if (this.#addCrash(partId, describeProcess({id: targetId, bornAt}), messageCreatedAt - ageMs, now)) {
-					hasNews ||= !isCleared(this.#suspects.get(partId)!);
+				const at = messageCreatedAt - ageMs;
+				if (this.#addCrash(partId, describeProcess({id: targetId, bornAt}), at, now)) {
+					hasNews ||= now - at <= passOnMs && !isCleared(this.#suspects.get(partId)!);
 				}
 			}
 
@@ -223,7 +224,7 @@
 		});
 	}
 
-	/** Returns false if the crash is known or too old. */
+	/** Adds a crash of a part; returns false if it is known or too old. */
 	#addCrash(partId: string, process: string, at: number, now: number): boolean {
 		if (now - at >= retentionMs) {
 			return false;
@@ -240,14 +241,18 @@
 			return false;
 		}
 
+		if (suspect.crashes.size >= crashesPerSuspect) {
+			const [oldestProcess, oldestAt] = [...suspect.crashes].sort(([, a], [, b]) => a - b)[0]!;
+			if (at <= oldestAt) {
+				return false;
+			}
+
+			suspect.crashes.delete(oldestProcess);
+		}
+
 		suspect.crashes.set(process, at);
 		suspect.changedAt = now;
 		this.#nextUpdateAt = 0;
-		if (suspect.crashes.size > crashesPerSuspect) {
-			const [oldest] = [...suspect.crashes].sort(([, a], [, b]) => a - b);
-			suspect.crashes.delete(oldest![0]);
-		}
-
 		return true;
 	}
 
@@ -338,17 +343,12 @@
 	/** Lists parts with more crashes than chance explains, apart from those in `explained`. */
 	#listCandidates(explained: ReadonlySet<string>, now: number): Candidate[] {
 		const candidates: Candidate[] = [];
-		// Without any response, the pool fails as a whole.
-		if (this.#responses.count(now) === 0) {
-			return candidates;
-		}
-
 		for (const [id, suspect] of this.#suspects) {
 			const crashes = listOpenCrashes(suspect).filter(([process]) => !explained.has(process));
 			const times = crashes.map(([, at]) => at);
 			const count = countEpisodes(times);
 			const minCount = this.#hasBegun(id) ? minCrashesOfServedPart : minCrashes;
-			const requiredCount = count < minCount ? minCount : Math.max(minCount, this.#computeRequiredCount(id, now));
+			const requiredCount = count < minCount ? minCount : Math.max(minCount, this.#computeUnlikelyCount(id, now));
 			if (count >= requiredCount) {
 				const processes = crashes.map(([process]) => process).sort();
 				candidates.push({
@@ -361,9 +361,15 @@
 	}
 
 	/** Computes the number of crashes in a row that chance does not explain, from the fraction of requests without the part that crashes cost this instance. */
-	#computeRequiredCount(partId: string, now: number): number {
+	#computeUnlikelyCount(partId: string, now: number): number {
 		const losses = this.#recentLosses.filter(({partIds}) => !partIds.includes(partId)).length;
-		const lossFraction = losses / (losses + this.#responses.count(now) + assumedResponseCount);
+		const responses = this.#responses.count(now);
+		if (losses > 0 && responses === 0) {
+			// The pool fails as a whole.
+			return Number.POSITIVE_INFINITY;
+		}
+
+		const lossFraction = losses / (losses + responses + assumedResponseCount);
 		return lossFraction === 0 ? 0 : Math.ceil(Math.log(maxChance) / Math.log(lossFraction));
 	}
 }
--- a/packages/dispatch/src/test/prompt_quarantine_test.ts
+++ b/packages/dispatch/src/test/prompt_quarantine_test.ts
@@ -111,10 +111,30 @@
 	recordCrashes(busy, ['unlucky'], 4);
 	assert.equal(busy.findQuarantine(['unlucky']), undefined);
 	const failing = new PromptQuarantine();
+	failing.recordCrash(['other'], {id: 'engine-other', bornAt: 1}, start, start);
 	recordCrashes(failing, ['hot'], 8);
 	assert.equal(failing.size, 0);
 });
 
+test('an instance without requests of its own convicts a part by what its peers report', () => {
+	const quarantine = new PromptQuarantine();
+	quarantine.applyShared([{partId: 'bad', crashes: [1, 2].map(bornAt => ({targetId: 'engine-1', bornAt, ageMs: bornAt * 1000}))}], start, start);
+	quarantine.update(start);
+	assert.notEqual(quarantine.findQuarantine(['bad']), undefined);
+});
+
+test('crashes beyond the number that is kept are no news when peers report them again', () => {
+	const [first, second] = [createQuarantine(), createQuarantine()];
+	const now = recordCrashes(first, ['bad'], 20) + 100;
+	recordCrashes(second, ['bad'], 20, start + 300);
+	for (const [from, to] of [[first, second], [second, first], [first, second]] as const) {
+		to.applyShared(from.describe(now), now, now);
+	}
+
+	assert.equal(first.applyShared(second.describe(now), now, now), false);
+	assert.equal(second.applyShared(first.describe(now), now, now), false);
+});
+
 test('a crash that several instances report counts once, and a restart under the same id is another process', () => {
 	const quarantine = createQuarantine();
 	const report = (bornAt: number, ageMs: number) => [{partId: 'bad', crashes: [{targetId: 'engine-1', bornAt, ageMs}]}];
