--- a/packages/dispatch/src/lib/reduce-quarantine.ts
+++ b/packages/dispatch/src/lib/reduce-quarantine.ts
@@ -71,7 +71,7 @@
 	updateQuarantine(step);
 }
 
-/** Logs what the quarantine has changed since the last call. */
+/** Evaluates the suspects, and logs which parts are quarantined or released. */
 export function updateQuarantine(step: Step): void {
 	const {state, now} = step;
 	const {quarantined, released} = state.quarantine.update(now);
