A sliding window that is never counted no longer grows

A window freed the memory of expired events only when it was counted. Recording an event now frees expired ones too.

--- a/packages/dispatch/src/lib/sliding-window.ts
+++ b/packages/dispatch/src/lib/sliding-window.ts
@@ -13,7 +13,13 @@
 		this.#windowMs = windowMs;
 	}
 
+	/** Number of events in memory, including some that have expired. */
+	get storedCount(): number {
+		return this.#times.length;
+	}
+
 	record(now: number): void {
+		this.#removeExpired(now);
 		this.#times.push(now);
 	}
 
@@ -25,6 +31,12 @@
 
 	/** Counts the events of the window that ends at `now`. */
 	count(now: number): number {
+		this.#removeExpired(now);
+		return this.#times.length - this.#start;
+	}
+
+	/** Skips expired events, and frees their memory when they are the larger part. */
+	#removeExpired(now: number): void {
 		const oldest = now - this.#windowMs;
 		while (this.#start < this.#times.length && this.#times[this.#start]! <= oldest) {
 			this.#start++;
@@ -34,7 +46,5 @@
 			this.#times = this.#times.slice(this.#start);
 			this.#start = 0;
 		}
-
-		return this.#times.length - this.#start;
 	}
 }
