One eviction of old entries, one rank in the fleet, and less state for crash checks

Four maps evicted their oldest entries with the same loop, and the quarantine counted higher ranked instances as the limits of targets do: evictOldest and countHigherRanked now serve all. A crash check no longer copies the start of the process, and its result no longer carries an address that nothing read. The limit of a prompt's preferred target is computed only if another target is chosen. The two tests in virtual time share their draws.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,6 +5,7 @@
 export * from './lib/directory.js';
 export * from './lib/effect.js';
 export * from './lib/event.js';
+export * from './lib/evict-oldest.js';
 export * from './lib/failure.js';
 export type * from './lib/peer-message.js';
 export * from './lib/reducer.js';
--- a/packages/dispatch/src/lib/cache-holders.ts
+++ b/packages/dispatch/src/lib/cache-holders.ts
@@ -8,6 +8,7 @@
  * copied and the target reads the part itself.
  */
 import type {PromptPart} from './event.js';
+import {evictOldest} from './evict-oldest.js';
 import type {SharedCacheEntry} from './peer-message.js';
 import {listSharedParts} from './prompt.js';
 import type {Target} from './target-state.js';
@@ -82,12 +83,6 @@
 			this.#byPart.set(id, holders.slice(-holdersPerPart));
 		}
 
-		for (const id of this.#byPart.keys()) {
-			if (this.#byPart.size <= partLimit) {
-				break;
-			}
-
-			this.#byPart.delete(id);
-		}
+		evictOldest(this.#byPart, partLimit);
 	}
 }
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -119,7 +119,6 @@
 export type TargetCheckedEvent = {
 	readonly kind: typeof eventKind.targetChecked;
 	readonly targetId: string;
-	readonly address: string;
 	/** False if the address refused the connection, `undefined` if it did not respond. */
 	readonly isListening?: boolean;
 };
--- a/packages/dispatch/src/lib/failure-reports.ts
+++ b/packages/dispatch/src/lib/failure-reports.ts
@@ -6,6 +6,7 @@
  * Lost responses are not reported: an engine that loses a few still holds its prompts,
  * and to read these elsewhere costs more than the responses.
  */
+import {evictOldest} from './evict-oldest.js';
 import type {SharedFailure} from './peer-message.js';
 import {eject} from './target-health.js';
 import type {Target, TargetState} from './target-state.js';
@@ -51,14 +52,7 @@
 		}
 
 		this.#reports.set(id, report);
-		for (const [oldestId] of this.#reports) {
-			if (this.#reports.size <= reportLimit) {
-				break;
-			}
-
-			this.#reports.delete(oldestId);
-		}
-
+		evictOldest(this.#reports, reportLimit);
 		return true;
 	}
 
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -122,11 +122,10 @@
 		?? findFirstRanked(warm, keyHash)
 		?? findFirstRanked(belowLimit, keyHash)
 		?? chooseLeastLoaded(view, candidates, load, requestId);
-	const isWithinLimit = isWithinNamedLimit(preferred, view.fleet, now);
 	const preferredSkipReason = target === preferred
 		? undefined
 		: explainSkip(preferred, {
-			usable, candidates, triedTargetIds, isWithinLimit,
+			usable, candidates, triedTargetIds, isWithinLimit: isWithinNamedLimit(preferred, view.fleet, now),
 		});
 	return {
 		target, load: load.estimate(target), meanLoad: load.mean, preferredSkipReason,
--- a/packages/dispatch/src/lib/prompt-quarantine.ts
+++ b/packages/dispatch/src/lib/prompt-quarantine.ts
@@ -2,20 +2,21 @@
  * Finds prompt parts that crash the targets that respond to them ("query of death"), and
  * withholds requests with such a part.
  *
- * A crash ends all requests at its target, so that every part of a request that had not
- * begun to be answered is suspect. A part is cleared by a response that begins anywhere in
- * the fleet. It is quarantined after several crashes without such a response, if the
- * fraction of other requests that crashes cost does not explain them. Parts that were
+ * A crash ends all requests at its target, so that every part of a request to which no
+ * response had begun is suspect. A part is cleared by a response that begins anywhere in
+ * the fleet. It is quarantined after several crashes without such a response, unless so
+ * many other requests are lost in crashes that chance may explain them. Parts that were
  * present at the same crashes are quarantined together: only requests with all of them are
  * withheld.
  *
  * All instances exchange crashes and clearances. Both merge to the same state in any order,
  * and a crash that several instances report counts once.
  */
-import {hashText, mixHashes} from '@sequoiatally/core';
-import type {FleetView} from './target-limits.js';
+import {hashText} from '@sequoiatally/core';
+import {evictOldest} from './evict-oldest.js';
 import type {SharedSuspect} from './peer-message.js';
 import {SlidingWindow} from './sliding-window.js';
+import {countHigherRanked, type FleetView} from './target-limits.js';
 
 /**
  * Number of crashes without a response after which a part is quarantined, if hardly any
@@ -36,7 +37,7 @@
 const maxQuarantineMs = 600_000;
 /** Time after which the number of instances that may try a part doubles if no instance has received a request with it, in milliseconds. */
 const trialSlotMs = 2000;
-/** Time between two evaluations of the suspects without news, in milliseconds. */
+/** Time between two evaluations of the suspects while no crash is added, in milliseconds. */
 const updateIntervalMs = 250;
 /** Time before the detection of a crash in which a response clears a part, in milliseconds: detection takes time. */
 const clearanceMarginMs = 500;
@@ -117,13 +118,7 @@
 			}
 		}
 
-		for (const [oldestId] of this.#begunAt) {
-			if (this.#begunAt.size <= begunPartLimit) {
-				break;
-			}
-
-			this.#begunAt.delete(oldestId);
-		}
+		evictOldest(this.#begunAt, begunPartLimit);
 	}
 
 	/** Records that a target crashed at time `at` while it had not begun to respond to a request with these parts. */
@@ -136,12 +131,12 @@
 
 	/** Applies the suspects of a peer's message, whose ages are subtracted from `messageCreatedAt`; returns true if they contain unknown and recent crashes of parts that are not cleared. */
 	applyShared(suspects: readonly SharedSuspect[], messageCreatedAt: number, now: number): boolean {
-		let hasNews = false;
+		let hasUnknownCrash = false;
 		for (const {partId, crashes, begunAgeMs} of suspects.slice(0, suspectsPerMessage)) {
 			for (const {targetId, bornAt, ageMs} of crashes.slice(0, crashesPerSuspect)) {
 				const at = messageCreatedAt - ageMs;
 				if (this.#addCrash(partId, describeProcess({id: targetId, bornAt}), at, now)) {
-					hasNews ||= now - at <= passOnMs && !isCleared(this.#suspects.get(partId)!);
+					hasUnknownCrash ||= now - at <= passOnMs && !isCleared(this.#suspects.get(partId)!);
 				}
 			}
 
@@ -151,7 +146,7 @@
 			}
 		}
 
-		return hasNews;
+		return hasUnknownCrash;
 	}
 
 	/** Describes the suspects for peers: first those with most crashes. */
@@ -199,16 +194,13 @@
 	 * has to send. One instance may when the quarantine ends, and twice as many after each
 	 * further slot, so that few try at the same time.
 	 */
-	claimTrial(quarantine: Quarantine, {selfHash, memberHashes}: FleetView, now: number): boolean {
+	claimTrial(quarantine: Quarantine, fleet: FleetView, now: number): boolean {
 		const overdueMs = now - quarantine.until;
 		if (overdueMs < 0 || quarantine.triedAt >= quarantine.until) {
 			return false;
 		}
 
-		const partHash = hashText(quarantine.key);
-		const ownRank = mixHashes(partHash, selfHash);
-		const higherRankedCount = memberHashes.filter(hash => mixHashes(partHash, hash) > ownRank).length;
-		if (higherRankedCount >= 2 ** Math.floor(overdueMs / trialSlotMs)) {
+		if (countHigherRanked(hashText(quarantine.key), fleet) >= 2 ** Math.floor(overdueMs / trialSlotMs)) {
 			return false;
 		}
 
@@ -365,7 +357,7 @@
 		const losses = this.#recentLosses.filter(({partIds}) => !partIds.includes(partId)).length;
 		const responses = this.#responses.count(now);
 		if (losses > 0 && responses === 0) {
-			// The pool fails as a whole.
+			// All targets that this instance uses fail.
 			return Number.POSITIVE_INFINITY;
 		}
 
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -234,7 +234,7 @@
 	}
 
 	if (state.quarantine.applyShared(message.suspects ?? [], messageCreatedAt, now) && state.isWatching) {
-		state.hasCrashNews = true;
+		state.hasUnreportedCrash = true;
 	}
 
 	// An instance that received updates throughout knows that the platform was available.
@@ -299,7 +299,7 @@
 		callNextPeer(step, watchers);
 	}
 
-	if (state.hasCrashNews && now >= state.nextNoticeAt) {
+	if (state.hasUnreportedCrash && now >= state.nextNoticeAt) {
 		notifyOfCrash(step, watchers);
 	}
 }
@@ -342,7 +342,7 @@
 /** Reports crashes to peers at once: to watchers, which forward them, since every instance calls a watcher often. */
 function notifyOfCrash(step: Step, {others}: Watchers): void {
 	const {state, now} = step;
-	state.hasCrashNews = false;
+	state.hasUnreportedCrash = false;
 	state.nextNoticeAt = now + noticeIntervalMs;
 	if (others.length === 0) {
 		callPeers(step, choosePeers(state.members, state.self.address, noticeCount, state.random));
--- a/packages/dispatch/src/lib/reduce-quarantine.ts
+++ b/packages/dispatch/src/lib/reduce-quarantine.ts
@@ -36,16 +36,14 @@
 	}
 
 	const loss = {partIds, at: now};
-	const {id, address, bornAt} = target.record;
+	const {id, address} = target.record;
 	const pending = state.crashChecks.get(id);
 	if (pending?.target === target) {
 		pending.losses.push(loss);
 		return;
 	}
 
-	state.crashChecks.set(id, {
-		target, bornAt, sendId, losses: [loss],
-	});
+	state.crashChecks.set(id, {target, sendId, losses: [loss]});
 	effects.push({kind: effectKind.checkTarget, targetId: id, address});
 }
 
@@ -58,16 +56,14 @@
 		return;
 	}
 
-	const {
-		target, bornAt, sendId, losses,
-	} = check;
+	const {target, sendId, losses} = check;
 	for (const {partIds, at} of losses) {
-		state.quarantine.recordCrash(partIds, {id: targetId, bornAt}, at, now);
+		state.quarantine.recordCrash(partIds, target.record, at, now);
 	}
 
 	recordLog(step, 'target-crashed', {target: targetId, suspects: losses.map(({partIds}) => partIds)}, logLevel.warn);
 	recordNoProcess(step, target, sendId);
-	state.hasCrashNews = true;
+	state.hasUnreportedCrash = true;
 	updateQuarantine(step);
 }
 
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -71,7 +71,6 @@
 /** A check whether a target has crashed, with the requests that were lost there before it began to respond to them. */
 type CrashCheck = {
 	readonly target: Target;
-	readonly bornAt: number;
 	/** The first of the lost sends. */
 	readonly sendId: number;
 	readonly losses: Array<{readonly partIds: readonly string[]; readonly at: number}>;
@@ -108,8 +107,8 @@
 	readonly quarantine: PromptQuarantine;
 	/** Checks in progress by target. */
 	crashChecks: Map<string, CrashCheck>;
-	/** True if peers have to learn soon about crashes. */
-	hasCrashNews: boolean;
+	/** True if crashes became known that peers have not been notified of. */
+	hasUnreportedCrash: boolean;
 	/** Time from which peers may be notified of crashes again. */
 	nextNoticeAt: number;
 	openRequests: Map<number, OpenRequest>;
@@ -146,7 +145,7 @@
 		failureReports: new FailureReports(),
 		quarantine: new PromptQuarantine(),
 		crashChecks: new Map(),
-		hasCrashNews: false,
+		hasUnreportedCrash: false,
 		nextNoticeAt: 0,
 		openRequests: new Map(),
 		queuedRequests: new Set(),
--- a/packages/dispatch/src/lib/target-limits.ts
+++ b/packages/dispatch/src/lib/target-limits.ts
@@ -66,17 +66,17 @@
 }
 
 /** Divides `total` requests among the instances. */
-function computeShare(targetHash: number, total: number, {selfHash, memberHashes, size}: FleetView): number {
-	const base = Math.floor(total / size);
-	const remainder = total - (base * size);
-	if (remainder === 0) {
-		return base;
-	}
+function computeShare(targetHash: number, total: number, fleet: FleetView): number {
+	const base = Math.floor(total / fleet.size);
+	const remainder = total - (base * fleet.size);
+	// Members that are missing from the list can make this instance rank too high, but never too low; both limits have a margin for that.
+	return remainder > 0 && countHigherRanked(targetHash, fleet) < remainder ? base + 1 : base;
+}
 
-	// Members that are missing from this list can make this instance rank too high, but never too low; both limits have a margin for that.
-	const ownRank = mixHashes(targetHash, selfHash);
-	const higherRankedCount = memberHashes.filter(hash => mixHashes(targetHash, hash) > ownRank).length;
-	return higherRankedCount < remainder ? base + 1 : base;
+/** Counts the instances that rank higher than this one for the subject with hash `keyHash`; instances with equal member lists agree on the order. */
+export function countHigherRanked(keyHash: number, {selfHash, memberHashes}: FleetView): number {
+	const ownRank = mixHashes(keyHash, selfHash);
+	return memberHashes.filter(hash => mixHashes(keyHash, hash) > ownRank).length;
 }
 
 /** Computes the hash of an instance or target for rankings. */
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -241,7 +241,7 @@
 
 /** True if the limit that the target names, if any, allows this instance another request. */
 export function isWithinNamedLimit(target: Target, fleet: FleetView, now: number): boolean {
-	return target.namedLimit?.requestsPerS === undefined || target.recentLimitedSends.count(now) < computeNamedShare(target, fleet);
+	return target.recentLimitedSends.count(now) < computeNamedShare(target, fleet);
 }
 
 /** Finds the time from which the limit that the target names allows this instance another request; infinite if it never does. */
--- a/packages/dispatch/src/test/crashing_prompts_test.ts
+++ b/packages/dispatch/src/test/crashing_prompts_test.ts
@@ -45,20 +45,15 @@
 	});
 	const {random} = fleet;
 	let turn = 0;
-	const drawCount = (perSecond: number) => {
-		const mean = perSecond * 0.025;
-		return Math.floor(mean) + (random() < mean % 1 ? 1 : 0);
-	};
-
 	const sendSound = () => {
-		for (let count = drawCount(requestsPerSecond); count > 0; count--) {
+		for (let count = fleet.drawCount(requestsPerSecond); count > 0; count--) {
 			const first = Math.floor(random() * 8);
 			fleet.sendRequest(route, [`first-${first}`, `chat-${first}-${Math.floor(random() * 10)}`, `turn-${turn++}`]);
 		}
 	};
 
 	const sendCrashing = () => {
-		for (let count = drawCount(crashingPerSecond); count > 0; count--) {
+		for (let count = fleet.drawCount(crashingPerSecond); count > 0; count--) {
 			const first = Math.floor(random() * 8);
 			const prompt = random() < 0.5
 				? [`first-${first}`, crashingPart, `turn-${turn++}`]
@@ -68,17 +63,8 @@
 	};
 
 	const interrupt = () => {
-		const running = fleet.listRunning();
-		for (let count = drawCount(interruptionsPerSecond); count > 0; count--) {
-			const node = running[Math.floor(random() * running.length)]!;
-			if (random() < 0.5) {
-				fleet.pause(node, 500 + (random() * 2500));
-			} else {
-				fleet.restart(node, 500 + (random() * 1500));
-			}
-		}
-
-		fleet.crashEngines(drawCount(otherCrashesPerSecond));
+		fleet.interruptInstances(interruptionsPerSecond);
+		fleet.crashEngines(fleet.drawCount(otherCrashesPerSecond));
 		if (killsAll && fleet.now === troubleStartedAt + (troubleMs / 2)) {
 			for (const node of fleet.nodes) {
 				fleet.restart(node, 700 + (random() * 300));
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -149,6 +149,25 @@
 		this.#drainEffects(node);
 	}
 
+	/** Draws how many of the events that happen `perSecond` times a second on average fall into one step. */
+	drawCount(perSecond: number): number {
+		const mean = perSecond * stepMs / 1000;
+		return Math.floor(mean) + (this.random() < mean % 1 ? 1 : 0);
+	}
+
+	/** Pauses or restarts running instances, `perSecond` of them a second on average. */
+	interruptInstances(perSecond: number): void {
+		const running = this.listRunning();
+		for (let count = this.drawCount(perSecond); count > 0; count--) {
+			const node = running[Math.floor(this.random() * running.length)]!;
+			if (this.random() < 0.5) {
+				this.pause(node, 500 + (this.random() * 2500));
+			} else {
+				this.restart(node, 500 + (this.random() * 1500));
+			}
+		}
+	}
+
 	/** Suspends an instance for `durationMs`. */
 	pause(node: Node, durationMs: number): void {
 		node.pausedUntil = this.now + durationMs;
@@ -327,13 +346,13 @@
 			}
 
 			case effectKind.checkTarget: {
-				const {targetId, address} = effect;
+				const {targetId} = effect;
 				const {gateway} = node;
 				this.#schedule(stepMs, () => {
 					if (node.gateway === gateway && node.pausedUntil <= this.now) {
 						gateway.now = this.now;
 						gateway.handle({
-							kind: eventKind.targetChecked, targetId, address, isListening: this.#engines.get(targetId)?.isRunning ?? false,
+							kind: eventKind.targetChecked, targetId, isListening: this.#engines.get(targetId)?.isRunning ?? false,
 						});
 						this.#drainEffects(node);
 					}
--- a/packages/dispatch/src/test/target_limits_test.ts
+++ b/packages/dispatch/src/test/target_limits_test.ts
@@ -49,26 +49,13 @@
 		gatewayCount, engineCount, seed, callLoss,
 	});
 	let turn = 0;
-	const drawCount = (perSecond: number) => {
-		const mean = perSecond * 0.025;
-		return Math.floor(mean) + (fleet.random() < mean % 1 ? 1 : 0);
-	};
-
 	const onStep = () => {
-		for (let count = drawCount(requestsPerSecond); count > 0; count--) {
+		for (let count = fleet.drawCount(requestsPerSecond); count > 0; count--) {
 			const first = Math.floor(fleet.random() * 8);
 			fleet.sendRequest(route, [`first-${first}`, `chat-${first}-${Math.floor(fleet.random() * 20)}`, `turn-${turn++}`]);
 		}
 
-		const running = fleet.listRunning();
-		for (let count = drawCount(interruptionsPerSecond); count > 0; count--) {
-			const node = running[Math.floor(fleet.random() * running.length)]!;
-			if (fleet.random() < 0.5) {
-				fleet.pause(node, 500 + (fleet.random() * 2500));
-			} else {
-				fleet.restart(node, 500 + (fleet.random() * 1500));
-			}
-		}
+		fleet.interruptInstances(interruptionsPerSecond);
 	};
 
 	fleet.advance(5000);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -196,9 +196,7 @@
 
 	#checkTarget({targetId, address}: CheckTargetEffect): void {
 		this.#pool.check(address, isListening => {
-			this.handle({
-				kind: eventKind.targetChecked, targetId, address, isListening,
-			});
+			this.handle({kind: eventKind.targetChecked, targetId, isListening});
 		});
 	}
 
--- a/packages/gateway/src/lib/target-activity.ts
+++ b/packages/gateway/src/lib/target-activity.ts
@@ -2,6 +2,7 @@
  * Remembers when each target last responded, so that a silent request can be told apart
  * from a silent target.
  */
+import {evictOldest} from '@sequoiatally/dispatch';
 
 /** Number of addresses that are remembered; the one that responded longest ago is forgotten first. */
 const addressLimit = 2048;
@@ -14,13 +15,7 @@
 	record(address: string, now: number): void {
 		this.#timeByAddress.delete(address);
 		this.#timeByAddress.set(address, now);
-		for (const oldest of this.#timeByAddress.keys()) {
-			if (this.#timeByAddress.size <= addressLimit) {
-				break;
-			}
-
-			this.#timeByAddress.delete(oldest);
-		}
+		evictOldest(this.#timeByAddress, addressLimit);
 	}
 
 	/** Finds the time at which the target last responded; `undefined` if it is not known. */
