--- a/packages/dispatch/src/test/prompt_quarantine_test.ts
+++ b/packages/dispatch/src/test/prompt_quarantine_test.ts
@@ -90,7 +90,7 @@
 	}
 });
 
-test('half of a pool that crashes at once convicts no part (rack, kill of all targets)', () => {
+test('half of a pool that crashes at once quarantines no part (rack, kill of all targets)', () => {
 	const quarantine = createQuarantine();
 	for (let index = 0; index < 20; index++) {
 		const at = start + (index * 10);
@@ -101,7 +101,7 @@
 	assert.equal(quarantine.size, 0);
 });
 
-test('when crashes cost many requests, more of them are needed to convict a part, and without any response none is convicted', () => {
+test('when crashes cost many requests, more of them are needed to quarantine a part, and without any response none is quarantined', () => {
 	const busy = createQuarantine();
 	for (let index = 0; index < 30; index++) {
 		busy.recordCrash([`chat-${index}`], {id: `engine-${index}`, bornAt: 1}, start, start);
@@ -116,14 +116,14 @@
 	assert.equal(failing.size, 0);
 });
 
-test('an instance without requests of its own convicts a part by what its peers report', () => {
+test('an instance without requests of its own quarantines a part by what its peers report', () => {
 	const quarantine = new PromptQuarantine();
 	quarantine.applyShared([{partId: 'bad', crashes: [1, 2].map(bornAt => ({targetId: 'engine-1', bornAt, ageMs: bornAt * 1000}))}], start, start);
 	quarantine.update(start);
 	assert.notEqual(quarantine.findQuarantine(['bad']), undefined);
 });
 
-test('crashes beyond the number that is kept are no news when peers report them again', () => {
+test('crashes beyond the number that is kept are not new when peers report them again', () => {
 	const [first, second] = [createQuarantine(), createQuarantine()];
 	const now = recordCrashes(first, ['bad'], 20) + 100;
 	recordCrashes(second, ['bad'], 20, start + 300);
@@ -176,12 +176,12 @@
 	const crashedAt = recordCrashes(quarantine, ['bad'], 2);
 	peer.applyShared(quarantine.describe(crashedAt), crashedAt, crashedAt);
 	peer.update(crashedAt);
-	const convicted = quarantine.findQuarantine(['bad'])!;
+	const quarantined = quarantine.findQuarantine(['bad'])!;
 	const dueAt = crashedAt + 30_000;
-	assert.equal(convicted.until, dueAt);
-	assert.equal(quarantine.claimTrial(convicted, alone, dueAt - 1), false);
-	assert.equal(quarantine.claimTrial(convicted, alone, dueAt), true);
-	assert.equal(quarantine.claimTrial(convicted, alone, dueAt + 1), false);
+	assert.equal(quarantined.until, dueAt);
+	assert.equal(quarantine.claimTrial(quarantined, alone, dueAt - 1), false);
+	assert.equal(quarantine.claimTrial(quarantined, alone, dueAt), true);
+	assert.equal(quarantine.claimTrial(quarantined, alone, dueAt + 1), false);
 
 	quarantine.recordBegun(['other'], dueAt);
 	quarantine.recordCrash(['bad'], {id: 'engine-again', bornAt: 1}, dueAt + 100, dueAt + 100);
@@ -201,15 +201,15 @@
 	const countTrials = (overdueMs: number) => memberHashes.filter(selfHash => {
 		const quarantine = createQuarantine();
 		recordCrashes(quarantine, ['bad'], 3);
-		const convicted = quarantine.findQuarantine(['bad'])!;
-		return quarantine.claimTrial(convicted, {selfHash, memberHashes, size: 195}, convicted.until + overdueMs);
+		const quarantined = quarantine.findQuarantine(['bad'])!;
+		return quarantine.claimTrial(quarantined, {selfHash, memberHashes, size: 195}, quarantined.until + overdueMs);
 	}).length;
 	assert.equal(countTrials(0), 1);
 	assert.equal(countTrials(2000), 2);
 	assert.equal(countTrials(16_000), 195);
 });
 
-test('suspects are bounded under many forged parts, and a convicted part outlasts them', () => {
+test('suspects are bounded under many forged parts, and a quarantined part outlasts them', () => {
 	const quarantine = createQuarantine();
 	const at = recordCrashes(quarantine, ['bad'], 3);
 	for (let index = 0; index < 2000; index++) {
@@ -260,7 +260,7 @@
 	assert.equal(gateway.listSends().length, 1);
 });
 
-test('responses that are lost while their targets still listen, or do not respond to a check, convict no part (broken streams, resets, frozen targets)', () => {
+test('responses that are lost while their targets still listen, or do not respond to a check, quarantine no part (broken streams, resets, frozen targets)', () => {
 	for (const isListening of [true, undefined]) {
 		const gateway = new GatewayFixture().loadDirectory(engines);
 		loseResponses(gateway, 6, isListening);
@@ -269,7 +269,7 @@
 	}
 });
 
-test('a crash in the middle of a response convicts no part', () => {
+test('a crash in the middle of a response quarantines no part', () => {
 	const gateway = new GatewayFixture().loadDirectory(engines);
 	const openId = gateway.receiveRequest(createRoute(), {prompt});
 	const {sendId} = gateway.takeLastSend();
