--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory.ts
@@ -156,6 +156,8 @@
 	readonly changes: readonly FactChange[];
 	/** Facts that were written again with the same content. */
 	readonly renewals: readonly FactChange[];
+	/** Facts that were ignored although their content differs from the known facts, because these have a later revision. */
+	readonly ignored: readonly FactChange[];
 	/** True if revisions are missing between the directory and the update, so that the directory's revision was not advanced. */
 	readonly hasGap: boolean;
 };
@@ -165,10 +167,15 @@
 	const hasGap = update.since > directory.revision;
 	const appliedChanges: FactChange[] = [];
 	const renewals: FactChange[] = [];
+	const ignored: FactChange[] = [];
 	const changes = update.since === 0 ? [...update.changes, ...listMissingSubjects(directory, update)] : update.changes;
 	for (const change of changes) {
 		const known = directory.facts.get(change.subject);
 		if (known !== undefined && known.revision >= change.revision) {
+			if (!isSameFact(known.fact, change.fact)) {
+				ignored.push(change);
+			}
+
 			continue;
 		}
 
@@ -199,7 +206,9 @@
 		dropOldestTombstones(directory);
 	}
 
-	return {changes: appliedChanges, renewals, hasGap};
+	return {
+		changes: appliedChanges, renewals, ignored, hasGap,
+	};
 }
 
 /** True when two facts have the same content; the remaining cold time is ignored while it stays above zero, since it decreases by itself. */
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -58,6 +58,9 @@
 const tickGapMs = 150;
 const callWaitMs = 1000;
 
+/** Source of changes that this instance read itself, in log lines; other sources are names of peers. */
+const platformSource = 'platform';
+
 export function applyDirectoryRead(step: Step, {update, confirmedAt}: DirectoryReadEvent): void {
 	const {state, now} = step;
 	if (state.directoryLostAt !== undefined) {
@@ -69,7 +72,7 @@
 	}
 
 	state.platformReadableSince ??= confirmedAt;
-	applyDirectoryUpdate(step, update, confirmedAt, 'platform');
+	applyDirectoryUpdate(step, update, confirmedAt, platformSource);
 }
 
 /** True after a time without updates in which registrations may have lapsed. */
@@ -110,7 +113,13 @@
 
 function applyDirectoryUpdate(step: Step, update: DirectoryUpdate, confirmedAt: number, source: string): void {
 	const {state, now} = step;
-	const {changes, renewals} = applyUpdate(state.directory, update, confirmedAt);
+	const {changes, renewals, ignored} = applyUpdate(state.directory, update, confirmedAt);
+	if (source === platformSource) {
+		for (const change of ignored) {
+			recordLog(step, 'change-ignored', {...describeChange(change), revision: change.revision, knownRevision: state.directory.facts.get(change.subject)?.revision}, logLevel.warn);
+		}
+	}
+
 	applyTargetRenewals(state.targets, renewals, now);
 	if (changes.length === 0) {
 		return;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -65,6 +65,12 @@
 		this.#gateway.log.write('warn', {event: 'platform-history-lost', revision});
 	}
 
+	override handleEpochChanged(epoch: number, before: number | undefined, revision: number): void {
+		this.#gateway.log.write(before === undefined ? 'info' : 'warn', {
+			event: 'platform-epoch-changed', epoch, before, revision,
+		});
+	}
+
 	override handleUnreadableEntry(key: string, detail: string): void {
 		this.#gateway.log.write('warn', {event: 'unreadable-entry', subject: key, detail});
 	}
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -59,6 +59,11 @@
 	abstract handleReadFailure(detail: string): void;
 	/** Handles the loss of the history after `revision`; the directory is read again in full. */
 	abstract handleHistoryLost(revision: number): void;
+	/**
+	 * Handles a response with another epoch than the one before, which was at `revision`: the
+	 * platform was restored from a copy. `before` is `undefined` at the first response.
+	 */
+	abstract handleEpochChanged(epoch: number, before: number | undefined, revision: number): void;
 	/** Handles an entry that cannot be decoded, with its key at the platform; the other entries remain valid. */
 	abstract handleUnreadableEntry(key: string, detail: string): void;
 }
