--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory.ts
@@ -109,6 +109,8 @@
 
 /** Facts that bring a directory up to a revision. */
 export type DirectoryUpdate = {
+	/** Epoch of the platform's history that the revisions belong to; absent if the platform or the peer states none. */
+	readonly epoch?: number;
 	readonly changes: readonly FactChange[];
 	/** Revision up to which the changes are complete. */
 	readonly revision: number;
