--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -3,6 +3,8 @@
  * as data. Nothing in this package performs I/O.
  */
 export * from './lib/directory.js';
+export * from './lib/directory-facts.js';
+export type * from './lib/directory-position.js';
 export * from './lib/effect.js';
 export * from './lib/event.js';
 export * from './lib/evict-oldest.js';
--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory.ts
@@ -3,113 +3,36 @@
  * a set of facts, each with the revision of its last change. Facts arrive from
  * the platform and from peers in any order; a fact never returns to an older
  * revision, so both sources can be combined.
+ *
+ * The platform may be restored from an older copy of itself and give out revisions
+ * again: each restore starts a new epoch. Revisions are ordered within their epoch only,
+ * and a later epoch replaces the facts of an earlier one (`restored-facts.ts` decides what
+ * remains in force meanwhile). Configuration tables have an order of their own, their
+ * version, which holds across epochs.
  */
+import {isEarlier, type DirectoryPosition} from './directory-position.js';
+import {
+	findRetention, isRetainedOver, type RestoreTiming, type RetainedFact,
+} from './restored-facts.js';
 import {createRouteIndex, type RouteIndex} from './route-index.js';
+import {
+	factKind, type Account, type Fact, type FactChange, type Pool, type Tables, type TargetProcess,
+} from './directory-facts.js';
 
-export const routeKind = {
-	/** A request may run more than once. */
-	repeatable: 'repeatable',
-	/** A request may run at most once. */
-	once: 'once',
-	/** The response is a stream of events. */
-	stream: 'stream',
-} as const;
-export type RouteKind = typeof routeKind[keyof typeof routeKind];
-
-/** One of the pools that serve a route, with its relative share of the requests. */
-export type Split = {readonly pool: string; readonly weight: number};
-
-export type Route = {
-	readonly name: string;
-	readonly host: string;
-	/** Begins and ends with a slash. */
-	readonly prefix: string;
-	readonly kind: RouteKind;
-	/** True if an interrupted stream may resume at another target. */
-	readonly canResume: boolean;
-	/** Longest time that a request may take, in milliseconds. */
-	readonly timeLimitMs: number;
-	/** Time within which a response, or the first event of a stream, has to arrive to be on time, in milliseconds. */
-	readonly latencyTargetMs: number;
-	/** Time within which the next event of a stream has to arrive to be on time, in milliseconds; 0 if the configuration tables set none, as for other kinds. */
-	readonly eventGapMs: number;
-	readonly splits: readonly Split[];
-	/** Largest number of targets on which one request may run. */
-	readonly targetLimit: number;
-	/** True if requests need no key. */
-	readonly isPublic: boolean;
-	/** True if requests list the parts of their prompts. */
-	readonly hasPrompts: boolean;
-};
-
-export type Pool = {
-	readonly name: string;
-	/** Requests per second that a cold target can serve; 0 if the pool's targets are never cold. */
-	readonly coldRatePerS: number;
-};
-
-export type Account = {
-	readonly name: string;
-	/** SHA-256 of each key, in hexadecimal. */
-	readonly keyDigests: readonly string[];
-};
-
-/** Limits on the size of requests and on idle caller connections. */
-export type CallerLimits = {
-	readonly headBytes: number;
-	readonly bodyBytes: number;
-	/** Time after which an idle caller connection may be closed, in milliseconds. */
-	readonly idleTimeoutMs: number;
-};
-
-/** The operators' configuration tables; a new version replaces the previous version completely. */
-export type Tables = {
-	readonly version: number;
-	readonly routes: readonly Route[];
-	readonly pools: readonly Pool[];
-	/** The client accounts; `undefined` if no request needs a key. */
-	readonly accounts?: readonly Account[];
-	readonly limits: CallerLimits;
-};
-
-/** The registration of a target. */
-export type TargetRecord = {
-	readonly id: string;
-	readonly pool: string;
-	/** IP address and port. */
-	readonly address: string;
-	readonly zone: string;
-	readonly slots: number;
-	readonly isLeaving: boolean;
-	/** Time for which the target stays cold, counted from the arrival of the record, in milliseconds. */
-	readonly coldMs: number;
-	/** Unix time of the target's start in milliseconds; distinguishes restarts under the same id. */
-	readonly bornAt: number;
-};
-
-export const factKind = {tables: 'tables', zoneClosed: 'zone-closed', target: 'target'} as const;
-export type Fact =
-	| {readonly kind: typeof factKind.tables; readonly tables: Tables}
-	| {readonly kind: typeof factKind.zoneClosed; readonly zone: string}
-	| {readonly kind: typeof factKind.target; readonly target: TargetRecord};
+/** Subject of the configuration tables. */
+export const tablesSubject = 'tables';
 
-/** The latest state of one subject; a change without a fact removes the subject. */
-export type FactChange = {
-	/** Key of the subject in the directory, for example `target/` with the id of a target. */
-	readonly subject: string;
-	readonly revision: number;
-	readonly fact?: Fact;
-};
-
-/** A fact as stored in the directory. */
+/** A fact of the current epoch as stored in the directory. */
 type KnownFact = FactChange & {
 	/** Revision of the last change of the fact's content; renewals raise only `revision`. */
 	readonly changeRevision: number;
+	/** True if the subject was not removed by a change, but was missing in a complete update. */
+	readonly isMissing?: boolean;
 };
 
 /** Facts that bring a directory up to a revision. */
 export type DirectoryUpdate = {
-	/** Epoch of the platform's history that the revisions belong to; absent if the platform or the peer states none. */
+	/** Epoch that the revisions belong to; absent if the platform or the peer states none, which counts as 0. */
 	readonly epoch?: number;
 	readonly changes: readonly FactChange[];
 	/** Revision up to which the changes are complete. */
@@ -122,11 +45,16 @@
 const tombstoneLimit = 500;
 
 export type DirectoryState = {
-	/** Revision up to which all changes are known. */
+	/** Number of the platform's current history; rises with each restore from a copy. */
+	epoch: number;
+	/** Revision of the current epoch up to which all changes are known. */
 	revision: number;
 	/** Latest time at which the directory is known to have been current. */
 	confirmedAt?: number;
+	/** The platform's facts in the current epoch. */
 	facts: Map<string, KnownFact>;
+	/** Facts of earlier epochs that are in force instead of the platform's. */
+	retained: Map<string, RetainedFact>;
 	/**
 	 * Revision up to which this instance may not know which subjects were removed,
 	 * because it dropped tombstones or read the directory as a whole; updates for peers
@@ -142,8 +70,10 @@
 
 export function createDirectory(): DirectoryState {
 	return {
+		epoch: 0,
 		revision: 0,
 		facts: new Map(),
+		retained: new Map(),
 		unknownRemovalsUntil: 0,
 		routes: createRouteIndex([]),
 		accountByDigest: new Map(),
@@ -154,63 +84,192 @@
 
 /** Result of an update. */
 export type AppliedUpdate = {
-	/** Facts whose content changed. */
-	readonly changes: readonly FactChange[];
+	/** Facts in force whose content changed. */
+	readonly changes: FactChange[];
 	/** Facts that were written again with the same content. */
-	readonly renewals: readonly FactChange[];
+	readonly renewals: FactChange[];
 	/** Facts that were ignored although their content differs from the known facts, because these have a later revision. */
-	readonly ignored: readonly FactChange[];
+	readonly ignored: FactChange[];
 	/** True if revisions are missing between the directory and the update, so that the directory's revision was not advanced. */
-	readonly hasGap: boolean;
+	hasGap: boolean;
+	/** The epoch of the known facts if the update began a later one. */
+	endedEpoch?: number;
 };
 
-/** Applies all facts of an update that are newer than the known facts. */
-export function applyUpdate(directory: DirectoryState, update: DirectoryUpdate, confirmedAt: number): AppliedUpdate {
-	const hasGap = update.since > directory.revision;
-	const appliedChanges: FactChange[] = [];
-	const renewals: FactChange[] = [];
-	const ignored: FactChange[] = [];
-	const changes = update.since === 0 ? [...update.changes, ...listMissingSubjects(directory, update)] : update.changes;
-	for (const change of changes) {
-		const known = directory.facts.get(change.subject);
-		if (known !== undefined && known.revision >= change.revision) {
-			if (!isSameFact(known.fact, change.fact)) {
-				ignored.push(change);
-			}
+/** Times of an update: up to which it certainly contains all changes, and the present time. */
+export type UpdateTimes = {readonly confirmedAt: number; readonly now: number};
 
-			continue;
+/**
+ * Applies all facts of an update that are later than the known facts. `timing` bounds how
+ * long facts of an earlier epoch stay in force if the update begins a new one.
+ */
+export function applyUpdate(directory: DirectoryState, update: DirectoryUpdate, {confirmedAt, now}: UpdateTimes, timing: RestoreTiming): AppliedUpdate {
+	const applied: AppliedUpdate = {
+		changes: [], renewals: [], ignored: [], hasGap: false,
+	};
+	const {epoch = 0, revision, since} = update;
+	const isComplete = since === 0;
+	// Changes since a revision of another epoch do not connect to this directory.
+	if (epoch < directory.epoch || (epoch > directory.epoch && !isComplete)) {
+		applied.hasGap = true;
+		for (const {subject, fact} of update.changes) {
+			if (fact?.kind === factKind.tables && applyNewerTables(directory, fact.tables)) {
+				applied.changes.push({subject, fact, revision: directory.facts.get(subject)?.revision ?? 0});
+			}
 		}
 
-		if (known !== undefined && isSameFact(known.fact, change.fact)) {
-			directory.facts.set(change.subject, {...change, changeRevision: known.changeRevision});
-			renewals.push(change);
-			continue;
-		}
+		return applied;
+	}
 
-		const acceptedChange = acceptChange(directory, change, known);
-		directory.facts.set(change.subject, {...acceptedChange, changeRevision: change.revision});
-		appliedChanges.push(acceptedChange);
+	applied.hasGap = epoch === directory.epoch && since > directory.revision;
+	if (epoch > directory.epoch) {
+		beginEpoch({directory, applied}, update, timing, now);
+	} else {
+		for (const change of isComplete ? [...update.changes, ...listMissingSubjects(directory, update)] : update.changes) {
+			applyChange(directory, change, applied);
+		}
 	}
 
-	if (update.since === 0) {
-		directory.unknownRemovalsUntil = Math.max(directory.unknownRemovalsUntil, update.revision);
+	if (isComplete) {
+		directory.unknownRemovalsUntil = Math.max(directory.unknownRemovalsUntil, revision);
 	}
 
-	if (!hasGap) {
-		if (update.revision >= directory.revision) {
+	if (!applied.hasGap) {
+		if (revision >= directory.revision) {
 			directory.confirmedAt = Math.max(directory.confirmedAt ?? Number.NEGATIVE_INFINITY, confirmedAt);
 		}
 
-		directory.revision = Math.max(directory.revision, update.revision);
+		directory.revision = Math.max(directory.revision, revision);
 	}
 
-	if (appliedChanges.length > 0) {
+	if (applied.changes.length > 0) {
 		dropOldestTombstones(directory);
 	}
 
-	return {
-		changes: appliedChanges, renewals, ignored, hasGap,
+	return applied;
+}
+
+/** Applies a change of the current epoch, unless a later one of its subject is known. */
+function applyChange(directory: DirectoryState, change: FactChange & Pick<KnownFact, 'isMissing'>, applied: AppliedUpdate): void {
+	const {subject, fact} = change;
+	const known = directory.facts.get(subject);
+	if (known !== undefined && known.revision >= change.revision) {
+		if (fact?.kind === factKind.tables && applyNewerTables(directory, fact.tables)) {
+			applied.changes.push({...change, revision: known.revision});
+		} else if (!isSameFact(known.fact, fact)) {
+			applied.ignored.push(change);
+		}
+
+		return;
+	}
+
+	const isSame = known !== undefined && isSameFact(known.fact, fact);
+	const retained = directory.retained.get(subject);
+	if (subject === tablesSubject) {
+		applyTablesChange(directory, change, known, applied);
+		return;
+	}
+
+	storeFact(directory, change, isSame ? known.changeRevision : change.revision, known);
+	if (retained !== undefined && isRetainedOver(retained, fact)) {
+		return;
+	}
+
+	directory.retained.delete(subject);
+	if (retained === undefined ? isSame : isSameFact(retained.fact, fact)) {
+		applied.renewals.push(change);
+	} else {
+		putInForce(directory, change, retained === undefined ? known?.fact : retained.fact, applied);
+	}
+}
+
+function storeFact(directory: DirectoryState, change: FactChange & Pick<KnownFact, 'isMissing'>, changeRevision: number, before: KnownFact | undefined): void {
+	const removedProcess = change.fact === undefined ? change.removedProcess ?? findProcess(before) : undefined;
+	directory.facts.set(change.subject, {...change, changeRevision, ...(removedProcess !== undefined && {removedProcess})});
+}
+
+/** Finds the process of a target that is registered, or whose registration was removed. */
+function findProcess(known: KnownFact | undefined): TargetProcess | undefined {
+	if (known?.fact?.kind !== factKind.target) {
+		return known?.removedProcess;
+	}
+
+	const {bornAt, isLeaving} = known.fact.target;
+	return {bornAt, isLeaving};
+}
+
+/** Replaces the facts of the earlier epoch by a complete update of a later one; keeps in force what the platform may only have lost. */
+function beginEpoch(
+	{directory, applied}: {readonly directory: DirectoryState; readonly applied: AppliedUpdate},
+	update: DirectoryUpdate,
+	timing: RestoreTiming,
+	now: number,
+): void {
+	const {facts: factsBefore, retained: retainedBefore} = directory;
+	applied.endedEpoch = factsBefore.size > 0 ? directory.epoch : undefined;
+	directory.epoch = update.epoch!;
+	directory.revision = 0;
+	directory.unknownRemovalsUntil = 0;
+	directory.facts = new Map();
+	directory.retained = new Map();
+	const changes = new Map<string, FactChange & Pick<KnownFact, 'isMissing'>>(update.changes.map(change => [change.subject, change]));
+	for (const subject of factsBefore.keys()) {
+		if (!changes.has(subject)) {
+			changes.set(subject, {subject, revision: update.revision, isMissing: true});
+		}
+	}
+
+	for (const [subject, change] of changes) {
+		const before = factsBefore.get(subject);
+		if (subject === tablesSubject) {
+			applyTablesChange(directory, change, before, applied);
+			continue;
+		}
+
+		storeFact(directory, change, change.revision, before);
+		const retainedFact = retainedBefore.get(subject);
+		const factBefore = retainedFact === undefined ? before?.fact : retainedFact.fact;
+		const process = retainedFact?.process ?? findProcess(before);
+		const isSame = before !== undefined && isSameFact(factBefore, change.fact);
+		const retention = before === undefined || isSame ? undefined : findRetention({fact: factBefore, process}, change, timing, now);
+		if (retention !== undefined) {
+			directory.retained.set(subject, retention);
+		} else if (!isSame) {
+			putInForce(directory, change, factBefore, applied);
+		} else if (!isSameEntry(before, change)) {
+			applied.renewals.push(change);
+		}
+	}
+}
+
+/** True if a change is the entry that was known before the restore, which states nothing new about the remaining cold time. */
+function isSameEntry(before: KnownFact, {revision, fact}: FactChange): boolean {
+	return before.revision === revision
+		&& (fact?.kind !== factKind.target || before.fact?.kind !== factKind.target || before.fact.target.coldMs === fact.target.coldMs);
+}
+
+/** Applies the knowledge of a peer that the current epoch began at `beganAt` or before. */
+export function recordEpochBegin({retained}: DirectoryState, beganAt: number): void {
+	for (const [subject, fact] of retained) {
+		if (beganAt < fact.since) {
+			retained.set(subject, {...fact, since: beganAt});
+		}
+	}
+}
+
+/** Ends the retention of facts that the platform, as of the end of their time, still contradicts; returns the changes that come into force. */
+export function expireRetainedFacts(directory: DirectoryState): FactChange[] {
+	const applied: AppliedUpdate = {
+		changes: [], renewals: [], ignored: [], hasGap: false,
 	};
+	for (const [subject, {since, durationMs, fact}] of directory.retained) {
+		if ((directory.confirmedAt ?? Number.NEGATIVE_INFINITY) >= since + durationMs) {
+			directory.retained.delete(subject);
+			putInForce(directory, directory.facts.get(subject)!, fact, applied);
+		}
+	}
+
+	return applied.changes;
 }
 
 /** True when two facts have the same content; the remaining cold time is ignored while it stays above zero, since it decreases by itself. */
@@ -230,40 +289,36 @@
 }
 
 /** Lists removals of the subjects that a complete update no longer contains. */
-function listMissingSubjects({facts}: DirectoryState, update: DirectoryUpdate): FactChange[] {
+function listMissingSubjects({facts}: DirectoryState, update: DirectoryUpdate): Array<FactChange & Pick<KnownFact, 'isMissing'>> {
 	const listedSubjects = new Set(update.changes.map(({subject}) => subject));
-	const missing: FactChange[] = [];
+	const missing: Array<FactChange & Pick<KnownFact, 'isMissing'>> = [];
 	for (const [subject, {revision, fact}] of facts) {
 		if (!listedSubjects.has(subject) && fact !== undefined && revision <= update.revision) {
-			missing.push({subject, revision: update.revision});
+			missing.push({subject, revision: update.revision, isMissing: true});
 		}
 	}
 
 	return missing;
 }
 
-/** Accepts a change, but never replaces configuration tables with an older version, whatever the revision, and never removes them. */
-function acceptChange(directory: DirectoryState, change: FactChange, known: KnownFact | undefined): FactChange {
-	const {fact} = change;
-	if (known?.fact?.kind === factKind.tables) {
-		const isNewer = fact?.kind === factKind.tables && fact.tables.version >= known.fact.tables.version;
-		if (!isNewer) {
-			return {...change, fact: known.fact};
-		}
-	}
+/** Stores a change of the tables. Tables are never removed or replaced by an older version, whatever the revision. */
+function applyTablesChange(directory: DirectoryState, {revision, fact}: FactChange, known: KnownFact | undefined, applied: AppliedUpdate): void {
+	const isReplaced = fact?.kind === factKind.tables && applyNewerTables(directory, fact.tables);
+	const inForce: Fact | undefined = directory.tables === undefined ? undefined : {kind: factKind.tables, tables: directory.tables};
+	const isSame = known !== undefined && isSameFact(known.fact, fact);
+	const change = {subject: tablesSubject, revision, fact: inForce};
+	// A new epoch, in which nothing is stored yet, starts the revision of the last change again.
+	const changeRevision = isSame && directory.facts.has(tablesSubject) ? known.changeRevision : revision;
+	directory.facts.set(tablesSubject, {...change, changeRevision});
+	(isReplaced || !isSame ? applied.changes : applied.renewals).push(change);
+}
 
-	if (fact?.kind === factKind.tables) {
-		applyTables(directory, fact.tables);
-	} else if (fact?.kind === factKind.zoneClosed) {
-		directory.closedZones.add(fact.zone);
-	} else if (known?.fact?.kind === factKind.zoneClosed) {
-		directory.closedZones.delete(known.fact.zone);
+/** Puts tables in force if they are newer than the known ones, and returns whether they are. */
+export function applyNewerTables(directory: DirectoryState, tables: Tables): boolean {
+	if (directory.tables !== undefined && tables.version <= directory.tables.version) {
+		return false;
 	}
 
-	return change;
-}
-
-function applyTables(directory: DirectoryState, tables: Tables): void {
 	directory.tables = tables;
 	directory.routes = createRouteIndex(tables.routes);
 	directory.poolByName = new Map(tables.pools.map(pool => [pool.name, pool]));
@@ -273,10 +328,27 @@
 			directory.accountByDigest.set(digest, account);
 		}
 	}
+
+	const known = directory.facts.get(tablesSubject);
+	if (known !== undefined) {
+		directory.facts.set(tablesSubject, {...known, fact: {kind: factKind.tables, tables}});
+	}
+
+	return true;
+}
+
+function putInForce(directory: DirectoryState, {subject, revision, fact}: FactChange, before: Fact | undefined, applied: AppliedUpdate): void {
+	if (fact?.kind === factKind.zoneClosed) {
+		directory.closedZones.add(fact.zone);
+	} else if (before?.kind === factKind.zoneClosed) {
+		directory.closedZones.delete(before.zone);
+	}
+
+	applied.changes.push({subject, revision, fact});
 }
 
 function dropOldestTombstones(directory: DirectoryState): void {
-	const tombstones = [...directory.facts.values()].filter(({fact}) => fact === undefined);
+	const tombstones = [...directory.facts.values()].filter(({subject, fact}) => fact === undefined && !directory.retained.has(subject));
 	if (tombstones.length <= tombstoneLimit) {
 		return;
 	}
@@ -288,11 +360,32 @@
 	}
 }
 
-/** Describes the changes that a peer at revision `since` lacks, or the whole directory if these are no longer known. */
-export function describeUpdate(directory: DirectoryState, since: number): DirectoryUpdate {
-	const isComplete = since < directory.unknownRemovalsUntil || since === 0;
+/**
+ * Describes the changes that a peer at an earlier position lacks, or the whole directory if
+ * these are no longer known. A peer in an earlier epoch is also told which subjects
+ * were removed since, as opposed to never written again.
+ */
+export function describeUpdate(directory: DirectoryState, {epoch, revision}: DirectoryPosition): DirectoryUpdate {
+	const isSameEpoch = epoch === directory.epoch;
+	const isComplete = !isSameEpoch || revision < directory.unknownRemovalsUntil || revision === 0;
 	const changes = [...directory.facts.values()]
-		.filter(({changeRevision, fact}) => isComplete ? fact !== undefined : changeRevision > since)
-		.map(({subject, revision, fact}) => ({subject, revision, fact}));
-	return {changes, revision: directory.revision, since: isComplete ? 0 : since};
+		.filter(({changeRevision, fact, isMissing}) => isComplete ? fact !== undefined || (!isSameEpoch && isMissing !== true) : changeRevision > revision)
+		.map(({
+			subject, revision: changedAt, fact, removedProcess,
+		}) => ({
+			subject, revision: changedAt, fact, removedProcess,
+		}));
+	return {
+		epoch: directory.epoch, changes, revision: directory.revision, since: isComplete ? 0 : revision,
+	};
+}
+
+/** Describes the tables for a peer that has older ones although it knows the platform at least up to their revision; they are no longer there. */
+export function describeTablesFor(directory: DirectoryState, peer: DirectoryPosition & {readonly tablesVersion?: number}): Tables | undefined {
+	const known = directory.facts.get(tablesSubject);
+	if (directory.tables === undefined || known === undefined || peer.tablesVersion === undefined || peer.tablesVersion >= directory.tables.version) {
+		return undefined;
+	}
+
+	return isEarlier(peer, {epoch: directory.epoch, revision: known.revision}) ? undefined : directory.tables;
 }
--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -1,6 +1,7 @@
 /**
  * Effects: every output of the reducer, as data.
  */
+import type {DirectoryPosition} from './directory-position.js';
 import type {PeerMessage} from './peer-message.js';
 import type {Failure} from './failure.js';
 
@@ -77,8 +78,8 @@
 export type WatchEffect = {
 	readonly kind: typeof effectKind.watch;
 	readonly isWatching: boolean;
-	/** Revision up to which the directory is known. */
-	readonly revision: number;
+	/** Position up to which the directory is known. */
+	readonly position: DirectoryPosition;
 };
 
 /** End the process: no request is open, or the drain limit is reached. Repeated until the process ends. */
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -3,6 +3,7 @@
  * failures of targets, prompt parts that may crash targets, and directory updates. Ages are relative to the creation of the message.
  */
 import type {DirectoryUpdate} from './directory.js';
+import type {Tables} from './directory-facts.js';
 import type {FailureKind} from './failure-reports.js';
 
 export type MemberEntry = {
@@ -72,8 +73,14 @@
 	readonly from: MemberEntry;
 	/** Some of the members that the sender knows. */
 	readonly members: readonly MemberEntry[];
+	/** Epoch of the platform's history that `revision` belongs to; absent from builds that know no epochs, which counts as 0. */
+	readonly epoch?: number;
 	/** Revision up to which the sender knows the directory. */
 	readonly revision: number;
+	/** Version of the sender's configuration tables; absent if it has none. */
+	readonly tablesVersion?: number;
+	/** Configuration tables that are newer than the receiver's and that it cannot read from the platform, which has lost them. */
+	readonly tables?: Tables;
 	/** Time since the sender's directory was last known to be current, in milliseconds; `undefined` if it never was. */
 	readonly directoryAgeMs?: number;
 	/** Loads that targets reported recently. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -8,7 +8,7 @@
 import {
 	computeColdShare, computeWarmShare, type ColdBounds, type FleetView,
 } from './target-limits.js';
-import type {Pool} from './directory.js';
+import type {Pool} from './directory-facts.js';
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked} from './ranking.js';
 import {isAwaitingTrial, isUsable} from './target-health.js';
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -3,8 +3,10 @@
  * platform and from each other, and maintain the member list.
  */
 import {
-	applyUpdate, describeUpdate, factKind, type DirectoryUpdate, type FactChange,
+	applyUpdate, describeTablesFor, describeUpdate, expireRetainedFacts, recordEpochBegin, applyNewerTables, tablesSubject, type DirectoryUpdate,
 } from './directory.js';
+import {isEarlier, isSamePosition} from './directory-position.js';
+import {factKind, type FactChange} from './directory-facts.js';
 import {effectKind, logLevel} from './effect.js';
 import type {
 	DirectoryLostEvent, DirectoryReadEvent, PeerAnsweredEvent, PeerCalledEvent, PeerFailedEvent,
@@ -49,6 +51,8 @@
  * time until the renewals are read.
  */
 const lapseGraceDurationMs = 2300;
+/** Time within which targets and operators write again what the platform lost, according to its documentation, in milliseconds. */
+const rewriteDurationMs = 2000;
 /** Number of peers that are notified of a crash at once, and shortest time between two such notices, in milliseconds. */
 const noticeCount = 2;
 const noticeIntervalMs = 200;
@@ -113,7 +117,17 @@
 
 function applyDirectoryUpdate(step: Step, update: DirectoryUpdate, confirmedAt: number, source: string): void {
 	const {state, now} = step;
-	const {changes, renewals, ignored} = applyUpdate(state.directory, update, confirmedAt);
+	const {
+		changes, renewals, ignored, endedEpoch,
+	} = applyUpdate(state.directory, update, {confirmedAt, now}, {
+		rewriteMs: rewriteDurationMs, registrationExpiryMs: state.bounds.registrationExpiryMs,
+	});
+	if (endedEpoch !== undefined) {
+		// Reads before a restore do not prove that no registration was lost.
+		state.platformReadableSince = state.platformReadableSince === undefined ? undefined : confirmedAt;
+		recordRestore(step, endedEpoch, source);
+	}
+
 	if (source === platformSource) {
 		for (const change of ignored) {
 			recordLog(step, 'change-ignored', {...describeChange(change), revision: change.revision, knownRevision: state.directory.facts.get(change.subject)?.revision}, logLevel.warn);
@@ -121,6 +135,11 @@
 	}
 
 	applyTargetRenewals(state.targets, renewals, now);
+	applyChanges(step, changes, source);
+}
+
+function applyChanges(step: Step, changes: readonly FactChange[], source: string): void {
+	const {state, now} = step;
 	if (changes.length === 0) {
 		return;
 	}
@@ -131,6 +150,22 @@
 	}
 }
 
+/** Logs that the platform was restored from a copy, and which facts stay in force although the copy contradicts them. */
+function recordRestore(step: Step, endedEpoch: number, source: string): void {
+	const {directory} = step.state;
+	recordLog(step, 'platform-restored', {
+		epoch: directory.epoch,
+		endedEpoch,
+		revision: directory.revision,
+		tables: directory.tables?.version,
+		retained: directory.retained.size,
+		source,
+	}, logLevel.warn);
+	for (const [subject, {fact, durationMs}] of directory.retained) {
+		recordLog(step, 'fact-retained', {...describeChange({subject, revision: 0, fact}), forMs: Number.isFinite(durationMs) ? durationMs : undefined});
+	}
+}
+
 function describeChange({subject, fact}: FactChange): Record<string, unknown> {
 	if (fact?.kind === factKind.tables) {
 		return {subject, version: fact.tables.version, routes: fact.tables.routes.length};
@@ -143,11 +178,14 @@
 		: {subject, state: fact === undefined ? 'gone' : 'present'};
 }
 
-function callPeer(step: Step, address: string, update?: DirectoryUpdate): void {
-	step.effects.push({kind: effectKind.callPeer, address, message: createMessage(step, update)});
+/** What a peer lacks of the directory. */
+type Supplement = Pick<PeerMessage, 'update' | 'tables'>;
+
+function callPeer(step: Step, address: string, supplement: Supplement = {}): void {
+	step.effects.push({kind: effectKind.callPeer, address, message: createMessage(step, supplement)});
 }
 
-function createMessage({state, now}: Step, update?: DirectoryUpdate): PeerMessage {
+function createMessage({state, now}: Step, {update, tables}: Supplement): PeerMessage {
 	const {
 		self, directory, members, drainStartedAt, lapseGraceUntil, platformReadableSince,
 	} = state;
@@ -156,7 +194,10 @@
 	return {
 		from: {...self, ageMs: 0},
 		members: describeMembers(members, now, state.random),
+		epoch: directory.epoch,
 		revision: directory.revision,
+		tablesVersion: directory.tables?.version,
+		tables,
 		directoryAgeMs: Number.isFinite(directory.confirmedAt) ? Math.round(now - directory.confirmedAt!) : undefined,
 		loads: describeLoads(state.targets, now),
 		...(limits.length > 0 && {limits}),
@@ -184,20 +225,24 @@
 /** Responds to a peer's call, with the changes that the peer requests and does not know yet. */
 export function applyPeerCalled(step: Step, {callId, message}: PeerCalledEvent): void {
 	applyPeerMessage(step, message, findCallCreatedAt(step));
-	const {directory} = step.state;
-	const update = message.wantsUpdate && message.revision < directory.revision ? describeUpdate(directory, message.revision) : undefined;
-	step.effects.push({kind: effectKind.answerPeer, callId, message: createMessage(step, update)});
+	step.effects.push({kind: effectKind.answerPeer, callId, message: createMessage(step, describeSupplement(step, message))});
+}
+
+/** Describes what the sender of a message requests or cannot read from the platform. */
+function describeSupplement({state: {directory}}: Step, {epoch = 0, revision, tablesVersion, wantsUpdate}: PeerMessage): Supplement {
+	const position = {epoch, revision};
+	return wantsUpdate && isEarlier(position, directory)
+		? {update: describeUpdate(directory, position)}
+		: {tables: describeTablesFor(directory, {...position, tablesVersion})};
 }
 
 export function applyPeerAnswered(step: Step, {address, message, requestedAt}: PeerAnsweredEvent): void {
 	recordWatcherStatus(step.state, address, message, step.now);
 	applyPeerMessage(step, message, requestedAt);
-	const {directory} = step.state;
-	if (message.wantsUpdate && message.revision < directory.revision) {
-		const update = describeUpdate(directory, message.revision);
-		if (update.changes.length > 0) {
-			callPeer(step, address, update);
-		}
+	const supplement = describeSupplement(step, message);
+	const {update, tables} = supplement;
+	if (tables !== undefined || (update !== undefined && (update.changes.length > 0 || update.epoch !== message.epoch))) {
+		callPeer(step, address, supplement);
 	}
 }
 
@@ -254,10 +299,18 @@
 	if (readingMs !== undefined) {
 		// `readingMs` counts back from the receipt of the message, so that the peer's start of reading can only appear too late.
 		endLapseGraceIfPeerRead(step, now - readingMs, message.from.id);
+		if (message.epoch === state.directory.epoch) {
+			recordEpochBegin(state.directory, now - readingMs);
+		}
+	}
+
+	if (message.tables !== undefined && applyNewerTables(state.directory, message.tables)) {
+		const fact = {kind: factKind.tables, tables: message.tables};
+		applyChanges(step, [{subject: tablesSubject, revision: state.directory.revision, fact}], message.from.id);
 	}
 
 	if (update === undefined) {
-		if (message.revision === state.directory.revision && directoryAgeMs !== undefined) {
+		if (isSamePosition({epoch: message.epoch ?? 0, revision: message.revision}, state.directory) && directoryAgeMs !== undefined) {
 			state.directory.confirmedAt = Math.max(state.directory.confirmedAt ?? Number.NEGATIVE_INFINITY, messageCreatedAt - directoryAgeMs);
 		}
 
@@ -297,6 +350,7 @@
 	}
 
 	state.lastTickAt = now;
+	applyChanges(step, expireRetainedFacts(state.directory), 'retention');
 	updateTargets(state.targets, now);
 	const expired = expireMembers(state.members, now);
 	if (expired.length > 0) {
@@ -342,7 +396,7 @@
 	state.isWatching = isWatching;
 	state.directoryLostAt = undefined;
 	state.platformReadableSince = undefined;
-	step.effects.push({kind: effectKind.watch, isWatching, revision: state.directory.revision});
+	step.effects.push({kind: effectKind.watch, isWatching, position: {epoch: state.directory.epoch, revision: state.directory.revision}});
 	recordLog(step, isWatching ? 'watch-started' : 'watch-stopped', {
 		directoryAgeMs: Math.round(now - (state.directory.confirmedAt ?? 0)), revision: state.directory.revision, members: state.members.byId.size + 1,
 	});
--- a/packages/dispatch/src/lib/resolve-request.ts
+++ b/packages/dispatch/src/lib/resolve-request.ts
@@ -5,7 +5,7 @@
  */
 import {hashText} from '@sequoiatally/core';
 import {err, ok, type Result} from 'neverthrow';
-import type {Account, Route, Split} from './directory.js';
+import type {Account, Route, Split} from './directory-facts.js';
 import type {RequestArrivedEvent} from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {findPromptKey} from './prompt.js';
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -4,7 +4,7 @@
  * not run.
  */
 import {chooseCopySource} from './copy-source.js';
-import {routeKind, type Route} from './directory.js';
+import {routeKind, type Route} from './directory-facts.js';
 import {effectKind} from './effect.js';
 import {finishWithFailure} from './end-request.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -3,7 +3,8 @@
  * Each part is typed by its own module; only this module combines them.
  */
 import {computeRankHash, type ColdBounds, type FleetView} from './target-limits.js';
-import {createDirectory, type DirectoryState, type Route} from './directory.js';
+import {createDirectory, type DirectoryState} from './directory.js';
+import {type Route} from './directory-facts.js';
 import {effectKind, logLevel, type Effect} from './effect.js';
 import {
 	computeFleetView, createMemberState, type MemberState, type SelfInfo,
@@ -22,6 +23,8 @@
 	readonly cold: ColdBounds;
 	/** Time within which changes of the platform have to be in force, in milliseconds. */
 	readonly changeLimitMs: number;
+	/** Time after which the platform removes the registration of a target that has ended, in milliseconds. */
+	readonly registrationExpiryMs: number;
 	/** Longest time from the start of the drain to the end of the process, in milliseconds. */
 	readonly drainLimitMs: number;
 };
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -5,7 +5,7 @@
 import {
 	computeNamedLimitShare, computeRankHash, namedLimitWindowMs, type FleetView,
 } from './target-limits.js';
-import {factKind, type FactChange, type TargetRecord} from './directory.js';
+import {factKind, type FactChange, type TargetRecord} from './directory-facts.js';
 import type {SharedTargetLimit, SharedTargetLoad} from './peer-message.js';
 import {SlidingWindow} from './sliding-window.js';
 import {createHealth, type TargetHealth} from './target-health.js';
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -128,6 +128,7 @@
 			['open_requests', () => this.state.openRequests.size],
 			['members', () => this.state.members.byId.size + 1],
 			['tables_version', () => this.state.directory.tables?.version ?? 0],
+			['directory_epoch', () => this.state.directory.epoch],
 			['directory_revision', () => this.state.directory.revision],
 			['directory_age_ms', () => readMonotonicMs() - (this.state.directory.confirmedAt ?? 0)],
 			['quarantined_prompts', () => this.state.quarantine.size],
@@ -274,7 +275,7 @@
 			}
 
 			case effectKind.watch: {
-				this.#protocols.directory.setWatching(effect.isWatching, effect.revision);
+				this.#protocols.directory.setWatching(effect.isWatching, effect.position);
 				break;
 			}
 
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -66,7 +66,13 @@
 const isFact: Check = value => factChecks.some(([kind, check]) => (value as {readonly kind?: unknown} | null)?.kind === kind && check(value)); // eslint-disable-line @typescript-eslint/no-restricted-types -- a value of JSON
 
 const isUpdate = createObjectCheck({
-	changes: createListCheck(createObjectCheck({subject: isString, revision: isNumber, fact: createOptionalCheck(isFact)})),
+	epoch: createOptionalCheck(isNumber),
+	changes: createListCheck(createObjectCheck({
+		subject: isString,
+		revision: isNumber,
+		fact: createOptionalCheck(isFact),
+		removedProcess: createOptionalCheck(createObjectCheck({bornAt: isNumber, isLeaving: isBoolean})),
+	})),
 	revision: isNumber,
 	since: isNumber,
 });
@@ -74,7 +80,10 @@
 const isPeerMessage = createObjectCheck({
 	from: isMemberEntry,
 	members: createListCheck(isMemberEntry),
+	epoch: createOptionalCheck(isNumber),
 	revision: isNumber,
+	tablesVersion: createOptionalCheck(isNumber),
+	tables: createOptionalCheck(isTables),
 	directoryAgeMs: createOptionalCheck(isNumber),
 	loads: createListCheck(createObjectCheck({targetId: isString, load: isNumber, ageMs: isNumber})),
 	limits: createOptionalCheck(createListCheck(createObjectCheck({
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {
-	RequestHead, DirectoryUpdate, Failure, SendEffect, TargetStatement,
+	RequestHead, DirectoryPosition, DirectoryUpdate, Failure, SendEffect, TargetStatement,
 } from '@sequoiatally/dispatch';
 import type {LifecycleManager} from '@sequoiatally/runtime';
 import type {Result} from 'neverthrow';
@@ -71,6 +71,6 @@
 /** Reads the directory and then watches it for changes. */
 export abstract class DirectorySource {
 	abstract start(listener: DirectoryListener, lifecycle: LifecycleManager): void;
-	/** Stops watching for changes, or resumes from `revision`. */
-	abstract setWatching(isWatching: boolean, revision: number): void;
+	/** Stops watching for changes, or resumes from `position`. */
+	abstract setWatching(isWatching: boolean, position: DirectoryPosition): void;
 }
