--- a/packages/dispatch/src/lib/directory-facts.ts
+++ b/packages/dispatch/src/lib/directory-facts.ts
@@ -98,6 +98,11 @@
 	readonly subject: string;
 	readonly revision: number;
 	readonly fact?: Fact;
+	/**
+	 * Revision of the last change of the fact's content, as far as the sender knows; absent if it is `revision`.
+	 * Only the platform's own changes show that a fact was removed and written again in between.
+	 */
+	readonly changeRevision?: number;
 	/** The process whose registration was removed, as far as it is known, if the subject is a target without a registration. */
 	readonly removedProcess?: TargetProcess;
 };
--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory.ts
@@ -170,7 +170,7 @@
 		return;
 	}
 
-	storeFact(directory, change, isSame ? known.changeRevision : change.revision, known);
+	storeFact(directory, change, isSame ? Math.max(known.changeRevision, change.changeRevision ?? 0) : change.revision, known);
 	if (retained !== undefined && isRetainedOver(retained, fact)) {
 		return;
 	}
@@ -370,11 +370,7 @@
 	const isComplete = !isSameEpoch || revision < directory.unknownRemovalsUntil || revision === 0;
 	const changes = [...directory.facts.values()]
 		.filter(({changeRevision, fact, isMissing}) => isComplete ? fact !== undefined || (!isSameEpoch && isMissing !== true) : changeRevision > revision)
-		.map(({
-			subject, revision: changedAt, fact, removedProcess,
-		}) => ({
-			subject, revision: changedAt, fact, removedProcess,
-		}));
+		.map(({isMissing, ...change}) => change);
 	return {
 		epoch: directory.epoch, changes, revision: directory.revision, since: isComplete ? 0 : revision,
 	};
--- a/packages/dispatch/src/test/directory_test.ts
+++ b/packages/dispatch/src/test/directory_test.ts
@@ -85,6 +85,25 @@
 	assert.equal(second.tables?.version, 4);
 });
 
+// Guards against EVAC: a zone that is closed, opened and closed again stays open at an instance that hears of the second closure from a peer that missed the opening.
+test('a fact that was removed and written again with the same content is passed on to a peer that knows it as removed', () => {
+	const closure = {subject: 'zone/zone-a', fact: {kind: factKind.zoneClosed, zone: 'zone-a'}} as const;
+	const [watcher, relay, follower] = [createDirectory(), createDirectory(), createDirectory()];
+	const update = {changes: [{...closure, revision: 2}], revision: 2, since: 0};
+	for (const directory of [watcher, relay, follower]) {
+		applyUpdate(directory, update, times, restoreTiming);
+	}
+
+	applyUpdate(watcher, {changes: [{subject: closure.subject, revision: 3}], revision: 3, since: 2}, times, restoreTiming);
+	applyUpdate(follower, describeUpdate(watcher, follower), times, restoreTiming);
+	assert.equal(follower.closedZones.has('zone-a'), false);
+	applyUpdate(watcher, {changes: [{...closure, revision: 4}], revision: 4, since: 3}, times, restoreTiming);
+	applyUpdate(relay, describeUpdate(watcher, relay), times, restoreTiming);
+	applyUpdate(follower, describeUpdate(relay, follower), times, restoreTiming);
+	assert.equal(follower.revision, 4);
+	assert.equal(follower.closedZones.has('zone-a'), true);
+});
+
 test('an instance that read the whole directory passes on removals that happened before (score: scale-1 of the grown Pirouette)', () => {
 	const watcher = new GatewayFixture('gateway-1');
 	watcher.loadDirectory(['desk-1', 'desk-2']);
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -71,6 +71,7 @@
 		subject: isString,
 		revision: isNumber,
 		fact: createOptionalCheck(isFact),
+		changeRevision: createOptionalCheck(isNumber),
 		removedProcess: createOptionalCheck(createObjectCheck({bornAt: isNumber, isLeaving: isBoolean})),
 	})),
 	revision: isNumber,
