--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -203,7 +203,7 @@
 			return;
 		}
 
-		if (this.#send.isStream && responseHead.kind === responseKind.own && statusCode < 300) {
+		if (this.#send.isStream && responseHead.kind === responseKind.own && statusCode === 200) {
 			this.#relayStream(response);
 			return;
 		}
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -386,3 +386,83 @@
 	await assertOutcome(sendOutcome.interrupted);
 	assert.equal(caller.received, 'id: 1\ndata: a\n\n');
 });
+
+// Guards against REFUSED and TWICE: an earlier refusal, written once more on a kept connection, is taken for the refusal of a request that runs.
+test('a late second copy of a refusal is never taken for the refusal of the next request, wherever it arrives', async () => {
+	const refusal = 'HTTP/1.1 503 Busy\r\nid: 1\r\ncontent-length: 0\r\n\r\n';
+	for (const place of ['with the first', 'between requests', 'in place of the next response'] as const) {
+		let runCount = 0;
+		await startTarget((socket, requestId) => {
+			if (requestId === '1') {
+				socket.write(place === 'with the first' ? refusal + refusal : refusal);
+				if (place === 'between requests') {
+					setTimeout(() => socket.write(refusal), 20);
+				}
+
+				return;
+			}
+
+			runCount++;
+			socket.write((place === 'in place of the next response' ? refusal : '') + createResponse(requestId, 'answer'));
+		});
+		nextOpenId = 1;
+		startSend();
+		await assertOutcome(sendOutcome.rejected);
+		await delay(60);
+		const second = startSend();
+		const {outcome, detail} = await waitForEnd();
+		assert.equal(runCount, 1);
+		assert.equal(outcome, place === 'in place of the next response' ? sendOutcome.lost : sendOutcome.complete, `${place}: ${detail}`);
+		assert.equal(second.received, outcome === sendOutcome.complete ? 'answer' : '');
+		await lifecycle.closeAll();
+		server!.close();
+	}
+});
+
+// Guards against ORDER and MIXED: a caller finds the error response of another target in its stream, or the stream seems complete.
+for (const [name, respond] of [
+	['an error with a body', id => `HTTP/1.1 500 Error\r\nid: ${id}\r\ncontent-length: 9\r\n\r\nerror\n\n\n\n`],
+	['an empty error', id => `HTTP/1.1 500 Error\r\nid: ${id}\r\ncontent-length: 0\r\n\r\n`],
+	['a client error', id => `HTTP/1.1 404 Not Found\r\nid: ${id}\r\ncontent-length: 6\r\n\r\nerror\n`],
+	['no content', id => `HTTP/1.1 204 No Content\r\nid: ${id}\r\n\r\n`],
+	['the head of an error as its events', id => `${chunkedHead(id)}2e\r\nHTTP/1.1 500 Error\r\nid: ${id}\r\nerror: 12\r\n\r\ner\n\n\r\n0\r\n\r\n`],
+	['two heads', id => `HTTP/1.1 200 OK\r\nid: ${id}\r\nHTTP/1.1 500 Error\r\ncontent-length: 5\r\n\r\nerror`],
+] as ReadonlyArray<readonly [string, (requestId: string) => string]>) {
+	test(`a stream that has begun is interrupted, not continued or completed, when the next target sends ${name}`, async () => {
+		await startTarget((socket, requestId) => {
+			socket.write(respond(requestId));
+		});
+		const openId = nextOpenId++;
+		const caller = new RecordingCaller(openId);
+		caller.hasStarted = true;
+		caller.received = 'id: 1\ndata: a\n\n';
+		caller.lastEventId = '1';
+		client.startSend({
+			kind: effectKind.send, openId, sendId: openId, targetId: 't', address: `127.0.0.1:${(server!.address() as AddressInfo).port}`, isStream: true,
+			needsFreshConnection: false, resumeAfterEventId: '1', deadlineAt: readMonotonicMs() + 60_000, responseStartTimeoutMs: 0, eventGapTimeoutMs: 0,
+		}, caller as unknown as CallerExchange);
+		await assertOutcome(sendOutcome.interrupted);
+		assert.equal(caller.received, 'id: 1\ndata: a\n\n');
+	});
+}
+
+// Guards against MIXED and ORDER: a head that breaks off becomes an empty or short response that looks whole.
+test('a response whose head breaks off at any byte is lost', async () => {
+	const head = 'HTTP/1.1 200 OK\r\nid: 1\r\nx-long: 1\r\ncontent-length: 5\r\n\r\n';
+	for (let length = 0; length <= head.length; length++) {
+		await startTarget(socket => {
+			socket.end(head.slice(0, length));
+		});
+		for (const isStream of [false, true]) {
+			nextOpenId = 1;
+			const caller = startSend({isStream});
+			const {outcome, detail} = await waitForEnd();
+			assert.equal(outcome, sendOutcome.lost, `${length} bytes: ${detail}`);
+			assert.equal(caller.received, '');
+			assert.equal(caller.hasStarted, false);
+		}
+
+		await lifecycle.closeAll();
+		server!.close();
+	}
+});
