--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -446,6 +446,15 @@
 	});
 }
 
+async function assertLostWithoutData(isStream: boolean, name: string): Promise<void> {
+	nextOpenId = 1;
+	const caller = startSend({isStream});
+	const {outcome, detail} = await waitForEnd();
+	assert.equal(outcome, sendOutcome.lost, `${name}: ${detail}`);
+	assert.equal(caller.received, '');
+	assert.equal(caller.hasStarted, false);
+}
+
 // Guards against MIXED and ORDER: a head that breaks off becomes an empty or short response that looks whole.
 test('a response whose head breaks off at any byte is lost', async () => {
 	const head = 'HTTP/1.1 200 OK\r\nid: 1\r\nx-long: 1\r\ncontent-length: 5\r\n\r\n';
@@ -454,12 +463,7 @@
 			socket.end(head.slice(0, length));
 		});
 		for (const isStream of [false, true]) {
-			nextOpenId = 1;
-			const caller = startSend({isStream});
-			const {outcome, detail} = await waitForEnd();
-			assert.equal(outcome, sendOutcome.lost, `${length} bytes: ${detail}`);
-			assert.equal(caller.received, '');
-			assert.equal(caller.hasStarted, false);
+			await assertLostWithoutData(isStream, `${length} bytes`);
 		}
 
 		await lifecycle.closeAll();
