--- a/packages/dispatch/src/lib/reduce-quarantine.ts
+++ b/packages/dispatch/src/lib/reduce-quarantine.ts
@@ -52,11 +52,18 @@
 	const {state, now} = step;
 	const check = state.crashChecks.get(targetId);
 	state.crashChecks.delete(targetId);
-	if (check === undefined || isListening !== false) {
+	if (check === undefined) {
 		return;
 	}
 
 	const {target, sendId, losses} = check;
+	recordLog(step, 'target-checked', {
+		target: targetId, result: isListening === undefined ? 'no answer' : (isListening ? 'listening' : 'refused'), losses: losses.length, tookMs: Math.round(now - losses[0]!.at),
+	});
+	if (isListening !== false) {
+		return;
+	}
+
 	for (const {partIds, at} of losses) {
 		state.quarantine.recordCrash(partIds, target.record, at, now);
 	}
--- a/packages/gateway/src/lib/connection-pool.ts
+++ b/packages/gateway/src/lib/connection-pool.ts
@@ -5,6 +5,7 @@
  */
 import {connect, type Socket} from 'node:net';
 import {parseAddress, type LifecycleManager} from '@sequoiatally/runtime';
+import {checkVerdict, ListenerCheck} from './listener-check.js';
 
 /** Idle timeout of connections to targets, in milliseconds; a target may announce a shorter one. */
 const defaultIdleTimeoutMs = 4000;
@@ -12,8 +13,6 @@
 const idleTimeoutMarginMs = 700;
 /** Idle time up to which a connection is assumed to be open at the target, in milliseconds. */
 const freshIdleMs = 1000;
-/** Time limit of a check, in milliseconds. */
-const checkTimeoutMs = 300;
 /** Largest number of idle connections to one address. */
 const maxIdlePerTarget = 16;
 
@@ -26,6 +25,8 @@
 	/** Connections opened since the process started. */
 	openedCount = 0;
 	readonly #idle = new Map<string, IdleConnection[]>();
+	/** Checks in progress, by address. */
+	readonly #checks = new Map<string, {readonly check: ListenerCheck; readonly listeners: Array<(isListening: boolean | undefined) => void>}>();
 	readonly #readClock: () => number;
 
 	constructor(readClock: () => number, lifecycle: LifecycleManager) {
@@ -92,35 +93,34 @@
 	}
 
 	/**
-	 * Finds out whether a process listens on the address: false if it refuses the
-	 * connection, `undefined` if it does not respond. A connection that opens is kept for the next request.
+	 * Finds out whether a process listens on the address: false if it refuses connections,
+	 * `undefined` if it does not respond. A check that is in progress serves all who ask. A connection that
+	 * proves that the process runs is kept for the next request.
 	 */
 	check(address: string, onResult: (isListening: boolean | undefined) => void): void {
-		const socket = this.#open(address);
-		let isOver = false;
-		const finish = (isListening: boolean | undefined) => {
-			if (isOver) {
-				return;
-			}
-
-			isOver = true;
-			clearTimeout(timer);
-			if (isListening) {
-				this.release(address, socket, undefined);
-			} else {
-				socket.destroy();
-			}
+		const pending = this.#checks.get(address);
+		if (pending !== undefined) {
+			pending.listeners.push(onResult);
+			return;
+		}
 
-			onResult(isListening);
-		};
+		const listeners = [onResult];
+		const check = new ListenerCheck({
+			open: () => this.#open(address),
+			readClock: this.#readClock,
+			onVerdict: (verdict, socket) => {
+				this.#checks.delete(address);
+				if (socket !== undefined) {
+					this.release(address, socket, undefined);
+				}
 
-		const timer = setTimeout(finish, checkTimeoutMs, undefined);
-		socket.once('connect', () => {
-			finish(true);
-		});
-		socket.once('error', (error: Error & {code?: string}) => {
-			finish(error.code === 'ECONNREFUSED' ? false : undefined);
+				for (const notify of listeners) {
+					notify(verdict === checkVerdict.unknown ? undefined : verdict === checkVerdict.listening);
+				}
+			},
 		});
+		this.#checks.set(address, {check, listeners});
+		check.start();
 	}
 
 	#addIdle(address: string, idle: IdleConnection): void {
@@ -163,6 +163,11 @@
 	}
 
 	#closeAll(): void {
+		for (const {check} of this.#checks.values()) {
+			check.stop();
+		}
+
+		this.#checks.clear();
 		for (const list of this.#idle.values()) {
 			for (const {socket} of list) {
 				socket.destroy();
--- /dev/null
+++ b/packages/gateway/src/lib/listener-check.ts
@@ -0,0 +1,152 @@
+/**
+ * Finds out whether a process listens on an address. One connection that opens proves
+ * little: the operating system closes the sockets of an ending process one by one, so its
+ * listening socket may still accept for a while after another connection was reset. Such a
+ * connection is closed with the listening socket. A connection therefore has to stay
+ * open for a time to prove that the process runs; if it is closed sooner, the address is
+ * tried again, until it refuses or the time of the check is over.
+ */
+import type {Socket} from 'node:net';
+
+/** Time for which a connection has to stay open to prove that the process runs, in milliseconds. */
+const holdMs = 150;
+/** Time limit of a whole check, in milliseconds. */
+const checkTimeoutMs = 500;
+/** Largest number of connections of one check: a target that resets each one is overloaded, not gone. */
+const maxConnections = 4;
+/** Time between two connections of a check, in milliseconds. */
+const reconnectDelayMs = 20;
+
+/** What one connection of a check showed. */
+export const connectionEvidence = {
+	/** The address refused the connection. */
+	refused: 'refused',
+	/** The connection opened and stayed open. */
+	held: 'held',
+	/** The connection was closed or reset by the other side. */
+	closed: 'closed',
+	/** The connection failed in another way, or did not open in time. */
+	unanswered: 'unanswered',
+} as const;
+export type ConnectionEvidence = typeof connectionEvidence[keyof typeof connectionEvidence];
+
+export const checkVerdict = {
+	listening: 'listening',
+	notListening: 'not-listening',
+	unknown: 'unknown',
+	/** The address has to be tried again. */
+	undecided: 'undecided',
+} as const;
+export type CheckVerdict = typeof checkVerdict[keyof typeof checkVerdict];
+
+/** Weighs what the last of `connectionCount` connections showed, `elapsedMs` after the start of the check. */
+export function weighEvidence(evidence: ConnectionEvidence, connectionCount: number, elapsedMs: number): CheckVerdict {
+	switch (evidence) {
+		case connectionEvidence.refused: {
+			return checkVerdict.notListening;
+		}
+
+		case connectionEvidence.held: {
+			return checkVerdict.listening;
+		}
+
+		case connectionEvidence.closed: {
+			return connectionCount < maxConnections && elapsedMs + reconnectDelayMs < checkTimeoutMs ? checkVerdict.undecided : checkVerdict.unknown;
+		}
+
+		case connectionEvidence.unanswered: {
+			return checkVerdict.unknown;
+		}
+	}
+}
+
+export type ListenerCheckOptions = {
+	readonly open: () => Socket;
+	readonly readClock: () => number;
+	/** Receives the verdict; `socket` is the open connection if the verdict is that the process listens. */
+	readonly onVerdict: (verdict: Exclude<CheckVerdict, typeof checkVerdict.undecided>, socket?: Socket) => void;
+};
+
+/** One check of one address. */
+export class ListenerCheck {
+	readonly #options: ListenerCheckOptions;
+	readonly #startedAt: number;
+	#connectionCount = 0;
+	#socket?: Socket;
+	#timer?: NodeJS.Timeout;
+	#isOver = false;
+
+	constructor(options: ListenerCheckOptions) {
+		this.#options = options;
+		this.#startedAt = options.readClock();
+	}
+
+	start(): void {
+		this.#connect();
+	}
+
+	/** Ends the check without a verdict. */
+	stop(): void {
+		this.#isOver = true;
+		clearTimeout(this.#timer);
+		this.#socket?.destroy();
+	}
+
+	#connect(): void {
+		const socket = this.#options.open();
+		this.#socket = socket;
+		this.#connectionCount++;
+		let hasOpened = false;
+		this.#timer = setTimeout(() => {
+			this.#weigh(connectionEvidence.unanswered, socket);
+		}, Math.max(0, checkTimeoutMs - this.#computeElapsedMs()));
+		socket.once('connect', () => {
+			hasOpened = true;
+			if (this.#socket === socket && !this.#isOver) {
+				clearTimeout(this.#timer);
+				this.#timer = setTimeout(() => {
+					this.#weigh(connectionEvidence.held, socket);
+				}, holdMs);
+			}
+		});
+		socket.once('error', (error: Error & {code?: string}) => {
+			const failure = error.code === 'ECONNREFUSED' ? connectionEvidence.refused : connectionEvidence.unanswered;
+			this.#weigh(hasOpened || error.code === 'ECONNRESET' ? connectionEvidence.closed : failure, socket);
+		});
+		const handleClose = () => {
+			this.#weigh(connectionEvidence.closed, socket);
+		};
+
+		// Without a reader, the end of the connection would not be noticed.
+		socket.once('end', handleClose);
+		socket.once('close', handleClose);
+		socket.resume();
+	}
+
+	#computeElapsedMs(): number {
+		return this.#options.readClock() - this.#startedAt;
+	}
+
+	#weigh(evidence: ConnectionEvidence, socket: Socket): void {
+		if (this.#isOver || this.#socket !== socket) {
+			return;
+		}
+
+		clearTimeout(this.#timer);
+		const verdict = weighEvidence(evidence, this.#connectionCount, this.#computeElapsedMs());
+		if (verdict !== checkVerdict.listening) {
+			this.#socket = undefined;
+			socket.destroy();
+		}
+
+		if (verdict === checkVerdict.undecided) {
+			this.#timer = setTimeout(() => {
+				this.#connect();
+			}, reconnectDelayMs);
+			return;
+		}
+
+		this.#isOver = true;
+		this.#options.onVerdict(verdict, verdict === checkVerdict.listening ? socket : undefined);
+	}
+}
