--- a/packages/gateway/src/lib/listener-check.ts
+++ b/packages/gateway/src/lib/listener-check.ts
@@ -40,7 +40,7 @@
 export type CheckVerdict = typeof checkVerdict[keyof typeof checkVerdict];
 
 /** Weighs what the last of `connectionCount` connections showed, `elapsedMs` after the start of the check. */
-export function weighEvidence(evidence: ConnectionEvidence, connectionCount: number, elapsedMs: number): CheckVerdict {
+export function computeVerdict(evidence: ConnectionEvidence, connectionCount: number, elapsedMs: number): CheckVerdict {
 	switch (evidence) {
 		case connectionEvidence.refused: {
 			return checkVerdict.notListening;
@@ -133,7 +133,7 @@
 		}
 
 		clearTimeout(this.#timer);
-		const verdict = weighEvidence(evidence, this.#connectionCount, this.#computeElapsedMs());
+		const verdict = computeVerdict(evidence, this.#connectionCount, this.#computeElapsedMs());
 		if (verdict !== checkVerdict.listening) {
 			this.#socket = undefined;
 			socket.destroy();
--- a/packages/gateway/src/test/listener-check_test.ts
+++ b/packages/gateway/src/test/listener-check_test.ts
@@ -11,7 +11,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createLogger, LifecycleManager, readMonotonicMs} from '@sequoiatally/runtime';
 import {ConnectionPool} from '../lib/connection-pool.js';
-import {checkVerdict, connectionEvidence, weighEvidence} from '../lib/listener-check.js';
+import {checkVerdict, connectionEvidence, computeVerdict} from '../lib/listener-check.js';
 
 let lifecycle: LifecycleManager;
 let pool: ConnectionPool;
@@ -114,11 +114,11 @@
 
 test('only a refusal proves that a process is gone, and only a connection that stays open that it runs', () => {
 	const {refused, held, closed, unanswered} = connectionEvidence;
-	assert.equal(weighEvidence(refused, 1, 0), checkVerdict.notListening);
-	assert.equal(weighEvidence(refused, 4, 490), checkVerdict.notListening);
-	assert.equal(weighEvidence(held, 1, 150), checkVerdict.listening);
-	assert.equal(weighEvidence(closed, 1, 10), checkVerdict.undecided);
-	assert.equal(weighEvidence(closed, 4, 10), checkVerdict.unknown);
-	assert.equal(weighEvidence(closed, 1, 495), checkVerdict.unknown);
-	assert.equal(weighEvidence(unanswered, 1, 500), checkVerdict.unknown);
+	assert.equal(computeVerdict(refused, 1, 0), checkVerdict.notListening);
+	assert.equal(computeVerdict(refused, 4, 490), checkVerdict.notListening);
+	assert.equal(computeVerdict(held, 1, 150), checkVerdict.listening);
+	assert.equal(computeVerdict(closed, 1, 10), checkVerdict.undecided);
+	assert.equal(computeVerdict(closed, 4, 10), checkVerdict.unknown);
+	assert.equal(computeVerdict(closed, 1, 495), checkVerdict.unknown);
+	assert.equal(computeVerdict(unanswered, 1, 500), checkVerdict.unknown);
 });
