--- a/packages/gateway/src/lib/listener-check.ts
+++ b/packages/gateway/src/lib/listener-check.ts
@@ -63,7 +63,7 @@
 export type ListenerCheckOptions = {
 	readonly open: () => Socket;
 	readonly readClock: () => number;
-	/** Receives the verdict; `socket` is the open connection if the verdict is that the process listens. */
+	/** Receives the verdict; `socket` is the open connection if the process listens and has sent nothing on it. */
 	readonly onVerdict: (verdict: Exclude<CheckVerdict, typeof checkVerdict.undecided>, socket?: Socket) => void;
 };
 
@@ -75,6 +75,8 @@
 	#socket?: Socket;
 	#timer?: NodeJS.Timeout;
 	#isOver = false;
+	/** True if the last connection carried data, which belongs to no request. */
+	#hasReceivedData = false;
 
 	constructor(options: ListenerCheckOptions) {
 		this.#options = options;
@@ -95,6 +97,7 @@
 	#connect(): void {
 		const socket = this.#options.open();
 		this.#socket = socket;
+		this.#hasReceivedData = false;
 		this.#connectionCount++;
 		let hasOpened = false;
 		this.#timer = setTimeout(() => {
@@ -117,10 +120,12 @@
 			this.#weigh(connectionEvidence.closed, socket);
 		};
 
-		// Without a reader, the end of the connection would not be noticed.
+		// Reading also shows the end of the connection.
+		socket.once('data', () => {
+			this.#hasReceivedData = true;
+		});
 		socket.once('end', handleClose);
 		socket.once('close', handleClose);
-		socket.resume();
 	}
 
 	#computeElapsedMs(): number {
@@ -134,7 +139,8 @@
 
 		clearTimeout(this.#timer);
 		const verdict = computeVerdict(evidence, this.#connectionCount, this.#computeElapsedMs());
-		if (verdict !== checkVerdict.listening) {
+		const isReusable = verdict === checkVerdict.listening && !this.#hasReceivedData;
+		if (!isReusable) {
 			this.#socket = undefined;
 			socket.destroy();
 		}
@@ -147,6 +153,6 @@
 		}
 
 		this.#isOver = true;
-		this.#options.onVerdict(verdict, verdict === checkVerdict.listening ? socket : undefined);
+		this.#options.onVerdict(verdict, isReusable ? socket : undefined);
 	}
 }
--- a/packages/gateway/src/test/listener-check_test.ts
+++ b/packages/gateway/src/test/listener-check_test.ts
@@ -92,6 +92,15 @@
 	assert.equal(pool.openedCount, 1);
 });
 
+// Guards against MIXED: bytes that arrive during a check belong to no request, and more of them may follow on the connection.
+test('a connection on which data arrives during the check is not used for a request', async () => {
+	const address = await startServer(socket => {
+		socket.write('HTTP/1.1 200 OK');
+	});
+	assert.equal(await check(address), true);
+	assert.equal(pool.lease(address, true).isNew, true);
+});
+
 test('an address that refuses connections is told at once', async () => {
 	const address = await startServer();
 	server.close();
