--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory.ts
@@ -22,12 +22,16 @@
 /** Subject of the configuration tables. */
 export const tablesSubject = 'tables';
 
+/** A change as the directory stores it. */
+type StoredChange = FactChange & {
+	/** True if the subject was not removed by a change, but was missing in a complete update. */
+	readonly isMissing?: boolean;
+};
+
 /** A fact of the current epoch as stored in the directory. */
-type KnownFact = FactChange & {
+type KnownFact = StoredChange & {
 	/** Revision of the last change of the fact's content; renewals raise only `revision`. */
 	readonly changeRevision: number;
-	/** True if the subject was not removed by a change, but was missing in a complete update. */
-	readonly isMissing?: boolean;
 };
 
 /** Facts that bring a directory up to a revision. */
@@ -150,7 +154,7 @@
 }
 
 /** Applies a change of the current epoch, unless a later one of its subject is known. */
-function applyChange(directory: DirectoryState, change: FactChange & Pick<KnownFact, 'isMissing'>, applied: AppliedUpdate): void {
+function applyChange(directory: DirectoryState, change: StoredChange, applied: AppliedUpdate): void {
 	const {subject, fact} = change;
 	const known = directory.facts.get(subject);
 	if (known !== undefined && known.revision >= change.revision) {
@@ -163,13 +167,13 @@
 		return;
 	}
 
-	const isSame = known !== undefined && isSameFact(known.fact, fact);
-	const retained = directory.retained.get(subject);
 	if (subject === tablesSubject) {
 		applyTablesChange(directory, change, known, applied);
 		return;
 	}
 
+	const isSame = known !== undefined && isSameFact(known.fact, fact);
+	const retained = directory.retained.get(subject);
 	storeFact(directory, change, isSame ? Math.max(known.changeRevision, change.changeRevision ?? 0) : change.revision, known);
 	if (retained !== undefined && isRetainedOver(retained, fact)) {
 		return;
@@ -179,11 +183,11 @@
 	if (retained === undefined ? isSame : isSameFact(retained.fact, fact)) {
 		applied.renewals.push(change);
 	} else {
-		putInForce(directory, change, retained === undefined ? known?.fact : retained.fact, applied);
+		applied.changes.push(putInForce(directory, change, retained === undefined ? known?.fact : retained.fact));
 	}
 }
 
-function storeFact(directory: DirectoryState, change: FactChange & Pick<KnownFact, 'isMissing'>, changeRevision: number, before: KnownFact | undefined): void {
+function storeFact(directory: DirectoryState, change: StoredChange, changeRevision: number, before: KnownFact | undefined): void {
 	const removedProcess = change.fact === undefined ? change.removedProcess ?? findProcess(before) : undefined;
 	directory.facts.set(change.subject, {...change, changeRevision, ...(removedProcess !== undefined && {removedProcess})});
 }
@@ -212,7 +216,7 @@
 	directory.unknownRemovalsUntil = 0;
 	directory.facts = new Map();
 	directory.retained = new Map();
-	const changes = new Map<string, FactChange & Pick<KnownFact, 'isMissing'>>(update.changes.map(change => [change.subject, change]));
+	const changes = new Map<string, StoredChange>(update.changes.map(change => [change.subject, change]));
 	for (const subject of factsBefore.keys()) {
 		if (!changes.has(subject)) {
 			changes.set(subject, {subject, revision: update.revision, isMissing: true});
@@ -235,7 +239,7 @@
 		if (retention !== undefined) {
 			directory.retained.set(subject, retention);
 		} else if (!isSame) {
-			putInForce(directory, change, factBefore, applied);
+			applied.changes.push(putInForce(directory, change, factBefore));
 		} else if (!isSameEntry(before, change)) {
 			applied.renewals.push(change);
 		}
@@ -259,17 +263,15 @@
 
 /** Ends the retention of facts that the platform, as of the end of their time, still contradicts; returns the changes that come into force. */
 export function expireRetainedFacts(directory: DirectoryState): FactChange[] {
-	const applied: AppliedUpdate = {
-		changes: [], renewals: [], ignored: [], hasGap: false,
-	};
+	const changes: FactChange[] = [];
 	for (const [subject, {since, durationMs, fact}] of directory.retained) {
 		if ((directory.confirmedAt ?? Number.NEGATIVE_INFINITY) >= since + durationMs) {
 			directory.retained.delete(subject);
-			putInForce(directory, directory.facts.get(subject)!, fact, applied);
+			changes.push(putInForce(directory, directory.facts.get(subject)!, fact));
 		}
 	}
 
-	return applied.changes;
+	return changes;
 }
 
 /** True when two facts have the same content; the remaining cold time is ignored while it stays above zero, since it decreases by itself. */
@@ -289,9 +291,9 @@
 }
 
 /** Lists removals of the subjects that a complete update no longer contains. */
-function listMissingSubjects({facts}: DirectoryState, update: DirectoryUpdate): Array<FactChange & Pick<KnownFact, 'isMissing'>> {
+function listMissingSubjects({facts}: DirectoryState, update: DirectoryUpdate): StoredChange[] {
 	const listedSubjects = new Set(update.changes.map(({subject}) => subject));
-	const missing: Array<FactChange & Pick<KnownFact, 'isMissing'>> = [];
+	const missing: StoredChange[] = [];
 	for (const [subject, {revision, fact}] of facts) {
 		if (!listedSubjects.has(subject) && fact !== undefined && revision <= update.revision) {
 			missing.push({subject, revision: update.revision, isMissing: true});
@@ -307,7 +309,7 @@
 	const inForce: Fact | undefined = directory.tables === undefined ? undefined : {kind: factKind.tables, tables: directory.tables};
 	const isSame = known !== undefined && isSameFact(known.fact, fact);
 	const change = {subject: tablesSubject, revision, fact: inForce};
-	// A new epoch, in which nothing is stored yet, starts the revision of the last change again.
+	// At the start of an epoch nothing is stored yet, and the last change counts from there.
 	const changeRevision = isSame && directory.facts.has(tablesSubject) ? known.changeRevision : revision;
 	directory.facts.set(tablesSubject, {...change, changeRevision});
 	(isReplaced || !isSame ? applied.changes : applied.renewals).push(change);
@@ -337,14 +339,15 @@
 	return true;
 }
 
-function putInForce(directory: DirectoryState, {subject, revision, fact}: FactChange, before: Fact | undefined, applied: AppliedUpdate): void {
+/** Puts a change in force in place of the fact before; returns the change as it is reported. */
+function putInForce(directory: DirectoryState, {subject, revision, fact}: FactChange, before: Fact | undefined): FactChange {
 	if (fact?.kind === factKind.zoneClosed) {
 		directory.closedZones.add(fact.zone);
 	} else if (before?.kind === factKind.zoneClosed) {
 		directory.closedZones.delete(before.zone);
 	}
 
-	applied.changes.push({subject, revision, fact});
+	return {subject, revision, fact};
 }
 
 function dropOldestTombstones(directory: DirectoryState): void {
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -3,7 +3,7 @@
  * platform and from each other, and maintain the member list.
  */
 import {
-	applyUpdate, describeTablesFor, describeUpdate, expireRetainedFacts, recordEpochBegin, applyNewerTables, tablesSubject, type DirectoryUpdate,
+	applyNewerTables, applyUpdate, describeTablesFor, describeUpdate, expireRetainedFacts, recordEpochBegin, tablesSubject, type DirectoryUpdate,
 } from './directory.js';
 import {isEarlier, isSamePosition} from './directory-position.js';
 import {factKind, type FactChange} from './directory-facts.js';
--- a/packages/dispatch/src/lib/restored-facts.ts
+++ b/packages/dispatch/src/lib/restored-facts.ts
@@ -1,8 +1,8 @@
 /**
  * Decides which facts stay in force when the platform was restored from an older copy.
  * The copy lacks what was written since it was made, and contains what was removed since;
- * operator and targets write theirs again, in their own time. For each kind of fact,
- * the error that harms callers less is chosen meanwhile:
+ * operators and targets write theirs again, each at another time. Until then, the error
+ * that harms callers less is chosen for each kind of fact:
  *
  * - A target that the copy lacks stays in use: without it, a pool might lose most of its
  *   targets at once, and a target that has ended only refuses connections.
--- a/packages/dispatch/src/test/restored-fleet.ts
+++ b/packages/dispatch/src/test/restored-fleet.ts
@@ -153,7 +153,7 @@
 		});
 	}
 
-	/** Takes the platform down for `downMs`; it comes back from a copy that is `ageMs` old. */
+	/** Takes the platform down for `downMs`; it comes back with the changes of `copy`. */
 	restorePlatform(copy: readonly FactChange[], downMs: number): void {
 		const {platform} = this;
 		if (platform.isDown) {
@@ -339,7 +339,7 @@
 		}
 	}
 
-	/** An instance that has acknowledged a change by its own deeds never goes back on it. */
+	/** An instance never uses older tables than before, nor a target again that it had found to have left. */
 	#checkMemory(node: Node): void {
 		const {gateway: {state}, knownGone} = node;
 		const version = state.directory.tables?.version ?? 0;
