--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -7,6 +7,7 @@
 
 export const eventKind = {
 	requestArrived: 'request-arrived',
+	sendOpened: 'send-opened',
 	answerStarted: 'answer-started',
 	answerSilent: 'answer-silent',
 	sendEnded: 'send-ended',
@@ -77,6 +78,9 @@
 /** A target's statement, and the time at which the head of the response was read. */
 export type TargetReport = TargetStatement & {readonly at: number};
 
+/** The connection of a send is open, so that the target may receive the request from now on. */
+export type SendOpenedEvent = {readonly kind: typeof eventKind.sendOpened; readonly openId: number; readonly sendId: number};
+
 /** A send delivered the first events of a stream. */
 export type AnswerStartedEvent = {
 	readonly kind: typeof eventKind.answerStarted;
@@ -155,6 +159,6 @@
 export type TickEvent = {readonly kind: typeof eventKind.tick};
 
 export type Event =
-	| RequestArrivedEvent | AnswerStartedEvent | AnswerSilentEvent | SendEndedEvent | CallerLeftEvent | TargetCheckedEvent
+	| RequestArrivedEvent | SendOpenedEvent | AnswerStartedEvent | AnswerSilentEvent | SendEndedEvent | CallerLeftEvent | TargetCheckedEvent
 	| DirectoryReadEvent | DirectoryLostEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
 	| DrainRequestedEvent | SettingsChangedEvent | TickEvent;
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -6,7 +6,8 @@
 	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, recordFailure,
 } from './end-request.js';
 import {
-	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent, type TargetReport,
+	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent, type SendOpenedEvent,
+	type TargetReport,
 } from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {failureKind, type FailureKind} from './failure-reports.js';
@@ -90,6 +91,13 @@
 	state.queuedRequests.add(request);
 }
 
+export function applySendOpened(step: Step, {openId, sendId}: SendOpenedEvent): void {
+	const send = findCurrentRequest(step, openId, sendId)?.currentSend;
+	if (send !== undefined) {
+		send.hasOpened = true;
+	}
+}
+
 export function applyAnswerStarted(step: Step, {openId, sendId, targetReport}: AnswerStartedEvent): void {
 	const request = findCurrentRequest(step, openId, sendId);
 	if (request === undefined) {
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -9,7 +9,7 @@
 	callPeers, applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
 } from './reduce-fleet.js';
 import {
-	advanceQueuedRequests, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, endTimedOutRequests,
+	advanceQueuedRequests, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, applySendOpened, endTimedOutRequests,
 } from './reduce-requests.js';
 import {applyTargetChecked, updateQuarantine} from './reduce-quarantine.js';
 import {drainAcceptDurationMs} from './resolve-request.js';
@@ -29,6 +29,11 @@
 			break;
 		}
 
+		case eventKind.sendOpened: {
+			applySendOpened(step, event);
+			break;
+		}
+
 		case eventKind.answerStarted: {
 			applyAnswerStarted(step, event);
 			break;
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -140,7 +140,7 @@
 	request.arrivalCount++;
 	request.possibleRunCount++;
 	request.currentSend = {
-		sendId, target, sentAt: now, silenceCount: 0,
+		sendId, target, sentAt: now, hasOpened: false, silenceCount: 0,
 	};
 	recordSend(target, now);
 	const copySource = findCopySource(step, request, target);
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -35,6 +35,8 @@
 	/** The process that the request was sent to; a later process may be registered under the same id. */
 	readonly target: Target;
 	readonly sentAt: number;
+	/** True once the connection is open; until then the target cannot have received the request. */
+	hasOpened: boolean;
 	/** Number of times that a timeout of the send has expired. */
 	silenceCount: number;
 };
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -110,6 +110,7 @@
 			socket.once('connect', () => {
 				this.#hasConnected = true;
 				clearTimeout(this.#connectTimer);
+				this.#reportOpened();
 			});
 		}
 
@@ -136,6 +137,9 @@
 		});
 		this.#request.end(body);
 		this.#startSilenceTimer();
+		if (this.#hasConnected) {
+			this.#reportOpened();
+		}
 	}
 
 	cancel(): void {
@@ -148,6 +152,12 @@
 		return this.#caller.hasStarted ? sendOutcome.interrupted : sendOutcome.lost;
 	}
 
+	#reportOpened(): void {
+		if (!this.#hasEnded) {
+			this.#options.emit({kind: eventKind.sendOpened, openId: this.#send.openId, sendId: this.#send.sendId});
+		}
+	}
+
 	/** Records that the target started a response or sent an event; returns the time. */
 	#recordActivity(): number {
 		const {activity, readClock} = this.#options;
