--- /dev/null
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -0,0 +1,120 @@
+/**
+ * Tests instances that are cut off from all targets while callers, the platform and the
+ * other instances reach them.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	createRoute, GatewayFixture, onceRoute, repeatableRoute,
+} from './gateway-fixture.js';
+import {
+	cutMode, SimulatedFleet, type CutMode, type SimulatedRequest,
+} from './simulated-fleet.js';
+
+/** Time from the beginning of a cut after which callers have to be served again, in milliseconds. */
+const contactMs = 3000;
+/** Share of the first attempts, of that at the other instances, that has to be served at instances that are cut off. */
+const minServedRatio = 0.9;
+const cutMs = 9000;
+const route = createRoute();
+
+type Scenario = {
+	readonly gatewayCount: number;
+	readonly engineCount: number;
+	readonly requestsPerSecond: number;
+	readonly seed: number;
+	readonly callLoss: number;
+	/** Fraction of the instances that are cut off. */
+	readonly cutFraction: number;
+	readonly mode: CutMode;
+	/** True if the cut ends and begins again each second. */
+	readonly isFlapping?: boolean;
+};
+
+type Result = {readonly atCut: readonly SimulatedRequest[]; readonly atOthers: readonly SimulatedRequest[]; readonly fleet: SimulatedFleet};
+
+function playCut({
+	gatewayCount, engineCount, requestsPerSecond, seed, callLoss, cutFraction, mode, isFlapping = false,
+}: Scenario): Result {
+	const fleet = new SimulatedFleet({
+		gatewayCount, engineCount, seed, callLoss,
+	});
+	let turn = 0;
+	const sendSound = () => {
+		for (let count = fleet.drawCount(requestsPerSecond); count > 0; count--) {
+			const first = Math.floor(fleet.random() * 8);
+			fleet.sendRequest(route, [`first-${first}`, `chat-${first}-${Math.floor(fleet.random() * 10)}`, `turn-${turn++}`]);
+		}
+	};
+
+	fleet.advance(5000);
+	fleet.advance(4000, sendSound);
+	const startedAt = fleet.now;
+	const cutNodes = fleet.nodes.slice(0, Math.min(gatewayCount - 1, Math.ceil(gatewayCount * cutFraction)));
+	fleet.advance(cutMs, () => {
+		sendSound();
+		const isCut = !isFlapping || Math.floor((fleet.now - startedAt) / 1000) % 2 === 0;
+		for (const node of cutNodes) {
+			if ((node.cut !== undefined) !== isCut) {
+				fleet.setCut(node, isCut ? mode : undefined);
+			}
+		}
+	});
+	const judged = fleet.requests.filter(({at}) => at >= startedAt + contactMs && at < startedAt + cutMs - 1000);
+	const addresses = new Set(cutNodes.map(({address}) => address));
+	return {atCut: judged.filter(({receiver}) => addresses.has(receiver)), atOthers: judged.filter(({receiver}) => !addresses.has(receiver)), fleet};
+}
+
+function computeServedShare(requests: readonly SimulatedRequest[]): number {
+	return requests.filter(({hasBegun}) => hasBegun).length / requests.length;
+}
+
+const sizes = [
+	{
+		gatewayCount: 7, engineCount: 13, requestsPerSecond: 60, cutFractions: [0.14, 0.5, 0.8],
+	},
+	{
+		gatewayCount: 60, engineCount: 40, requestsPerSecond: 200, cutFractions: [0.14, 0.5, 0.8],
+	},
+	{
+		gatewayCount: 195, engineCount: 114, requestsPerSecond: 400, cutFractions: [0.5],
+	},
+];
+
+for (const mode of Object.values(cutMode)) {
+	for (const {cutFractions, ...size} of sizes) {
+		// Guards against callers of instances without a path to the targets being served far worse than others (incident RECOVER).
+		test(`callers of instances that are cut off from all targets are served as often as others (${mode} cut, ${size.gatewayCount} instances)`, () => {
+			for (const cutFraction of cutFractions) {
+				const {atCut, atOthers} = playCut({
+					...size, mode, cutFraction, seed: 5, callLoss: 0.05,
+				});
+				assert.ok(atCut.length >= 20 && atOthers.length >= 20);
+				const [cutShare, otherShare] = [computeServedShare(atCut), computeServedShare(atOthers)];
+				assert.ok(cutShare >= minServedRatio * otherShare, `${cutShare.toFixed(3)} of the first attempts are served at ${cutFraction} of the instances, ${otherShare.toFixed(3)} elsewhere`);
+				assert.ok(otherShare >= 0.95, `${otherShare.toFixed(3)} of the first attempts are served at instances that are not cut off`);
+				assert.ok([...atCut, ...atOthers].every(({arrivalCount}) => arrivalCount <= 1), 'no request that may run once reaches two targets');
+			}
+		});
+	}
+}
+
+test('callers of instances whose cut begins anew every two seconds are served as often as others (flapping path)', () => {
+	for (const mode of [cutMode.silent, cutMode.reset]) {
+		const {atCut, atOthers} = playCut({
+			...sizes[0]!, mode, cutFraction: 0.5, seed: 9, callLoss: 0.05, isFlapping: true,
+		});
+		const [cutShare, otherShare] = [computeServedShare(atCut), computeServedShare(atOthers)];
+		assert.ok(cutShare >= minServedRatio * otherShare, `${mode}: ${cutShare.toFixed(3)} of the first attempts are served there, ${otherShare.toFixed(3)} elsewhere`);
+	}
+});
+
+// Guards against failures that promise nothing for requests that never left the instance: callers do not repeat them (RECOVER).
+test('a request whose connection never opened until its deadline is refused as not run', () => {
+	for (const sentRoute of [onceRoute, repeatableRoute]) {
+		const gateway = new GatewayFixture().loadDirectory(['desk-1']);
+		gateway.receiveRequest(sentRoute, {timeoutMs: 250});
+		gateway.advance(300);
+		assert.deepEqual(gateway.listRefusalStatuses(), [503], sentRoute.name);
+	}
+});
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -17,6 +17,9 @@
 const restartMs = 4000;
 /** Time from the start of a lost peer call to its failure, in milliseconds. */
 const lostCallMs = 800;
+/** Time after which an attempt to open a connection, and a check of a target, are given up, in milliseconds. */
+const connectTimeoutMs = 300;
+const checkTimeoutMs = 500;
 /** Shortest time until a response begins, its random addition, and the same for its end, in milliseconds. */
 const beginMs = {min: 60, extra: 200};
 const endMs = {min: 100, extra: 600};
@@ -29,6 +32,17 @@
 	readonly callLoss?: number;
 };
 
+/** How an instance is cut off from all engines. */
+export const cutMode = {
+	/** Nothing arrives in either direction. */
+	silent: 'silent',
+	/** Open connections are reset, and new ones refused. */
+	reset: 'reset',
+	/** Open connections go on, and new ones are refused. */
+	refused: 'refused',
+} as const;
+export type CutMode = typeof cutMode[keyof typeof cutMode];
+
 type Node = {
 	readonly address: string;
 	gateway: GatewayFixture;
@@ -36,6 +50,8 @@
 	runningSince: number;
 	pausedUntil: number;
 	readRevision: number;
+	/** Set while the instance is cut off from all engines. */
+	cut?: CutMode;
 };
 
 type Engine = {readonly id: string; readonly address: string; readonly zone: string; isRunning: boolean};
@@ -63,7 +79,17 @@
 };
 
 /** A request of a caller and how its first attempt went. */
-export type SimulatedRequest = {readonly at: number; readonly prompt: readonly string[]; hasBegun: boolean; refusalStatus?: number; refusalReason?: string};
+export type SimulatedRequest = {
+	readonly at: number;
+	readonly prompt: readonly string[];
+	/** Address of the instance that received the request. */
+	readonly receiver: string;
+	/** Number of engines that the request reached. */
+	arrivalCount: number;
+	hasBegun: boolean;
+	refusalStatus?: number;
+	refusalReason?: string;
+};
 
 export class SimulatedFleet {
 	now = 1_000_000;
@@ -140,7 +166,9 @@
 
 		this.#drainEffects(node);
 		node.gateway.now = this.now;
-		const request: SimulatedRequest = {at: this.now, prompt, hasBegun: false};
+		const request: SimulatedRequest = {
+			at: this.now, prompt, receiver: node.address, arrivalCount: 0, hasBegun: false,
+		};
 		this.requests.push(request);
 		// The fixture assigns the identifier before it returns it.
 		const openId = node.gateway.nextOpenId;
@@ -184,6 +212,16 @@
 		this.#runs = this.#runs.filter(run => run.node !== node);
 	}
 
+	/** Cuts an instance off from all engines, or ends the cut. */
+	setCut(node: Node, cut: CutMode | undefined): void {
+		node.cut = cut;
+		if (cut === cutMode.reset) {
+			for (const run of this.#runs.filter(other => other.node === node)) {
+				this.#endRun(run, run.hasBegun ? sendOutcome.interrupted : sendOutcome.lost);
+			}
+		}
+	}
+
 	/** Crashes some running engines at once. */
 	crashEngines(count: number): void {
 		const running = [...this.#engines.values()].filter(({isRunning}) => isRunning);
@@ -252,6 +290,10 @@
 			}
 
 			const {send: {openId, sendId}} = run;
+			if (run.node.cut === cutMode.silent) {
+				continue;
+			}
+
 			if (!run.hasBegun && run.beginsAt <= this.now) {
 				if (this.crashingPart !== undefined && run.prompt.includes(this.crashingPart)) {
 					this.crashes.push(this.now);
@@ -348,11 +390,12 @@
 			case effectKind.checkTarget: {
 				const {targetId} = effect;
 				const {gateway} = node;
-				this.#schedule(stepMs, () => {
+				this.#schedule(node.cut === cutMode.silent ? checkTimeoutMs : stepMs, () => {
 					if (node.gateway === gateway && node.pausedUntil <= this.now) {
+						const isRunning = this.#engines.get(targetId)?.isRunning ?? false;
 						gateway.now = this.now;
 						gateway.handle({
-							kind: eventKind.targetChecked, targetId, isListening: this.#engines.get(targetId)?.isRunning ?? false,
+							kind: eventKind.targetChecked, targetId, isListening: node.cut === cutMode.silent ? undefined : isRunning && node.cut === undefined,
 						});
 						this.#drainEffects(node);
 					}
@@ -390,11 +433,24 @@
 		const run: Run = {
 			node, gateway, send, engine: engine!, prompt, beginsAt, endsAt: beginsAt + endMs.min + (this.random() * endMs.extra), hasBegun: false,
 		};
-		if (!engine?.isRunning) {
+		if (node.cut === cutMode.silent) {
+			this.#schedule(connectTimeoutMs, () => {
+				this.#endRun(run, sendOutcome.notSent);
+			});
+			return;
+		}
+
+		if (!engine?.isRunning || node.cut !== undefined) {
 			this.#endRun(run, sendOutcome.connectionRefused);
 			return;
 		}
 
+		gateway.handle({kind: eventKind.sendOpened, openId: send.openId, sendId: send.sendId});
+		const request = this.#requestByKey.get(`${gateway.state.self.incarnation}/${send.openId}`);
+		if (request !== undefined) {
+			request.arrivalCount++;
+		}
+
 		this.arrivals.push({
 			at: this.now, engineId: engine.id, prompt, sender: node.address, senderRunningSince: node.runningSince,
 		});
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -84,6 +84,8 @@
 let lifecycle: LifecycleManager;
 let client: TargetClient;
 let events: Event[] = [];
+/** Sends whose connection has opened. */
+let openedSendIds: number[] = [];
 let onEvent: (() => void) | undefined;
 let nextOpenId = 1;
 
@@ -105,10 +107,17 @@
 	lifecycle = new LifecycleManager(createLogger('test', 'error'));
 	const received: Event[] = [];
 	events = received;
+	const opened: number[] = [];
+	openedSendIds = opened;
 	client = new TargetClient({
 		pool: new ConnectionPool(readMonotonicMs, lifecycle),
 		protocol: new HeaderProtocol(),
 		emit(event) {
+			if (event.kind === eventKind.sendOpened) {
+				opened.push(event.sendId);
+				return;
+			}
+
 			received.push(event);
 			onEvent?.();
 		},
@@ -346,6 +355,32 @@
 	}
 });
 
+// Guards against requests that never left the instance and are answered as if they may have run (RECOVER).
+test('the connection of a send is reported as open once: when it opens, or at once if it was kept; never if it is refused', async () => {
+	await startTarget((socket, requestId) => {
+		socket.write(`HTTP/1.1 200 OK\r\nid: ${requestId}\r\ncontent-length: 2\r\n\r\nok`);
+	});
+	startSend();
+	await assertOutcome(sendOutcome.complete);
+	await delay(20);
+	startSend();
+	await assertOutcome(sendOutcome.complete);
+	assert.equal(sockets.size, 1, 'the connection was kept');
+	assert.equal(new Set(openedSendIds).size, 2);
+	assert.equal(openedSendIds.length, 2);
+	const address = `127.0.0.1:${(server!.address() as AddressInfo).port}`;
+	server!.close();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	await delay(20);
+	const openedCount = openedSendIds.length;
+	startSend({address});
+	await assertOutcome(sendOutcome.connectionRefused);
+	assert.equal(openedSendIds.length, openedCount);
+});
+
 test('a limit in a response is reported once, with the time at which the head was read (capped targets)', async () => {
 	await startTarget(async (socket, requestId) => {
 		socket.write(`HTTP/1.1 200 OK\r\nid: ${requestId}\r\nlimit: 3.1\r\ntransfer-encoding: chunked\r\n\r\n`);
