A target that states that it leaves receives nothing more from the instance that heard it (DRAIN)

What callers saw: requests reached a target later than the drain time after a response had told the same instance that the target leaves.

Cause: only registrations told who leaves; the header in the target's own responses was not read. With a late, stale or restored platform the target stayed in use.

Change: what targets state about themselves is decoded once into one type (limit, leaving, pause) and kept by process, apart from registrations, so that a later registration does not take it back. Peers pass on who leaves. Numbers without a sound meaning are unreadable, and logged: an infinite limit made peers refuse whole messages.

--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -4,6 +4,7 @@
  */
 import type {DirectoryUpdate} from './directory.js';
 import type {PeerMessage} from './peer-message.js';
+import type {TargetReport} from './target-statements.js';
 
 export const eventKind = {
 	requestArrived: 'request-arrived',
@@ -67,17 +68,6 @@
 } as const;
 export type SendOutcome = typeof sendOutcome[keyof typeof sendOutcome];
 
-/** What a target states about itself in a response. */
-export type TargetStatement = {
-	/** Number of requests that the target runs or queues; `undefined` if it does not report them. */
-	readonly load?: number;
-	/** Number of requests a second that the target takes from all instances together; `undefined` if it sets no limit. */
-	readonly requestsPerS?: number;
-};
-
-/** A target's statement, and the time at which the head of the response was read. */
-export type TargetReport = TargetStatement & {readonly at: number};
-
 /** The connection of a send is open, so that the target may receive the request from now on. */
 export type SendOpenedEvent = {readonly kind: typeof eventKind.sendOpened; readonly openId: number; readonly sendId: number};
 
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -37,6 +37,15 @@
 	readonly ageMs: number;
 };
 
+/** A process of a target that stated in a response that it leaves. */
+export type SharedLeavingTarget = {
+	readonly targetId: string;
+	/** Unix time of the target's start in milliseconds. */
+	readonly bornAt: number;
+	/** Time since the first such response, in milliseconds. */
+	readonly ageMs: number;
+};
+
 /** A target that holds the shared parts of a prompt in its cache. */
 export type SharedCacheEntry = {
 	/** Identifiers of the shared parts, in prompt order. */
@@ -87,6 +96,8 @@
 	readonly loads: readonly SharedTargetLoad[];
 	/** Limits that targets named recently; absent if there are none. */
 	readonly limits?: readonly SharedTargetLimit[];
+	/** Targets that stated recently that they leave; absent if there are none. */
+	readonly leaving?: readonly SharedLeavingTarget[];
 	/** Recent prompt cache entries. */
 	readonly readings: readonly SharedCacheEntry[];
 	/** Recent failed sends to targets. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -12,7 +12,7 @@
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked} from './ranking.js';
 import {isAwaitingTrial, isUsable} from './target-health.js';
-import {findNamedLimitEnd, isWithinNamedLimit, type Target} from './target-state.js';
+import {findStatedLimitsEnd, isWithinStatedLimits, type Target} from './target-state.js';
 
 /**
  * Load limit of a target: a multiple of its pool's mean load plus a constant.
@@ -125,7 +125,7 @@
 	const preferredSkipReason = target === preferred
 		? undefined
 		: explainSkip(preferred, {
-			usable, candidates, triedTargetIds, isWithinLimit: isWithinNamedLimit(preferred, view.fleet, now),
+			usable, candidates, triedTargetIds, isWithinLimit: isWithinStatedLimits(preferred, view.fleet, now),
 		});
 	return {
 		target, load: load.estimate(target), meanLoad: load.mean, preferredSkipReason,
@@ -139,11 +139,11 @@
  */
 export function findLimitEnd({targets, closedZones, fleet}: PlacementView, triedTargetIds: ReadonlySet<string>, now: number): number | undefined {
 	const accepting = targets.filter(({isGone, record}) => !isGone && !closedZones.has(record.zone) && !triedTargetIds.has(record.id));
-	if (accepting.length === 0 || accepting.some(target => isWithinNamedLimit(target, fleet, now))) {
+	if (accepting.length === 0 || accepting.some(target => isWithinStatedLimits(target, fleet, now))) {
 		return undefined;
 	}
 
-	return Math.min(...accepting.map(target => findNamedLimitEnd(target, fleet, now)));
+	return Math.min(...accepting.map(target => findStatedLimitsEnd(target, fleet, now)));
 }
 
 /** Computes the largest number of requests that a target may hold, including the new request. */
@@ -198,7 +198,7 @@
 
 /** True if the target's limits allow this instance another request. */
 function hasCapacity(view: PlacementView, target: Target, now: number): boolean {
-	return hasColdCapacity(view, target, now) && isWithinNamedLimit(target, view.fleet, now);
+	return hasColdCapacity(view, target, now) && isWithinStatedLimits(target, view.fleet, now);
 }
 
 function hasColdCapacity({pool, fleet, coldBounds}: PlacementView, target: Target, now: number): boolean {
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -18,7 +18,7 @@
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type State, type Step} from './state.js';
 import {
-	applyLoads, applyNamedLimits, applyTargetChanges, applyTargetRenewals, describeLoads, describeNamedLimits, expireLapsedTargets, updateTargets,
+	applyLeavingTargets, applyLoads, applyNamedLimits, applyTargetChanges, applyTargetRenewals, describeLoads, expireLapsedTargets, updateTargets,
 } from './target-state.js';
 
 /**
@@ -190,7 +190,8 @@
 		self, directory, members, drainStartedAt, lapseGraceUntil, platformReadableSince,
 	} = state;
 	const suspects = state.quarantine.describe(now);
-	const limits = describeNamedLimits(state.targets, now);
+	const limits = state.targets.statements.describeLimits(now);
+	const leaving = state.targets.statements.describeLeaving(now);
 	return {
 		from: {...self, ageMs: 0},
 		members: describeMembers(members, now, state.random),
@@ -201,6 +202,7 @@
 		directoryAgeMs: Number.isFinite(directory.confirmedAt) ? Math.round(now - directory.confirmedAt!) : undefined,
 		loads: describeLoads(state.targets, now),
 		...(limits.length > 0 && {limits}),
+		...(leaving.length > 0 && {leaving}),
 		readings: state.cacheHolders.describeRecentEntries(now),
 		failures: state.failureReports.describe(now),
 		...(suspects.length > 0 && {suspects}),
@@ -280,16 +282,7 @@
 	const {
 		update, directoryAgeMs, lapseGraceMs, readingMs,
 	} = message;
-	applyLoads(state.targets, message.loads, messageCreatedAt);
-	applyNamedLimits(state.targets, message.limits ?? [], messageCreatedAt);
-	state.cacheHolders.applyEntries(message.readings, state.targets.byId, messageCreatedAt);
-	for (const target of state.failureReports.applyShared(message.failures ?? [], state.targets, messageCreatedAt, now)) {
-		ejectIfFaulty(step, target);
-	}
-
-	if (state.quarantine.applyShared(message.suspects ?? [], messageCreatedAt, now) && state.isWatching) {
-		state.hasUnreportedCrash = true;
-	}
+	applySharedTargets(step, message, messageCreatedAt);
 
 	// An instance that received updates throughout knows that the platform was available.
 	if (lapseGraceMs !== undefined && hasLapseSilence(step)) {
@@ -320,6 +313,25 @@
 	applyDirectoryUpdate(step, update, messageCreatedAt - (directoryAgeMs ?? Number.POSITIVE_INFINITY), message.from.id);
 }
 
+/** Applies what a peer's message tells about targets. */
+function applySharedTargets(step: Step, message: PeerMessage, messageCreatedAt: number): void {
+	const {state, now} = step;
+	applyLoads(state.targets, message.loads, messageCreatedAt);
+	applyNamedLimits(state.targets, message.limits ?? [], messageCreatedAt);
+	for (const {record} of applyLeavingTargets(state.targets, message.leaving ?? [], messageCreatedAt)) {
+		recordLog(step, 'target-leaving', {target: record.id, source: message.from.id});
+	}
+
+	state.cacheHolders.applyEntries(message.readings, state.targets.byId, messageCreatedAt);
+	for (const target of state.failureReports.applyShared(message.failures ?? [], state.targets, messageCreatedAt, now)) {
+		ejectIfFaulty(step, target);
+	}
+
+	if (state.quarantine.applyShared(message.suspects ?? [], messageCreatedAt, now) && state.isWatching) {
+		state.hasUnreportedCrash = true;
+	}
+}
+
 export function applyPeerFailed(step: Step, {address, detail}: PeerFailedEvent): void {
 	const {state, now} = step;
 	const wasMember = removeUnreachableMember(state.members, address, now);
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -1,13 +1,12 @@
 /**
  * Handles the events of a request from its arrival to its end.
  */
-import {effectKind} from './effect.js';
+import {effectKind, logLevel} from './effect.js';
 import {
 	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, recordFailure,
 } from './end-request.js';
 import {
 	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent, type SendOpenedEvent,
-	type TargetReport,
 } from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {failureKind, type FailureKind} from './failure-reports.js';
@@ -22,7 +21,8 @@
 	recordLog, type CurrentSend, type OpenRequest, type Step,
 } from './state.js';
 import {verdict, type Verdict} from './target-health.js';
-import {recordNamedLimit, recordReportedLoad} from './target-state.js';
+import {statementKind, type TargetReport} from './target-statements.js';
+import {recordTargetStatement} from './target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
 const queueTimeoutFraction = 0.125;
@@ -124,12 +124,28 @@
 	}
 
 	const {target} = currentSend!;
-	if (report.load !== undefined) {
-		recordReportedLoad(target, report.load, step.now);
+	const {id} = target.record;
+	for (const kind of recordTargetStatement(target, report, step.now)) {
+		switch (kind) {
+			case statementKind.limit: {
+				recordLog(step, 'target-limit', {target: id, perS: report.requestsPerS ?? 'none'});
+				break;
+			}
+
+			case statementKind.leaving: {
+				recordLog(step, 'target-leaving', {target: id, source: 'response'});
+				break;
+			}
+
+			case statementKind.pause: {
+				recordLog(step, 'target-paused', {target: id, forMs: Math.round(target.statements.pausedUntil - step.now)});
+				break;
+			}
+		}
 	}
 
-	if (recordNamedLimit(target, report)) {
-		recordLog(step, 'target-limit', {target: target.record.id, perS: report.requestsPerS ?? 'none'});
+	if (report.unreadable !== undefined) {
+		recordLog(step, 'statement-unreadable', {target: id, statements: report.unreadable}, logLevel.warn);
 	}
 }
 
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -6,9 +6,12 @@
 	computeNamedLimitShare, computeRankHash, namedLimitWindowMs, type FleetView,
 } from './target-limits.js';
 import {factKind, type FactChange, type TargetRecord} from './directory-facts.js';
-import type {SharedTargetLimit, SharedTargetLoad} from './peer-message.js';
+import type {SharedLeavingTarget, SharedTargetLimit, SharedTargetLoad} from './peer-message.js';
 import {SlidingWindow} from './sliding-window.js';
 import {createHealth, type TargetHealth} from './target-health.js';
+import {
+	recordLeaving, recordNamedLimit, recordStatement, TargetStatements, type ProcessStatements, type StatementKind, type TargetReport,
+} from './target-statements.js';
 
 /** Time by which sends can arrive closer together at the target than they were sent, in milliseconds. */
 const arrivalSpreadMs = 150;
@@ -24,16 +27,6 @@
 	readonly othersLoad: number;
 };
 
-/** The limit on requests that a target named in its latest response. */
-type NamedLimit = {
-	/** Time of that response. */
-	readonly at: number;
-	/** Requests a second from all instances together; `undefined` if the target named no limit. */
-	readonly requestsPerS?: number;
-	/** Time of the latest response that named a limit. */
-	readonly limitedAt: number;
-};
-
 export type Target = {
 	record: TargetRecord;
 	readonly hash: number;
@@ -54,7 +47,8 @@
 	lapseGraceUntil?: number;
 	health: TargetHealth;
 	reportedLoad?: ReportedLoad;
-	namedLimit?: NamedLimit;
+	/** What the target's process stated in its responses. */
+	readonly statements: ProcessStatements;
 };
 
 /** Time for which a target keeps running after its registration is removed, in milliseconds; other targets can copy from it meanwhile. */
@@ -67,10 +61,13 @@
 	byPool: Map<string, Target[]>;
 	/** Targets whose registration was removed, but that may still be running. */
 	departed: DepartedTarget[];
+	readonly statements: TargetStatements;
 };
 
 export function createTargetState(): TargetState {
-	return {byId: new Map(), byPool: new Map(), departed: []};
+	return {
+		byId: new Map(), byPool: new Map(), departed: [], statements: new TargetStatements(),
+	};
 }
 
 /** Lists the targets of a pool that may be reachable, including targets without a registration. */
@@ -132,18 +129,18 @@
 function applyTargetRecord(targets: TargetState, record: TargetRecord, now: number): void {
 	const known = targets.byId.get(record.id);
 	if (known?.record.bornAt !== record.bornAt) {
-		targets.byId.set(record.id, createTarget(record, now));
+		targets.byId.set(record.id, createTarget(record, targets.statements.claim(record), now));
 		return;
 	}
 
 	known.record = record;
-	known.isGone = record.isLeaving;
+	known.isGone = record.isLeaving || known.statements.leavingSince !== undefined;
 	known.isRegistered = true;
 	known.lapseGraceUntil = undefined;
 	known.coldUntil = now + record.coldMs;
 }
 
-function createTarget(record: TargetRecord, now: number): Target {
+function createTarget(record: TargetRecord, statements: ProcessStatements, now: number): Target {
 	return {
 		record,
 		hash: computeRankHash(record.id),
@@ -152,9 +149,10 @@
 		recentSends: new SlidingWindow(sendWindowMs),
 		recentLimitedSends: new SlidingWindow(namedLimitWindowMs + arrivalSpreadMs),
 		coldUntil: now + record.coldMs,
-		isGone: record.isLeaving,
+		isGone: record.isLeaving || statements.leavingSince !== undefined,
 		isRegistered: true,
 		health: createHealth(),
+		statements,
 	};
 }
 
@@ -223,31 +221,21 @@
 	target.reportedLoad = {at, load, othersLoad: Math.max(0, load - target.inFlight)};
 }
 
-/** Records the limit that a response at time `at` named, or that it named none; returns true if that changes the known limit. */
-export function recordNamedLimit(target: Target, {requestsPerS, at}: {readonly requestsPerS?: number; readonly at: number}): boolean {
-	const known = target.namedLimit;
-	if (known !== undefined && at <= known.at) {
-		return false;
-	}
-
-	target.namedLimit = {at, requestsPerS, limitedAt: requestsPerS === undefined ? known?.limitedAt ?? Number.NEGATIVE_INFINITY : at};
-	return known?.requestsPerS !== requestsPerS;
-}
-
 /** Computes how many requests this instance may send to the target in `namedLimitWindowMs`; infinite if the target names no limit. */
-function computeNamedShare({namedLimit, hash}: Target, fleet: FleetView): number {
-	return namedLimit?.requestsPerS === undefined ? Number.POSITIVE_INFINITY : computeNamedLimitShare(hash, namedLimit.requestsPerS, fleet);
+function computeNamedShare({statements: {limit}, hash}: Target, fleet: FleetView): number {
+	return limit?.requestsPerS === undefined ? Number.POSITIVE_INFINITY : computeNamedLimitShare(hash, limit.requestsPerS, fleet);
 }
 
-/** True if the limit that the target names, if any, allows this instance another request. */
-export function isWithinNamedLimit(target: Target, fleet: FleetView, now: number): boolean {
-	return target.recentLimitedSends.count(now) < computeNamedShare(target, fleet);
+/** True if what the target states about limits and pauses allows this instance another request. */
+export function isWithinStatedLimits(target: Target, fleet: FleetView, now: number): boolean {
+	return now >= target.statements.pausedUntil && target.recentLimitedSends.count(now) < computeNamedShare(target, fleet);
 }
 
-/** Finds the time from which the limit that the target names allows this instance another request; infinite if it never does. */
-export function findNamedLimitEnd(target: Target, fleet: FleetView, now: number): number {
+/** Finds the time from which what the target states allows this instance another request; infinite if it never does. */
+export function findStatedLimitsEnd(target: Target, fleet: FleetView, now: number): number {
 	const share = computeNamedShare(target, fleet);
-	return share === 0 ? Number.POSITIVE_INFINITY : target.recentLimitedSends.findFreeAt(share, now);
+	const limitEnd = share === 0 ? Number.POSITIVE_INFINITY : target.recentLimitedSends.findFreeAt(share, now);
+	return Math.max(limitEnd, target.statements.pausedUntil);
 }
 
 /** Age up to which load reports are shared with peers, in milliseconds. */
@@ -281,26 +269,6 @@
 	}
 }
 
-/** Time for which a named limit is shared with peers, and for which its end is, in milliseconds. */
-const sharedLimitMaxAgeMs = 10_000;
-/** Number of named limits in one message, the latest first. */
-const limitsPerMessage = 64;
-
-/** Describes the limits that targets named recently, and those that have ended, for peers. */
-export function describeNamedLimits({byId}: TargetState, now: number): SharedTargetLimit[] {
-	const limits: SharedTargetLimit[] = [];
-	for (const [targetId, {record, namedLimit}] of byId) {
-		if (namedLimit !== undefined && now - namedLimit.limitedAt <= sharedLimitMaxAgeMs) {
-			const {requestsPerS, at} = namedLimit;
-			limits.push({
-				targetId, bornAt: record.bornAt, requestsPerS, ageMs: Math.round(now - at),
-			});
-		}
-	}
-
-	return limits.sort((a, b) => a.ageMs - b.ageMs).slice(0, limitsPerMessage);
-}
-
 /** Applies the limits of a peer's message that are newer than the known ones; their ages are subtracted from `messageCreatedAt`. */
 export function applyNamedLimits({byId}: TargetState, limits: readonly SharedTargetLimit[], messageCreatedAt: number): void {
 	for (const {
@@ -308,7 +276,36 @@
 	} of limits) {
 		const target = byId.get(targetId);
 		if (target?.record.bornAt === bornAt) {
-			recordNamedLimit(target, {requestsPerS, at: messageCreatedAt - ageMs});
+			recordNamedLimit(target.statements, {requestsPerS, at: messageCreatedAt - ageMs});
 		}
 	}
 }
+
+/**
+ * Applies the processes of a peer's message that leave, also those whose registration is not
+ * known here yet; returns the targets for which this is new.
+ */
+export function applyLeavingTargets(targets: TargetState, leaving: readonly SharedLeavingTarget[], messageCreatedAt: number): Target[] {
+	const changed: Target[] = [];
+	for (const {targetId, bornAt, ageMs} of leaving) {
+		const isNew = recordLeaving(targets.statements.claim({id: targetId, bornAt}), messageCreatedAt - ageMs);
+		const target = targets.byId.get(targetId);
+		if (isNew && target?.record.bornAt === bornAt) {
+			target.isGone = true;
+			changed.push(target);
+		}
+	}
+
+	return changed;
+}
+
+/** Records what a response of the target stated; returns the kinds of statements that changed. */
+export function recordTargetStatement(target: Target, report: TargetReport, now: number): StatementKind[] {
+	if (report.load !== undefined) {
+		recordReportedLoad(target, report.load, now);
+	}
+
+	const changed = recordStatement(target.statements, report);
+	target.isGone ||= target.statements.leavingSince !== undefined;
+	return changed;
+}
--- a/packages/dispatch/src/test/target_limits_test.ts
+++ b/packages/dispatch/src/test/target_limits_test.ts
@@ -129,7 +129,7 @@
 /** Creates an instance that every target has told its limit. */
 function createLimitedGateway(requestsPerS: number): GatewayFixture {
 	const gateway = new GatewayFixture().loadDirectory(desks, createTables());
-	while ([...gateway.state.targets.byId.values()].some(({namedLimit}) => namedLimit === undefined)) {
+	while ([...gateway.state.targets.byId.values()].some(({statements: {limit}}) => limit === undefined)) {
 		gateway.receiveRequest(onceRoute);
 		answerNamingLimit(gateway, requestsPerS);
 		gateway.advance(25);
@@ -148,7 +148,7 @@
 			break;
 		}
 
-		const limit = gateway.state.targets.byId.get(send.targetId)!.namedLimit?.requestsPerS;
+		const limit = gateway.state.targets.byId.get(send.targetId)!.statements.limit?.requestsPerS;
 		counts.set(answerNamingLimit(gateway, limit), (counts.get(send.targetId) ?? 0) + 1);
 		gateway.advance(25);
 	}
@@ -182,20 +182,20 @@
 	const {byId} = gateway.state.targets;
 	countSends(gateway, 10);
 	const target = byId.get('desk-1')!;
-	const named = target.namedLimit!;
+	const named = target.statements.limit!;
 	gateway.advance(5000);
-	assert.deepEqual(target.namedLimit, named);
+	assert.deepEqual(target.statements.limit, named);
 	gateway.receiveRequest(onceRoute);
 	const send = gateway.listSends().at(-1);
 	if (send !== undefined) {
 		answerNamingLimit(gateway, undefined, named.at - 1);
-		assert.equal(byId.get(send.targetId)!.namedLimit!.requestsPerS, 0);
+		assert.equal(byId.get(send.targetId)!.statements.limit!.requestsPerS, 0);
 	}
 
 	gateway.handle({
 		kind: eventKind.peerCalled, callId: 1, message: {...gateway.createPeerAnswer(), limits: [{targetId: 'desk-1', bornAt: 1, ageMs: 0}]},
 	});
-	assert.equal(target.namedLimit.requestsPerS, undefined);
+	assert.equal(target.statements.limit.requestsPerS, undefined);
 	assert.equal(countSends(gateway, 30).get('desk-1'), 30);
 });
 
@@ -207,7 +207,7 @@
 		}],
 	});
 	gateway.handle({kind: eventKind.peerCalled, callId: 1, message: createMessage(2)});
-	assert.equal(gateway.state.targets.byId.get('desk-1')!.namedLimit, undefined);
+	assert.equal(gateway.state.targets.byId.get('desk-1')!.statements.limit, undefined);
 	gateway.handle({kind: eventKind.peerCalled, callId: 1, message: createMessage(1)});
 	assert.ok([...countSends(gateway, 20).values()].every(count => count <= 1));
 	gateway.applyChanges(2, [createTargetChange(2, createTargetRecord('desk-1', {bornAt: 2}))]);
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -90,6 +90,7 @@
 	limits: createOptionalCheck(createListCheck(createObjectCheck({
 		targetId: isString, bornAt: isNumber, requestsPerS: createOptionalCheck(isNumber), ageMs: isNumber,
 	}))),
+	leaving: createOptionalCheck(createListCheck(createObjectCheck({targetId: isString, bornAt: isNumber, ageMs: isNumber}))),
 	readings: createListCheck(createObjectCheck({
 		partIds: createListCheck(isString), targetId: isString, bornAt: isNumber, ageMs: isNumber,
 	})),
