--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -90,10 +90,10 @@
 	currentSend.target.health.hasTrialInFlight = false;
 }
 
-/** Records a lost response for the current target if no part of a response was delivered until the deadline. */
+/** Records a lost response for the current target if it may have received the request, and no part of a response was delivered until the deadline. */
 export function recordTimedOutSend(step: Step, {currentSend, hasResponseStarted}: OpenRequest): void {
-	const {target} = currentSend!;
-	if (!hasResponseStarted) {
+	const {target, hasOpened} = currentSend!;
+	if (hasOpened && !hasResponseStarted) {
 		recordVerdict(target.health, verdict.lost, computePoolFailureRatio(step, target), step.now);
 	}
 }
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -162,6 +162,11 @@
 	}
 
 	const send = request.currentSend!;
+	if (!send.hasOpened) {
+		// The attempt to connect has a time limit of its own.
+		return;
+	}
+
 	send.silenceCount++;
 	if (isBusy(send, event) || !mayRetry(step, request, true) || !hasOtherTarget(step, request)) {
 		return;
@@ -282,7 +287,8 @@
 			continue;
 		}
 
-		const mayHaveRun = request.possibleRunCount > 0;
+		const unsentCount = request.currentSend?.hasOpened === false ? 1 : 0;
+		const mayHaveRun = request.possibleRunCount - unsentCount > 0;
 		if (request.currentSend !== undefined) {
 			recordTimedOutSend(step, request);
 			cancelCurrentSend(step, request);
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -162,14 +162,18 @@
 		return this.effects.filter(effect => effect.kind === effectKind.send);
 	}
 
-	/** Returns the last send and clears `effects`; throws if there is none. */
-	takeLastSend(): SendEffect {
+	/** Returns the last send and clears `effects`; throws if there is none. Its connection opens, unless `opens` is false. */
+	takeLastSend({opens = true} = {}): SendEffect {
 		const send = this.listSends().at(-1);
 		if (send === undefined) {
 			throw new TypeError(`no send among ${JSON.stringify(this.effects)}`);
 		}
 
 		this.effects = [];
+		if (opens) {
+			this.handle({kind: eventKind.sendOpened, openId: send.openId, sendId: send.sendId});
+		}
+
 		return send;
 	}
 
