--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -25,7 +25,13 @@
 	readonly openId: number;
 	readonly sendId: number;
 	readonly targetId: string;
+	/** Unix time of the target's start in milliseconds. */
+	readonly bornAt: number;
 	readonly address: string;
+	/** True if the target is a peer that relays the request; its id is that of the instance. */
+	readonly isRelayed: boolean;
+	/** Number of targets on which a peer may run the request. */
+	readonly runLimit: number;
 	readonly account?: string;
 	readonly isStream: boolean;
 	/** True if the send has to use a new connection or one that was in use a moment ago. */
--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -25,7 +25,7 @@
 /** Ends the current send and records its verdict in the target's health; without a verdict the send did not run. */
 export function endCurrentSend(step: Step, request: OpenRequest, sendVerdict: Verdict | undefined, detail: string): void {
 	const {now} = step;
-	const {target, sentAt, hasOpened} = request.currentSend!;
+	const {target, sentAt, hasOpened, isRelayed} = request.currentSend!;
 	const targetId = target.record.id;
 	request.currentSend = undefined;
 	if (sendVerdict !== verdict.good) {
@@ -33,7 +33,7 @@
 	}
 
 	recordLog(step, 'send-ended', {
-		requestId: request.requestId, target: targetId, verdict: sendVerdict ?? 'not-run', detail, opened: hasOpened, tookMs: Math.round(now - sentAt),
+		requestId: request.requestId, target: targetId, verdict: sendVerdict ?? 'not-run', detail, opened: hasOpened, relayed: isRelayed || undefined, tookMs: Math.round(now - sentAt),
 		...(sendVerdict === verdict.lost && {parts: listSharedParts(request.promptParts).map(({id}) => id), hasBegun: request.hasResponseStarted}),
 	});
 	recordSendEnd(target);
@@ -127,6 +127,7 @@
 	const {state, now} = step;
 	state.openRequests.delete(request.openId);
 	state.queuedRequests.delete(request);
+	state.relayedOpenIds.delete(request.openId);
 	recordLog(step, outcome, {
 		requestId: request.requestId, route: request.route.name, account: request.account, sends: request.sendCount,
 		tookMs: Math.round(now - request.arrivedAt), detail, tables: request.tablesVersion,
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -41,11 +41,21 @@
 	readonly promptParts: readonly PromptPart[];
 };
 
+/** The instance from which a relayed request comes. */
+export type RelayOrigin = {
+	readonly id: string;
+	readonly incarnation: string;
+	/** Number of targets on which the request may still run. */
+	readonly runLimit: number;
+};
+
 /** A caller's request was read completely. */
 export type RequestArrivedEvent = RequestHead & {
 	readonly kind: typeof eventKind.requestArrived;
 	/** Identifies the request within this process. */
 	readonly openId: number;
+	/** The peer that received the request from its caller and cannot reach the targets; `undefined` if the caller is connected to this instance. */
+	readonly relayedFrom?: RelayOrigin;
 };
 
 export const sendOutcome = {
@@ -69,7 +79,13 @@
 export type SendOutcome = typeof sendOutcome[keyof typeof sendOutcome];
 
 /** The connection of a send is open, so that the target may receive the request from now on. */
-export type SendOpenedEvent = {readonly kind: typeof eventKind.sendOpened; readonly openId: number; readonly sendId: number};
+export type SendOpenedEvent = {
+	readonly kind: typeof eventKind.sendOpened;
+	readonly openId: number;
+	readonly sendId: number;
+	/** False if the connection was kept from an earlier request. */
+	readonly isNewConnection: boolean;
+};
 
 /** A send delivered the first events of a stream. */
 export type AnswerStartedEvent = {
--- a/packages/dispatch/src/lib/failure-reports.ts
+++ b/packages/dispatch/src/lib/failure-reports.ts
@@ -124,7 +124,9 @@
 
 	/** Lists the failures of a target since its last ejection. */
 	#listRecent(target: Target, kind: FailureKind): FailureReport[] {
-		return [...this.#reports.values()].filter(report => report.target === target && report.kind === kind && report.at > target.health.ejectedUntil);
+		// An instance that hears from a target knows that its process runs: those that report another finding may be cut off from it.
+		const since = kind === failureKind.noProcess ? Math.max(target.health.ejectedUntil, target.heardAt) : target.health.ejectedUntil;
+		return [...this.#reports.values()].filter(report => report.target === target && report.kind === kind && report.at > since);
 	}
 
 	#expire(now: number): void {
--- a/packages/dispatch/src/lib/failure.ts
+++ b/packages/dispatch/src/lib/failure.ts
@@ -15,6 +15,8 @@
 	/** The directory has no matching entry but may be out of date. */
 	directoryStale: 'directory-stale',
 	draining: 'draining',
+	/** The request was relayed by an instance that is no known member, or this instance relays too many requests. */
+	relayRefused: 'relay-refused',
 	/** No target may receive the request now. */
 	noTarget: 'no-target',
 	/** All targets name a limit, and this instance has used its share. */
@@ -46,6 +48,7 @@
 	[failureReason.notReady]: 503,
 	[failureReason.directoryStale]: 503,
 	[failureReason.draining]: 503,
+	[failureReason.relayRefused]: 503,
 	[failureReason.noTarget]: 503,
 	[failureReason.targetsLimited]: 503,
 	[failureReason.promptQuarantined]: 503,
--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -250,5 +250,24 @@
 	return [...chosen];
 }
 
+/** Lists members to ask whether targets can be reached: some of this zone, and some of any zone. */
+export function listRelayQueryAddresses(members: MemberState, selfZone: string, random: () => number): string[] {
+	const all = [...members.byId.values()];
+	const near = all.filter(({zone}) => zone === selfZone);
+	const chosen = new Set<string>();
+	for (const candidates of [near, near, all, all]) {
+		if (candidates.length > 0) {
+			chosen.add(candidates[Math.floor(random() * candidates.length)]!.address);
+		}
+	}
+
+	return [...chosen];
+}
+
+/** True if the process is a member of the fleet, as far as this instance knows. */
+export function isMember({byId}: MemberState, {id, incarnation}: Pick<MemberEntry, 'id' | 'incarnation'>): boolean {
+	return byId.get(id)?.incarnation === incarnation;
+}
+
 /** Fraction of the calls that go to a seed address. */
 const seedCallFraction = 0.15;
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -1,6 +1,6 @@
 /**
- * Messages between instances: known members, target loads and limits, prompt cache entries,
- * failures of targets, prompt parts that may crash targets, and directory updates. Ages are relative to the creation of the message.
+ * Messages between instances: known members, target loads and statements, prompt cache entries,
+ * failures of targets, pools that can be reached, prompt parts that may crash targets, and directory updates. Ages are relative to the creation of the message.
  */
 import type {DirectoryUpdate} from './directory.js';
 import type {Tables} from './directory-facts.js';
@@ -78,6 +78,13 @@
 	readonly begunAgeMs?: number;
 };
 
+/** A pool that the sender reaches. */
+export type SharedService = {
+	readonly pool: string;
+	/** Time since a target of the pool last responded to the sender or accepted a connection, in milliseconds. */
+	readonly ageMs: number;
+};
+
 export type PeerMessage = {
 	readonly from: MemberEntry;
 	/** Some of the members that the sender knows. */
@@ -104,6 +111,10 @@
 	readonly failures?: readonly SharedFailure[];
 	/** Prompt parts that may crash targets; absent if there are none. */
 	readonly suspects?: readonly SharedSuspect[];
+	/** Pools that the sender reached recently, without those to which it has no path now; absent from builds that do not relay. */
+	readonly services?: readonly SharedService[];
+	/** Pools that the sender cannot reach and asks the receiver about; absent if there are none. */
+	readonly unreachedPools?: readonly string[];
 	/** True if the sender cannot rely on its own reads of the platform and requests missing changes. */
 	readonly wantsUpdate: boolean;
 	/** True if the sender reads the platform or tries to. */
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -15,8 +15,9 @@
 	applyMembers, choosePeers, describeMembers, removeUnreachableMember, listWatchers, expireMembers, type Watchers,
 } from './members.js';
 import {ejectIfFaulty} from './end-request.js';
-import type {PeerMessage} from './peer-message.js';
+import type {PeerMessage, SharedService} from './peer-message.js';
 import {recordLog, type State, type Step} from './state.js';
+import {pathState} from './target-paths.js';
 import {
 	applyLeavingTargets, applyLoads, applyNamedLimits, applyTargetChanges, applyTargetRenewals, describeLoads, expireLapsedTargets, updateTargets,
 } from './target-state.js';
@@ -62,6 +63,9 @@
 const tickGapMs = 150;
 const callWaitMs = 1000;
 
+/** Age up to which peers are told that this instance reached a pool, in milliseconds. */
+const sharedServiceMaxAgeMs = 3000;
+
 /** Source of changes that this instance read itself, in log lines; other sources are names of peers. */
 const platformSource = 'platform';
 
@@ -192,6 +196,8 @@
 	const suspects = state.quarantine.describe(now);
 	const limits = state.targets.statements.describeLimits(now);
 	const leaving = state.targets.statements.describeLeaving(now);
+	const services = describeServices(state, now);
+	const unreachedPools = listUnreachedPools(state, now);
 	return {
 		from: {...self, ageMs: 0},
 		members: describeMembers(members, now, state.random),
@@ -205,6 +211,8 @@
 		...(leaving.length > 0 && {leaving}),
 		readings: state.cacheHolders.describeRecentEntries(now),
 		failures: state.failureReports.describe(now),
+		services,
+		...(unreachedPools.length > 0 && {unreachedPools}),
 		...(suspects.length > 0 && {suspects}),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
 		isWatching: state.isWatching,
@@ -215,6 +223,23 @@
 	};
 }
 
+/** Describes the pools that this instance reached recently, unless it has no path to them now. */
+function describeServices({paths, targets}: State, now: number): SharedService[] {
+	const services: SharedService[] = [];
+	for (const [pool, path] of paths) {
+		const targetCount = targets.byPool.get(pool)?.length ?? 0;
+		if (now - path.contactAt <= sharedServiceMaxAgeMs && path.findState(targetCount, now) === pathState.open) {
+			services.push({pool, ageMs: Math.round(now - path.contactAt)});
+		}
+	}
+
+	return services;
+}
+
+function listUnreachedPools({paths, targets}: State, now: number): string[] {
+	return [...paths].filter(([pool, path]) => path.findState(targets.byPool.get(pool)?.length ?? 0, now) !== pathState.open).map(([pool]) => pool);
+}
+
 /** Finds a time before which a peer's call was certainly not created: it may have waited while this process did not run. */
 function findCallCreatedAt({state: {lastTickAt, lastTickGap}, now}: Step): number {
 	if (lastTickGap !== undefined && now - lastTickGap.endedAt <= callWaitMs) {
@@ -316,6 +341,10 @@
 /** Applies what a peer's message tells about targets. */
 function applySharedTargets(step: Step, message: PeerMessage, messageCreatedAt: number): void {
 	const {state, now} = step;
+	if (message.services !== undefined) {
+		state.relayPeers.applyServices(message.from, message.isLeaving ? [] : message.services, messageCreatedAt, now);
+	}
+
 	applyLoads(state.targets, message.loads, messageCreatedAt);
 	applyNamedLimits(state.targets, message.limits ?? [], messageCreatedAt);
 	for (const {record} of applyLeavingTargets(state.targets, message.leaving ?? [], messageCreatedAt)) {
--- /dev/null
+++ b/packages/dispatch/src/lib/reduce-paths.ts
@@ -0,0 +1,114 @@
+/**
+ * Applies what sends and checks show about the paths of this instance to the targets, and
+ * decides when requests are relayed by a peer.
+ */
+import {effectKind, logLevel} from './effect.js';
+import {listRelayQueryAddresses} from './members.js';
+import {callPeers} from './reduce-fleet.js';
+import type {PeerMessage} from './peer-message.js';
+import {recordLog, type OpenRequest, type Step} from './state.js';
+import {pathState, TargetPath, type PathState} from './target-paths.js';
+import type {Target} from './target-state.js';
+
+/** Time between two rounds of questions to peers while a path is suspect, and while one is lost, in milliseconds. */
+const suspectQueryIntervalMs = 150;
+const lostQueryIntervalMs = 500;
+/** Number of requests of peers that this instance relays at the same time. */
+export const relayedRequestLimit = 256;
+
+/** Finds the path to a pool and creates it on first use. */
+export function findPath({state}: Step, poolName: string): TargetPath {
+	let path = state.paths.get(poolName);
+	if (path === undefined) {
+		path = new TargetPath();
+		state.paths.set(poolName, path);
+	}
+
+	return path;
+}
+
+/** Lists the ids of the targets of a pool that may receive requests. */
+function listTargetIds({state}: Step, poolName: string): string[] {
+	return (state.targets.byPool.get(poolName) ?? []).filter(({isGone}) => !isGone).map(({record}) => record.id);
+}
+
+export function findPathState(step: Step, poolName: string): PathState {
+	const path = step.state.paths.get(poolName);
+	return path === undefined ? pathState.open : path.findState(listTargetIds(step, poolName).length, step.now);
+}
+
+export function recordReached(step: Step, {record}: Target): void {
+	findPath(step, record.pool).recordReached(record.id, step.now);
+}
+
+export function recordUnreached(step: Step, {record}: Target, startedAt: number): void {
+	findPath(step, record.pool).recordUnreached(record.id, startedAt);
+	updatePaths(step);
+}
+
+/** Records that a target responded to this instance. */
+export function recordServed(step: Step, target: Target): void {
+	target.heardAt = step.now;
+	findPath(step, target.record.pool).servedAt = step.now;
+}
+
+/** Chooses the peer that relays the request because this instance has lost its path to the pool; `undefined` if the request is sent by itself. */
+export function chooseRelayPeer(step: Step, {poolName, triedTargetIds, isRelayed}: OpenRequest): Target | undefined {
+	const {state, now} = step;
+	const since = state.paths.get(poolName)?.lostSince;
+	return isRelayed || since === undefined
+		? undefined
+		: state.relayPeers.choose({
+			pool: poolName, since, zone: state.self.zone, triedIds: triedTargetIds,
+		}, now);
+}
+
+/** Checks paths that are suspect or lost, asks peers whether they are served, and logs what was lost or regained. */
+export function updatePaths(step: Step): void {
+	const {state, now} = step;
+	let interval: number | undefined;
+	const isAnySuspect = [...state.paths.keys()].some(poolName => findPathState(step, poolName) === pathState.suspect);
+	for (const [poolName, path] of state.paths) {
+		const targetIds = listTargetIds(step, poolName);
+		const peerServedAt = state.relayPeers.findServedAt(poolName);
+		const change = path.update(targetIds.length, peerServedAt, now);
+		if (change !== undefined) {
+			recordLog(step, change === pathState.lost ? 'path-lost' : 'path-regained', {
+				pool: poolName, targets: targetIds.length, servedMsAgo: Math.round(now - path.servedAt), peerServedMsAgo: Math.round(now - peerServedAt),
+			}, logLevel.warn);
+		}
+
+		const current = path.findState(targetIds.length, now);
+		// An instance that loses one path has probably lost the others too.
+		if (current !== pathState.open || isAnySuspect) {
+			checkTargets(step, path.takeChecks(targetIds, now));
+			interval = Math.min(interval ?? lostQueryIntervalMs, current === pathState.lost ? lostQueryIntervalMs : suspectQueryIntervalMs);
+		}
+	}
+
+	if (interval !== undefined && now >= state.nextRelayQueryAt) {
+		state.nextRelayQueryAt = now + interval;
+		callPeers(step, listRelayQueryAddresses(state.members, state.self.zone, state.random));
+	}
+}
+
+/** Age of the last contact with a pool above which a peer's question about it is answered by a check, in milliseconds. */
+const contactMaxAgeMs = 500;
+
+/** Checks the pools that a peer cannot reach and asks about, unless this instance was in contact with them a moment ago; the peer's next call gets the result. */
+export function checkPathsForPeer(step: Step, {unreachedPools = []}: PeerMessage): void {
+	for (const poolName of unreachedPools) {
+		const targetIds = listTargetIds(step, poolName);
+		const path = targetIds.length > 0 ? findPath(step, poolName) : undefined;
+		if (path !== undefined && step.now - path.contactAt > contactMaxAgeMs) {
+			checkTargets(step, path.takeChecks(targetIds, step.now));
+		}
+	}
+}
+
+function checkTargets({state, effects}: Step, targetIds: readonly string[]): void {
+	for (const targetId of targetIds) {
+		const {address} = state.targets.byId.get(targetId)!.record;
+		effects.push({kind: effectKind.checkTarget, targetId, address});
+	}
+}
--- a/packages/dispatch/src/lib/reduce-quarantine.ts
+++ b/packages/dispatch/src/lib/reduce-quarantine.ts
@@ -9,9 +9,11 @@
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {listSharedParts} from './prompt.js';
 import type {Quarantine} from './prompt-quarantine.js';
+import {findPath, recordReached, recordUnreached} from './reduce-paths.js';
 import {
-	findFleetView, recordLog, type CurrentSend, type OpenRequest, type Step,
+	findFleetView, recordLog, type CrashCheck, type CurrentSend, type OpenRequest, type Step,
 } from './state.js';
+import {isUsable} from './target-health.js';
 
 /** Smallest retry delay that is sent to callers of quarantined requests, in milliseconds. */
 const minRetryAfterMs = 1000;
@@ -47,35 +49,84 @@
 	effects.push({kind: effectKind.checkTarget, targetId: id, address});
 }
 
-/** Records a crash for all requests that were lost at the target if no process listens on its address. */
+/**
+ * Applies the result of a check. A process that refuses connections has crashed, unless this
+ * instance is cut off in a way that refuses its connections: the crash counts once a connection to another
+ * target of the pool has opened after it.
+ */
 export function applyTargetChecked(step: Step, {targetId, isListening}: TargetCheckedEvent): void {
 	const {state, now} = step;
+	const target = state.targets.byId.get(targetId);
+	if (target !== undefined) {
+		if (isListening) {
+			recordReached(step, target);
+		} else {
+			recordUnreached(step, target, now);
+		}
+	}
+
 	const check = state.crashChecks.get(targetId);
-	state.crashChecks.delete(targetId);
-	if (check === undefined) {
+	if (check === undefined || check.refusedAt !== undefined) {
 		return;
 	}
 
-	const {target, sendId, losses} = check;
+	const {losses} = check;
 	recordLog(step, 'target-checked', {
 		target: targetId, result: isListening === undefined ? 'no answer' : (isListening ? 'listening' : 'refused'), losses: losses.length, tookMs: Math.round(now - losses[0]!.at),
 	});
-	if (isListening !== false) {
-		return;
+	if (isListening === false) {
+		check.refusedAt = now;
+		updateQuarantine(step);
+	} else {
+		state.crashChecks.delete(targetId);
+	}
+}
+
+/** Time after a loss from which an opened connection proves that this instance can still reach targets, in milliseconds: what arrived before may be handled later. */
+const pathProofMarginMs = 15;
+/** Time after a refusal after which another target is checked for such a proof, and time limit for the proof, in milliseconds. */
+const pathCheckDelayMs = 100;
+const pathProofLimitMs = 1200;
+
+/** Records the crashes of targets that refused a check, once it is certain that this instance reaches other targets. */
+function updateCrashChecks(step: Step): void {
+	const {state, now} = step;
+	for (const [targetId, check] of state.crashChecks) {
+		const {target, refusedAt, losses} = check;
+		if (refusedAt === undefined) {
+			continue;
+		}
+
+		const others = (state.targets.byPool.get(target.record.pool) ?? []).filter(other => other !== target && !other.isGone);
+		const isProved = others.length === 0 || findPath(step, target.record.pool).reachedAt >= losses[0]!.at + pathProofMarginMs;
+		if (isProved) {
+			state.crashChecks.delete(targetId);
+			recordCrash(step, check);
+		} else if (now - refusedAt > pathProofLimitMs) {
+			state.crashChecks.delete(targetId);
+			recordLog(step, 'crash-unproved', {target: targetId, losses: losses.length}, logLevel.warn);
+		} else if (now - refusedAt >= pathCheckDelayMs && !check.hasCheckedPath) {
+			check.hasCheckedPath = true;
+			const other = others.find(({health}) => isUsable(health, now)) ?? others[0]!;
+			step.effects.push({kind: effectKind.checkTarget, targetId: other.record.id, address: other.record.address});
+		}
 	}
+}
 
+function recordCrash(step: Step, {target, sendId, losses}: CrashCheck): void {
+	const {state, now} = step;
 	for (const {partIds, at} of losses) {
 		state.quarantine.recordCrash(partIds, target.record, at, now);
 	}
 
-	recordLog(step, 'target-crashed', {target: targetId, suspects: losses.map(({partIds}) => partIds)}, logLevel.warn);
+	recordLog(step, 'target-crashed', {target: target.record.id, suspects: losses.map(({partIds}) => partIds)}, logLevel.warn);
 	recordNoProcess(step, target, sendId);
 	state.hasUnreportedCrash = true;
-	updateQuarantine(step);
 }
 
-/** Evaluates the suspects, and logs which parts are quarantined or released. */
+/** Evaluates checks and suspects, and logs which parts are quarantined or released. */
 export function updateQuarantine(step: Step): void {
+	updateCrashChecks(step);
 	const {state, now} = step;
 	const {quarantined, released} = state.quarantine.update(now);
 	for (const {partIds, crashCount, requiredCount, until} of quarantined) {
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -1,15 +1,21 @@
 /**
  * Handles the events of a request from its arrival to its end.
  */
+import {err, ok, type Result} from 'neverthrow';
 import {effectKind, logLevel} from './effect.js';
 import {
 	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, recordFailure,
 } from './end-request.js';
 import {
-	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent, type SendOpenedEvent,
+	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent,
+	type SendOpenedEvent, type SendOutcome,
 } from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {failureKind, type FailureKind} from './failure-reports.js';
+import {isMember} from './members.js';
+import {
+	findPathState, recordReached, recordServed, recordUnreached, relayedRequestLimit,
+} from './reduce-paths.js';
 import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, drawRetryAfterMs, resolveRequest,
@@ -22,7 +28,8 @@
 } from './state.js';
 import {verdict, type Verdict} from './target-health.js';
 import {statementKind, type TargetReport} from './target-statements.js';
-import {recordTargetStatement} from './target-state.js';
+import {pathState} from './target-paths.js';
+import {recordTargetStatement, type Target} from './target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
 const queueTimeoutFraction = 0.125;
@@ -31,7 +38,7 @@
 
 export function applyArrival(step: Step, event: RequestArrivedEvent): void {
 	const {state, now} = step;
-	const resolved = resolveRequest(step, event);
+	const resolved = admitRelayed(step, event).andThen(() => resolveRequest(step, event));
 	if (resolved.isErr()) {
 		refuseArrival(step, event, resolved.error);
 		return;
@@ -45,6 +52,8 @@
 		path: event.path,
 		keyDigest: event.keyDigest,
 		promptParts: event.promptParts,
+		isRelayed: event.relayedFrom !== undefined,
+		runAllowance: event.relayedFrom?.runLimit ?? Number.POSITIVE_INFINITY,
 		arrivedAt: now,
 		deadlineAt: now + Math.min(event.timeoutMs ?? route.timeLimitMs, route.timeLimitMs) - deadlineMarginMs,
 		route,
@@ -59,9 +68,20 @@
 		hasHeldFailure: false,
 	};
 	state.openRequests.set(request.openId, request);
+	if (request.isRelayed) {
+		state.relayedOpenIds.add(request.openId);
+	}
+
 	sendOrQueue(step, request);
 }
 
+/** Refuses requests that others than members relay, and too many of them. */
+function admitRelayed({state}: Step, {relayedFrom}: RequestArrivedEvent): Result<undefined, Failure> {
+	return relayedFrom === undefined || (isMember(state.members, relayedFrom) && state.relayedOpenIds.size < relayedRequestLimit)
+		? ok(undefined)
+		: err(createFailure(failureReason.relayRefused));
+}
+
 function refuseArrival(step: Step, {openId, requestId, host, path}: RequestArrivedEvent, failure: Failure): void {
 	const {directory} = step.state;
 	step.effects.push({kind: effectKind.refuse, openId, failure});
@@ -91,10 +111,15 @@
 	state.queuedRequests.add(request);
 }
 
-export function applySendOpened(step: Step, {openId, sendId}: SendOpenedEvent): void {
+export function applySendOpened(step: Step, {openId, sendId, isNewConnection}: SendOpenedEvent): void {
 	const send = findCurrentRequest(step, openId, sendId)?.currentSend;
-	if (send !== undefined) {
-		send.hasOpened = true;
+	if (send === undefined) {
+		return;
+	}
+
+	send.hasOpened = true;
+	if (!send.isRelayed && isNewConnection) {
+		recordReached(step, send.target);
 	}
 }
 
@@ -105,15 +130,38 @@
 	}
 
 	request.hasResponseStarted = true;
+	recordResponse(step, request, true);
 	recordTargetReport(step, request, targetReport);
-	recordCacheHolder(step, request);
+	recordCacheHolder(step, request, targetReport);
 	recordResponseBegun(step, request);
 }
 
 /** Records the target as cache holder of the prompt, since a target that responds has read the prompt. */
-function recordCacheHolder({state, now}: Step, {route, promptParts, currentSend}: OpenRequest): void {
-	if (route.hasPrompts) {
-		state.cacheHolders.record(promptParts, currentSend!.target, now);
+function recordCacheHolder(step: Step, {route, promptParts, currentSend}: OpenRequest, report: TargetReport | undefined): void {
+	const {state, now} = step;
+	const target = findRespondingTarget(step, currentSend!, report);
+	if (route.hasPrompts && target !== undefined) {
+		state.cacheHolders.record(promptParts, target, now);
+	}
+}
+
+/** Finds the target that responded; `undefined` if a peer relayed the response of one that is not known here. */
+function findRespondingTarget({state}: Step, {target, isRelayed}: CurrentSend, report: TargetReport | undefined): Target | undefined {
+	if (!isRelayed) {
+		return target;
+	}
+
+	const known = report?.process === undefined ? undefined : state.targets.byId.get(report.process.id);
+	return known?.record.bornAt === report?.process?.bornAt ? known : undefined;
+}
+
+/** Records whether a target responded, to this instance or to the peer that relays the request. */
+function recordResponse(step: Step, {currentSend, poolName}: OpenRequest, hasResponded: boolean): void {
+	const {target, isRelayed} = currentSend!;
+	if (isRelayed) {
+		step.state.relayPeers.recordRelayed(target, poolName, hasResponded, step.now);
+	} else if (hasResponded) {
+		recordServed(step, target);
 	}
 }
 
@@ -123,7 +171,11 @@
 		return;
 	}
 
-	const {target} = currentSend!;
+	const target = findRespondingTarget(step, currentSend!, report);
+	if (target === undefined) {
+		return;
+	}
+
 	const {id} = target.record;
 	for (const kind of recordTargetStatement(target, report, step.now)) {
 		switch (kind) {
@@ -208,19 +260,38 @@
 	[sendOutcome.misdirected]: failureKind.noProcess,
 };
 
+/** Outcomes that prove that the target responded to this request. */
+const respondingOutcomes: ReadonlySet<SendOutcome> = new Set([sendOutcome.complete, sendOutcome.failed]);
+
+/** Records what a failed send tells about its target, and about the path to it; what a peer relayed tells about neither. */
+function recordSendFailure(step: Step, send: CurrentSend, outcome: SendOutcome): void {
+	if (send.isRelayed) {
+		return;
+	}
+
+	if (outcome === sendOutcome.notSent || outcome === sendOutcome.connectionRefused) {
+		recordUnreached(step, send.target, send.sentAt);
+	}
+
+	const kind = failureKindByOutcome[outcome];
+	// An instance that reaches no target cannot tell which of them have ended.
+	if (kind !== undefined && findPathState(step, send.target.record.pool) === pathState.open) {
+		recordFailure(step, send, kind);
+	}
+}
+
 export function applySendEnded(step: Step, event: SendEndedEvent): void {
 	const request = findCurrentRequest(step, event.openId, event.sendId);
 	if (request === undefined) {
 		return;
 	}
 
+	recordResponse(step, request, respondingOutcomes.has(event.outcome));
+
 	recordTargetReport(step, request, event.targetReport);
 	const send = request.currentSend!;
 	endCurrentSend(step, request, verdictByOutcome[event.outcome], event.detail);
-	const kind = failureKindByOutcome[event.outcome];
-	if (kind !== undefined) {
-		recordFailure(step, send, kind);
-	}
+	recordSendFailure(step, send, event.outcome);
 
 	request.lastEventId = event.lastEventId ?? request.lastEventId;
 	switch (event.outcome) {
@@ -238,7 +309,8 @@
 		case sendOutcome.misdirected:
 		case sendOutcome.rejected: {
 			request.possibleRunCount--;
-			if (event.outcome === sendOutcome.notSent || event.outcome === sendOutcome.connectionRefused) {
+			// A peer that rejects a request has not sent it, or counts what it has sent itself.
+			if (event.outcome === sendOutcome.notSent || event.outcome === sendOutcome.connectionRefused || send.isRelayed) {
 				request.arrivalCount--;
 			}
 
@@ -254,7 +326,13 @@
 
 		case sendOutcome.lost:
 		case sendOutcome.interrupted: {
-			checkForCrash(step, request, send);
+			if (send.isRelayed) {
+				// The peer has sent it as often as it was allowed to.
+				request.possibleRunCount = Math.max(request.possibleRunCount, request.route.targetLimit);
+			} else {
+				checkForCrash(step, request, send);
+			}
+
 			retryOrFail(step, request, createFailure(failureReason.answerLost));
 			break;
 		}
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -11,6 +11,7 @@
 import {
 	advanceQueuedRequests, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, applySendOpened, endTimedOutRequests,
 } from './reduce-requests.js';
+import {checkPathsForPeer, updatePaths} from './reduce-paths.js';
 import {applyTargetChecked, updateQuarantine} from './reduce-quarantine.js';
 import {drainAcceptDurationMs} from './resolve-request.js';
 import {recordLog, type State, type Step} from './state.js';
@@ -74,6 +75,7 @@
 
 		case eventKind.peerCalled: {
 			applyPeerCalled(step, event);
+			checkPathsForPeer(step, event.message);
 			break;
 		}
 
@@ -100,6 +102,7 @@
 
 		case eventKind.tick: {
 			updateFleet(step);
+			updatePaths(step);
 			updateQuarantine(step);
 			advanceQueuedRequests(step);
 			endTimedOutRequests(step);
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -6,12 +6,13 @@
 import {chooseCopySource} from './copy-source.js';
 import {routeKind, type Route} from './directory-facts.js';
 import {effectKind} from './effect.js';
-import {finishWithFailure} from './end-request.js';
+import {createNotRunFailure, finishWithFailure} from './end-request.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {
 	choosePlacement, findLimitEnd, type Placement, type PlacementView,
 } from './placement.js';
 import {countSharedTokens, findPromptKey} from './prompt.js';
+import {chooseRelayPeer, findPathState} from './reduce-paths.js';
 import {findQuarantineFailure, listSuspectParts} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, resolveRequest,
@@ -19,6 +20,7 @@
 import {
 	findRetryBudget, findFleetView, recordLog, type OpenRequest, type Step,
 } from './state.js';
+import {pathState} from './target-paths.js';
 import {recordSend, type Target} from './target-state.js';
 
 /** Sends allowed beyond the route's target limit, for refused connections and sends that provably did not run. */
@@ -26,8 +28,12 @@
 /** Fraction of the latency target after which a send without a response times out, if the request is retryable. */
 const responseStartTimeoutFraction = 0.7;
 const minResponseStartTimeoutMs = 150;
+/** Multiple of these timeouts for a request that a peer relays. */
+const relayTimeoutMultiplier = 2;
 /** Multiple of the route's longest event gap after which a silent stream times out, if it can be resumed. */
 const eventGapTimeoutMultiplier = 2.5;
+/** Time for which a request waits for the decision whether a path is lost, in milliseconds: that of a check and of an answer of a peer. */
+const pathDecisionMs = 700;
 /** Time that has to remain until the deadline for a retry to be useful, in milliseconds. */
 const minRetryTimeMs = 30;
 
@@ -37,7 +43,6 @@
  * neither sent nor refused.
  */
 export function trySend(step: Step, request: OpenRequest): boolean {
-	const {state, now} = step;
 	if (!refreshResolution(step, request)) {
 		return true;
 	}
@@ -48,20 +53,39 @@
 		return true;
 	}
 
-	const placement = findPlacement(step, request, request.triedTargetIds);
+	const isOpen = findPathState(step, request.poolName) === pathState.open;
+	if (!isOpen && request.isRelayed) {
+		finishWithFailure(step, request, createNotRunFailure(step, request, failureReason.noTarget));
+		return true;
+	}
+
+	const relayPeer = chooseRelayPeer(step, request);
+	if (relayPeer !== undefined) {
+		leaveQueue(step, request);
+		startSend(step, request, {target: relayPeer, load: relayPeer.inFlight, meanLoad: 0}, true);
+		return true;
+	}
+
+	// Another target would probably not be reached either; what the checks of the path show is known soon.
+	const placement = isOpen || request.sendCount === 0 ? findPlacement(step, request, request.triedTargetIds) : undefined;
 	if (placement === undefined) {
 		return false;
 	}
 
+	leaveQueue(step, request);
+	startSend(step, request, placement, false);
+	return true;
+}
+
+function leaveQueue({state}: Step, request: OpenRequest): void {
 	request.queuedUntil = undefined;
 	state.queuedRequests.delete(request);
-	startSend(step, request, placement);
-	return true;
 }
 
 /** True when a target is available other than the current target and those to which the request was already sent. */
 export function hasOtherTarget(step: Step, request: OpenRequest): boolean {
-	return findPlacement(step, request, new Set([...request.triedTargetIds, request.currentSend!.target.record.id])) !== undefined;
+	const triedTargetIds = new Set([...request.triedTargetIds, request.currentSend!.target.record.id]);
+	return chooseRelayPeer(step, {...request, triedTargetIds}) !== undefined || findPlacement(step, request, triedTargetIds) !== undefined;
 }
 
 function findPlacement(step: Step, {
@@ -130,7 +154,7 @@
 
 function startSend(step: Step, request: OpenRequest, {
 	target, load, meanLoad, preferredSkipReason,
-}: Placement): void {
+}: Placement, isRelayed: boolean): void {
 	const {state, now} = step;
 	const {route} = request;
 	recordInBudget(step, request);
@@ -140,28 +164,34 @@
 	request.arrivalCount++;
 	request.possibleRunCount++;
 	request.currentSend = {
-		sendId, target, sentAt: now, hasOpened: false, silenceCount: 0,
+		sendId, target, sentAt: now, hasOpened: false, isRelayed, silenceCount: 0,
 	};
 	recordSend(target, now);
-	const copySource = findCopySource(step, request, target);
-	const canTimeOut = isRetryable(route) && request.possibleRunCount < route.targetLimit;
+	const copySource = isRelayed ? undefined : findCopySource(step, request, target);
+	const runLimit = findRunLimit(request);
+	const canTimeOut = isRetryable(route) && request.possibleRunCount < runLimit;
+	// The peer finds out itself that a target is silent.
+	const timeoutMultiplier = isRelayed ? relayTimeoutMultiplier : 1;
 	step.effects.push({
 		kind: effectKind.send,
 		openId: request.openId,
 		sendId,
 		targetId: target.record.id,
+		bornAt: target.record.bornAt,
 		address: target.record.address,
+		isRelayed,
 		account: request.account,
 		isStream: route.kind === routeKind.stream,
 		needsFreshConnection: !isRetryable(route),
 		resumeAfterEventId: request.lastEventId,
 		copyFromAddress: copySource?.record.address,
 		deadlineAt: request.deadlineAt,
-		responseStartTimeoutMs: canTimeOut ? Math.max(minResponseStartTimeoutMs, route.latencyTargetMs * responseStartTimeoutFraction) : 0,
-		eventGapTimeoutMs: canTimeOut ? route.eventGapMs * eventGapTimeoutMultiplier : 0,
+		responseStartTimeoutMs: canTimeOut ? Math.max(minResponseStartTimeoutMs, route.latencyTargetMs * responseStartTimeoutFraction) * timeoutMultiplier : 0,
+		eventGapTimeoutMs: canTimeOut ? route.eventGapMs * eventGapTimeoutMultiplier * timeoutMultiplier : 0,
+		runLimit: Math.max(1, runLimit - request.possibleRunCount + 1),
 	});
 	recordLog(step, 'sent', {
-		requestId: request.requestId, route: route.name, account: request.account, target: target.record.id,
+		requestId: request.requestId, route: route.name, account: request.account, target: target.record.id, relay: isRelayed ? 'by peer' : (request.isRelayed ? 'for peer' : undefined),
 		send: request.sendCount, leftMs: Math.round(request.deadlineAt - now), tables: request.tablesVersion,
 		directoryAgeMs: computeDirectoryAge(step), inFlight: target.inFlight,
 		load: Math.round(load * 10) / 10,
@@ -173,9 +203,10 @@
 }
 
 /** Counts the send in the retry budget: the first send of a request, and each send after one that may have arrived. */
-function recordInBudget(step: Step, {poolName, sendCount, arrivalCount}: OpenRequest): void {
+function recordInBudget(step: Step, {poolName, sendCount, arrivalCount, isRelayed}: OpenRequest): void {
 	const budget = findRetryBudget(step, poolName);
-	if (sendCount === 0) {
+	// The peer that received a relayed request has counted it.
+	if (sendCount === 0 && !isRelayed) {
 		budget.recordFirstSend(step.now);
 	}
 
@@ -190,18 +221,35 @@
 		: undefined;
 }
 
+/** Finds the number of targets on which the request may run. */
+function findRunLimit({route, runAllowance}: OpenRequest): number {
+	return Math.min(route.targetLimit, runAllowance);
+}
+
 function isRetryable({kind, canResume}: Route): boolean {
 	return kind === routeKind.repeatable || (kind === routeKind.stream && canResume);
 }
 
 export function retryOrFail(step: Step, request: OpenRequest, failure: Failure): void {
-	if (mayRetry(step, request, request.possibleRunCount > 0) && trySend(step, request)) {
+	if (mayRetry(step, request, request.possibleRunCount > 0) && (trySend(step, request) || tryQueueForPath(step, request))) {
 		return;
 	}
 
 	finishWithFailure(step, request, failure);
 }
 
+/** Queues a request that may be sent again until it is known whether this instance has lost its path to the pool. */
+function tryQueueForPath(step: Step, request: OpenRequest): boolean {
+	const {state, now} = step;
+	if (findPathState(step, request.poolName) === pathState.open) {
+		return false;
+	}
+
+	request.queuedUntil = Math.min(now + pathDecisionMs, request.deadlineAt);
+	state.queuedRequests.add(request);
+	return true;
+}
+
 /** True when one more send of the request is allowed; `mayHaveRun` is true if an earlier send may have run. */
 export function mayRetry(step: Step, request: OpenRequest, mayHaveRun: boolean): boolean {
 	const {now} = step;
@@ -215,7 +263,7 @@
 	}
 
 	const isAllowed = mayHaveRun
-		? isRetryable(route) && possibleRunCount < route.targetLimit && (!hasResponseStarted || route.canResume)
+		? isRetryable(route) && possibleRunCount < findRunLimit(request) && (!hasResponseStarted || route.canResume)
 		: !hasResponseStarted;
 	return isAllowed && (arrivalCount === 0 || findRetryBudget(step, request.poolName).mayRetry(findFleetView(step).size, now));
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -13,8 +13,10 @@
 import {CacheHolders} from './cache-holders.js';
 import {FailureReports} from './failure-reports.js';
 import {PromptQuarantine} from './prompt-quarantine.js';
+import {RelayPeers} from './relay-peers.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
 import {computeSyncTiming, type SyncTiming} from './sync-timing.js';
+import type {TargetPath} from './target-paths.js';
 import {createTargetState, type Target, type TargetState} from './target-state.js';
 
 /** Bounds that apply to the whole fleet, from the settings. */
@@ -37,6 +39,8 @@
 	readonly sentAt: number;
 	/** True once the connection is open; until then the target cannot have received the request. */
 	hasOpened: boolean;
+	/** True if `target` is a peer that relays the request. */
+	readonly isRelayed: boolean;
 	/** Number of times that a timeout of the send has expired. */
 	silenceCount: number;
 };
@@ -49,6 +53,10 @@
 	readonly path: string;
 	readonly keyDigest?: string;
 	readonly promptParts: readonly PromptPart[];
+	/** True if a peer received the request from its caller. */
+	readonly isRelayed: boolean;
+	/** Number of targets on which the request may run here, if the route allows as many; less than that if a peer has sent it before. */
+	readonly runAllowance: number;
 	readonly arrivedAt: number;
 	deadlineAt: number;
 	route: Route;
@@ -74,11 +82,15 @@
 };
 
 /** A check whether a target has crashed, with the requests that were lost there before it began to respond to them. */
-type CrashCheck = {
+export type CrashCheck = {
 	readonly target: Target;
 	/** The first of the lost sends. */
 	readonly sendId: number;
 	readonly losses: Array<{readonly partIds: readonly string[]; readonly at: number}>;
+	/** Time at which the target's address refused the connection. */
+	refusedAt?: number;
+	/** True once another target was checked, to find out whether this instance reaches any. */
+	hasCheckedPath?: boolean;
 };
 
 export type State = {
@@ -116,6 +128,13 @@
 	hasUnreportedCrash: boolean;
 	/** Time from which peers may be notified of crashes again. */
 	nextNoticeAt: number;
+	/** Paths of this instance to the targets, by pool. */
+	readonly paths: Map<string, TargetPath>;
+	readonly relayPeers: RelayPeers;
+	/** Time from which peers may be asked again whether targets can be reached. */
+	nextRelayQueryAt: number;
+	/** Open requests that this instance relays for peers. */
+	readonly relayedOpenIds: Set<number>;
 	openRequests: Map<number, OpenRequest>;
 	/** Requests for which no target was available yet, in order of arrival. */
 	queuedRequests: Set<OpenRequest>;
@@ -152,6 +171,10 @@
 		crashChecks: new Map(),
 		hasUnreportedCrash: false,
 		nextNoticeAt: 0,
+		paths: new Map(),
+		relayPeers: new RelayPeers(),
+		nextRelayQueryAt: 0,
+		relayedOpenIds: new Set(),
 		openRequests: new Map(),
 		queuedRequests: new Set(),
 		retryBudgets: new Map(),
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -34,6 +34,8 @@
 	readonly registeredAt: number;
 	/** Number of requests from this instance in flight at the target. */
 	inFlight: number;
+	/** Time at which the target last responded to this instance. */
+	heardAt: number;
 	readonly recentSends: SlidingWindow;
 	/** The sends that count for a limit that the target names, now or later. */
 	readonly recentLimitedSends: SlidingWindow;
@@ -140,12 +142,13 @@
 	known.coldUntil = now + record.coldMs;
 }
 
-function createTarget(record: TargetRecord, statements: ProcessStatements, now: number): Target {
+export function createTarget(record: TargetRecord, statements: ProcessStatements, now: number): Target {
 	return {
 		record,
 		hash: computeRankHash(record.id),
 		registeredAt: now,
 		inFlight: 0,
+		heardAt: Number.NEGATIVE_INFINITY,
 		recentSends: new SlidingWindow(sendWindowMs),
 		recentLimitedSends: new SlidingWindow(namedLimitWindowMs + arrivalSpreadMs),
 		coldUntil: now + record.coldMs,
--- a/packages/dispatch/src/lib/target-statements.ts
+++ b/packages/dispatch/src/lib/target-statements.ts
@@ -24,12 +24,16 @@
 	readonly unreadable?: readonly string[];
 };
 
-/** A target's statement, and the time at which the head of the response was read. */
-export type TargetReport = TargetStatement & {readonly at: number};
-
 /** A process of a target: a restart under the same id is another process. */
 export type ProcessId = {readonly id: string; readonly bornAt: number};
 
+/** A target's statement, and the time at which the head of the response was read. */
+export type TargetReport = TargetStatement & {
+	readonly at: number;
+	/** The process that responded, if a peer relayed the response. */
+	readonly process?: ProcessId;
+};
+
 /** The limit on requests that a target named in its latest response. */
 type NamedLimit = {
 	/** Time of that response. */
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -118,3 +118,32 @@
 		assert.deepEqual(gateway.listRefusalStatuses(), [503], sentRoute.name);
 	}
 });
+
+// Guards against sound targets that are ejected everywhere, and sound prompts that are withheld, because instances that are cut off take their cut for crashes.
+test('instances whose connections are reset convict no target and no prompt (reset cut of half of the instances)', () => {
+	const {atOthers, fleet} = playCut({
+		...sizes[0]!, mode: cutMode.reset, cutFraction: 0.5, seed: 3, callLoss: 0.05,
+	});
+	assert.equal(fleet.requests.filter(({refusalReason}) => refusalReason === 'prompt-quarantined').length, 0);
+	assert.ok(atOthers.every(({refusalStatus}) => refusalStatus === undefined));
+	for (const {gateway} of fleet.nodes) {
+		assert.equal(gateway.state.quarantine.size, 0);
+	}
+});
+
+test('requests are not relayed while the targets themselves are down, and are refused early (dead pool)', () => {
+	const fleet = new SimulatedFleet({
+		gatewayCount: 7, engineCount: 13, seed: 4, callLoss: 0.05,
+	});
+	fleet.advance(5000);
+	fleet.crashEngines(13);
+	fleet.advance(2000, () => {
+		for (let count = fleet.drawCount(60); count > 0; count--) {
+			fleet.sendRequest(route, ['first-1', `turn-${fleet.requests.length}`]);
+		}
+	});
+	assert.ok(fleet.requests.length > 100);
+	for (const {gateway} of fleet.nodes) {
+		assert.ok([...gateway.state.paths.values()].every(({lostSince}) => lostSince === undefined), 'no path counts as lost');
+	}
+});
--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -4,11 +4,12 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {RequestHead, Failure} from '@sequoiatally/dispatch';
+import type {RequestHead, Failure, RelayOrigin} from '@sequoiatally/dispatch';
 import type {CallerProtocol, RawHeaders} from './protocol.js';
+import {createFailureOutcomeHeaders, createSourceHeaders, type ResponseSource} from './relay-headers.js';
 
 /** A target's response that has been read to its end. */
-export type BufferedResponse = {readonly status: number; readonly headers: RawHeaders; readonly body: Uint8Array};
+export type BufferedResponse = {readonly status: number; readonly headers: RawHeaders; readonly body: Uint8Array; readonly source: ResponseSource};
 
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authenticate', 'proxy-authorization', 'content-length']);
@@ -43,6 +44,8 @@
 	heldResponse?: BufferedResponse;
 	/** Identifier of the last event written to the caller. */
 	lastEventId?: string;
+	/** The peer that relays the request; `undefined` if the caller is connected to this instance. */
+	readonly relayedFrom?: RelayOrigin;
 	readonly #response: ServerResponse;
 	readonly #protocol: CallerProtocol;
 
@@ -51,8 +54,9 @@
 		readonly head: RequestHead,
 		readonly request: IncomingMessage,
 		readonly body: Uint8Array,
-		options: {readonly response: ServerResponse; readonly protocol: CallerProtocol},
+		options: {readonly response: ServerResponse; readonly protocol: CallerProtocol; readonly relayedFrom?: RelayOrigin},
 	) {
+		this.relayedFrom = options.relayedFrom;
 		this.#response = options.response;
 		this.#protocol = options.protocol;
 		this.#response.sendDate = false;
@@ -70,13 +74,13 @@
 		}
 	}
 
-	deliverResponse({status, headers, body}: BufferedResponse): void {
-		this.#response.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
+	deliverResponse({status, headers, body, source}: BufferedResponse): void {
+		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source), 'Content-Length', String(body.length)]);
 		this.#response.end(body);
 	}
 
-	startStream(status: number, headers: RawHeaders): void {
-		this.#response.writeHead(status, [...headers]);
+	startStream(status: number, headers: RawHeaders, source: ResponseSource): void {
+		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source)]);
 	}
 
 	/** Writes events; returns false if they are buffered because the caller reads more slowly than they arrive. */
@@ -100,11 +104,18 @@
 
 	refuse(failure: Failure): void {
 		const body = JSON.stringify({error: {reason: failure.reason, requestId: this.head.requestId}});
-		this.#response.writeHead(failure.status, {
-			...this.#protocol.createFailureHeaders(failure),
-			'Content-Type': 'application/json',
-			'Content-Length': String(Buffer.byteLength(body)),
-		});
+		this.#response.writeHead(failure.status, [
+			...Object.entries(this.#protocol.createFailureHeaders(failure)).flat(),
+			...(this.relayedFrom === undefined ? [] : createFailureOutcomeHeaders(failure.reason)),
+			'Content-Type',
+			'application/json',
+			'Content-Length',
+			String(Buffer.byteLength(body)),
+		]);
 		this.#response.end(body);
 	}
+
+	#createSourceHeaders(source: ResponseSource): string[] {
+		return this.relayedFrom === undefined ? [] : createSourceHeaders(source);
+	}
 }
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -6,13 +6,14 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	createFailure, eventKind, failureReason, type CallerLimits, type Event, type FailureReason,
+	createFailure, eventKind, failureReason, type CallerLimits, type Event, type FailureReason, type RelayOrigin,
 } from '@sequoiatally/dispatch';
 import type {LifecycleManager, SocketAddress} from '@sequoiatally/runtime';
 import {ByteCollector} from './byte-collector.js';
 import {CallerExchange} from './caller-exchange.js';
 import type {CallerProtocol} from './protocol.js';
 import {listenOn} from './listen.js';
+import {createFailureOutcomeHeaders, parseOrigin} from './relay-headers.js';
 
 /** Largest request head that is parsed; the configuration tables can only lower the limit. */
 const absoluteMaxHeadBytes = 64 * 1024;
@@ -21,6 +22,8 @@
 const requestTimeoutMs = 120_000;
 /** Time for which an idle connection is kept beyond its idle timeout, in milliseconds: callers may still send a request just before the timeout. */
 const keepAliveMarginMs = 1000;
+/** Largest size of the bodies of all open requests that peers relay, in bytes. */
+const maxRelayedBytes = 32 * 1024 * 1024;
 /** Largest request body until configuration tables are received. */
 const defaultMaxBodyBytes = 4 * 1024 * 1024;
 
@@ -31,6 +34,8 @@
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
 
+type ReceivedRequest = {readonly body: Uint8Array; readonly relayedFrom: RelayOrigin | undefined};
+
 export class CallerServer {
 	/** Exchanges whose response is not complete, by `openId`. */
 	readonly openExchanges = new Map<number, CallerExchange>();
@@ -40,6 +45,8 @@
 	#maxBodyBytes = defaultMaxBodyBytes;
 	#nextOpenId = 1;
 	#isDraining = false;
+	/** Size of the bodies of open requests that peers relay, in bytes. */
+	#relayedBytes = 0;
 	/** Number of requests that were received in part. */
 	#incomingCount = 0;
 
@@ -48,7 +55,7 @@
 		this.#server = createServer({
 			maxHeaderSize: absoluteMaxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: 60_000, noDelay: true,
 		}, (request, response) => {
-			this.#handleRequest(request, response);
+			this.#handleRequest(request, response, undefined);
 		});
 		this.#server.on('clientError', (error: Error & {code?: string}, socket) => {
 			if (error.code !== 'ECONNRESET') {
@@ -67,6 +74,11 @@
 		await listenOn(this.#server, address, lifecycle);
 	}
 
+	/** Handles a request that a peer received from its caller and cannot send to a target. */
+	handleRelayed(request: IncomingMessage, response: ServerResponse): void {
+		this.#handleRequest(request, response, parseOrigin(request.headers));
+	}
+
 	/** True if a request is being received, or a response has not been sent completely. */
 	get isBusy(): boolean {
 		return this.#incomingCount > 0 || this.openExchanges.size > 0;
@@ -87,17 +99,17 @@
 		}
 	}
 
-	#handleRequest(request: IncomingMessage, response: ServerResponse): void {
+	#handleRequest(request: IncomingMessage, response: ServerResponse, relayedFrom: RelayOrigin | undefined): void {
 		const body = new ByteCollector();
 		let isRefused = false;
 		const refuse = (reason: FailureReason, detail: string) => {
 			if (!isRefused) {
 				isRefused = true;
-				this.#refuseBeforeExchange(response, reason, detail);
+				this.#refuseBeforeExchange(response, relayedFrom, reason, detail);
 			}
 		};
 
-		if (computeHeadBytes(request) > this.#maxHeadBytes) {
+		if (relayedFrom === undefined && computeHeadBytes(request) > this.#maxHeadBytes) {
 			refuse(failureReason.headTooLarge, 'the request head exceeds the configured limit');
 		} else if (Number(request.headers['content-length'] ?? 0) > this.#maxBodyBytes) {
 			refuse(failureReason.bodyTooLarge, 'the request body exceeds the configured limit');
@@ -119,20 +131,27 @@
 		});
 		request.on('end', () => {
 			if (!isRefused) {
-				this.#startExchange(request, response, body.toBytes());
+				this.#startExchange(request, response, {body: body.toBytes(), relayedFrom});
 			}
 		});
 	}
 
-	#startExchange(request: IncomingMessage, response: ServerResponse, body: Uint8Array): void {
+	#startExchange(request: IncomingMessage, response: ServerResponse, {body, relayedFrom}: ReceivedRequest): void {
 		const head = this.#options.protocol.readHead(request);
 		if (head.isErr()) {
-			this.#refuseBeforeExchange(response, failureReason.badRequest, head.error.detail);
+			this.#refuseBeforeExchange(response, relayedFrom, failureReason.badRequest, head.error.detail);
 			return;
 		}
 
+		const relayedBytes = relayedFrom === undefined ? 0 : body.length;
+		if (this.#relayedBytes + relayedBytes > maxRelayedBytes) {
+			this.#refuseBeforeExchange(response, relayedFrom, failureReason.relayRefused, 'the bodies of relayed requests exceed the limit');
+			return;
+		}
+
+		this.#relayedBytes += relayedBytes;
 		const openId = this.#nextOpenId++;
-		const exchange = new CallerExchange(openId, head.value, request, body, {response, protocol: this.#options.protocol});
+		const exchange = new CallerExchange(openId, head.value, request, body, {response, protocol: this.#options.protocol, relayedFrom});
 		if (this.#isDraining) {
 			exchange.closeAfterResponse();
 		}
@@ -140,17 +159,20 @@
 		this.openExchanges.set(openId, exchange);
 		response.on('close', () => {
 			this.openExchanges.delete(openId);
+			this.#relayedBytes -= relayedBytes;
 			if (!response.writableFinished) {
 				this.#options.emit({kind: eventKind.callerLeft, openId});
 			}
 		});
-		this.#options.emit({kind: eventKind.requestArrived, openId, ...head.value});
+		this.#options.emit({
+			kind: eventKind.requestArrived, openId, ...head.value, relayedFrom,
+		});
 	}
 
-	#refuseBeforeExchange(response: ServerResponse, reason: FailureReason, detail: string): void {
+	#refuseBeforeExchange(response: ServerResponse, relayedFrom: RelayOrigin | undefined, reason: FailureReason, detail: string): void {
 		const {status} = createFailure(reason);
 		this.#options.log('refused', {reason, status, detail});
-		response.writeHead(status, ['Content-Length', '0', 'Connection', 'close']);
+		response.writeHead(status, [...(relayedFrom === undefined ? [] : createFailureOutcomeHeaders(reason)), 'Content-Length', '0', 'Connection', 'close']);
 		response.end();
 	}
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -122,7 +122,12 @@
 			},
 		});
 		this.#targets = new TargetClient({
-			pool, protocol: protocols.targets, emit, readClock: readMonotonicMs,
+			pool,
+			protocol: protocols.targets,
+			callerProtocol: protocols.callers,
+			origin: {id: settings.instanceId, incarnation},
+			emit,
+			readClock: readMonotonicMs,
 		});
 		this.#metrics = new GatewayMetrics([
 			['open_requests', () => this.state.openRequests.size],
@@ -131,11 +136,20 @@
 			['directory_epoch', () => this.state.directory.epoch],
 			['directory_revision', () => this.state.directory.revision],
 			['directory_age_ms', () => readMonotonicMs() - (this.state.directory.confirmedAt ?? 0)],
+			['lost_paths', () => [...this.state.paths.values()].filter(({lostSince}) => lostSince !== undefined).length],
+			['relayed_requests', () => this.state.relayedOpenIds.size],
 			['quarantined_prompts', () => this.state.quarantine.size],
 			['target_connections_opened', () => pool.openedCount],
 			['log_lines_dropped', () => this.log.droppedTotal],
 		]);
-		this.#peers = new PeerTransport({emit, readClock: readMonotonicMs, renderMetrics: async () => this.#metrics.render()}, lifecycle);
+		this.#peers = new PeerTransport({
+			emit,
+			readClock: readMonotonicMs,
+			handleRelayed: (request, response) => {
+				this.#callers.handleRelayed(request, response);
+			},
+			renderMetrics: async () => this.#metrics.render(),
+		}, lifecycle);
 	}
 
 	/** Starts to listen and to read the directory. `onDrained` is called when a drain is complete. */
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -102,6 +102,8 @@
 		crashes: createListCheck(createObjectCheck({targetId: isString, bornAt: isNumber, ageMs: isNumber})),
 		begunAgeMs: createOptionalCheck(isNumber),
 	}))),
+	services: createOptionalCheck(createListCheck(createObjectCheck({pool: isString, ageMs: isNumber}))),
+	unreachedPools: createOptionalCheck(createListCheck(isString)),
 	wantsUpdate: isBoolean,
 	isWatching: createOptionalCheck(isBoolean),
 	readingMs: createOptionalCheck(isNumber),
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -15,11 +15,14 @@
 } from '@sequoiatally/runtime';
 import {listenOn} from './listen.js';
 import {parsePeerMessage} from './parse-peer-message.js';
+import {isRelayRequest} from './relay-headers.js';
 
 const peerPath = '/peers';
 const metricsPath = '/metrics';
 /** Time limit of a call, in milliseconds. */
 const callTimeoutMs = 800;
+/** Largest request head, in bytes: that of a relayed request contains the caller's. */
+const maxHeadBytes = 80 * 1024;
 /** Size above which messages are compressed. */
 const compressionThresholdBytes = 1500;
 /** Largest message that is read, compressed or not. */
@@ -28,6 +31,8 @@
 export type PeerTransportOptions = {
 	readonly emit: (event: Event) => void;
 	readonly readClock: () => number;
+	/** Handles a request of a caller that a peer relays. */
+	readonly handleRelayed: (request: IncomingMessage, response: ServerResponse) => void;
 	/** Renders the metrics page. */
 	readonly renderMetrics: () => Promise<string>;
 };
@@ -46,7 +51,12 @@
 	}
 
 	async listen(address: SocketAddress, lifecycle: LifecycleManager): Promise<void> {
-		const server = createServer({keepAliveTimeout: 10_000}, (request, response) => {
+		const server = createServer({keepAliveTimeout: 10_000, maxHeaderSize: maxHeadBytes, noDelay: true}, (request, response) => {
+			if (isRelayRequest(request.headers)) {
+				this.#options.handleRelayed(request, response);
+				return;
+			}
+
 			void this.#handleRequest(request, response);
 		});
 		await listenOn(server, address, lifecycle);
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -18,6 +18,8 @@
 /** The protocol of callers. */
 export abstract class CallerProtocol {
 	abstract readHead(message: IncomingMessage): Result<RequestHead, HeadFault>;
+	/** Creates the headers with which another instance reads the caller's request as this one did, with the time that is left. */
+	abstract createRelayHeaders(callerHeaders: RawHeaders, send: SendEffect, now: number): string[];
 	/** Creates the protocol's headers of an error response that the gateway itself generates. */
 	abstract createFailureHeaders(failure: Failure): Record<string, string>;
 }
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -5,7 +5,7 @@
  */
 import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {
-	eventKind, sendOutcome, type Event, type SendEffect, type SendOutcome, type TargetReport,
+	eventKind, sendOutcome, type Event, type RelayOrigin, type SendEffect, type SendOutcome, type TargetReport,
 } from '@sequoiatally/dispatch';
 import {describeError} from '@sequoiatally/runtime';
 import {BufferBudget, type BufferAccount} from './buffer-budget.js';
@@ -13,7 +13,12 @@
 import type {CallerExchange} from './caller-exchange.js';
 import type {ConnectionPool, LeasedConnection} from './connection-pool.js';
 import {EventSplitter} from './event-splitter.js';
-import {responseKind, type ResponseHead, type TargetProtocol} from './protocol.js';
+import {
+	responseKind, type CallerProtocol, type RawHeaders, type ResponseHead, type TargetProtocol,
+} from './protocol.js';
+import {
+	createOriginHeaders, parseOutcome, selectUnrelatedHeaders, type ResponseSource,
+} from './relay-headers.js';
 import {TargetActivity} from './target-activity.js';
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
@@ -32,6 +37,9 @@
 export type TargetClientOptions = {
 	readonly pool: ConnectionPool;
 	readonly protocol: TargetProtocol;
+	readonly callerProtocol: CallerProtocol;
+	/** Identity of this instance, for peers that relay its requests. */
+	readonly origin: Omit<RelayOrigin, 'runLimit'>;
 	readonly emit: (event: Event) => void;
 	readonly readClock: () => number;
 };
@@ -90,6 +98,8 @@
 	#progressAt: number;
 	#responseHead?: ResponseHead;
 	#targetReport?: TargetReport;
+	/** The process that responded. */
+	#source?: ResponseSource;
 
 	constructor(send: SendEffect, caller: CallerExchange, options: TargetExchangeOptions) {
 		this.#send = send;
@@ -110,7 +120,7 @@
 			socket.once('connect', () => {
 				this.#hasConnected = true;
 				clearTimeout(this.#connectTimer);
-				this.#reportOpened();
+				this.#reportOpened(true);
 			});
 		}
 
@@ -138,7 +148,7 @@
 		this.#request.end(body);
 		this.#startSilenceTimer();
 		if (this.#hasConnected) {
-			this.#reportOpened();
+			this.#reportOpened(false);
 		}
 	}
 
@@ -152,9 +162,12 @@
 		return this.#caller.hasStarted ? sendOutcome.interrupted : sendOutcome.lost;
 	}
 
-	#reportOpened(): void {
+	#reportOpened(isNewConnection: boolean): void {
 		if (!this.#hasEnded) {
-			this.#options.emit({kind: eventKind.sendOpened, openId: this.#send.openId, sendId: this.#send.sendId});
+			const {openId, sendId} = this.#send;
+			this.#options.emit({
+				kind: eventKind.sendOpened, openId, sendId, isNewConnection,
+			});
 		}
 	}
 
@@ -167,7 +180,11 @@
 	}
 
 	#createHeaders(body: Uint8Array): string[] {
-		const headers = this.#options.protocol.createSendHeaders(this.#caller.request.rawHeaders, this.#send, this.#options.readClock());
+		const {protocol, callerProtocol, origin, readClock} = this.#options;
+		const callerHeaders = selectUnrelatedHeaders(this.#caller.request.rawHeaders);
+		const headers = this.#send.isRelayed
+			? [...callerProtocol.createRelayHeaders(callerHeaders, this.#send, readClock()), ...createOriginHeaders({...origin, runLimit: this.#send.runLimit})]
+			: protocol.createSendHeaders(callerHeaders, this.#send, readClock());
 		if (body.length > 0 || this.#caller.request.headers['content-length'] !== undefined || this.#caller.request.headers['transfer-encoding'] !== undefined) {
 			headers.push('Content-Length', String(body.length));
 		}
@@ -200,6 +217,7 @@
 		this.#responseHead = responseHead;
 		const at = this.#recordActivity();
 		this.#targetReport = responseHead.statement === undefined ? undefined : {...responseHead.statement, at};
+		this.#source = {id: this.#send.targetId, bornAt: this.#send.bornAt};
 		response.on('error', error => {
 			this.#abort(this.#failureOutcome, describeError(error));
 		});
@@ -208,6 +226,10 @@
 				this.#abort(this.#failureOutcome, 'connection closed in the middle of the response');
 			}
 		});
+		if (this.#send.isRelayed && !this.#applyRelayOutcome(response)) {
+			return;
+		}
+
 		if (responseHead.kind === responseKind.stray) {
 			this.#abort(this.#failureOutcome, `response with status ${statusCode} does not match the request`);
 			return;
@@ -223,6 +245,33 @@
 		});
 	}
 
+	/** Applies what a peer states about the relayed request; returns false if the response is not that of a target. */
+	#applyRelayOutcome(response: IncomingMessage): boolean {
+		const outcome = parseOutcome(response.headers);
+		if (outcome === undefined) {
+			this.#abort(this.#failureOutcome, 'response of a peer without the outcome of the relayed request');
+			return false;
+		}
+
+		if ('failure' in outcome) {
+			this.#bufferBody(response, () => {
+				this.#finishAndRelease(response, outcome.hasNotRun ? sendOutcome.rejected : this.#failureOutcome, `peer: ${outcome.failure}`);
+			});
+			return false;
+		}
+
+		this.#source = outcome.source;
+		if (this.#targetReport !== undefined) {
+			this.#targetReport = {...this.#targetReport, process: outcome.source};
+		}
+
+		return true;
+	}
+
+	#selectResponseHeaders(headers: RawHeaders): string[] {
+		return selectUnrelatedHeaders(this.#options.protocol.selectResponseHeaders(headers));
+	}
+
 	#bufferBody(response: IncomingMessage, onComplete: (body: Uint8Array) => void): void {
 		const collector = new ByteCollector();
 		let partCount = 0;
@@ -256,7 +305,9 @@
 		} else if (notRunStatuses.has(statusCode) || (this.#caller.hasStarted)) {
 			this.#abort(this.#failureOutcome, `${detail} without proof that the request did not run, or in place of the rest of a stream`);
 		} else {
-			const buffered = {status: statusCode, headers: this.#options.protocol.selectResponseHeaders(rawHeaders), body};
+			const buffered = {
+				status: statusCode, headers: this.#selectResponseHeaders(rawHeaders), body, source: this.#source!,
+			};
 			if (statusCode >= 500) {
 				this.#caller.heldResponse = buffered;
 				this.#finishAndRelease(response, sendOutcome.failed, detail);
@@ -319,7 +370,7 @@
 			this.#hasDeliveredEvents = true;
 			this.#startSilenceTimer();
 			if (!this.#caller.hasStarted) {
-				this.#caller.startStream(response.statusCode!, this.#options.protocol.selectResponseHeaders(response.rawHeaders));
+				this.#caller.startStream(response.statusCode!, this.#selectResponseHeaders(response.rawHeaders), this.#source!);
 			}
 
 			this.#options.emit({
--- a/packages/load/src/lib/tcp-relay.ts
+++ b/packages/load/src/lib/tcp-relay.ts
@@ -44,9 +44,10 @@
 		return `${loopbackHost}:${(this.#server.address() as {port: number}).port}`;
 	}
 
-	async listen(): Promise<void> {
+	/** Listens on `port`, or on a free one. */
+	async listen(port = 0): Promise<void> {
 		await new Promise<void>(resolve => {
-			this.#server.listen(0, loopbackHost, resolve);
+			this.#server.listen(port, loopbackHost, resolve);
 		});
 	}
 
