--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -34,7 +34,9 @@
 
 	recordLog(step, 'send-ended', {
 		requestId: request.requestId, target: targetId, verdict: sendVerdict ?? 'not-run', detail, opened: hasOpened, relayed: isRelayed || undefined, tookMs: Math.round(now - sentAt),
-		...(sendVerdict === verdict.lost && {parts: listSharedParts(request.promptParts).map(({id}) => id), hasBegun: request.hasResponseStarted}),
+		...(sendVerdict === verdict.lost && {
+			fingerprint: request.fingerprint, parts: listSharedParts(request.promptParts).map(({id}) => id), hasBegun: request.hasResponseStarted,
+		}),
 	});
 	recordSendEnd(target);
 	if (sendVerdict === undefined) {
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -54,6 +54,8 @@
 	readonly kind: typeof eventKind.requestArrived;
 	/** Identifies the request within this process. */
 	readonly openId: number;
+	/** Equal for requests that are the same for a target; tells nothing about their content. */
+	readonly fingerprint: string;
 	/** The peer that received the request from its caller and cannot reach the targets; `undefined` if the caller is connected to this instance. */
 	readonly relayedFrom?: RelayOrigin;
 };
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -52,6 +52,7 @@
 		path: event.path,
 		keyDigest: event.keyDigest,
 		promptParts: event.promptParts,
+		fingerprint: event.fingerprint,
 		isRelayed: event.relayedFrom !== undefined,
 		runAllowance: event.relayedFrom?.runLimit ?? Number.POSITIVE_INFINITY,
 		arrivedAt: now,
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -191,7 +191,7 @@
 		runLimit: Math.max(1, runLimit - request.possibleRunCount + 1),
 	});
 	recordLog(step, 'sent', {
-		requestId: request.requestId, route: route.name, account: request.account, target: target.record.id, relay: isRelayed ? 'by peer' : (request.isRelayed ? 'for peer' : undefined),
+		requestId: request.requestId, fingerprint: request.fingerprint, route: route.name, account: request.account, target: target.record.id, relay: isRelayed ? 'by peer' : (request.isRelayed ? 'for peer' : undefined),
 		send: request.sendCount, leftMs: Math.round(request.deadlineAt - now), tables: request.tablesVersion,
 		directoryAgeMs: computeDirectoryAge(step), inFlight: target.inFlight,
 		load: Math.round(load * 10) / 10,
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -53,6 +53,7 @@
 	readonly path: string;
 	readonly keyDigest?: string;
 	readonly promptParts: readonly PromptPart[];
+	readonly fingerprint: string;
 	/** True if a peer received the request from its caller. */
 	readonly isRelayed: boolean;
 	/** Number of targets on which the request may run here, if the route allows as many; less than that if a peer has sent it before. */
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -68,6 +68,8 @@
 	readonly keyDigest?: string;
 	readonly timeoutMs?: number;
 	readonly relayedFrom?: RelayOrigin;
+	/** Each request has another one if it is absent. */
+	readonly fingerprint?: string;
 };
 
 export class GatewayFixture {
@@ -127,6 +129,7 @@
 			keyDigest: 'keyDigest' in fields ? fields.keyDigest : 'digest-a',
 			timeoutMs: fields.timeoutMs,
 			relayedFrom: fields.relayedFrom,
+			fingerprint: fields.fingerprint ?? `${this.state.self.incarnation}-${openId}`,
 			promptParts: (fields.prompt ?? []).map(id => ({id, tokenCount: fields.partTokens ?? 100})),
 		});
 		return openId;
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -14,6 +14,7 @@
 import type {CallerProtocol} from './protocol.js';
 import {listenOn} from './listen.js';
 import {createFailureOutcomeHeaders, parseOrigin} from './relay-headers.js';
+import {computeFingerprint} from './request-fingerprint.js';
 
 /** Largest request head that is parsed; the configuration tables can only lower the limit. */
 const absoluteMaxHeadBytes = 64 * 1024;
@@ -150,6 +151,11 @@
 		}
 
 		this.#relayedBytes += relayedBytes;
+		const {method = '', url = ''} = request;
+		const {host, keyDigest} = head.value;
+		const fingerprint = computeFingerprint({
+			method, host, url, keyDigest, body,
+		});
 		const openId = this.#nextOpenId++;
 		const exchange = new CallerExchange(openId, head.value, request, body, {response, protocol: this.#options.protocol, relayedFrom});
 		if (this.#isDraining) {
@@ -165,7 +171,7 @@
 			}
 		});
 		this.#options.emit({
-			kind: eventKind.requestArrived, openId, ...head.value, relayedFrom,
+			kind: eventKind.requestArrived, openId, ...head.value, fingerprint, relayedFrom,
 		});
 	}
 
