--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -31,6 +31,8 @@
 	readonly seed: number;
 	/** Fraction of the peer calls that are lost. */
 	readonly callLoss?: number;
+	/** Name of the engines, without their number; it decides their pool (`createTargetRecord`). */
+	readonly engineName?: string;
 };
 
 /** How an instance is cut off from all engines. */
@@ -64,6 +66,7 @@
 	readonly send: SendEffect;
 	readonly engine: Engine;
 	readonly prompt: readonly string[];
+	readonly fingerprint: string;
 	readonly beginsAt: number;
 	readonly endsAt: number;
 	hasBegun: boolean;
@@ -77,6 +80,7 @@
 	readonly at: number;
 	readonly engineId: string;
 	readonly prompt: readonly string[];
+	readonly fingerprint: string;
 	/** Time since which the sending instance had run without interruption. */
 	readonly senderRunningSince: number;
 	readonly sender: string;
@@ -86,6 +90,8 @@
 export type SimulatedRequest = {
 	readonly at: number;
 	readonly prompt: readonly string[];
+	/** Set if the request may come again. */
+	readonly fingerprint?: string;
 	/** Address of the instance that received the request. */
 	readonly receiver: string;
 	/** Number of engines that the request reached. */
@@ -107,14 +113,18 @@
 	readonly nodes: Node[] = [];
 	readonly arrivals: Arrival[] = [];
 	readonly requests: SimulatedRequest[] = [];
-	/** Times at which engines crashed because of a prompt part. */
+	/** Times at which engines crashed because of a prompt part or a request. */
 	readonly crashes: number[] = [];
+	/** The same by request, for requests that crash engines. */
+	readonly crashesByFingerprint = new Map<string, number[]>();
 	/** Limits that engines name in their responses, in requests a second. */
 	readonly engineLimits = new Map<string, number>();
 	/** Times at which processes of instances first passed on a response that named a limit, by instance and engine. */
 	readonly limitHeardAt = new Map<string, number>();
 	/** Prompt part that crashes each engine that begins to respond to it. */
 	crashingPart?: string;
+	/** Requests that crash each engine that begins to run them. */
+	readonly crashingFingerprints = new Set<string>();
 	readonly #options: FleetOptions;
 	readonly #engines = new Map<string, Engine>();
 	readonly #history: FactChange[] = [];
@@ -169,7 +179,7 @@
 	}
 
 	/** Sends a caller's request to one of the running instances. */
-	sendRequest(route: Route, prompt: readonly string[]): void {
+	sendRequest(route: Route, prompt: readonly string[], fingerprint?: string): void {
 		const running = this.listRunning();
 		const node = running[Math.floor(this.random() * running.length)];
 		if (node === undefined) {
@@ -179,13 +189,13 @@
 		this.#drainEffects(node);
 		node.gateway.now = this.now;
 		const request: SimulatedRequest = {
-			at: this.now, prompt, receiver: node.address, arrivalCount: 0, hasBegun: false,
+			at: this.now, prompt, fingerprint, receiver: node.address, arrivalCount: 0, hasBegun: false,
 		};
 		this.requests.push(request);
 		// The fixture assigns the identifier before it returns it.
 		const openId = node.gateway.nextOpenId;
 		this.#requestByKey.set(createRequestKey(node.gateway, openId), request);
-		node.gateway.receiveRequest(route, {prompt, partTokens: 400});
+		node.gateway.receiveRequest(route, {prompt, partTokens: 400, fingerprint});
 		this.#drainEffects(node);
 	}
 
@@ -262,7 +272,7 @@
 	#addEngine(): void {
 		const number = this.#nextEngineNumber++;
 		const engine = {
-			id: `engine-${number}`, address: `10.0.0.${number}:80`, zone: zones[number % zones.length]!, isRunning: true,
+			id: `${this.#options.engineName ?? 'engine'}-${number}`, address: `10.0.0.${number}:80`, zone: zones[number % zones.length]!, isRunning: true,
 		};
 		this.#engines.set(engine.id, engine);
 		this.#history.push(createTargetChange(this.#history.length + 1, createTargetRecord(engine.id, {address: engine.address, zone: engine.zone})));
@@ -307,8 +317,9 @@
 			}
 
 			if (!run.hasBegun && run.beginsAt <= this.now) {
-				if (this.crashingPart !== undefined && run.prompt.includes(this.crashingPart)) {
+				if (this.crashingFingerprints.has(run.fingerprint) || (this.crashingPart !== undefined && run.prompt.includes(this.crashingPart))) {
 					this.crashes.push(this.now);
+					this.crashesByFingerprint.set(run.fingerprint, [...this.crashesByFingerprint.get(run.fingerprint) ?? [], this.now]);
 					this.#crash(run.engine);
 					continue;
 				}
@@ -462,7 +473,7 @@
 
 	#startRelay(node: Node, send: SendEffect): void {
 		const {gateway} = node;
-		const {route, promptParts} = gateway.state.openRequests.get(send.openId)!;
+		const {route, promptParts, fingerprint} = gateway.state.openRequests.get(send.openId)!;
 		const request = this.#requestByKey.get(createRequestKey(gateway, send.openId))!;
 		this.#schedule(stepMs, () => {
 			const peer = this.nodes.find(other => other.address === send.address)!;
@@ -486,7 +497,7 @@
 				node, gateway, send, peer, peerOpenId,
 			});
 			peer.gateway.receiveRequest(route, {
-				prompt: promptParts.map(({id}) => id), partTokens: 400, relayedFrom: {id, incarnation, runLimit: send.runLimit},
+				prompt: promptParts.map(({id}) => id), partTokens: 400, fingerprint, relayedFrom: {id, incarnation, runLimit: send.runLimit},
 			});
 			this.#drainEffects(peer);
 		});
@@ -519,11 +530,11 @@
 
 		const {gateway} = node;
 		const engine = this.#engines.get(send.targetId);
-		const {promptParts} = gateway.state.openRequests.get(send.openId)!;
+		const {promptParts, fingerprint} = gateway.state.openRequests.get(send.openId)!;
 		const prompt = promptParts.map(({id}) => id);
 		const beginsAt = this.now + beginMs.min + (this.random() * beginMs.extra);
 		const run: Run = {
-			node, gateway, send, engine: engine!, prompt, beginsAt, endsAt: beginsAt + endMs.min + (this.random() * endMs.extra), hasBegun: false,
+			node, gateway, send, engine: engine!, prompt, fingerprint, beginsAt, endsAt: beginsAt + endMs.min + (this.random() * endMs.extra), hasBegun: false,
 		};
 		if (node.cut === cutMode.silent) {
 			this.#schedule(connectTimeoutMs, () => {
@@ -546,7 +557,7 @@
 		}
 
 		this.arrivals.push({
-			at: this.now, engineId: engine.id, prompt, sender: node.address, senderRunningSince: node.runningSince,
+			at: this.now, engineId: engine.id, prompt, fingerprint, sender: node.address, senderRunningSince: node.runningSince,
 		});
 		this.#runs.push(run);
 	}
