--- a/packages/dispatch/src/lib/prompt-quarantine.ts
+++ b/packages/dispatch/src/lib/crash-quarantine.ts
@@ -1,13 +1,13 @@
 /**
- * Finds prompt parts that crash the targets that respond to them ("query of death"), and
- * withholds requests with such a part.
+ * Finds what crashes the targets that run it ("query of death"), and withholds it: a part
+ * of prompts that no two alike requests share, or one request that comes again and again.
  *
  * A crash ends all requests at its target, so that every part of a request to which no
- * response had begun is suspect. A part is cleared by a response that begins anywhere in
- * the fleet. It is quarantined after several crashes without such a response, unless so
- * many other requests are lost in crashes that chance may explain them. Parts that were
- * present at the same crashes are quarantined together: only requests with all of them are
- * withheld.
+ * response had begun is suspect, and the request itself. A suspect is cleared by a response
+ * that begins anywhere in the fleet. It is quarantined after several crashes without such a
+ * response, unless so many other requests are lost in other crashes that chance may explain
+ * them. Suspects that were present at the same crashes are quarantined together: only
+ * requests with all of them are withheld.
  *
  * All instances exchange crashes and clearances. Both merge to the same state in any order,
  * and a crash that several instances report counts once.
@@ -17,16 +17,21 @@
 import type {SharedSuspect} from './peer-message.js';
 import {SlidingWindow} from './sliding-window.js';
 import {countHigherRanked, type FleetView} from './target-limits.js';
+import type {ProcessId} from './target-statements.js';
 
 /**
- * Number of crashes without a response after which a part is quarantined, if hardly any
- * other request is lost in a crash; more for a part that responses have begun for before.
+ * Number of crashes without a response after which a suspect is quarantined, if hardly any
+ * other request is lost in a crash; more for one that responses have begun for before.
  */
 const minCrashes = 2;
-const minCrashesOfServedPart = 3;
+const minCrashesOfServedSuspect = 3;
+/** The same for one of several requests that were present at the same crashes, of which only one can be the cause. */
+const minCrashesOfUnclearRequest = 3;
+/** Number of crashes after which a request is no longer tried again. */
+const maxCrashesOfTriedRequest = 3;
 /** Probability, at most, that a sound part is present at all of its crashes by chance. */
 const maxChance = 0.001;
-/** Crashes of a part that are closer together, in milliseconds, count as one: a rack or a pool may fail at once. */
+/** Crashes of a suspect that are closer together, in milliseconds, count as one: a rack or a pool may fail at once. */
 const episodeGapMs = 300;
 /** Window in which this instance estimates the fraction of requests that crashes cost, in milliseconds. */
 const lossWindowMs = 10_000;
@@ -45,22 +50,49 @@
 const retentionMs = 600_000;
 /** Time after a crash, or after the clearance of a part, for which it is passed on, in milliseconds. */
 const passOnMs = 10_000;
-/** Number of suspect parts that are kept, of crashes for each of them, and of parts in one message. */
-const suspectLimit = 256;
+/** Number of suspects that are kept, of crashes for each of them, and of parts and requests in one message. */
+const suspectLimit = 512;
 const crashesPerSuspect = 12;
-const suspectsPerMessage = 16;
-/** Number of parts with the time of their last response that are kept. */
+const partsPerMessage = 16;
+const requestsPerMessage = 32;
+/** Number of parts, and of requests, with the time of their last response that are kept. */
 const begunPartLimit = 4096;
+const begunRequestLimit = 8192;
 /** Number of parts of one request that can become suspect. */
 const partsPerRequest = 32;
 
+/** Prefix of the suspects that are requests; identifiers of prompt parts contain no colon. */
+const requestPrefix = 'request:';
+
+/** Creates the identifier under which a request is a suspect. */
+export function createRequestSuspectId(fingerprint: string): string {
+	return requestPrefix + fingerprint;
+}
+
+/** Finds the fingerprint of a suspect that is a request; `undefined` for a prompt part. */
+export function parseRequestSuspectId(id: string): string | undefined {
+	return id.startsWith(requestPrefix) ? id.slice(requestPrefix.length) : undefined;
+}
+
+function isRequest(id: string): boolean {
+	return id.startsWith(requestPrefix);
+}
+
+/** Time of a crash, and of the send that was lost in it, if it is known. */
+type CrashTime = {readonly at: number; readonly sentAt?: number};
+
+/** A request that was lost in a crash. */
+export type LostRequest = CrashTime & {readonly partIds: readonly string[]};
+
 type Suspect = {
-	/** Times of the crashes, by the process that crashed, in the order in which they became known. */
-	readonly crashes: Map<string, number>;
+	/** The crashes, by the process that crashed, in the order in which they became known. */
+	readonly crashes: Map<string, CrashTime>;
 	/** Time at which a response to a request with the part last began. */
 	begunAt: number;
 	/** Time of the last crash that became known, or of the clearance. */
 	changedAt: number;
+	/** Time at which a request was last withheld because of it. */
+	withheldAt: number;
 };
 
 /** Parts that are withheld if a request has all of them. */
@@ -72,6 +104,8 @@
 	readonly requiredCount: number;
 	/** Time from which a request may try the parts again. */
 	readonly until: number;
+	/** False for a request that crashed too many targets to be tried again. */
+	readonly mayTry: boolean;
 	/** Time at which this instance last let a request try the parts. */
 	triedAt: number;
 };
@@ -89,15 +123,14 @@
 
 export type QuarantineChange = {readonly quarantined: readonly Quarantine[]; readonly released: readonly Quarantine[]};
 
-/** A process of a target: a restart under the same id is another process. */
-export type TargetProcess = {readonly id: string; readonly bornAt: number};
-
-export class PromptQuarantine {
+export class CrashQuarantine {
 	readonly #suspects = new Map<string, Suspect>();
 	/** Times at which responses last began, by part, in the order of their last use. */
 	readonly #begunAt = new Map<string, number>();
+	/** The same for requests, of which there are many more. */
+	readonly #requestBegunAt = new Map<string, number>();
 	readonly #responses = new SlidingWindow(lossWindowMs);
-	#recentLosses: Array<{readonly at: number; readonly partIds: readonly string[]}> = [];
+	#recentLosses: Array<{readonly at: number; readonly process: string}> = [];
 	#quarantines: Quarantine[] = [];
 	#nextUpdateAt = 0;
 
@@ -110,8 +143,9 @@
 	recordBegun(partIds: readonly string[], now: number): void {
 		this.#responses.record(now);
 		for (const id of partIds) {
-			this.#begunAt.delete(id);
-			this.#begunAt.set(id, now);
+			const begunAt = isRequest(id) ? this.#requestBegunAt : this.#begunAt;
+			begunAt.delete(id);
+			begunAt.set(id, now);
 			const suspect = this.#suspects.get(id);
 			if (suspect !== undefined) {
 				clearSuspect(suspect, now, now);
@@ -119,23 +153,28 @@
 		}
 
 		evictOldest(this.#begunAt, begunPartLimit);
+		evictOldest(this.#requestBegunAt, begunRequestLimit);
 	}
 
-	/** Records that a target crashed at time `at` while it had not begun to respond to a request with these parts. */
-	recordCrash(partIds: readonly string[], target: TargetProcess, at: number, now: number): void {
-		this.#recentLosses.push({at, partIds});
+	/** Records that a target crashed while it had not begun to respond to the request. */
+	recordCrash({partIds, at, sentAt}: LostRequest, target: ProcessId, now: number): void {
+		const process = describeProcess(target);
+		this.#recentLosses.push({at, process});
 		for (const id of partIds.slice(0, partsPerRequest)) {
-			this.#addCrash(id, describeProcess(target), at, now);
+			this.#addCrash(id, process, isRequest(id) ? {at, sentAt} : {at}, now);
 		}
 	}
 
 	/** Applies the suspects of a peer's message, whose ages are subtracted from `messageCreatedAt`; returns true if they contain unknown and recent crashes of parts that are not cleared. */
 	applyShared(suspects: readonly SharedSuspect[], messageCreatedAt: number, now: number): boolean {
 		let hasUnknownCrash = false;
-		for (const {partId, crashes, begunAgeMs} of suspects.slice(0, suspectsPerMessage)) {
-			for (const {targetId, bornAt, ageMs} of crashes.slice(0, crashesPerSuspect)) {
+		for (const {partId, crashes, begunAgeMs} of suspects.slice(0, partsPerMessage + requestsPerMessage)) {
+			for (const {
+				targetId, bornAt, ageMs, sentAgeMs,
+			} of crashes.slice(0, crashesPerSuspect)) {
 				const at = messageCreatedAt - ageMs;
-				if (this.#addCrash(partId, describeProcess({id: targetId, bornAt}), at, now)) {
+				const time = {at, sentAt: sentAgeMs === undefined ? undefined : messageCreatedAt - sentAgeMs};
+				if (this.#addCrash(partId, describeProcess({id: targetId, bornAt}), time, now)) {
 					hasUnknownCrash ||= now - at <= passOnMs && !isCleared(this.#suspects.get(partId)!);
 				}
 			}
@@ -152,15 +191,19 @@
 	/** Describes the suspects for peers: first those with most crashes. */
 	describe(now: number): SharedSuspect[] {
 		const quarantinedIds = new Set(this.#quarantines.flatMap(({partIds}) => partIds));
-		return [...this.#suspects]
+		const suspects = [...this.#suspects]
 			.filter(([id, suspect]) => quarantinedIds.has(id) || now - suspect.changedAt <= passOnMs || listOpenCrashes(suspect).length > 1)
-			.sort(([, a], [, b]) => b.crashes.size - a.crashes.size || b.changedAt - a.changedAt)
-			.slice(0, suspectsPerMessage)
-			.map(([partId, {crashes, begunAt}]) => ({
-				partId,
-				crashes: [...crashes].map(([process, at]) => ({...parseProcess(process), ageMs: Math.round(now - at)})),
-				begunAgeMs: Number.isFinite(begunAt) ? Math.round(now - begunAt) : undefined,
-			}));
+			.sort(([, a], [, b]) => b.crashes.size - a.crashes.size || b.changedAt - a.changedAt);
+		return [
+			...suspects.filter(([id]) => !isRequest(id)).slice(0, partsPerMessage),
+			...suspects.filter(([id]) => isRequest(id)).slice(0, requestsPerMessage),
+		].map(([partId, {crashes, begunAt}]) => ({
+			partId,
+			crashes: [...crashes].map(([process, {at, sentAt}]) => ({
+				...parseProcess(process), ageMs: Math.round(now - at), ...(sentAt !== undefined && {sentAgeMs: Math.round(now - sentAt)}),
+			})),
+			begunAgeMs: Number.isFinite(begunAt) ? Math.round(now - begunAt) : undefined,
+		}));
 	}
 
 	/** Forgets old suspects, quarantines parts and releases cleared ones; returns what has changed. */
@@ -196,7 +239,7 @@
 	 */
 	claimTrial(quarantine: Quarantine, fleet: FleetView, now: number): boolean {
 		const overdueMs = now - quarantine.until;
-		if (overdueMs < 0 || quarantine.triedAt >= quarantine.until) {
+		if (!quarantine.mayTry || overdueMs < 0 || quarantine.triedAt >= quarantine.until) {
 			return false;
 		}
 
@@ -208,23 +251,41 @@
 		return true;
 	}
 
-	/** True if a request with these parts is likely to end another target: one of the parts was present at two crashes and is not cleared. */
-	hasRepeatedCrash(partIds: readonly string[]): boolean {
-		return this.#suspects.size > 0 && partIds.some(id => {
+	/** Records that a request was withheld: what keeps coming is not forgotten. */
+	recordWithheld({partIds}: Quarantine, now: number): void {
+		for (const id of partIds) {
 			const suspect = this.#suspects.get(id);
-			return suspect !== undefined && listOpenCrashes(suspect).length > 1;
+			if (suspect !== undefined) {
+				suspect.withheldAt = now;
+			}
+		}
+	}
+
+	/**
+	 * True if a request with these parts is likely to end another target: one of them was present at
+	 * two crashes and is not cleared. `lossCount` losses of the request may turn out to be crashes.
+	 */
+	hasRepeatedCrash(partIds: readonly string[], lossCount: number): boolean {
+		return partIds.some(id => {
+			const suspect = this.#suspects.get(id);
+			const crashCount = suspect === undefined ? 0 : listOpenCrashes(suspect).length;
+			return crashCount + (isRequest(id) ? lossCount : 0) > 1;
 		});
 	}
 
 	/** Adds a crash of a part; returns false if it is known or too old. */
-	#addCrash(partId: string, process: string, at: number, now: number): boolean {
+	#addCrash(partId: string, process: string, time: CrashTime, now: number): boolean {
+		const {at} = time;
 		if (now - at >= retentionMs) {
 			return false;
 		}
 
 		let suspect = this.#suspects.get(partId);
 		if (suspect === undefined) {
-			suspect = {crashes: new Map(), begunAt: this.#begunAt.get(partId) ?? Number.NEGATIVE_INFINITY, changedAt: now};
+			const begunAt = (isRequest(partId) ? this.#requestBegunAt : this.#begunAt).get(partId) ?? Number.NEGATIVE_INFINITY;
+			suspect = {
+				crashes: new Map(), begunAt, changedAt: now, withheldAt: now,
+			};
 			this.#suspects.set(partId, suspect);
 			this.#evictSuspect(partId);
 		}
@@ -234,15 +295,15 @@
 		}
 
 		if (suspect.crashes.size >= crashesPerSuspect) {
-			const [oldestProcess, oldestAt] = [...suspect.crashes].sort(([, a], [, b]) => a - b)[0]!;
-			if (at <= oldestAt) {
+			const [oldestProcess, oldest] = [...suspect.crashes].sort(([, a], [, b]) => a.at - b.at)[0]!;
+			if (at <= oldest.at) {
 				return false;
 			}
 
 			suspect.crashes.delete(oldestProcess);
 		}
 
-		suspect.crashes.set(process, at);
+		suspect.crashes.set(process, time);
 		suspect.changedAt = now;
 		this.#nextUpdateAt = 0;
 		return true;
@@ -274,13 +335,13 @@
 
 	/** True if a response to a request with the part is known to have begun at any time. */
 	#hasBegun(id: string): boolean {
-		return this.#begunAt.has(id) || Number.isFinite(this.#suspects.get(id)!.begunAt);
+		return this.#begunAt.has(id) || this.#requestBegunAt.has(id) || Number.isFinite(this.#suspects.get(id)!.begunAt);
 	}
 
 	#expire(now: number): void {
 		this.#recentLosses = this.#recentLosses.filter(({at}) => now - at <= lossWindowMs);
 		for (const [id, suspect] of this.#suspects) {
-			if (now - suspect.changedAt > (isCleared(suspect) ? passOnMs : retentionMs)) {
+			if (now - Math.max(suspect.changedAt, suspect.withheldAt) > (isCleared(suspect) ? passOnMs : retentionMs)) {
 				this.#suspects.delete(id);
 			}
 		}
@@ -310,7 +371,14 @@
 			const together = candidates.filter(({crashKey}) => crashKey === first.crashKey);
 			// A part that responses had begun for before the crashes is the less likely cause.
 			const neverBegun = together.filter(({id}) => !this.#hasBegun(id));
-			this.#setQuarantine((neverBegun.length > 0 ? neverBegun : together).map(({id}) => id).sort(), first);
+			const ids = (neverBegun.length > 0 ? neverBegun : together).map(({id}) => id).sort();
+			const requestIds = ids.filter(id => isRequest(id));
+			const otherIds = ids.filter(id => !isRequest(id));
+			// No request contains another one, so each of them is an alternative.
+			for (const partIds of requestIds.length === 0 ? [otherIds] : requestIds.map(id => [...otherIds, id])) {
+				this.#setQuarantine(partIds, first);
+			}
+
 			for (const process of first.processes) {
 				explained.add(process);
 			}
@@ -327,6 +395,7 @@
 			partIds,
 			crashCount: count,
 			requiredCount: known?.requiredCount ?? requiredCount,
+			mayTry: count <= maxCrashesOfTriedRequest || !partIds.some(id => isRequest(id)),
 			until: lastCrashAt + Math.min(maxQuarantineMs, baseQuarantineMs * (2 ** (count - minCrashes))),
 			triedAt: known?.triedAt ?? Number.NEGATIVE_INFINITY,
 		}];
@@ -337,24 +406,24 @@
 		const candidates: Candidate[] = [];
 		for (const [id, suspect] of this.#suspects) {
 			const crashes = listOpenCrashes(suspect).filter(([process]) => !explained.has(process));
-			const times = crashes.map(([, at]) => at);
+			const times = crashes.map(([, time]) => time);
 			const count = countEpisodes(times);
-			const minCount = this.#hasBegun(id) ? minCrashesOfServedPart : minCrashes;
-			const requiredCount = count < minCount ? minCount : Math.max(minCount, this.#computeUnlikelyCount(id, now));
+			const minCount = this.#hasBegun(id) ? minCrashesOfServedSuspect : minCrashes;
+			const requiredCount = count < minCount ? minCount : Math.max(minCount, this.#computeUnlikelyCount(suspect, now));
 			if (count >= requiredCount) {
 				const processes = crashes.map(([process]) => process).sort();
 				candidates.push({
-					id, count, requiredCount, processes, crashKey: createKey(processes), lastCrashAt: Math.max(...times),
+					id, count, requiredCount, processes, crashKey: createKey(processes), lastCrashAt: Math.max(...times.map(({at}) => at)),
 				});
 			}
 		}
 
-		return candidates;
+		return candidates.filter(candidate => candidate.count >= minCrashesOfUnclearRequest || !isUnclear(candidate, candidates));
 	}
 
-	/** Computes the number of crashes in a row that chance does not explain, from the fraction of requests without the part that crashes cost this instance. */
-	#computeUnlikelyCount(partId: string, now: number): number {
-		const losses = this.#recentLosses.filter(({partIds}) => !partIds.includes(partId)).length;
+	/** Computes the number of crashes in a row that chance does not explain, from the fraction of requests that crashes without the suspect cost this instance. */
+	#computeUnlikelyCount({crashes}: Suspect, now: number): number {
+		const losses = this.#recentLosses.filter(({process}) => !crashes.has(process)).length;
 		const responses = this.#responses.count(now);
 		if (losses > 0 && responses === 0) {
 			// All targets that this instance uses fail.
@@ -380,16 +449,21 @@
 }
 
 /** Lists the crashes since the last response. */
-function listOpenCrashes({crashes, begunAt}: Suspect): Array<[string, number]> {
-	return [...crashes].filter(([, at]) => at > begunAt + clearanceMarginMs);
+function listOpenCrashes({crashes, begunAt}: Suspect): Array<[string, CrashTime]> {
+	return [...crashes].filter(([, {at}]) => at > begunAt + clearanceMarginMs);
+}
+
+/** True if another request was present at the same crashes. */
+function isUnclear({id, crashKey}: Candidate, candidates: readonly Candidate[]): boolean {
+	return isRequest(id) && candidates.some(other => other.id !== id && other.crashKey === crashKey && isRequest(other.id));
 }
 
-/** Counts crashes, those that are close together as one. */
-function countEpisodes(times: readonly number[]): number {
+/** Counts crashes, those that are close together as one, unless the request was sent to the second target after the first had crashed. */
+function countEpisodes(times: readonly CrashTime[]): number {
 	let count = 0;
 	let episodeStartedAt = Number.NEGATIVE_INFINITY;
-	for (const at of [...times].sort((a, b) => a - b)) {
-		if (at - episodeStartedAt >= episodeGapMs) {
+	for (const {at, sentAt = Number.NEGATIVE_INFINITY} of [...times].sort((a, b) => a.at - b.at)) {
+		if (at - episodeStartedAt >= episodeGapMs || sentAt >= episodeStartedAt) {
 			count++;
 			episodeStartedAt = at;
 		}
@@ -402,7 +476,7 @@
 	return names.join(',');
 }
 
-function describeProcess({id, bornAt}: TargetProcess): string {
+function describeProcess({id, bornAt}: ProcessId): string {
 	return `${id}@${bornAt}`;
 }
 
--- a/packages/dispatch/src/lib/failure.ts
+++ b/packages/dispatch/src/lib/failure.ts
@@ -23,6 +23,8 @@
 	targetsLimited: 'targets-limited',
 	/** The request has prompt parts that crashed several targets, and was not sent. */
 	promptQuarantined: 'prompt-quarantined',
+	/** The request itself crashed several targets, and was not sent. */
+	requestQuarantined: 'request-quarantined',
 	/** The request was sent, but no target ran it. */
 	notRun: 'not-run',
 	/** The request may have run, but its response is lost. */
@@ -52,6 +54,7 @@
 	[failureReason.noTarget]: 503,
 	[failureReason.targetsLimited]: 503,
 	[failureReason.promptQuarantined]: 503,
+	[failureReason.requestQuarantined]: 503,
 	[failureReason.notRun]: 503,
 	[failureReason.answerLost]: 502,
 	[failureReason.deadlineExceeded]: 504,
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -1,6 +1,6 @@
 /**
  * Messages between instances: known members, target loads and statements, prompt cache entries,
- * failures of targets, pools that can be reached, prompt parts that may crash targets, and directory updates. Ages are relative to the creation of the message.
+ * failures of targets, pools that can be reached, what may crash targets, and directory updates. Ages are relative to the creation of the message.
  */
 import type {DirectoryUpdate} from './directory.js';
 import type {Tables} from './directory-facts.js';
@@ -69,11 +69,18 @@
 	readonly ageMs: number;
 };
 
-/** A prompt part that was present at crashes of targets. */
+/** A prompt part or a request that was present at crashes of targets. */
 export type SharedSuspect = {
+	/** Identifier of the prompt part, or that of the request with a prefix. */
 	readonly partId: string;
 	/** The processes that crashed; `bornAt` is the Unix time of their start in milliseconds. */
-	readonly crashes: ReadonlyArray<{readonly targetId: string; readonly bornAt: number; readonly ageMs: number}>;
+	readonly crashes: ReadonlyArray<{
+		readonly targetId: string;
+		readonly bornAt: number;
+		readonly ageMs: number;
+		/** Time since the lost request was sent to the target, in milliseconds; only for suspects that are requests. */
+		readonly sentAgeMs?: number;
+	}>;
 	/** Time since a response to a request with the part last began; `undefined` if none is known. */
 	readonly begunAgeMs?: number;
 };
--- a/packages/dispatch/src/lib/reduce-paths.ts
+++ b/packages/dispatch/src/lib/reduce-paths.ts
@@ -10,9 +10,10 @@
 import {pathState, TargetPath, type PathState} from './target-paths.js';
 import type {Target} from './target-state.js';
 
-/** Time between two rounds of questions to peers while a path is suspect, and while one is lost, in milliseconds. */
+/** Time between two rounds of questions to peers while a path is suspect, which doubles with each round without an answer, and while one is lost, in milliseconds. */
 const suspectQueryIntervalMs = 150;
-const lostQueryIntervalMs = 500;
+const maxQueryIntervalMs = 2400;
+const lostQueryIntervalMs = 1000;
 /** Number of requests of peers that this instance relays at the same time. */
 export const relayedRequestLimit = 256;
 
@@ -67,6 +68,7 @@
 export function updatePaths(step: Step): void {
 	const {state, now} = step;
 	let interval: number | undefined;
+	const suspectIntervalMs = Math.min(maxQueryIntervalMs, suspectQueryIntervalMs * (2 ** state.relayQueryCount));
 	const isAnySuspect = [...state.paths.keys()].some(poolName => findPathState(step, poolName) === pathState.suspect);
 	for (const [poolName, path] of state.paths) {
 		const targetIds = listTargetIds(step, poolName);
@@ -82,12 +84,15 @@
 		// An instance that loses one path has probably lost the others too.
 		if (current !== pathState.open || isAnySuspect) {
 			checkTargets(step, path.takeChecks(targetIds, now));
-			interval = Math.min(interval ?? lostQueryIntervalMs, current === pathState.lost ? lostQueryIntervalMs : suspectQueryIntervalMs);
+			interval = Math.min(interval ?? maxQueryIntervalMs, current === pathState.lost ? lostQueryIntervalMs : suspectIntervalMs);
 		}
 	}
 
-	if (interval !== undefined && now >= state.nextRelayQueryAt) {
+	if (interval === undefined) {
+		state.relayQueryCount = 0;
+	} else if (now >= state.nextRelayQueryAt) {
 		state.nextRelayQueryAt = now + interval;
+		state.relayQueryCount++;
 		callPeers(step, listRelayQueryAddresses(state.members, state.self.zone, state.random));
 	}
 }
--- a/packages/dispatch/src/lib/reduce-quarantine.ts
+++ b/packages/dispatch/src/lib/reduce-quarantine.ts
@@ -1,5 +1,5 @@
 /**
- * Applies the quarantine of prompt parts that crash targets. A lost response alone does
+ * Applies the quarantine of prompt parts and requests that crash targets. A lost response alone does
  * not tell a crash from a broken connection, so the target's address is checked first: a
  * process that crashed no longer listens.
  */
@@ -8,36 +8,41 @@
 import type {TargetCheckedEvent} from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {listSharedParts} from './prompt.js';
-import type {Quarantine} from './prompt-quarantine.js';
+import {createRequestSuspectId, parseRequestSuspectId, type Quarantine} from './crash-quarantine.js';
 import {findPath, recordReached, recordUnreached} from './reduce-paths.js';
 import {
 	findFleetView, recordLog, type CrashCheck, type CurrentSend, type OpenRequest, type Step,
 } from './state.js';
 import {isUsable} from './target-health.js';
 
-/** Smallest retry delay that is sent to callers of quarantined requests, in milliseconds. */
+/** Smallest retry delay that is sent to callers of quarantined requests, and the one for requests that are not tried again, in milliseconds. */
 const minRetryAfterMs = 1000;
+const finalRetryAfterMs = 3_600_000;
 
-/** Lists the parts that can be the cause of a crash: those of a prompt that other requests may share. */
-export function listSuspectParts({route, promptParts}: OpenRequest): string[] {
-	return route.hasPrompts && promptParts.length > 1 ? listSharedParts(promptParts).map(({id}) => id) : [];
+/** Lists what can be the cause of a crash: the parts of a prompt that other requests may share, and the request itself. */
+export function listSuspectIds({route, promptParts, fingerprint}: OpenRequest): string[] {
+	const parts = route.hasPrompts && promptParts.length > 1 ? listSharedParts(promptParts).map(({id}) => id) : [];
+	return [createRequestSuspectId(fingerprint), ...parts];
 }
 
-/** Records that a target has begun to respond to the request, which clears the parts of its prompt. */
+/** Records that a target has begun to respond to the request, which clears it and the parts of its prompt. */
 export function recordResponseBegun({state, now}: Step, request: OpenRequest): void {
-	if (request.route.hasPrompts) {
-		state.quarantine.recordBegun(listSuspectParts(request), now);
-	}
+	state.quarantine.recordBegun(listSuspectIds(request), now);
+}
+
+/** Counts the targets at which the request was lost and that are still checked for a crash. */
+export function countUncheckedLosses({state}: Step, {fingerprint}: OpenRequest): number {
+	const id = createRequestSuspectId(fingerprint);
+	return [...state.crashChecks.values()].filter(({losses}) => losses.some(({partIds}) => partIds.includes(id))).length;
 }
 
 /** Checks whether the target of a lost send has crashed, if the request can be the cause. */
-export function checkForCrash({state, now, effects}: Step, request: OpenRequest, {target, sendId}: CurrentSend): void {
-	const partIds = listSuspectParts(request);
-	if (request.hasResponseStarted || partIds.length === 0) {
+export function checkForCrash({state, now, effects}: Step, request: OpenRequest, {target, sendId, sentAt}: CurrentSend): void {
+	if (request.hasResponseStarted) {
 		return;
 	}
 
-	const loss = {partIds, at: now};
+	const loss = {partIds: listSuspectIds(request), at: now, sentAt};
 	const {id, address} = target.record;
 	const pending = state.crashChecks.get(id);
 	if (pending?.target === target) {
@@ -115,8 +120,8 @@
 
 function recordCrash(step: Step, {target, sendId, losses}: CrashCheck): void {
 	const {state, now} = step;
-	for (const {partIds, at} of losses) {
-		state.quarantine.recordCrash(partIds, target.record, at, now);
+	for (const loss of losses) {
+		state.quarantine.recordCrash(loss, target.record, now);
 	}
 
 	recordLog(step, 'target-crashed', {target: target.record.id, suspects: losses.map(({partIds}) => partIds)}, logLevel.warn);
@@ -129,34 +134,47 @@
 	updateCrashChecks(step);
 	const {state, now} = step;
 	const {quarantined, released} = state.quarantine.update(now);
-	for (const {partIds, crashCount, requiredCount, until} of quarantined) {
-		recordLog(step, 'prompt-quarantined', {
-			parts: partIds, crashes: crashCount, requiredCrashes: requiredCount, forMs: Math.round(until - now),
+	for (const quarantine of quarantined) {
+		const {crashCount, requiredCount, until} = quarantine;
+		recordLog(step, isOfRequest(quarantine) ? 'request-quarantined' : 'prompt-quarantined', {
+			...describeCause(quarantine), crashes: crashCount, requiredCrashes: requiredCount, forMs: Math.round(until - now),
 		}, logLevel.warn);
 	}
 
-	for (const {partIds} of released) {
-		recordLog(step, 'prompt-released', {parts: partIds}, logLevel.warn);
+	for (const quarantine of released) {
+		recordLog(step, isOfRequest(quarantine) ? 'request-released' : 'prompt-released', describeCause(quarantine), logLevel.warn);
 	}
 }
 
-/** Returns the failure of a request with quarantined parts; `undefined` if it may be sent, if only to try the parts again. */
+function isOfRequest({partIds}: Quarantine): boolean {
+	return partIds.some(id => parseRequestSuspectId(id) !== undefined);
+}
+
+/** Describes the cause for the log: prompt parts, and the request if only that is withheld. */
+function describeCause({partIds}: Quarantine): {parts: readonly string[]; fingerprint?: string} {
+	const fingerprint = partIds.map(id => parseRequestSuspectId(id)).find(id => id !== undefined);
+	return {parts: partIds.filter(id => parseRequestSuspectId(id) === undefined), ...(fingerprint !== undefined && {fingerprint})};
+}
+
+/** Returns the failure of a request that is withheld, or has quarantined parts; `undefined` if it may be sent, if only to try the parts again. */
 export function findQuarantineFailure(step: Step, request: OpenRequest): Failure | undefined {
 	const {state, now} = step;
-	const partIds = listSuspectParts(request);
-	const quarantine = partIds.length === 0 ? undefined : state.quarantine.findQuarantine(partIds);
+	const quarantine = state.quarantine.findQuarantine(listSuspectIds(request));
 	if (quarantine === undefined) {
 		return undefined;
 	}
 
 	if (state.quarantine.claimTrial(quarantine, findFleetView(step), now)) {
-		recordLog(step, 'prompt-tried', {requestId: request.requestId, parts: quarantine.partIds}, logLevel.warn);
+		recordLog(step, isOfRequest(quarantine) ? 'request-tried' : 'prompt-tried', {requestId: request.requestId, ...describeCause(quarantine)}, logLevel.warn);
 		return undefined;
 	}
 
+	state.quarantine.recordWithheld(quarantine, now);
 	return createQuarantineFailure(quarantine, request, now);
 }
 
-function createQuarantineFailure({until}: Quarantine, {possibleRunCount}: OpenRequest, now: number): Failure {
-	return createFailure(possibleRunCount === 0 ? failureReason.promptQuarantined : failureReason.answerLost, Math.max(minRetryAfterMs, until - now));
+function createQuarantineFailure(quarantine: Quarantine, {possibleRunCount}: OpenRequest, now: number): Failure {
+	const reason = isOfRequest(quarantine) ? failureReason.requestQuarantined : failureReason.promptQuarantined;
+	const retryAfterMs = quarantine.mayTry ? Math.max(minRetryAfterMs, quarantine.until - now) : finalRetryAfterMs;
+	return createFailure(possibleRunCount === 0 ? reason : failureReason.answerLost, retryAfterMs);
 }
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -13,7 +13,7 @@
 } from './placement.js';
 import {countSharedTokens, findPromptKey} from './prompt.js';
 import {chooseRelayPeer, findPathState} from './reduce-paths.js';
-import {findQuarantineFailure, listSuspectParts} from './reduce-quarantine.js';
+import {countUncheckedLosses, findQuarantineFailure, listSuspectIds} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, resolveRequest,
 } from './resolve-request.js';
@@ -258,7 +258,7 @@
 		return false;
 	}
 
-	if (mayHaveRun && !hasResponseStarted && step.state.quarantine.hasRepeatedCrash(listSuspectParts(request))) {
+	if (mayHaveRun && !hasResponseStarted && step.state.quarantine.hasRepeatedCrash(listSuspectIds(request), countUncheckedLosses(step, request))) {
 		return false;
 	}
 
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -12,7 +12,7 @@
 import type {PromptPart} from './event.js';
 import {CacheHolders} from './cache-holders.js';
 import {FailureReports} from './failure-reports.js';
-import {PromptQuarantine} from './prompt-quarantine.js';
+import {CrashQuarantine, type LostRequest} from './crash-quarantine.js';
 import {RelayPeers} from './relay-peers.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
 import {computeSyncTiming, type SyncTiming} from './sync-timing.js';
@@ -87,7 +87,7 @@
 	readonly target: Target;
 	/** The first of the lost sends. */
 	readonly sendId: number;
-	readonly losses: Array<{readonly partIds: readonly string[]; readonly at: number}>;
+	readonly losses: LostRequest[];
 	/** Time at which the target's address refused the connection. */
 	refusedAt?: number;
 	/** True once another target was checked, to find out whether this instance reaches any. */
@@ -122,7 +122,7 @@
 	targets: TargetState;
 	readonly cacheHolders: CacheHolders;
 	readonly failureReports: FailureReports;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: CrashQuarantine;
 	/** Checks in progress by target. */
 	crashChecks: Map<string, CrashCheck>;
 	/** True if crashes became known that peers have not been notified of. */
@@ -134,6 +134,8 @@
 	readonly relayPeers: RelayPeers;
 	/** Time from which peers may be asked again whether targets can be reached. */
 	nextRelayQueryAt: number;
+	/** Number of such rounds since all paths were open. */
+	relayQueryCount: number;
 	/** Open requests that this instance relays for peers. */
 	readonly relayedOpenIds: Set<number>;
 	openRequests: Map<number, OpenRequest>;
@@ -168,13 +170,14 @@
 		targets: createTargetState(),
 		cacheHolders: new CacheHolders(),
 		failureReports: new FailureReports(),
-		quarantine: new PromptQuarantine(),
+		quarantine: new CrashQuarantine(),
 		crashChecks: new Map(),
 		hasUnreportedCrash: false,
 		nextNoticeAt: 0,
 		paths: new Map(),
 		relayPeers: new RelayPeers(),
 		nextRelayQueryAt: 0,
+		relayQueryCount: 0,
 		relayedOpenIds: new Set(),
 		openRequests: new Map(),
 		queuedRequests: new Set(),
--- a/packages/dispatch/src/test/prompt_quarantine_test.ts
+++ b/packages/dispatch/src/test/crash_quarantine_test.ts
@@ -5,7 +5,7 @@
 import {test} from 'node:test';
 import {effectKind, eventKind, sendOutcome} from '../index.js';
 import type {FleetView} from '../lib/target-limits.js';
-import {PromptQuarantine} from '../lib/prompt-quarantine.js';
+import {CrashQuarantine} from '../lib/crash-quarantine.js';
 import {
 	createRoute, createTargetChange, createTargetRecord, GatewayFixture,
 } from './gateway-fixture.js';
@@ -14,8 +14,8 @@
 const alone: FleetView = {selfHash: 1, memberHashes: [1], size: 1};
 
 /** A quarantine of an instance that has served other prompts. */
-function createQuarantine(): PromptQuarantine {
-	const quarantine = new PromptQuarantine();
+function createQuarantine(): CrashQuarantine {
+	const quarantine = new CrashQuarantine();
 	for (let index = 0; index < 40; index++) {
 		quarantine.recordBegun([`other-${index}`], start - 1000);
 	}
@@ -24,11 +24,11 @@
 }
 
 /** Crashes one target a second under requests with these parts; returns the time of the last crash. */
-function recordCrashes(quarantine: PromptQuarantine, partIds: readonly string[], count: number, from = start): number {
+function recordCrashes(quarantine: CrashQuarantine, partIds: readonly string[], count: number, from = start): number {
 	let at = from;
 	for (let index = 0; index < count; index++) {
 		at = from + (index * 1000);
-		quarantine.recordCrash(partIds, {id: `engine-${at}`, bornAt: 1}, at, at);
+		quarantine.recordCrash({partIds, at}, {id: `engine-${at}`, bornAt: 1}, at);
 		quarantine.update(at);
 	}
 
@@ -54,7 +54,7 @@
 	const quarantine = createQuarantine();
 	for (let index = 0; index < 6; index++) {
 		const at = start + (index * 1000);
-		quarantine.recordCrash(['shared', 'bad'], {id: `engine-${index}`, bornAt: 1}, at, at);
+		quarantine.recordCrash({partIds: ['shared', 'bad'], at}, {id: `engine-${index}`, bornAt: 1}, at);
 		quarantine.recordBegun(['shared', 'chat'], at + 100);
 		quarantine.update(at + 100);
 	}
@@ -94,7 +94,7 @@
 	const quarantine = createQuarantine();
 	for (let index = 0; index < 20; index++) {
 		const at = start + (index * 10);
-		quarantine.recordCrash(['hot', `chat-${index}`], {id: `engine-${index}`, bornAt: 1}, at, at);
+		quarantine.recordCrash({partIds: ['hot', `chat-${index}`], at}, {id: `engine-${index}`, bornAt: 1}, at);
 		quarantine.update(at);
 	}
 
@@ -104,20 +104,20 @@
 test('when crashes cost many requests, more of them are needed to quarantine a part, and without any response none is quarantined', () => {
 	const busy = createQuarantine();
 	for (let index = 0; index < 30; index++) {
-		busy.recordCrash([`chat-${index}`], {id: `engine-${index}`, bornAt: 1}, start, start);
+		busy.recordCrash({partIds: [`chat-${index}`], at: start}, {id: `engine-${index}`, bornAt: 1}, start);
 	}
 
 	busy.recordBegun(['unlucky'], start - 5000);
 	recordCrashes(busy, ['unlucky'], 4);
 	assert.equal(busy.findQuarantine(['unlucky']), undefined);
-	const failing = new PromptQuarantine();
-	failing.recordCrash(['other'], {id: 'engine-other', bornAt: 1}, start, start);
+	const failing = new CrashQuarantine();
+	failing.recordCrash({partIds: ['other'], at: start}, {id: 'engine-other', bornAt: 1}, start);
 	recordCrashes(failing, ['hot'], 8);
 	assert.equal(failing.size, 0);
 });
 
 test('an instance without requests of its own quarantines a part by what its peers report', () => {
-	const quarantine = new PromptQuarantine();
+	const quarantine = new CrashQuarantine();
 	quarantine.applyShared([{partId: 'bad', crashes: [1, 2].map(bornAt => ({targetId: 'engine-1', bornAt, ageMs: bornAt * 1000}))}], start, start);
 	quarantine.update(start);
 	assert.notEqual(quarantine.findQuarantine(['bad']), undefined);
@@ -155,7 +155,7 @@
 	const [first, second, late] = [createQuarantine(), createQuarantine(), createQuarantine()];
 	for (const [index, quarantine] of [first, second, first].entries()) {
 		const at = start + (index * 1000);
-		quarantine.recordCrash(['shared', 'bad'], {id: `engine-${index}`, bornAt: 1}, at, at);
+		quarantine.recordCrash({partIds: ['shared', 'bad'], at}, {id: `engine-${index}`, bornAt: 1}, at);
 	}
 
 	second.recordBegun(['shared'], start + 2100);
@@ -184,7 +184,7 @@
 	assert.equal(quarantine.claimTrial(quarantined, alone, dueAt + 1), false);
 
 	quarantine.recordBegun(['other'], dueAt);
-	quarantine.recordCrash(['bad'], {id: 'engine-again', bornAt: 1}, dueAt + 100, dueAt + 100);
+	quarantine.recordCrash({partIds: ['bad'], at: dueAt + 100}, {id: 'engine-again', bornAt: 1}, dueAt + 100);
 	quarantine.update(dueAt + 100);
 	const again = quarantine.findQuarantine(['bad'])!;
 	assert.equal(again.until, dueAt + 100 + 60_000);
@@ -213,7 +213,7 @@
 	const quarantine = createQuarantine();
 	const at = recordCrashes(quarantine, ['bad'], 3);
 	for (let index = 0; index < 2000; index++) {
-		quarantine.recordCrash([`forged-${index}`], {id: 'engine-x', bornAt: 1}, at, at);
+		quarantine.recordCrash({partIds: [`forged-${index}`], at}, {id: 'engine-x', bornAt: 1}, at);
 	}
 
 	quarantine.update(at + 300);
--- a/packages/dispatch/src/test/crashing_requests_test.ts
+++ b/packages/dispatch/src/test/crashing_requests_test.ts
@@ -123,7 +123,8 @@
 			const sound = fleet.requests.filter(({fingerprint}) => !fingerprint?.startsWith('crashing'));
 			assert.equal(sound.filter(({refusalReason}) => refusalReason === 'request-quarantined').length, 0, 'sound requests are not withheld');
 			const before = computeBegunShare(sound.filter(({at}) => at < troubleStartedAt));
-			const settledAt = Math.max(...[...fleet.crashesByFingerprint.values()].map(crashes => crashes[Math.min(crashLimit, crashes.length) - 1]!)) + (2 * contactMs);
+			const lastCounts = [...fleet.crashesByFingerprint.values()].map(crashes => crashes[Math.min(crashLimit, crashes.length) - 1]!);
+			const settledAt = Math.max(...lastCounts) + (2 * contactMs);
 			const settled = sound.filter(({at}) => at >= settledAt && at < fleet.now - 1000);
 			assert.ok(settled.length >= 20, 'the end of the trouble is seen');
 			assert.ok(computeBegunShare(settled) >= 0.9 * before, `${computeBegunShare(settled).toFixed(3)} of the sound requests begin, ${before.toFixed(3)} before`);
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -99,7 +99,9 @@
 	}))),
 	suspects: createOptionalCheck(createListCheck(createObjectCheck({
 		partId: isString,
-		crashes: createListCheck(createObjectCheck({targetId: isString, bornAt: isNumber, ageMs: isNumber})),
+		crashes: createListCheck(createObjectCheck({
+			targetId: isString, bornAt: isNumber, ageMs: isNumber, sentAgeMs: createOptionalCheck(isNumber),
+		})),
 		begunAgeMs: createOptionalCheck(isNumber),
 	}))),
 	services: createOptionalCheck(createListCheck(createObjectCheck({pool: isString, ageMs: isNumber}))),
