--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -12,7 +12,7 @@
 	choosePlacement, findLimitEnd, type Placement, type PlacementView,
 } from './placement.js';
 import {countSharedTokens, findPromptKey} from './prompt.js';
-import {chooseRelayPeer, findPathState} from './reduce-paths.js';
+import {chooseRelayPeer, findPath, findPathState} from './reduce-paths.js';
 import {countUncheckedLosses, findQuarantineFailure, listSuspectIds} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, resolveRequest,
@@ -32,8 +32,8 @@
 const relayTimeoutMultiplier = 2;
 /** Multiple of the route's longest event gap after which a silent stream times out, if it can be resumed. */
 const eventGapTimeoutMultiplier = 2.5;
-/** Time for which a request waits for the decision whether a path is lost, in milliseconds: that of a check and of an answer of a peer. */
-const pathDecisionMs = 700;
+/** Largest part of the time left that a request waits for the decision whether a path is lost: its caller may still try another instance. */
+const pathDecisionFraction = 0.5;
 /** Time that has to remain until the deadline for a retry to be useful, in milliseconds. */
 const minRetryTimeMs = 30;
 
@@ -241,11 +241,12 @@
 /** Queues a request that may be sent again until it is known whether this instance has lost its path to the pool. */
 function tryQueueForPath(step: Step, request: OpenRequest): boolean {
 	const {state, now} = step;
-	if (findPathState(step, request.poolName) === pathState.open) {
+	const {decisionAt} = findPath(step, request.poolName);
+	if (decisionAt === undefined || now >= decisionAt) {
 		return false;
 	}
 
-	request.queuedUntil = Math.min(now + pathDecisionMs, request.deadlineAt);
+	request.queuedUntil = Math.min(decisionAt, now + ((request.deadlineAt - now) * pathDecisionFraction));
 	state.queuedRequests.add(request);
 	return true;
 }
--- a/packages/dispatch/src/lib/target-paths.ts
+++ b/packages/dispatch/src/lib/target-paths.ts
@@ -19,6 +19,8 @@
 /** Time between two checks of a path that is suspect, and of one that is lost, in milliseconds. */
 const suspectCheckIntervalMs = 100;
 const lostCheckIntervalMs = 400;
+/** Time from which a path is suspect until it should be known whether it is lost, in milliseconds: that of a check and of some answers of peers. */
+const decisionMs = 700;
 /** Time after a path was regained in which one target that cannot be reached makes it suspect again, in milliseconds. */
 const relapseMs = 5000;
 
@@ -38,6 +40,8 @@
 	/** Time of the first attempt that failed before the path was lost; set while it is lost. */
 	#lostSince?: number;
 	#regainedAt = Number.NEGATIVE_INFINITY;
+	/** Time since which the path is suspect. */
+	#suspectSince?: number;
 	#nextCheckAt = 0;
 
 	/** Records that a connection to a target opened. */
@@ -46,6 +50,7 @@
 		this.#unreachedAt.delete(targetId);
 		if (this.#lostSince === undefined) {
 			this.#unreachedAt.clear();
+			this.#suspectSince = undefined;
 		} else {
 			this.#reachedIds.add(targetId);
 		}
@@ -68,7 +73,9 @@
 
 		this.#expire(now);
 		const count = now - this.#regainedAt <= relapseMs ? 1 : suspectCount;
-		return this.#unreachedAt.size >= Math.max(1, Math.min(count, targetCount)) ? pathState.suspect : pathState.open;
+		const isSuspect = this.#unreachedAt.size >= Math.max(1, Math.min(count, targetCount));
+		this.#suspectSince = isSuspect ? this.#suspectSince ?? now : undefined;
+		return isSuspect ? pathState.suspect : pathState.open;
 	}
 
 	/** Time at which a target of the pool last responded or accepted a connection. */
@@ -81,6 +88,11 @@
 		return this.#lostSince;
 	}
 
+	/** Time until which it should be known whether a suspect path is lost; `undefined` if it is not suspect. After that, the pool itself is probably down. */
+	get decisionAt(): number | undefined {
+		return this.#suspectSince === undefined ? undefined : this.#suspectSince + decisionMs;
+	}
+
 	/** True if the target could not be reached recently, and no other target was reached since. */
 	isUnreached(targetId: string): boolean {
 		return this.#unreachedAt.has(targetId);
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -16,6 +16,8 @@
 /** Share of the first attempts, of that at the other instances, that has to be served at instances that are cut off. */
 const minServedRatio = 0.9;
 const cutMs = 9000;
+/** Time within which a request is refused that no instance can serve, in milliseconds: an eighth of its latency target, and two steps of the simulation. */
+const maxRefusalMs = 150;
 const route = createRoute();
 
 type Scenario = {
@@ -137,12 +139,19 @@
 	});
 	fleet.advance(5000);
 	fleet.crashEngines(13);
-	fleet.advance(2000, () => {
+	const crashedAt = fleet.now;
+	fleet.advance(3000, () => {
 		for (let count = fleet.drawCount(60); count > 0; count--) {
 			fleet.sendRequest(route, ['first-1', `turn-${fleet.requests.length}`]);
 		}
 	});
-	assert.ok(fleet.requests.length > 100);
+	const settled = fleet.requests.filter(({at}) => at >= crashedAt + 1500 && at < fleet.now - 500);
+	assert.ok(settled.length > 50);
+	for (const {at, refusedAt, refusalStatus} of settled) {
+		assert.equal(refusalStatus, 503);
+		assert.ok(refusedAt! - at <= maxRefusalMs, `refused after ${refusedAt! - at} ms`);
+	}
+
 	for (const {gateway} of fleet.nodes) {
 		assert.ok([...gateway.state.paths.values()].every(({lostSince}) => lostSince === undefined), 'no path counts as lost');
 	}
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -97,6 +97,7 @@
 	/** Number of engines that the request reached. */
 	arrivalCount: number;
 	hasBegun: boolean;
+	refusedAt?: number;
 	refusalStatus?: number;
 	refusalReason?: string;
 };
@@ -414,6 +415,7 @@
 
 				const request = this.#requestByKey.get(key);
 				if (request !== undefined) {
+					request.refusedAt = this.now;
 					request.refusalStatus = effect.failure.status;
 					request.refusalReason = effect.failure.reason;
 				}
