--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -65,7 +65,12 @@
 			},
 		});
 		this.#activeExchanges.set(send.sendId, exchange);
-		exchange.start();
+		try {
+			exchange.start();
+		} catch (error) {
+			// For example a header that Node.js refuses to write: nothing has left this process.
+			exchange.fail(describeError(error));
+		}
 	}
 
 	/** Cancels a send and closes its connection; no event follows. */
@@ -152,6 +157,11 @@
 		}
 	}
 
+	/** Ends an exchange that could not be started. */
+	fail(detail: string): void {
+		this.#abort(sendOutcome.notSent, detail);
+	}
+
 	cancel(): void {
 		this.#markEnded();
 		this.#request?.destroy();
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -25,8 +25,8 @@
 
 /** Matches responses to requests by the header `id`. */
 class HeaderProtocol extends TargetProtocol {
-	override createSendHeaders(_callerHeaders: readonly string[], {openId}: SendEffect): string[] {
-		return ['id', String(openId)];
+	override createSendHeaders(_callerHeaders: readonly string[], {openId, account}: SendEffect): string[] {
+		return account === undefined ? ['id', String(openId)] : ['id', String(openId), 'account', account];
 	}
 
 	override readResponseHead(status: number, {id, limit}: IncomingHttpHeaders, requestId: string): ResponseHead {
@@ -400,6 +400,14 @@
 	assert.equal(openedSendIds.length, openedCount);
 });
 
+test('a send with a header that cannot be written ends as not sent, instead of leaving its request open', async () => {
+	await startTarget(() => {
+		assert.fail('nothing is sent');
+	});
+	startSend({account: 'two\nlines'});
+	await assertOutcome(sendOutcome.notSent);
+});
+
 test('a limit in a response is reported once, with the time at which the head was read (capped targets)', async () => {
 	await startTarget(async (socket, requestId) => {
 		socket.write(`HTTP/1.1 200 OK\r\nid: ${requestId}\r\nlimit: 3.1\r\ntransfer-encoding: chunked\r\n\r\n`);
