A stopping instance takes a request that may run once only if it can end in time (LOST)

It could happen here: in the first 2.6 s of a stop every request was taken, also one whose time limit ends after the process.

Change: a request is taken if its time limit ends in time, or, early in the stop, if requests of its route have usually taken no longer than what is left; one that may run only once is refused as not run if that is not known.

--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -301,6 +301,7 @@
 				recordResponseBegun(step, request);
 			}
 
+			step.state.routeDurations.record(request.route.name, step.now - request.arrivedAt, step.now);
 			finishRequest(step, request, 'answered', event.detail);
 			break;
 		}
--- a/packages/dispatch/src/lib/resolve-request.ts
+++ b/packages/dispatch/src/lib/resolve-request.ts
@@ -5,7 +5,9 @@
  */
 import {hashText} from '@sequoiatally/core';
 import {err, ok, type Result} from 'neverthrow';
-import type {Account, Route, Split} from './directory-facts.js';
+import {
+	routeKind, type Account, type Route, type Split,
+} from './directory-facts.js';
 import type {RequestArrivedEvent} from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {findPromptKey} from './prompt.js';
@@ -15,7 +17,7 @@
 /** Smallest retry delay that is sent to callers, and the largest random addition, which spreads their retries, in milliseconds. */
 const minRetryAfterMs = 50;
 const retryAfterJitterMs = 250;
-/** Time after the start of the drain in which all new requests are accepted, in milliseconds; later, only requests that are sure to end in time. */
+/** Time after the start of the drain in which new requests are accepted that usually end in time, in milliseconds; later, only those that are sure to. */
 export const drainAcceptDurationMs = 2600;
 
 /** The route of a request and the client account of its key. */
@@ -45,10 +47,21 @@
 	return account === undefined ? err(createLookupFailure(step, failureReason.keyUnknown)) : ok({route, account});
 }
 
-/** True when a new request is accepted during the drain: early in the drain, or with a time limit that ends before the drain limit. */
+/**
+ * True when a new request is accepted during the drain: with a time limit that ends before
+ * the drain limit, or early in the drain if requests of its route usually end in time. One
+ * that may run only once is accepted early only if that is known: cut at the drain limit,
+ * it could not be repeated.
+ */
 function canFinishInDrain({state, now}: Step, route: Route, drainStartedAt: number): boolean {
 	const elapsed = now - drainStartedAt;
-	return elapsed <= drainAcceptDurationMs || elapsed + route.timeLimitMs <= state.bounds.drainLimitMs;
+	const leftMs = state.bounds.drainLimitMs - elapsed;
+	if (route.timeLimitMs <= leftMs) {
+		return true;
+	}
+
+	const usualMs = state.routeDurations.estimateMs(route.name, now) ?? (route.kind === routeKind.once ? Number.POSITIVE_INFINITY : 0);
+	return elapsed <= drainAcceptDurationMs && usualMs <= leftMs;
 }
 
 /** Creates the failure for a missing route or key; with an old directory it asks for a retry, since another instance may have a newer directory. */
--- /dev/null
+++ b/packages/dispatch/src/lib/route-durations.ts
@@ -0,0 +1,43 @@
+/**
+ * How long requests of each route have taken lately, from their arrival to the end of
+ * their response. An instance that is about to end uses it to tell which requests can
+ * still end in time.
+ */
+
+/** Time for which durations count, in milliseconds: between this and twice as long. */
+const periodMs = 30_000;
+/** Number of requests from which the longest one says something about the next. */
+const minCount = 20;
+/** Margin for a request that takes longer than all recent ones: a multiple, and a time in milliseconds. */
+const margin = {multiple: 1.5, ms: 200};
+
+type Period = {readonly startedAt: number; count: number; longestMs: number};
+
+export class RouteDurations {
+	/** The present period of each route, and the one before. */
+	readonly #periods = new Map<string, readonly [Period, Period | undefined]>();
+
+	/** Records that a request of the route took `durationMs`. */
+	record(routeName: string, durationMs: number, now: number): void {
+		let [current, previous] = this.#periods.get(routeName) ?? [createPeriod(now), undefined];
+		if (now - current.startedAt >= periodMs) {
+			previous = now - current.startedAt < 2 * periodMs ? current : undefined;
+			current = createPeriod(now);
+		}
+
+		current.count++;
+		current.longestMs = Math.max(current.longestMs, durationMs);
+		this.#periods.set(routeName, [current, previous]);
+	}
+
+	/** Estimates the time within which a request of the route ends; `undefined` if too few have ended lately. */
+	estimateMs(routeName: string, now: number): number | undefined {
+		const recent = (this.#periods.get(routeName) ?? []).filter(period => period !== undefined && now - period.startedAt < 2 * periodMs) as Period[];
+		const count = recent.reduce((sum, period) => sum + period.count, 0);
+		return count < minCount ? undefined : (Math.max(...recent.map(({longestMs}) => longestMs)) * margin.multiple) + margin.ms;
+	}
+}
+
+function createPeriod(startedAt: number): Period {
+	return {startedAt, count: 0, longestMs: 0};
+}
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -14,6 +14,7 @@
 import {FailureReports} from './failure-reports.js';
 import {CrashQuarantine, type LostRequest} from './crash-quarantine.js';
 import {RelayPeers} from './relay-peers.js';
+import {RouteDurations} from './route-durations.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
 import {computeSyncTiming, type SyncTiming} from './sync-timing.js';
 import type {TargetPath} from './target-paths.js';
@@ -123,6 +124,7 @@
 	readonly cacheHolders: CacheHolders;
 	readonly failureReports: FailureReports;
 	readonly quarantine: CrashQuarantine;
+	readonly routeDurations: RouteDurations;
 	/** Checks in progress by target. */
 	crashChecks: Map<string, CrashCheck>;
 	/** True if crashes became known that peers have not been notified of. */
@@ -171,6 +173,7 @@
 		cacheHolders: new CacheHolders(),
 		failureReports: new FailureReports(),
 		quarantine: new CrashQuarantine(),
+		routeDurations: new RouteDurations(),
 		crashChecks: new Map(),
 		hasUnreportedCrash: false,
 		nextNoticeAt: 0,
--- /dev/null
+++ b/packages/dispatch/src/test/route_durations_test.ts
@@ -0,0 +1,76 @@
+/**
+ * Tests which requests an instance accepts that is about to end, by how long requests of
+ * their routes take.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {eventKind, sendOutcome, type Route} from '../index.js';
+import {RouteDurations} from '../lib/route-durations.js';
+import {
+	createRoute, createTables, GatewayFixture, onceRoute,
+} from './gateway-fixture.js';
+
+const slowOnceRoute = {...onceRoute, timeLimitMs: 6000};
+const streamRoute = createRoute({timeLimitMs: 15_000});
+
+/** Lets requests of the route take `durationMs`, then begins the drain and waits; returns the statuses of the refusals of one more. */
+function refuseInDrain(route: Route, durationMs: number | undefined, elapsedMs: number): number[] {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'engine-1'], createTables(1, {routes: [slowOnceRoute, streamRoute]}));
+	for (let count = 0; count < (durationMs === undefined ? 0 : 20); count++) {
+		gateway.state.routeDurations.record(route.name, durationMs!, gateway.now);
+	}
+
+	gateway.handle({kind: eventKind.drainRequested, by: 'test'});
+	gateway.advance(elapsedMs);
+	gateway.receiveRequest(route, {prompt: ['root', 'own']});
+	return gateway.listRefusalStatuses();
+}
+
+// Guards against requests that are taken late in a planned stop and cut at its end (LOST).
+test('a draining instance accepts a request that may run once only if its time limit, or the usual time of its route, ends before the drain limit', () => {
+	assert.deepEqual(refuseInDrain(slowOnceRoute, undefined, 1000), [], 'the time limit ends in time');
+	assert.deepEqual(refuseInDrain(slowOnceRoute, undefined, 2000), [503], 'nothing is known about the route');
+	assert.deepEqual(refuseInDrain(slowOnceRoute, 100, 2000), [], 'it is usually fast');
+	assert.deepEqual(refuseInDrain(slowOnceRoute, 4000, 2000), [503], 'it is usually slow');
+	assert.deepEqual(refuseInDrain(slowOnceRoute, 100, 3000), [503], 'late in the drain, only the time limit counts');
+});
+
+test('a draining instance accepts streams early, unless they usually take longer than is left', () => {
+	assert.deepEqual(refuseInDrain(streamRoute, undefined, 2000), []);
+	assert.deepEqual(refuseInDrain(streamRoute, 1500, 2000), []);
+	assert.deepEqual(refuseInDrain(streamRoute, 5000, 2000), [503]);
+	assert.deepEqual(refuseInDrain(streamRoute, 100, 2700), [503]);
+});
+
+test('the longest of the recent requests counts, and is forgotten', () => {
+	const durations = new RouteDurations();
+	let now = 1000;
+	for (let count = 0; count < 20; count++) {
+		durations.record('chat', count === 3 ? 2000 : 100, now);
+		now += 10;
+	}
+
+	assert.equal(durations.estimateMs('chat', now), (2000 * 1.5) + 200);
+	assert.equal(durations.estimateMs('other', now), undefined);
+	now += 61_000;
+	assert.equal(durations.estimateMs('chat', now), undefined);
+	for (let count = 0; count < 20; count++) {
+		durations.record('chat', 100, now);
+	}
+
+	assert.equal(durations.estimateMs('chat', now), (100 * 1.5) + 200);
+});
+
+test('requests that are answered are recorded with the time from their arrival', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1']);
+	for (let count = 0; count < 20; count++) {
+		gateway.receiveRequest(onceRoute);
+		const {openId, sendId} = gateway.takeLastSend();
+		gateway.advance(300);
+		gateway.handle({
+			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.complete, detail: 'test',
+		});
+	}
+
+	assert.equal(gateway.state.routeDurations.estimateMs(onceRoute.name, gateway.now), (300 * 1.5) + 200);
+});
