--- a/packages/dispatch/src/test/restored_platform_test.ts
+++ b/packages/dispatch/src/test/restored_platform_test.ts
@@ -4,6 +4,8 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {eventKind} from '../index.js';
+import {createTargetChange, createTargetRecord, GatewayFixture} from './gateway-fixture.js';
 import {RestoredFleet} from './restored-fleet.js';
 
 /** Plays 40 s with two or three restores at drawn moments; returns what went wrong. */
@@ -69,3 +71,25 @@
 test('changes after a restore of the platform are in force in time, and nothing that was acknowledged is taken back, in a fleet of 195', () => {
 	assert.deepEqual(playSeeds(195, 1), []);
 });
+
+// Guards against requests to a process that was leaving before a restore and is written again as ready by its copy (DRAIN, issue 30).
+test('a process that was leaving before a restore does not return with the new history; another one under its id does', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2']);
+	gateway.applyChanges(9, [createTargetChange(9, createTargetRecord('desk-1', {isLeaving: true}))]);
+	const readRestored = (revision: number, since: number, record = createTargetRecord('desk-1')) => {
+		const changes = [createTargetChange(revision, record), ...(since === 0 ? [createTargetChange(2, createTargetRecord('desk-2'))] : [])];
+		gateway.handle({
+			kind: eventKind.directoryRead, update: {
+				epoch: 1, revision, since, changes,
+			}, confirmedAt: gateway.now,
+		});
+	};
+
+	const isUsed = () => gateway.state.targets.byId.get('desk-1')?.isGone === false;
+	readRestored(3, 0);
+	assert.ok(!isUsed(), 'the copy has it as ready');
+	readRestored(4, 3, createTargetRecord('desk-1', {slots: 97}));
+	assert.ok(!isUsed(), 'it is written again as ready');
+	readRestored(5, 4, createTargetRecord('desk-1', {bornAt: 2}));
+	assert.ok(isUsed(), 'another process starts');
+});
