--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -11,7 +11,7 @@
 import type {Pool} from './directory-facts.js';
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked} from './ranking.js';
-import {isAwaitingTrial, isUsable} from './target-health.js';
+import {isAwaitingTrial, isUsable, verdict} from './target-health.js';
 import {findStatedLimitsEnd, isWithinStatedLimits, type Target} from './target-state.js';
 
 /**
@@ -24,7 +24,7 @@
 const shortPromptLoadLimit = {multiple: 1.4, floor: 1.5};
 /** Shared tokens from which a prompt is long: about 50 ms for an engine that reads 38 tokens per millisecond, the rate in the users' data sheets. */
 const longPromptMinTokens = 2000;
-/** Fraction of a pool's targets that have to be healthy; below it, health is ignored. */
+/** Fraction of a pool's targets that have to be healthy; below it, health is ignored, but for targets that cannot be reached. */
 const minHealthyFraction = 0.4;
 /** Cost of a target in another zone, as a fraction of its slots. */
 const otherZonePenalty = 0.35;
@@ -93,7 +93,7 @@
 	}
 
 	const healthy = accepting.filter(target => isUsable(target.health, now));
-	const usable = new Set(healthy.length >= Math.max(1, accepting.length * minHealthyFraction) ? healthy : accepting);
+	const usable = new Set(healthy.length >= Math.max(1, accepting.length * minHealthyFraction) ? healthy : listConnectable(accepting, now));
 	let candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasCapacity(view, target, now));
 	if (candidates.length === 0) {
 		return undefined;
@@ -146,6 +146,12 @@
 	return Math.min(...accepting.map(target => findStatedLimitsEnd(target, fleet, now)));
 }
 
+/** Lists the targets that this instance has not failed to connect to just now, even if they are ejected; all if there are none. */
+function listConnectable(targets: readonly Target[], now: number): readonly Target[] {
+	const connectable = targets.filter(({health}) => isUsable(health, now) || health.lastVerdict !== verdict.connectionFailed);
+	return connectable.length > 0 ? connectable : targets;
+}
+
 /** Computes the largest number of requests that a target may hold, including the new request. */
 function computeLoadLimit(meanLoad: number, {tokenCount}: PromptPrefix): number {
 	const {multiple, floor} = tokenCount >= longPromptMinTokens ? longPromptLoadLimit : shortPromptLoadLimit;
--- a/packages/dispatch/src/lib/target-paths.ts
+++ b/packages/dispatch/src/lib/target-paths.ts
@@ -93,11 +93,6 @@
 		return this.#suspectSince === undefined ? undefined : this.#suspectSince + decisionMs;
 	}
 
-	/** True if the target could not be reached recently, and no other target was reached since. */
-	isUnreached(targetId: string): boolean {
-		return this.#unreachedAt.has(targetId);
-	}
-
 	/**
 	 * Brings the state up to date; `peerServedAt` is the latest time at which a target of the
 	 * pool is known to have responded to a peer. Returns the new state if it is lost or regained.
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -156,3 +156,26 @@
 		assert.ok([...gateway.state.paths.values()].every(({lostSince}) => lostSince === undefined), 'no path counts as lost');
 	}
 });
+
+test('an instance that still reaches a few targets uses these instead of trying the others again and again (partial cut)', () => {
+	for (const mode of [cutMode.silent, cutMode.reset]) {
+		const fleet = new SimulatedFleet({
+			gatewayCount: 7, engineCount: 13, seed: 6, callLoss: 0.05,
+		});
+		const send = () => {
+			for (let count = fleet.drawCount(60); count > 0; count--) {
+				fleet.sendRequest(route, [`first-${Math.floor(fleet.random() * 8)}`, `chat-${Math.floor(fleet.random() * 20)}`, `turn-${fleet.requests.length}`]);
+			}
+		};
+
+		fleet.advance(5000);
+		fleet.advance(3000, send);
+		const cutAt = fleet.now;
+		const node = fleet.nodes[0]!;
+		fleet.setCut(node, mode, fleet.listEngineIds().slice(0, 3));
+		fleet.advance(cutMs, send);
+		const judged = fleet.requests.filter(({at, receiver}) => receiver === node.address && at >= cutAt + contactMs && at < fleet.now - 1000);
+		assert.ok(judged.length >= 20);
+		assert.ok(computeServedShare(judged) >= minServedRatio, `${mode}: ${computeServedShare(judged).toFixed(3)} of the first attempts are served there`);
+	}
+});
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -55,6 +55,8 @@
 	readRevision: number;
 	/** Set while the instance is cut off from all engines. */
 	cut?: CutMode;
+	/** Ids of engines that the instance still reaches while it is cut off. */
+	reachableIds: ReadonlySet<string>;
 };
 
 type Engine = {readonly id: string; readonly address: string; readonly zone: string; isRunning: boolean};
@@ -104,6 +106,11 @@
 
 type RelayedEvent = {readonly kind: typeof eventKind.answerStarted} | {readonly kind: typeof eventKind.sendEnded; readonly outcome: SendOutcome};
 
+/** Finds how an instance is cut off from an engine; `undefined` if it reaches it. */
+function findCut({cut, reachableIds}: Node, engineId: string): CutMode | undefined {
+	return reachableIds.has(engineId) ? undefined : cut;
+}
+
 function createRequestKey(gateway: GatewayFixture, openId: number): string {
 	return `${gateway.state.self.incarnation}/${openId}`;
 }
@@ -148,7 +155,7 @@
 
 		for (let index = 0; index < options.gatewayCount; index++) {
 			this.nodes.push({
-				address: `gateway-${index}:1`, gateway: this.#createGateway(index, 0), runningSince: this.now, pausedUntil: 0, readRevision: 0,
+				address: `gateway-${index}:1`, gateway: this.#createGateway(index, 0), runningSince: this.now, pausedUntil: 0, readRevision: 0, reachableIds: new Set(),
 			});
 		}
 	}
@@ -235,11 +242,12 @@
 		this.#runs = this.#runs.filter(run => run.node !== node);
 	}
 
-	/** Cuts an instance off from all engines, or ends the cut. */
-	setCut(node: Node, cut: CutMode | undefined): void {
+	/** Cuts an instance off from all engines but those in `reachableIds`, or ends the cut. */
+	setCut(node: Node, cut: CutMode | undefined, reachableIds: readonly string[] = []): void {
 		node.cut = cut;
+		node.reachableIds = new Set(reachableIds);
 		if (cut === cutMode.reset) {
-			for (const run of this.#runs.filter(other => other.node === node)) {
+			for (const run of this.#runs.filter(other => other.node === node && findCut(node, other.engine.id) !== undefined)) {
 				this.#endRun(run, run.hasBegun ? sendOutcome.interrupted : sendOutcome.lost);
 			}
 		}
@@ -313,7 +321,7 @@
 			}
 
 			const {send: {openId, sendId}} = run;
-			if (run.node.cut === cutMode.silent) {
+			if (findCut(run.node, run.engine.id) === cutMode.silent) {
 				continue;
 			}
 
@@ -431,12 +439,13 @@
 			case effectKind.checkTarget: {
 				const {targetId} = effect;
 				const {gateway} = node;
-				this.#schedule(node.cut === cutMode.silent ? checkTimeoutMs : stepMs, () => {
+				this.#schedule(findCut(node, targetId) === cutMode.silent ? checkTimeoutMs : stepMs, () => {
 					if (node.gateway === gateway && node.pausedUntil <= this.now) {
 						const isRunning = this.#engines.get(targetId)?.isRunning ?? false;
+						const cut = findCut(node, targetId);
 						gateway.now = this.now;
 						gateway.handle({
-							kind: eventKind.targetChecked, targetId, isListening: node.cut === cutMode.silent ? undefined : isRunning && node.cut === undefined,
+							kind: eventKind.targetChecked, targetId, isListening: cut === cutMode.silent ? undefined : isRunning && cut === undefined,
 						});
 						this.#drainEffects(node);
 					}
@@ -538,14 +547,15 @@
 		const run: Run = {
 			node, gateway, send, engine: engine!, prompt, fingerprint, beginsAt, endsAt: beginsAt + endMs.min + (this.random() * endMs.extra), hasBegun: false,
 		};
-		if (node.cut === cutMode.silent) {
+		const cut = findCut(node, send.targetId);
+		if (cut === cutMode.silent) {
 			this.#schedule(connectTimeoutMs, () => {
 				this.#endRun(run, sendOutcome.notSent);
 			});
 			return;
 		}
 
-		if (!engine?.isRunning || node.cut !== undefined) {
+		if (!engine?.isRunning || cut !== undefined) {
 			this.#endRun(run, sendOutcome.connectionRefused);
 			return;
 		}
