Requests wait for a lost path only when most of the pool cannot be reached, and peers are asked in turn (RECOVER)

Cause: any suspicion, from two targets on, stopped further sends. Below the healthy fraction, targets that the request had tried already counted as a reason to leave out the others. And with peers asked at random, ever more rarely, an instance of seven of which six are cut off found the one that could help after 7 s.

Change: requests wait only once as many targets have failed as a lost path requires; targets without a connection stay out only while an untried one is left; peers are asked in turn, every 1.2 s at least.

--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -48,6 +48,8 @@
 	zone: string;
 	readonly hash: number;
 	lastSeenAt: number;
+	/** Time at which this instance last asked the member whether it reaches targets. */
+	queriedAt: number;
 };
 
 export type MemberState = {
@@ -115,6 +117,7 @@
 	if (known === undefined) {
 		members.byId.set(entry.id, {
 			id: entry.id, incarnation: entry.incarnation, address: entry.address, zone: entry.zone, hash: computeRankHash(entry.id), lastSeenAt,
+			queriedAt: Number.NEGATIVE_INFINITY,
 		});
 		members.byWatcherRank = undefined;
 		added.push(entry.id);
@@ -250,18 +253,19 @@
 	return [...chosen];
 }
 
-/** Lists members to ask whether targets can be reached: some of this zone, and some of any zone. */
-export function listRelayQueryAddresses(members: MemberState, selfZone: string, random: () => number): string[] {
-	const all = [...members.byId.values()];
-	const near = all.filter(({zone}) => zone === selfZone);
-	const chosen = new Set<string>();
-	for (const candidates of [near, near, all, all]) {
-		if (candidates.length > 0) {
-			chosen.add(candidates[Math.floor(random() * candidates.length)]!.address);
-		}
+/** Number of members that are asked at a time whether targets can be reached. */
+const queriedMemberCount = 4;
+
+/** Chooses members to ask whether targets can be reached: those that were asked longest ago, of these rather some in this zone. */
+export function takeQueriedAddresses(members: MemberState, selfZone: string, now: number): string[] {
+	const chosen = [...members.byId.values()]
+		.sort((a, b) => a.queriedAt - b.queriedAt || Number(b.zone === selfZone) - Number(a.zone === selfZone))
+		.slice(0, queriedMemberCount);
+	for (const member of chosen) {
+		member.queriedAt = now;
 	}
 
-	return [...chosen];
+	return chosen.map(({address}) => address);
 }
 
 /** True if the process is a member of the fleet, as far as this instance knows. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -93,7 +93,7 @@
 	}
 
 	const healthy = accepting.filter(target => isUsable(target.health, now));
-	const usable = new Set(healthy.length >= Math.max(1, accepting.length * minHealthyFraction) ? healthy : listConnectable(accepting, now));
+	const usable = new Set(healthy.length >= Math.max(1, accepting.length * minHealthyFraction) ? healthy : listConnectable(accepting, triedTargetIds, now));
 	let candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasCapacity(view, target, now));
 	if (candidates.length === 0) {
 		return undefined;
@@ -146,10 +146,10 @@
 	return Math.min(...accepting.map(target => findStatedLimitsEnd(target, fleet, now)));
 }
 
-/** Lists the targets that this instance has not failed to connect to just now, even if they are ejected; all if there are none. */
-function listConnectable(targets: readonly Target[], now: number): readonly Target[] {
+/** Lists the targets that this instance has not failed to connect to just now, even if they are ejected; all if the request was sent to each of these. */
+function listConnectable(targets: readonly Target[], triedTargetIds: ReadonlySet<string>, now: number): readonly Target[] {
 	const connectable = targets.filter(({health}) => isUsable(health, now) || health.lastVerdict !== verdict.connectionFailed);
-	return connectable.length > 0 ? connectable : targets;
+	return connectable.some(({record}) => !triedTargetIds.has(record.id)) ? connectable : targets;
 }
 
 /** Computes the largest number of requests that a target may hold, including the new request. */
--- a/packages/dispatch/src/lib/reduce-paths.ts
+++ b/packages/dispatch/src/lib/reduce-paths.ts
@@ -3,7 +3,7 @@
  * decides when requests are relayed by a peer.
  */
 import {effectKind, logLevel} from './effect.js';
-import {listRelayQueryAddresses} from './members.js';
+import {takeQueriedAddresses} from './members.js';
 import {callPeers} from './reduce-fleet.js';
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type OpenRequest, type Step} from './state.js';
@@ -12,7 +12,7 @@
 
 /** Time between two rounds of questions to peers while a path is suspect, which doubles with each round without an answer, and while one is lost, in milliseconds. */
 const suspectQueryIntervalMs = 150;
-const maxQueryIntervalMs = 2400;
+const maxQueryIntervalMs = 1200;
 const lostQueryIntervalMs = 1000;
 /** Number of requests of peers that this instance relays at the same time. */
 export const relayedRequestLimit = 256;
@@ -38,6 +38,11 @@
 	return path === undefined ? pathState.open : path.findState(listTargetIds(step, poolName).length, step.now);
 }
 
+/** True if this instance probably reaches no target of the pool; what the checks of the path show is known soon. */
+export function isPathProbablyLost(step: Step, poolName: string): boolean {
+	return step.state.paths.get(poolName)?.isProbablyLost(listTargetIds(step, poolName).length, step.now) ?? false;
+}
+
 export function recordReached(step: Step, {record}: Target): void {
 	findPath(step, record.pool).recordReached(record.id, step.now);
 }
@@ -93,7 +98,7 @@
 	} else if (now >= state.nextRelayQueryAt) {
 		state.nextRelayQueryAt = now + interval;
 		state.relayQueryCount++;
-		callPeers(step, listRelayQueryAddresses(state.members, state.self.zone, state.random));
+		callPeers(step, takeQueriedAddresses(state.members, state.self.zone, now));
 	}
 }
 
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -14,7 +14,7 @@
 import {failureKind, type FailureKind} from './failure-reports.js';
 import {isMember} from './members.js';
 import {
-	findPathState, recordReached, recordServed, recordUnreached, relayedRequestLimit,
+	isPathProbablyLost, recordReached, recordServed, recordUnreached, relayedRequestLimit,
 } from './reduce-paths.js';
 import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
 import {
@@ -28,7 +28,6 @@
 } from './state.js';
 import {verdict, type Verdict} from './target-health.js';
 import {statementKind, type TargetReport} from './target-statements.js';
-import {pathState} from './target-paths.js';
 import {recordTargetStatement, type Target} from './target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
@@ -276,7 +275,7 @@
 
 	const kind = failureKindByOutcome[outcome];
 	// An instance that reaches no target cannot tell which of them have ended.
-	if (kind !== undefined && findPathState(step, send.target.record.pool) === pathState.open) {
+	if (kind !== undefined && !isPathProbablyLost(step, send.target.record.pool)) {
 		recordFailure(step, send, kind);
 	}
 }
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -12,7 +12,7 @@
 	choosePlacement, findLimitEnd, type Placement, type PlacementView,
 } from './placement.js';
 import {countSharedTokens, findPromptKey} from './prompt.js';
-import {chooseRelayPeer, findPath, findPathState} from './reduce-paths.js';
+import {chooseRelayPeer, findPath, isPathProbablyLost} from './reduce-paths.js';
 import {countUncheckedLosses, findQuarantineFailure, listSuspectIds} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, resolveRequest,
@@ -20,7 +20,6 @@
 import {
 	findRetryBudget, findFleetView, recordLog, type OpenRequest, type Step,
 } from './state.js';
-import {pathState} from './target-paths.js';
 import {recordSend, type Target} from './target-state.js';
 
 /** Sends allowed beyond the route's target limit, for refused connections and sends that provably did not run. */
@@ -53,8 +52,8 @@
 		return true;
 	}
 
-	const isOpen = findPathState(step, request.poolName) === pathState.open;
-	if (!isOpen && request.isRelayed) {
+	const isLost = isPathProbablyLost(step, request.poolName);
+	if (isLost && request.isRelayed) {
 		finishWithFailure(step, request, createNotRunFailure(step, request, failureReason.noTarget));
 		return true;
 	}
@@ -66,8 +65,8 @@
 		return true;
 	}
 
-	// Another target would probably not be reached either; what the checks of the path show is known soon.
-	const placement = isOpen || request.sendCount === 0 ? findPlacement(step, request, request.triedTargetIds) : undefined;
+	// Another target would probably not be reached either.
+	const placement = !isLost || request.sendCount === 0 ? findPlacement(step, request, request.triedTargetIds) : undefined;
 	if (placement === undefined) {
 		return false;
 	}
--- a/packages/dispatch/src/lib/target-paths.ts
+++ b/packages/dispatch/src/lib/target-paths.ts
@@ -93,6 +93,11 @@
 		return this.#suspectSince === undefined ? undefined : this.#suspectSince + decisionMs;
 	}
 
+	/** True if the path is lost, or will be if a peer reaches the pool. */
+	isProbablyLost(targetCount: number, now: number): boolean {
+		return this.findState(targetCount, now) === pathState.lost || this.#isConclusive(targetCount);
+	}
+
 	/**
 	 * Brings the state up to date; `peerServedAt` is the latest time at which a target of the
 	 * pool is known to have responded to a peer. Returns the new state if it is lost or regained.
@@ -113,9 +118,8 @@
 			return undefined;
 		}
 
-		const isConclusive = this.#unreachedAt.size >= Math.min(lostCount, targetCount);
 		const [firstUnreachedAt = Number.POSITIVE_INFINITY] = this.#unreachedAt.values();
-		if (!isConclusive || peerServedAt <= firstUnreachedAt) {
+		if (!this.#isConclusive(targetCount) || peerServedAt <= firstUnreachedAt) {
 			return undefined;
 		}
 
@@ -139,6 +143,11 @@
 			.slice(0, isLost ? 1 : suspectCount);
 	}
 
+	/** True if enough targets could not be reached, with none reached since. */
+	#isConclusive(targetCount: number): boolean {
+		return this.#unreachedAt.size >= Math.max(1, Math.min(lostCount, targetCount));
+	}
+
 	#expire(now: number): void {
 		for (const [targetId, at] of this.#unreachedAt) {
 			if (now - at > evidenceMs) {
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -4,6 +4,7 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {eventKind, sendOutcome} from '../index.js';
 import {
 	createRoute, GatewayFixture, onceRoute, repeatableRoute,
 } from './gateway-fixture.js';
@@ -179,3 +180,19 @@
 		assert.ok(computeServedShare(judged) >= minServedRatio, `${mode}: ${computeServedShare(judged).toFixed(3)} of the first attempts are served there`);
 	}
 });
+
+test('a request goes to the last target of a small pool at once when the others have ended (crash of two of three targets)', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
+	gateway.receiveRequest(onceRoute);
+	const targetIds = new Set<string>();
+	for (const isRunning of [false, false, true]) {
+		const {openId, sendId, targetId} = gateway.takeLastSend({opens: isRunning});
+		targetIds.add(targetId);
+		gateway.handle({
+			kind: eventKind.sendEnded, openId, sendId, outcome: isRunning ? sendOutcome.complete : sendOutcome.connectionRefused, detail: 'test',
+		});
+	}
+
+	assert.equal(targetIds.size, 3);
+	assert.deepEqual(gateway.listRefusalStatuses(), []);
+});
