--- a/packages/dispatch/src/lib/crash-quarantine.ts
+++ b/packages/dispatch/src/lib/crash-quarantine.ts
@@ -354,17 +354,25 @@
 				const partIds = quarantine.partIds.filter(id => this.#isSuspect(id));
 				return partIds.length === quarantine.partIds.length ? quarantine : {...quarantine, partIds, key: createKey(partIds)};
 			})
-			.filter(({partIds}) => partIds.length > 0);
+			.filter(({partIds, crashCount}) => partIds.length > 0 && !this.#isServedRequest(partIds, crashCount));
+	}
+
+	/** True if the quarantine of a request began before it became known, from a peer, that the request had been served earlier, which requires more crashes. */
+	#isServedRequest(partIds: readonly string[], crashCount: number): boolean {
+		return crashCount < minCrashesOfServedSuspect && partIds.some(id => isRequest(id) && this.#hasBegun(id));
 	}
 
 	/** Quarantines the parts that have most crashes first; crashes that these explain do not count for other parts. */
 	#quarantineParts(now: number): void {
 		const explained = new Set<string>();
+		/** Requests that are quarantined again, by crashes that nothing else explains. */
+		const confirmedIds = new Set<string>();
 		for (;;) {
 			const candidates = this.#listCandidates(explained, now);
 			const highestCount = Math.max(0, ...candidates.map(({count}) => count));
 			const first = candidates.find(({count}) => count === highestCount);
 			if (first === undefined) {
+				this.#removeExplained(explained, confirmedIds);
 				return;
 			}
 
@@ -379,12 +387,25 @@
 				this.#setQuarantine(partIds, first);
 			}
 
+			for (const id of requestIds) {
+				confirmedIds.add(id);
+			}
+
 			for (const process of first.processes) {
 				explained.add(process);
 			}
 		}
 	}
 
+	/** Removes the quarantines of requests whose crashes turn out to be those of another suspect, since peers report it later. */
+	#removeExplained(explained: ReadonlySet<string>, confirmedIds: ReadonlySet<string>): void {
+		this.#quarantines = this.#quarantines.filter(({partIds}) => {
+			const requestId = partIds.find(id => isRequest(id));
+			const suspect = requestId === undefined || confirmedIds.has(requestId) ? undefined : this.#suspects.get(requestId);
+			return suspect === undefined || !listOpenCrashes(suspect).every(([process]) => explained.has(process));
+		});
+	}
+
 	/** Quarantines the parts together, or extends their quarantine; a smaller set replaces the sets that contain it. */
 	#setQuarantine(partIds: readonly string[], {count, requiredCount, lastCrashAt}: Candidate): void {
 		const key = createKey(partIds);
