--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -60,7 +60,7 @@
 
 	const relayPeer = chooseRelayPeer(step, request);
 	if (relayPeer !== undefined) {
-		leaveQueue(step, request);
+		removeFromQueue(step, request);
 		startSend(step, request, {target: relayPeer, load: relayPeer.inFlight, meanLoad: 0}, true);
 		return true;
 	}
@@ -71,12 +71,12 @@
 		return false;
 	}
 
-	leaveQueue(step, request);
+	removeFromQueue(step, request);
 	startSend(step, request, placement, false);
 	return true;
 }
 
-function leaveQueue({state}: Step, request: OpenRequest): void {
+function removeFromQueue({state}: Step, request: OpenRequest): void {
 	request.queuedUntil = undefined;
 	state.queuedRequests.delete(request);
 }
