A statement that a peer relays counts for a target that is registered later (DRAIN)

Found while reading the change: a relayed response may come from a target whose registration has not arrived at this instance. Its statement that it leaves was dropped, although the instance passed the response on. Change: it is kept by process, like those of known targets. Evidence: the new test of target_statements_test fails on the code before and passes.

--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -27,7 +27,7 @@
 	recordLog, type CurrentSend, type OpenRequest, type Step,
 } from './state.js';
 import {verdict, type Verdict} from './target-health.js';
-import {statementKind, type TargetReport} from './target-statements.js';
+import {recordStatement, statementKind, type TargetReport} from './target-statements.js';
 import {recordTargetStatement, type Target} from './target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
@@ -173,6 +173,8 @@
 
 	const target = findRespondingTarget(step, currentSend!, report);
 	if (target === undefined) {
+		// The statement counts as soon as the registration arrives.
+		recordUnknownStatement(step, report);
 		return;
 	}
 
@@ -201,6 +203,13 @@
 	}
 }
 
+/** Records what a process stated whose registration is not known here. */
+function recordUnknownStatement({state}: Step, report: TargetReport): void {
+	if (report.process !== undefined) {
+		recordStatement(state.targets.statements.claim(report.process), report);
+	}
+}
+
 function findCurrentRequest({state}: Step, openId: number, sendId: number): OpenRequest | undefined {
 	const request = state.openRequests.get(openId);
 	return request?.currentSend?.sendId === sendId ? request : undefined;
--- a/packages/dispatch/src/test/target_statements_test.ts
+++ b/packages/dispatch/src/test/target_statements_test.ts
@@ -161,3 +161,25 @@
 		assert.ok(!JSON.stringify(gateway.createPeerAnswer()).includes('null'), 'peers can read the message');
 	}), {numRuns: 200, seed: 35});
 });
+
+// Guards against requests to a target whose statement came over a peer before its registration (DRAIN).
+test('a statement that a peer relays counts for a target whose registration arrives later', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
+	gateway.receiveRequest(onceRoute);
+	for (let count = 0; count < 3; count++) {
+		endSend(gateway, gateway.takeLastSend({opens: false}), sendOutcome.connectionRefused);
+	}
+
+	gateway.advance(50);
+	const message = {...new GatewayFixture('gateway-2').createPeerAnswer(), services: [{pool: 'desk', ageMs: 0}]};
+	gateway.handle({kind: eventKind.peerCalled, callId: 1, message});
+	gateway.advance(25);
+	const send = gateway.takeLastSend();
+	assert.ok(send.isRelayed);
+	gateway.handle({
+		kind: eventKind.sendEnded, openId: send.openId, sendId: send.sendId, outcome: sendOutcome.complete, detail: 'test',
+		targetReport: {isLeaving: true, at: gateway.now, process: {id: 'desk-4', bornAt: 1}},
+	});
+	gateway.applyChanges(2, [createTargetChange(2, createTargetRecord('desk-4')), createTargetChange(2, createTargetRecord('desk-5'))]);
+	assert.deepEqual(['desk-4', 'desk-5'].map(id => gateway.state.targets.byId.get(id)!.isGone), [true, false]);
+});
