--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -60,7 +60,7 @@
 /** Time between two ticks above which the process counts as paused, in milliseconds. */
 const pauseThresholdMs = 1000;
 /** Time between two ticks above which calls may have waited for the process, in milliseconds, and the time after it in which they are handled. */
-const tickGapMs = 150;
+export const tickGapMs = 150;
 const callWaitMs = 1000;
 
 /** Age up to which peers are told that this instance reached a pool, in milliseconds. */
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -27,8 +27,6 @@
 /** Fraction of the latency target after which a send without a response times out, if the request is retryable. */
 const responseStartTimeoutFraction = 0.7;
 const minResponseStartTimeoutMs = 150;
-/** Multiple of these timeouts for a request that a peer relays. */
-const relayTimeoutMultiplier = 2;
 /** Multiple of the route's longest event gap after which a silent stream times out, if it can be resumed. */
 const eventGapTimeoutMultiplier = 2.5;
 /** Largest part of the time left that a request waits for the decision whether a path is lost: its caller may still try another instance. */
@@ -168,9 +166,8 @@
 	recordSend(target, now);
 	const copySource = isRelayed ? undefined : findCopySource(step, request, target);
 	const runLimit = findRunLimit(request);
-	const canTimeOut = isRetryable(route) && request.possibleRunCount < runLimit;
-	// The peer finds out itself that a target is silent.
-	const timeoutMultiplier = isRelayed ? relayTimeoutMultiplier : 1;
+	// A peer that relays the request finds out itself that a target is silent, and uses up the sends that are left.
+	const canTimeOut = isRetryable(route) && !isRelayed && request.possibleRunCount < runLimit;
 	step.effects.push({
 		kind: effectKind.send,
 		openId: request.openId,
@@ -185,8 +182,8 @@
 		resumeAfterEventId: request.lastEventId,
 		copyFromAddress: copySource?.record.address,
 		deadlineAt: request.deadlineAt,
-		responseStartTimeoutMs: canTimeOut ? Math.max(minResponseStartTimeoutMs, route.latencyTargetMs * responseStartTimeoutFraction) * timeoutMultiplier : 0,
-		eventGapTimeoutMs: canTimeOut ? route.eventGapMs * eventGapTimeoutMultiplier * timeoutMultiplier : 0,
+		responseStartTimeoutMs: canTimeOut ? Math.max(minResponseStartTimeoutMs, route.latencyTargetMs * responseStartTimeoutFraction) : 0,
+		eventGapTimeoutMs: canTimeOut ? route.eventGapMs * eventGapTimeoutMultiplier : 0,
 		runLimit: Math.max(1, runLimit - request.possibleRunCount + 1),
 	});
 	recordLog(step, 'sent', {
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -196,3 +196,49 @@
 	assert.equal(targetIds.size, 3);
 	assert.deepEqual(gateway.listRefusalStatuses(), []);
 });
+
+// Guards against requests that run on more targets than their route allows, because a peer used up the sends that are left (BUDGET).
+test('a request that a peer relays is not sent again because it is silent, and the peer may run it as often as the route leaves', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
+	gateway.receiveRequest(repeatableRoute);
+	for (let count = 0; count < 3; count++) {
+		const {openId, sendId} = gateway.takeLastSend({opens: false});
+		gateway.handle({
+			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.connectionRefused, detail: 'test',
+		});
+	}
+
+	gateway.advance(50);
+	const message = {...new GatewayFixture('gateway-2').createPeerAnswer(), services: [{pool: 'desk', ageMs: 0}]};
+	gateway.handle({kind: eventKind.peerCalled, callId: 1, message});
+	gateway.advance(25);
+	const send = gateway.takeLastSend();
+	assert.ok(send.isRelayed);
+	assert.equal(send.runLimit, repeatableRoute.targetLimit);
+	assert.equal(send.responseStartTimeoutMs, 0);
+});
+
+// Guards against an instance that takes its own pause for a lost path: connection attempts time out while it does not run (soak, seed 9113).
+test('connection attempts that time out over a pause of the instance do not make its path suspect (freeze)', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
+	gateway.advance(500);
+	const sends = Array.from({length: 6}, () => {
+		gateway.receiveRequest(onceRoute);
+		return gateway.takeLastSend({opens: false});
+	});
+	gateway.now += 400;
+	const end = ({openId, sendId}: typeof sends[number]) => {
+		gateway.handle({
+			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.notSent, detail: 'test',
+		});
+	};
+
+	end(sends[0]!);
+	end(sends[1]!);
+	gateway.handle({kind: eventKind.tick});
+	for (const send of sends.slice(2)) {
+		end(send);
+	}
+
+	assert.equal(gateway.state.paths.get('desk')?.decisionAt, undefined);
+});
