--- a/packages/dispatch/src/lib/reduce-paths.ts
+++ b/packages/dispatch/src/lib/reduce-paths.ts
@@ -79,6 +79,7 @@
 /** Checks paths that are suspect or lost, asks peers whether they are served, and logs what was lost or regained. */
 export function updatePaths(step: Step): void {
 	const {state, now} = step;
+	state.relayPeers.expire(now);
 	let interval: number | undefined;
 	const suspectIntervalMs = Math.min(maxQueryIntervalMs, suspectQueryIntervalMs * (2 ** state.relayQueryCount));
 	const isAnySuspect = [...state.paths.keys()].some(poolName => findPathState(step, poolName) === pathState.suspect);
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -242,3 +242,12 @@
 
 	assert.equal(gateway.state.paths.get('desk')?.decisionAt, undefined);
 });
+
+test('peers that have not reported for half a minute are forgotten', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1']);
+	const message = {...new GatewayFixture('gateway-2').createPeerAnswer(), services: [{pool: 'desk', ageMs: 0}]};
+	gateway.handle({kind: eventKind.peerCalled, callId: 1, message});
+	assert.ok(Number.isFinite(gateway.state.relayPeers.findServedAt('desk')));
+	gateway.advance(31_000);
+	assert.ok(!Number.isFinite(gateway.state.relayPeers.findServedAt('desk')));
+});
