Crashes count although they leave no target of the pool (BUDGET)

A request that ends all three targets of a pool leaves none, so its crashes were dropped as unproved.

Change: they count if no peer reaches the pool either.

--- a/packages/dispatch/src/lib/reduce-quarantine.ts
+++ b/packages/dispatch/src/lib/reduce-quarantine.ts
@@ -57,7 +57,7 @@
 /**
  * Applies the result of a check. A process that refuses connections has crashed, unless this
  * instance is cut off in a way that refuses its connections: the crash counts once a connection to another
- * target of the pool has opened after it.
+ * target of the pool has opened after it, or no peer reaches the pool either.
  */
 export function applyTargetChecked(step: Step, {targetId, isListening}: TargetCheckedEvent): void {
 	const {state, now} = step;
@@ -91,7 +91,9 @@
 const pathProofMarginMs = 15;
 /** Time after a refusal after which another target is checked for such a proof, and time limit for the proof, in milliseconds. */
 const pathCheckDelayMs = 100;
-const pathProofLimitMs = 1200;
+const pathProofLimitMs = 1500;
+/** Time after a refusal in which an opened connection is such a proof, in milliseconds. */
+const pathProofDurationMs = 500;
 
 /** Records the crashes of targets that refused a check, once it is certain that this instance reaches other targets. */
 function updateCrashChecks(step: Step): void {
@@ -103,13 +105,15 @@
 		}
 
 		const others = (state.targets.byPool.get(target.record.pool) ?? []).filter(other => other !== target && !other.isGone);
-		const isProved = others.length === 0 || findPath(step, target.record.pool).reachedAt >= losses[0]!.at + pathProofMarginMs;
-		if (isProved) {
+		const {reachedAt} = findPath(step, target.record.pool);
+		const isReachedSince = reachedAt >= losses[0]!.at + pathProofMarginMs;
+		// A path that is back later may have been lost at the time of the check.
+		if (others.length === 0 || (isReachedSince && reachedAt <= refusedAt + pathProofDurationMs)) {
 			state.crashChecks.delete(targetId);
 			recordCrash(step, check);
 		} else if (now - refusedAt > pathProofLimitMs) {
 			state.crashChecks.delete(targetId);
-			recordLog(step, 'crash-unproved', {target: targetId, losses: losses.length}, logLevel.warn);
+			settleUnproved(step, check, isReachedSince);
 		} else if (now - refusedAt >= pathCheckDelayMs && !check.hasCheckedPath) {
 			check.hasCheckedPath = true;
 			const other = others.find(({health}) => isUsable(health, now)) ?? others[0]!;
@@ -118,6 +122,16 @@
 	}
 }
 
+/** Records the crash of a target although no other target of its pool was reached since, unless peers reach the pool: then this instance is cut off, else the whole pool has crashed. */
+function settleUnproved(step: Step, check: CrashCheck, isReachedSince: boolean): void {
+	const {target: {record}, losses} = check;
+	if (!isReachedSince && findPath(step, record.pool).lostSince === undefined) {
+		recordCrash(step, check);
+	} else {
+		recordLog(step, 'crash-unproved', {target: record.id, losses: losses.length}, logLevel.warn);
+	}
+}
+
 function recordCrash(step: Step, {target, sendId, losses}: CrashCheck): void {
 	const {state, now} = step;
 	for (const loss of losses) {
--- a/packages/dispatch/src/test/crash_quarantine_test.ts
+++ b/packages/dispatch/src/test/crash_quarantine_test.ts
@@ -7,7 +7,7 @@
 import type {FleetView} from '../lib/target-limits.js';
 import {CrashQuarantine} from '../lib/crash-quarantine.js';
 import {
-	createRoute, createTargetChange, createTargetRecord, GatewayFixture,
+	createRoute, createTargetChange, createTargetRecord, GatewayFixture, repeatableRoute,
 } from './gateway-fixture.js';
 
 const start = 1_000_000;
@@ -286,3 +286,35 @@
 	});
 	assert.ok(!gateway.effects.some(effect => effect.kind === effectKind.checkTarget));
 });
+
+// Guards against a request that ends a whole small pool at once and is not counted, because no target is left to prove the path (BUDGET).
+test('crashes count although they leave no target of the pool, if no peer reaches it either', () => {
+	for (const isReachedByPeer of [false, true]) {
+		const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
+		gateway.advance(100);
+		gateway.receiveRequest(repeatableRoute, {fingerprint: 'deadly'});
+		for (const run of [1, 2]) {
+			const {openId, sendId, targetId} = gateway.takeLastSend();
+			gateway.advance(100);
+			gateway.handle({
+				kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.lost, detail: `run ${run}`,
+			});
+			gateway.handle({kind: eventKind.targetChecked, targetId, isListening: false});
+		}
+
+		const peer = new GatewayFixture('gateway-2');
+		for (let round = 0; round < 16; round++) {
+			gateway.effects = [];
+			gateway.advance(125);
+			for (const effect of gateway.effects) {
+				if (effect.kind === effectKind.checkTarget) {
+					gateway.handle({kind: eventKind.targetChecked, targetId: effect.targetId, isListening: false});
+				}
+			}
+
+			gateway.handle({kind: eventKind.peerCalled, callId: round, message: {...peer.createPeerAnswer(), services: isReachedByPeer ? [{pool: 'desk', ageMs: 0}] : []}});
+		}
+
+		assert.equal(gateway.state.quarantine.size, isReachedByPeer ? 0 : 1);
+	}
+});
