One count of a pool's targets decides about its path

Found in the last reading: the sends counted the targets that may receive requests, and the messages to peers all registered ones, also those that leave. A path of a small pool could count as suspect for one and as open for the other. Both use listReceivingIds of target-state now. The head of crash-quarantine is worded plainer.

--- a/packages/dispatch/src/lib/crash-quarantine.ts
+++ b/packages/dispatch/src/lib/crash-quarantine.ts
@@ -1,6 +1,6 @@
 /**
- * Finds what crashes the targets that run it ("query of death"), and withholds it: a part
- * of prompts that no two alike requests share, or one request that comes again and again.
+ * Finds what crashes the targets that run it ("query of death"), and withholds it: a part of
+ * a prompt, which different requests may share, or one request that is sent repeatedly.
  *
  * A crash ends all requests at its target, so that every part of a request to which no
  * response had begun is suspect, and the request itself. A suspect is cleared by a response
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -19,7 +19,8 @@
 import {recordLog, type State, type Step} from './state.js';
 import {pathState} from './target-paths.js';
 import {
-	applyLeavingTargets, applyLoads, applyNamedLimits, applyTargetChanges, applyTargetRenewals, describeLoads, expireLapsedTargets, updateTargets,
+	applyLeavingTargets, applyLoads, applyNamedLimits, applyTargetChanges, applyTargetRenewals, describeLoads, expireLapsedTargets,
+	listReceivingIds, updateTargets,
 } from './target-state.js';
 
 /**
@@ -227,7 +228,7 @@
 function describeServices({paths, targets}: State, now: number): SharedService[] {
 	const services: SharedService[] = [];
 	for (const [pool, path] of paths) {
-		const targetCount = targets.byPool.get(pool)?.length ?? 0;
+		const targetCount = listReceivingIds(targets, pool).length;
 		if (now - path.contactAt <= sharedServiceMaxAgeMs && path.findState(targetCount, now) === pathState.open) {
 			services.push({pool, ageMs: Math.round(now - path.contactAt)});
 		}
@@ -237,7 +238,7 @@
 }
 
 function listUnreachedPools({paths, targets}: State, now: number): string[] {
-	return [...paths].filter(([pool, path]) => path.findState(targets.byPool.get(pool)?.length ?? 0, now) !== pathState.open).map(([pool]) => pool);
+	return [...paths].filter(([pool, path]) => path.findState(listReceivingIds(targets, pool).length, now) !== pathState.open).map(([pool]) => pool);
 }
 
 /** Finds a time before which a peer's call was certainly not created: it may have waited while this process did not run. */
--- a/packages/dispatch/src/lib/reduce-paths.ts
+++ b/packages/dispatch/src/lib/reduce-paths.ts
@@ -8,7 +8,7 @@
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type OpenRequest, type Step} from './state.js';
 import {pathState, TargetPath, type PathState} from './target-paths.js';
-import type {Target} from './target-state.js';
+import {listReceivingIds, type Target} from './target-state.js';
 
 /** Time between two rounds of questions to peers while a path is suspect, which doubles with each round without an answer, and while one is lost, in milliseconds. */
 const suspectQueryIntervalMs = 150;
@@ -28,19 +28,14 @@
 	return path;
 }
 
-/** Lists the ids of the targets of a pool that may receive requests. */
-function listTargetIds({state}: Step, poolName: string): string[] {
-	return (state.targets.byPool.get(poolName) ?? []).filter(({isGone}) => !isGone).map(({record}) => record.id);
-}
-
 export function findPathState(step: Step, poolName: string): PathState {
 	const path = step.state.paths.get(poolName);
-	return path === undefined ? pathState.open : path.findState(listTargetIds(step, poolName).length, step.now);
+	return path === undefined ? pathState.open : path.findState(listReceivingIds(step.state.targets, poolName).length, step.now);
 }
 
 /** True if this instance probably reaches no target of the pool; what the checks of the path show is known soon. */
 export function isPathProbablyLost(step: Step, poolName: string): boolean {
-	return step.state.paths.get(poolName)?.isProbablyLost(listTargetIds(step, poolName).length, step.now) ?? false;
+	return step.state.paths.get(poolName)?.isProbablyLost(listReceivingIds(step.state.targets, poolName).length, step.now) ?? false;
 }
 
 export function recordReached(step: Step, {record}: Target): void {
@@ -84,7 +79,7 @@
 	const suspectIntervalMs = Math.min(maxQueryIntervalMs, suspectQueryIntervalMs * (2 ** state.relayQueryCount));
 	const isAnySuspect = [...state.paths.keys()].some(poolName => findPathState(step, poolName) === pathState.suspect);
 	for (const [poolName, path] of state.paths) {
-		const targetIds = listTargetIds(step, poolName);
+		const targetIds = listReceivingIds(step.state.targets, poolName);
 		const peerServedAt = state.relayPeers.findServedAt(poolName);
 		const change = path.update(targetIds.length, peerServedAt, now);
 		if (change !== undefined) {
@@ -116,7 +111,7 @@
 /** Checks the pools that a peer cannot reach and asks about, unless this instance was in contact with them a moment ago; the peer's next call gets the result. */
 export function checkPathsForPeer(step: Step, {unreachedPools = []}: PeerMessage): void {
 	for (const poolName of unreachedPools) {
-		const targetIds = listTargetIds(step, poolName);
+		const targetIds = listReceivingIds(step.state.targets, poolName);
 		const path = targetIds.length > 0 ? findPath(step, poolName) : undefined;
 		if (path !== undefined && step.now - path.contactAt > contactMaxAgeMs) {
 			checkTargets(step, path.takeChecks(targetIds, step.now));
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -204,6 +204,11 @@
 	}
 }
 
+/** Lists the ids of the targets of a pool that may receive requests. */
+export function listReceivingIds({byPool}: TargetState, poolName: string): string[] {
+	return (byPool.get(poolName) ?? []).filter(({isGone}) => !isGone).map(({record}) => record.id);
+}
+
 /** Counts a request that is sent to the target. */
 export function recordSend(target: Target, now: number): void {
 	target.inFlight++;
