--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -221,9 +221,7 @@
 		}));
 		await Promise.all(this.#links.map(async link => link.cut()));
 		this.store.close();
-		if (!process.env.KEEP) {
-			rmSync(this.#directory, {recursive: true, force: true});
-		}
+		rmSync(this.#directory, {recursive: true, force: true});
 	}
 
 	#spawn(command, args, env, channel = 'ignore') {
@@ -253,9 +251,10 @@
 	}
 }
 
-/** Runs a case: `play` returns the list of what broke the rule. Sets the exit code. */
+/** Runs a case: `play` returns the list of what broke the rule. Ends this process with the exit code of the case. */
 export async function runCase(caseUrl, play) {
 	const deployment = new Deployment(caseUrl);
+	let exitCode;
 	try {
 		const breaks = await play(deployment);
 		for (const text of breaks) {
@@ -265,12 +264,15 @@
 		const verdict = breaks.length === 0 ? 'the rule held' : `the rule was broken, ${breaks.length} times`;
 		deployment.record(verdict);
 		console.log(verdict);
-		process.exitCode = breaks.length === 0 ? result.held : result.broken;
+		exitCode = breaks.length === 0 ? result.held : result.broken;
 	} catch (error) {
 		deployment.record(`could not run: ${error.stack}`);
 		console.log(`could not run: ${error.message}`);
-		process.exitCode = result.notRun;
+		exitCode = result.notRun;
 	} finally {
 		await deployment.stop();
 	}
+
+	// A socket of a stand-in may still be open.
+	process.exit(exitCode); // eslint-disable-line unicorn/no-process-exit
 }
--- a/review/stand-ins/link.mjs
+++ b/review/stand-ins/link.mjs
@@ -3,6 +3,7 @@
  * is cut. While it is cut, open connections are reset and new ones are refused.
  */
 import {connect, createServer} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 
 const host = '127.0.0.1';
 
@@ -36,14 +37,26 @@
 			return;
 		}
 
-		const closed = new Promise(resolve => {
-			this.#server.close(resolve);
-		});
+		this.#server.close();
 		for (const socket of this.#sockets) {
 			socket.resetAndDestroy();
 		}
 
-		await closed;
+		while (await this.#isAccepting()) {
+			await delay(5);
+		}
+	}
+
+	async #isAccepting() {
+		return new Promise(resolve => {
+			const socket = connect({port: this.#port, host}, () => {
+				socket.destroy();
+				resolve(true);
+			});
+			socket.on('error', () => {
+				resolve(false);
+			});
+		});
 	}
 
 	#accept(socket) {
