--- a/review/stand-ins/tables.mjs
+++ b/review/stand-ins/tables.mjs
@@ -13,6 +13,9 @@
 		createRoute('guide', {
 			kind: 'streaming', resumable: true, sticky: true, targetGapMs: 400, service: 'brain',
 		}),
+		createRoute('notes', {
+			kind: 'streaming', resumable: false, sticky: true, targetGapMs: 400, timeoutMs: 15_000, maxAttempts: 1, service: 'brain',
+		}),
 		createRoute('history', {
 			kind: 'safe', timeoutMs: 1500, targetLatencyMs: 386, service: 'desk',
 		}),
