--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -56,7 +56,8 @@
 
 export class Deployment {
 	store = new Store();
-	hasTrouble = process.env.TROUBLE !== '0';
+	/** False if the case is played without the disruption, as `run.sh` does with `TROUBLE=0`. */
+	hasTrouble = process.argv[2] !== 'calm';
 	#children = [];
 	#links = [];
 	#directory = mkdtempSync(path.join(tmpdir(), 'review-'));
