A whole response is delivered whatever follows it, and nothing of an ended exchange is (MIXED)

Requests that may run once got 502 although their whole response had arrived.

Cause: Node.js emits an error for such bytes before the body is read. The exchange ended and the request was sent again; the listener for the end of the body did not know that, and delivered what was collected, with a length computed from it. The record excludes the second send (the stamp is that of the first target); tests exclude bodies that break off.

One reader of bodies has one end, and ending an exchange closes it. A response is complete when its length or last chunk has arrived; errors caused by bytes behind it do not change that, and the connection is not used again. The length that the target declares is checked and declared to callers, at each hop. A connection that closes without a final response ends its exchange at once.

--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -9,7 +9,14 @@
 import {createFailureOutcomeHeaders, createSourceHeaders, type ResponseSource} from './relay-headers.js';
 
 /** A target's response that has been read to its end. */
-export type BufferedResponse = {readonly status: number; readonly headers: RawHeaders; readonly body: Uint8Array; readonly source: ResponseSource};
+export type BufferedResponse = {
+	readonly status: number;
+	readonly headers: RawHeaders;
+	readonly body: Uint8Array;
+	/** Length that the target declared for the body; `undefined` if it declared none. */
+	readonly declaredBytes?: number;
+	readonly source: ResponseSource;
+};
 
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authenticate', 'proxy-authorization', 'content-length']);
@@ -74,8 +81,9 @@
 		}
 	}
 
-	deliverResponse({status, headers, body, source}: BufferedResponse): void {
-		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source), 'Content-Length', String(body.length)]);
+	deliverResponse({status, headers, body, declaredBytes, source}: BufferedResponse): void {
+		// Declares what the target declared, so that a body that lost bytes here cannot look complete.
+		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source), 'Content-Length', String(declaredBytes ?? body.length)]);
 		this.#response.end(body);
 	}
 
--- /dev/null
+++ b/packages/gateway/src/lib/response-body.ts
@@ -0,0 +1,101 @@
+/**
+ * Reads the body of one response. A reader ends once: it reports that the response is
+ * complete or that it failed, or its owner closes it. Nothing is reported after that.
+ *
+ * A response is complete as soon as all bytes of its declared length, or its last chunk,
+ * have arrived. Bytes that follow on the same connection belong to no request: they, and
+ * the errors that they cause, do not change a complete response.
+ */
+import type {IncomingMessage} from 'node:http';
+
+/** Receives the parts of a body and its end, exactly one of `onComplete` and `onFailure`. */
+export type BodyListener = {
+	readonly onData: (part: Uint8Array) => void;
+	readonly onComplete: () => void;
+	/** `detail` tells why the response cannot be used. */
+	readonly onFailure: (detail: string) => void;
+};
+
+export class ResponseBody {
+	readonly #response: IncomingMessage;
+	readonly #listener: BodyListener;
+	#receivedBytes = 0;
+	#isClosed = false;
+
+	constructor(response: IncomingMessage, listener: BodyListener) {
+		this.#response = response;
+		this.#listener = listener;
+		response.on('data', (part: Uint8Array) => {
+			if (!this.#isClosed) {
+				this.#receivedBytes += part.length;
+				listener.onData(part);
+			}
+		});
+		response.on('end', () => {
+			this.#handleEnd();
+		});
+		response.on('error', (error: Error) => {
+			if (!response.complete) {
+				this.#fail(error.message);
+			}
+		});
+		response.on('close', () => {
+			this.#fail('connection closed in the middle of the response');
+		});
+	}
+
+	/** Stops reading until `resume`; the target cannot send more than the connection buffers. */
+	pause(): void {
+		this.#response.pause();
+	}
+
+	resume(): void {
+		if (!this.#isClosed) {
+			this.#response.resume();
+		}
+	}
+
+	/** Ends the reader without a report. */
+	close(): void {
+		this.#isClosed = true;
+	}
+
+	#handleEnd(): void {
+		const declaredBytes = findDeclaredLength(this.#response);
+		if (!this.#response.complete) {
+			this.#fail('connection closed in the middle of the response');
+		} else if (declaredBytes !== undefined && declaredBytes !== this.#receivedBytes && hasBody(this.#response)) {
+			this.#fail(`${this.#receivedBytes} of ${declaredBytes} declared bytes were read`);
+		} else if (!this.#isClosed) {
+			this.#isClosed = true;
+			this.#listener.onComplete();
+		}
+	}
+
+	#fail(detail: string): void {
+		if (!this.#isClosed) {
+			this.#isClosed = true;
+			this.#listener.onFailure(detail);
+		}
+	}
+}
+
+/** Finds the length that the sender declares for the body, in bytes; `undefined` if there is none. */
+export function findDeclaredLength({headers}: IncomingMessage): number | undefined {
+	return headers['content-length'] === undefined ? undefined : Number(headers['content-length']);
+}
+
+/** Returns false if the end of the response is marked only by the closed connection, which also happens if the target crashes. */
+export function isSelfDelimited(response: IncomingMessage): boolean {
+	return findDeclaredLength(response) !== undefined || response.headers['transfer-encoding'] !== undefined || !hasBody(response);
+}
+
+/** Returns false for responses whose declared length is that of another response's body. */
+function hasBody(response: IncomingMessage): boolean {
+	const {req: request} = response as IncomingMessage & {readonly req?: {readonly method?: string}};
+	return request?.method !== 'HEAD' && isBodyAllowed(response);
+}
+
+function isBodyAllowed({statusCode}: IncomingMessage): boolean {
+	return statusCode !== 204 && statusCode !== 304;
+}
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -19,6 +19,9 @@
 import {
 	createOriginHeaders, parseOutcome, selectUnrelatedHeaders, type ResponseSource,
 } from './relay-headers.js';
+import {
+	findDeclaredLength, isSelfDelimited, ResponseBody, type BodyListener,
+} from './response-body.js';
 import {TargetActivity} from './target-activity.js';
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
@@ -30,6 +33,9 @@
 /** Largest number of interim responses (status 1xx) before a response. */
 const maxInterimResponses = 8;
 
+/** Smallest status that HTTP defines; Node.js reads smaller ones, but refuses to write them. */
+const minStatus = 100;
+
 /** Statuses that tell a caller that its request has not run; without the target's proof, the response is not forwarded but counts as lost. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -93,6 +99,8 @@
 	readonly #options: TargetExchangeOptions;
 	readonly #connection: LeasedConnection;
 	#request?: ClientRequest;
+	#response?: IncomingMessage;
+	#body?: ResponseBody;
 	#connectTimer?: NodeJS.Timeout;
 	#silenceTimer?: NodeJS.Timeout;
 	#hasConnected: boolean;
@@ -147,9 +155,19 @@
 			this.#handleResponse(response);
 		});
 		this.#request.on('error', (error: Error & {code?: string}) => {
+			if (this.#response?.complete) {
+				// Only bytes behind the response can have caused the error; the reader of the body ends the exchange.
+				return;
+			}
+
 			const unsentOutcome = error.code === 'ECONNREFUSED' ? sendOutcome.connectionRefused : sendOutcome.notSent;
 			this.#abort(this.#hasConnected ? this.#failureOutcome : unsentOutcome, describeError(error));
 		});
+		this.#request.on('close', () => {
+			if (this.#response === undefined) {
+				this.#abort(this.#failureOutcome, 'connection closed without a response');
+			}
+		});
 		this.#request.end(body);
 		this.#startSilenceTimer();
 		if (this.#hasConnected) {
@@ -223,24 +241,20 @@
 
 	#handleResponse(response: IncomingMessage): void {
 		const {statusCode = 0, headers} = response;
+		this.#response = response;
 		const responseHead = this.#options.protocol.readResponseHead(statusCode, headers, this.#caller.head.requestId);
 		this.#responseHead = responseHead;
 		const at = this.#recordActivity();
 		this.#targetReport = responseHead.statement === undefined ? undefined : {...responseHead.statement, at};
 		this.#source = {id: this.#send.targetId, bornAt: this.#send.bornAt};
-		response.on('error', error => {
-			this.#abort(this.#failureOutcome, describeError(error));
-		});
-		response.on('close', () => {
-			if (!response.complete) {
-				this.#abort(this.#failureOutcome, 'connection closed in the middle of the response');
-			}
+		response.on('error', () => {
+			// Reported by the reader of the body, if there is one.
 		});
 		if (this.#send.isRelayed && !this.#applyRelayOutcome(response)) {
 			return;
 		}
 
-		if (responseHead.kind === responseKind.stray) {
+		if (responseHead.kind === responseKind.stray || statusCode < minStatus) {
 			this.#abort(this.#failureOutcome, `response with status ${statusCode} does not match the request`);
 			return;
 		}
@@ -282,26 +296,35 @@
 		return selectUnrelatedHeaders(this.#options.protocol.selectResponseHeaders(headers));
 	}
 
+	/** Reads the body; a body that fails ends the exchange. */
+	#readBody(response: IncomingMessage, listener: Omit<BodyListener, 'onFailure'>): ResponseBody {
+		this.#body = new ResponseBody(response, {
+			...listener,
+			onFailure: detail => {
+				this.#abort(this.#failureOutcome, detail);
+			},
+		});
+		return this.#body;
+	}
+
 	#bufferBody(response: IncomingMessage, onComplete: (body: Uint8Array) => void): void {
 		const collector = new ByteCollector();
 		let partCount = 0;
-		response.on('data', (chunk: Uint8Array) => {
-			if (this.#hasEnded) {
-				return;
-			}
-
-			if (++partCount <= maxBodyParts && this.#options.buffer.trySet(collector.length + chunk.length)) {
-				collector.add(chunk);
-			} else {
-				this.#abort(this.#failureOutcome, 'response exceeds the size limit');
-			}
-		});
-		response.on('end', () => {
-			if (!isSelfDelimited(response)) {
-				this.#abort(this.#failureOutcome, 'response has neither a length nor chunked encoding');
-			} else if (response.complete) {
-				onComplete(collector.toBytes());
-			}
+		this.#readBody(response, {
+			onData: part => {
+				if (++partCount <= maxBodyParts && this.#options.buffer.trySet(collector.length + part.length)) {
+					collector.add(part);
+				} else {
+					this.#abort(this.#failureOutcome, 'response exceeds the size limit');
+				}
+			},
+			onComplete: () => {
+				if (isSelfDelimited(response)) {
+					onComplete(collector.toBytes());
+				} else {
+					this.#abort(this.#failureOutcome, 'response has neither a length nor chunked encoding');
+				}
+			},
 		});
 	}
 
@@ -316,7 +339,7 @@
 			this.#abort(this.#failureOutcome, `${detail} without proof that the request did not run, or in place of the rest of a stream`);
 		} else {
 			const buffered = {
-				status: statusCode, headers: this.#selectResponseHeaders(rawHeaders), body, source: this.#source!,
+				status: statusCode, headers: this.#selectResponseHeaders(rawHeaders), body, declaredBytes: findDeclaredLength(response), source: this.#source!,
 			};
 			if (statusCode >= 500) {
 				this.#caller.heldResponse = buffered;
@@ -330,46 +353,40 @@
 
 	#relayStream(response: IncomingMessage): void {
 		const splitter = new EventSplitter();
-		response.on('data', (chunk: Uint8Array) => {
-			if (this.#hasEnded) {
-				return;
-			}
-
-			const {lastEventId} = splitter;
-			const events = splitter.push(chunk);
-			if (splitter.partialLength > maxEventBytes || !this.#options.buffer.trySet(splitter.partialLength)) {
-				this.#abort(this.#failureOutcome, 'event exceeds the size limit');
-				return;
-			}
-
-			// Bytes without a new event, such as comments, are no progress.
-			if (splitter.lastEventId !== lastEventId) {
-				this.#progressAt = this.#recordActivity();
-				this.#silenceTimer?.refresh();
-			}
+		const body = this.#readBody(response, {
+			onData: part => {
+				const {lastEventId} = splitter;
+				const events = splitter.push(part);
+				if (splitter.partialLength > maxEventBytes || !this.#options.buffer.trySet(splitter.partialLength)) {
+					this.#abort(this.#failureOutcome, 'event exceeds the size limit');
+					return;
+				}
 
-			if (events.length > 0) {
-				this.#relayEvents(response, splitter, events);
-			}
-		});
-		response.on('end', () => {
-			if (this.#hasEnded || !response.complete) {
-				return;
-			}
+				// Bytes without a new event, such as comments, are no progress.
+				if (splitter.lastEventId !== lastEventId) {
+					this.#progressAt = this.#recordActivity();
+					this.#silenceTimer?.refresh();
+				}
 
-			// A resumed stream may have no events left.
-			const hasEvents = this.#hasDeliveredEvents || this.#send.resumeAfterEventId !== undefined;
-			if (splitter.partialLength > 0 || !hasEvents || !isSelfDelimited(response)) {
-				this.#abort(this.#failureOutcome, 'stream ended with a partial event, without events or without an explicit end');
-				return;
-			}
+				if (events.length > 0) {
+					this.#relayEvents(response, body, {splitter, events});
+				}
+			},
+			onComplete: () => {
+				// A resumed stream may have no events left.
+				const hasEvents = this.#hasDeliveredEvents || this.#send.resumeAfterEventId !== undefined;
+				if (splitter.partialLength > 0 || !hasEvents || !isSelfDelimited(response)) {
+					this.#abort(this.#failureOutcome, 'stream ended with a partial event, without events or without an explicit end');
+					return;
+				}
 
-			this.#caller.finishStream();
-			this.#finishAndRelease(response, sendOutcome.complete, 'stream');
+				this.#caller.finishStream();
+				this.#finishAndRelease(response, sendOutcome.complete, 'stream');
+			},
 		});
 	}
 
-	#relayEvents(response: IncomingMessage, splitter: EventSplitter, events: Uint8Array): void {
+	#relayEvents(response: IncomingMessage, body: ResponseBody, {splitter, events}: {readonly splitter: EventSplitter; readonly events: Uint8Array}): void {
 		const {openId, sendId, resumeAfterEventId} = this.#send;
 		if (!this.#hasDeliveredEvents) {
 			if (resumeAfterEventId !== undefined && !isNextEventId(resumeAfterEventId, splitter.firstEventId)) {
@@ -391,11 +408,11 @@
 		this.#caller.lastEventId = splitter.lastEventId ?? this.#caller.lastEventId;
 		if (!this.#caller.writeEvents(events)) {
 			// While the caller reads too slowly, the target cannot send, so it does not count as silent.
-			response.pause();
+			body.pause();
 			clearInterval(this.#silenceTimer);
 			this.#caller.waitForDrain(() => {
 				if (!this.#hasEnded) {
-					response.resume();
+					body.resume();
 					this.#progressAt = this.#options.readClock();
 					this.#startSilenceTimer();
 				}
@@ -446,17 +463,13 @@
 
 	#markEnded(): void {
 		this.#hasEnded = true;
+		this.#body?.close();
 		clearTimeout(this.#connectTimer);
 		clearInterval(this.#silenceTimer);
 		this.#options.buffer.release();
 	}
 }
 
-/** Returns false if the end of the response is marked only by the closed connection, which also happens if the target crashes. */
-function isSelfDelimited({headers, statusCode}: IncomingMessage): boolean {
-	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || statusCode === 204 || statusCode === 304;
-}
-
 /** Reads the idle timeout that the target announces, in milliseconds; `undefined` if there is none. */
 function readKeepAliveTimeout({headers}: IncomingMessage): number | undefined {
 	const seconds = /timeout=(\d+)/.exec(String(headers['keep-alive'] ?? ''))?.[1];
--- /dev/null
+++ b/packages/gateway/src/test/response-end_test.ts
@@ -0,0 +1,125 @@
+/**
+ * Tests what ends the exchange with a target: a response that has arrived as a whole is
+ * delivered whatever follows it on the connection, and nothing of an exchange that has ended
+ * reaches the caller. Where a response is cut into segments is drawn.
+ */
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import type {Socket} from 'node:net';
+import {afterEach, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {sendOutcome} from '@sequoiatally/dispatch';
+import fc from 'fast-check';
+import {createChunkedHead, createResponse, ExchangeFixture} from './exchange-fixture.js';
+
+const fixture = new ExchangeFixture();
+const body = 'the whole answer'.repeat(50);
+const events = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+
+afterEach(async () => {
+	await fixture.close();
+});
+
+/** Writes `text` in segments that end at `cuts`, with a pause between two of them. */
+async function writeSegments(socket: Socket, text: string, cuts: readonly number[]): Promise<void> {
+	let start = 0;
+	for (const end of [...cuts, text.length]) {
+		if (end > start && !socket.destroyed) {
+			socket.write(text.slice(start, end));
+			await delay(2);
+		}
+
+		start = Math.max(start, end);
+	}
+}
+
+const createChunkedResponse = (requestId: string, content: string) => `${createChunkedHead(requestId)}${content.length.toString(16)}\r\n${content}\r\n0\r\n\r\n`;
+const createLastResponse = (requestId: string, content: string) =>
+	`HTTP/1.1 200 OK\r\nid: ${requestId}\r\nconnection: close\r\ncontent-length: ${content.length}\r\n\r\n${content}`;
+
+const forms = [
+	['a length', createResponse], ['chunks', createChunkedResponse], ['a length and the end of the connection', createLastResponse],
+] as const;
+const additions: ReadonlyArray<readonly [string, (requestId: string) => string]> = [
+	['bytes that are no HTTP', () => 'no-bytes-of-http'],
+	['a second response', requestId => createResponse(requestId, 'second')],
+	['a part of a second response', requestId => createResponse(requestId, 'second').slice(0, 30)],
+	['the response to an earlier request', () => createResponse('999', 'second')],
+	['many bytes that are no HTTP', () => 'no-bytes-of-http\n'.repeat(20_000)],
+];
+
+// Guards against MIXED: the body that was read before the odd bytes, often nothing, reaches the caller as the whole answer.
+for (const [form, createForm] of forms) {
+	for (const [addition, createAddition] of additions) {
+		for (const isStream of [false, true]) {
+			test(`a whole ${isStream ? 'stream' : 'response'} with ${form}, followed by ${addition}, is delivered as it is, wherever it is cut into segments`, async () => {
+				const content = isStream ? events : body;
+				const shortest = createForm('1', content);
+				const cut = fc.integer({min: 0, max: shortest.length + 20});
+				await fc.assert(fc.asyncProperty(fc.uniqueArray(cut, {maxLength: 3}), async cuts => {
+					await fixture.startTarget(async (socket, requestId) => {
+						await writeSegments(socket, createForm(requestId, content) + createAddition(requestId), cuts.toSorted((a, b) => a - b));
+					});
+					const caller = fixture.startSend({isStream});
+					const {outcome, detail} = await fixture.waitForEnd();
+					await delay(1);
+					assert.equal(caller.received, isStream ? `${events}(end)` : body, `${outcome}: ${detail}`);
+					assert.equal(caller.deliveryCount, 1);
+					assert.equal(outcome, sendOutcome.complete, detail);
+					await fixture.close();
+				}), {seed: 41, numRuns: 12, examples: [[[]]]});
+			});
+		}
+	}
+}
+
+// Guards against MIXED: a part of a response that another send has replaced reaches the caller.
+test('nothing of a response reaches the caller after its exchange was cancelled, although all of it has arrived', async () => {
+	await fixture.startTarget((socket, requestId) => {
+		socket.write(createResponse(requestId, body));
+	});
+	const sendId = fixture.nextOpenId;
+	const caller = fixture.startSend();
+	fixture.onResponseHead = () => {
+		// All of the response has been parsed then, and its body waits to be read.
+		process.nextTick(() => {
+			fixture.client.cancel(sendId);
+		});
+	};
+
+	await delay(100);
+	assert.equal(caller.deliveryCount, 0);
+	assert.equal(caller.received, '');
+	assert.deepEqual(fixture.events, []);
+});
+
+// Guards against MIXED: bytes behind the part of a body that has arrived make the part look whole.
+test('a response that odd bytes cut short is lost', async () => {
+	for (const createCut of [
+		(requestId: string) => `${createChunkedHead(requestId)}4\r\nhalfno-bytes-of-http`,
+		(requestId: string) => `${createChunkedHead(requestId)}4\r\nhalf\r\nno-bytes-of-http`,
+		(requestId: string) => `HTTP/1.1 200 OK\r\nid: ${requestId}\r\nno-bytes-of-http\r\n`,
+	]) {
+		await fixture.startTarget((socket, requestId) => {
+			socket.write(createCut(requestId));
+		});
+		const caller = fixture.startSend();
+		await fixture.assertOutcome(sendOutcome.lost);
+		await delay(5);
+		assert.equal(caller.deliveryCount, 0);
+		await fixture.close();
+	}
+});
+
+// Guards against requests that wait for their deadline although their connection has closed.
+test('a connection that closes without a final response ends the exchange at once', {timeout: 5000}, async () => {
+	for (const head of ['HTTP/1.1 101 Switching Protocols\r\nupgrade: other\r\nconnection: upgrade\r\n\r\n', 'HTTP/1.1 099 Odd\r\nid: 1\r\ncontent-length: 0\r\n\r\n']) {
+		fixture.nextOpenId = 1;
+		await fixture.startTarget(socket => {
+			socket.write(head);
+		});
+		fixture.startSend();
+		await fixture.assertOutcome(sendOutcome.lost);
+		await fixture.close();
+	}
+});
