Calls to peers and to the store end once, and their whole responses are used

A whole response of the store that odd bytes followed in one segment counted as a failed read, so that the directory grew older than it had to; a call to a peer was reported as failed and then as answered.

Both callers now share one reader, which resolves once; an error behind a complete response is not a failure.

The test of a peer's endless bytes guards a bound that was there already.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,3 +5,4 @@
 export * from './lib/protocol.js';
 export * from './lib/gateway.js';
 export {listForwardedHeaders} from './lib/caller-exchange.js';
+export {readResponse, responseFaultKind} from './lib/read-response.js';
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -279,7 +279,7 @@
 			}
 
 			case effectKind.callPeer: {
-				this.#peers.call(effect);
+				void this.#peers.call(effect);
 				break;
 			}
 
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -13,8 +13,10 @@
 import {
 	describeError, parseAddress, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
+import {err, type Result} from 'neverthrow';
 import {listenOn} from './listen.js';
 import {parsePeerMessage} from './parse-peer-message.js';
+import {readResponse} from './read-response.js';
 import {isRelayRequest} from './relay-headers.js';
 
 const peerPath = '/peers';
@@ -63,7 +65,7 @@
 	}
 
 	/** Calls a peer; its response or the failure is emitted as an event. */
-	call({address, message}: CallPeerEffect): void {
+	async call({address, message}: CallPeerEffect): Promise<void> {
 		const requestedAt = this.#options.readClock();
 		const {body, encoding} = encodeMessage(message);
 		const socketAddress = parseAddress(address);
@@ -80,28 +82,15 @@
 			headers: {'Content-Type': 'application/json', 'Content-Length': body.length, 'Content-Encoding': encoding},
 			signal: AbortSignal.timeout(callTimeoutMs),
 		});
-		let hasFailed = false;
-		const fail = (detail: string) => {
-			if (!hasFailed) {
-				hasFailed = true;
-				this.#options.emit({kind: eventKind.peerFailed, address, detail});
-			}
-		};
-
-		request.on('error', error => {
-			fail(describeError(error));
-		});
-		request.on('response', async response => {
-			try {
-				const responseMessage = parseMessage(await readBody(response));
-				this.#options.emit({
-					kind: eventKind.peerAnswered, address, message: responseMessage, requestedAt,
-				});
-			} catch (error) {
-				fail(describeError(error));
-			}
-		});
 		request.end(body);
+		const response = await readResponse(request, maxMessageBytes);
+		const responseMessage = response.mapErr(({detail}) => detail).andThen(({head, body}) => parseBody(head, body));
+		this.#options.emit(responseMessage.match<Event>(
+			message => ({
+				kind: eventKind.peerAnswered, address, message, requestedAt,
+			}),
+			detail => ({kind: eventKind.peerFailed, address, detail}),
+		));
 	}
 
 	/** Sends the response to a call of a peer. */
@@ -127,10 +116,14 @@
 				return;
 			}
 
-			const message = parseMessage(await readBody(request));
+			const message = parseBody(request, await readBody(request));
+			if (message.isErr()) {
+				throw new PeerMessageError(message.error);
+			}
+
 			const callId = this.#nextCallId++;
 			this.#pendingCalls.set(callId, response);
-			this.#options.emit({kind: eventKind.peerCalled, callId, message});
+			this.#options.emit({kind: eventKind.peerCalled, callId, message: message.value});
 		} catch (error) {
 			if (response.headersSent) {
 				response.destroy();
@@ -143,7 +136,7 @@
 	}
 }
 
-async function readBody(message: IncomingMessage): Promise<string> {
+async function readBody(message: IncomingMessage): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	for await (const chunk of message as AsyncIterable<Uint8Array>) {
@@ -155,8 +148,17 @@
 		chunks.push(chunk);
 	}
 
-	const body = Buffer.concat(chunks);
-	return (message.headers['content-encoding'] === 'deflate' ? inflateSync(body, {maxOutputLength: maxMessageBytes}) : body).toString('utf8');
+	return Buffer.concat(chunks);
+}
+
+/** Decodes the body of a message; fails with a description of what is wrong. */
+function parseBody({headers}: IncomingMessage, body: Uint8Array): Result<PeerMessage, string> {
+	try {
+		const content = headers['content-encoding'] === 'deflate' ? inflateSync(body, {maxOutputLength: maxMessageBytes}) : body;
+		return parsePeerMessage(new TextDecoder().decode(content));
+	} catch (error) {
+		return err(describeError(error));
+	}
 }
 
 /** Compresses large messages: configuration tables consist mostly of repeated names and would otherwise saturate a slow link. */
@@ -169,13 +171,3 @@
 export class PeerMessageError extends Error {
 	override readonly name = 'PeerMessageError';
 }
-
-/** Parses a message; throws `PeerMessageError`. */
-function parseMessage(text: string): PeerMessage {
-	const message = parsePeerMessage(text);
-	if (message.isErr()) {
-		throw new PeerMessageError(message.error);
-	}
-
-	return message.value;
-}
--- /dev/null
+++ b/packages/gateway/src/test/peer-transport_test.ts
@@ -0,0 +1,124 @@
+/**
+ * Tests calls to a peer against a raw TCP server, which sends whatever a faulty peer or a
+ * stranger at its address may send.
+ */
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	effectKind, eventKind, type Event, type PeerMessage,
+} from '@sequoiatally/dispatch';
+import {createLogger, LifecycleManager, readMonotonicMs} from '@sequoiatally/runtime';
+import {PeerTransport} from '../lib/peer-transport.js';
+
+const message: PeerMessage = {
+	from: {
+		id: 'peer', incarnation: 'i', address: '127.0.0.1:1', zone: 'zone-a', ageMs: 0,
+	},
+	members: [], revision: 0, loads: [], readings: [], wantsUpdate: true,
+};
+const sockets = new Set<Socket>();
+let server: Server;
+let lifecycle: LifecycleManager;
+let handle: (socket: Socket) => void;
+let events: Event[];
+
+beforeEach(async () => {
+	lifecycle = new LifecycleManager(createLogger('test', 'error'));
+	events = [];
+	server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => {
+			// The caller closes connections on purpose.
+		});
+		socket.once('data', () => {
+			handle(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+});
+afterEach(async () => {
+	await lifecycle.closeAll();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	sockets.clear();
+	server.close();
+});
+
+/** Calls the server and waits until the call has ended and all that it received was handled. */
+async function callPeer(): Promise<Event[]> {
+	const transport = new PeerTransport({
+		emit(event) {
+			events.push(event);
+		},
+		readClock: readMonotonicMs,
+		handleRelayed() {
+			assert.fail('nothing is relayed');
+		},
+		renderMetrics: async () => '',
+	}, lifecycle);
+	await transport.call({kind: effectKind.callPeer, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, message});
+	await delay(50);
+	return events;
+}
+
+function createAnswer(): string {
+	const body = JSON.stringify(message);
+	return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+}
+
+// Guards against two ends of one call: it failed and was answered, or its whole answer was given up.
+test('the whole answer of a peer is used, and reported once, although odd bytes follow it in one segment', async () => {
+	for (const addition of ['no-bytes-of-http', createAnswer()]) {
+		events = [];
+		handle = socket => {
+			socket.write(createAnswer() + addition);
+		};
+
+		const [event, ...others] = await callPeer();
+		assert.equal(event?.kind, eventKind.peerAnswered);
+		assert.deepEqual(others, []);
+	}
+});
+
+test('a call to a peer that sends odd bytes, part of an answer, or closes fails once', async () => {
+	for (const text of ['no-bytes-of-http', createAnswer().slice(0, -3), 'HTTP/1.1 200 OK\r\n\r\nnot JSON', '']) {
+		events = [];
+		handle = socket => {
+			socket.end(text);
+		};
+
+		const [event, ...others] = await callPeer();
+		assert.equal(event?.kind, eventKind.peerFailed);
+		assert.deepEqual(others, []);
+	}
+});
+
+test('a call to a peer that sends bytes without end fails, and its connection is closed', async () => {
+	handle = socket => {
+		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 900000000\r\n\r\n');
+		const write = () => {
+			while (!socket.destroyed && socket.write('x'.repeat(60_000))) {
+				// Writes until the socket's buffer is full.
+			}
+		};
+
+		socket.on('drain', write);
+		write();
+	};
+
+	const [event, ...others] = await callPeer();
+	assert.equal(event?.kind, eventKind.peerFailed);
+	assert.deepEqual(others, []);
+	const [socket] = sockets;
+	while (!socket!.destroyed) {
+		await delay(5);
+	}
+});
