--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestHead, Failure, RelayOrigin} from '@sequoiatally/dispatch';
+import type {BufferAccount} from './buffer-budget.js';
 import type {CallerProtocol, RawHeaders} from './protocol.js';
 import {createFailureOutcomeHeaders, createSourceHeaders, type ResponseSource} from './relay-headers.js';
 
@@ -12,7 +13,8 @@
 export type BufferedResponse = {
 	readonly status: number;
 	readonly headers: RawHeaders;
-	readonly body: Uint8Array;
+	/** The parts of the body, in order. */
+	readonly body: readonly Uint8Array[];
 	/** Length that the target declared for the body; `undefined` if it declared none. */
 	readonly declaredBytes?: number;
 	readonly source: ResponseSource;
@@ -81,10 +83,25 @@
 		}
 	}
 
+	/** Releases the memory of a buffered response when the response to the caller has been sent or given up. */
+	keepBuffer(buffer: BufferAccount): void {
+		if (this.#response.destroyed) {
+			buffer.release();
+		} else {
+			this.#response.once('close', () => {
+				buffer.release();
+			});
+		}
+	}
+
 	deliverResponse({status, headers, body, declaredBytes, source}: BufferedResponse): void {
 		// Declares what the target declared, so that a body that lost bytes here cannot look complete.
-		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source), 'Content-Length', String(declaredBytes ?? body.length)]);
-		this.#response.end(body);
+		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source), 'Content-Length', String(declaredBytes ?? computeLength(body))]);
+		for (const part of body.slice(0, -1)) {
+			this.#response.write(part);
+		}
+
+		this.#response.end(body.at(-1));
 	}
 
 	startStream(status: number, headers: RawHeaders, source: ResponseSource): void {
@@ -127,3 +144,7 @@
 		return this.relayedFrom === undefined ? [] : createSourceHeaders(source);
 	}
 }
+
+function computeLength(parts: readonly Uint8Array[]): number {
+	return parts.reduce((length, part) => length + part.length, 0);
+}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -35,6 +35,8 @@
 	readonly metricsAddress?: SocketAddress;
 	/** Addresses of peers to contact first for the member list. */
 	readonly seedAddresses: readonly string[];
+	/** Memory that the process may use; the platform ends a process that uses more. */
+	readonly memoryBytes: number;
 	readonly bounds: FleetBounds;
 };
 
@@ -126,6 +128,7 @@
 			protocol: protocols.targets,
 			callerProtocol: protocols.callers,
 			origin: {id: settings.instanceId, incarnation},
+			memoryBytes: settings.memoryBytes,
 			emit,
 			readClock: readMonotonicMs,
 		});
--- a/packages/gateway/src/lib/response-body.ts
+++ b/packages/gateway/src/lib/response-body.ts
@@ -91,7 +91,7 @@
 }
 
 /** Returns false for responses whose declared length is that of another response's body. */
-function hasBody(response: IncomingMessage): boolean {
+export function hasBody(response: IncomingMessage): boolean {
 	const {req: request} = response as IncomingMessage & {readonly req?: {readonly method?: string}};
 	return request?.method !== 'HEAD' && isBodyAllowed(response);
 }
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -8,8 +8,8 @@
 	eventKind, sendOutcome, type Event, type RelayOrigin, type SendEffect, type SendOutcome, type TargetReport,
 } from '@sequoiatally/dispatch';
 import {describeError} from '@sequoiatally/runtime';
-import {BufferBudget, type BufferAccount} from './buffer-budget.js';
-import {ByteCollector} from './byte-collector.js';
+import {BodyCollector} from './body-collector.js';
+import {BufferBudget, maxBytesPerExchange, type BufferAccount} from './buffer-budget.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ConnectionPool, LeasedConnection} from './connection-pool.js';
 import {EventSplitter} from './event-splitter.js';
@@ -20,7 +20,7 @@
 	createOriginHeaders, parseOutcome, selectUnrelatedHeaders, type ResponseSource,
 } from './relay-headers.js';
 import {
-	findDeclaredLength, isSelfDelimited, ResponseBody, type BodyListener,
+	findDeclaredLength, hasBody, isSelfDelimited, ResponseBody, type BodyListener,
 } from './response-body.js';
 import {TargetActivity} from './target-activity.js';
 
@@ -46,25 +46,28 @@
 	readonly callerProtocol: CallerProtocol;
 	/** Identity of this instance, for peers that relay its requests. */
 	readonly origin: Omit<RelayOrigin, 'runLimit'>;
+	/** Memory that the process may use. */
+	readonly memoryBytes: number;
 	readonly emit: (event: Event) => void;
 	readonly readClock: () => number;
 };
 
 export class TargetClient {
 	readonly #options: TargetClientOptions;
-	readonly #bufferBudget = new BufferBudget();
+	readonly #bufferBudget: BufferBudget;
 	readonly #activity = new TargetActivity();
 	readonly #activeExchanges = new Map<number, TargetExchange>();
 
 	constructor(options: TargetClientOptions) {
 		this.#options = options;
+		this.#bufferBudget = new BufferBudget(options.memoryBytes);
 	}
 
 	/** Starts a send; its end is emitted as an event. */
 	startSend(send: SendEffect, caller: CallerExchange): void {
 		const exchange = new TargetExchange(send, caller, {
 			...this.#options,
-			buffer: this.#bufferBudget.openAccount(),
+			bufferBudget: this.#bufferBudget,
 			activity: this.#activity,
 			onEnd: () => {
 				this.#activeExchanges.delete(send.sendId);
@@ -87,8 +90,7 @@
 }
 
 type TargetExchangeOptions = TargetClientOptions & {
-	/** Memory for the parts of the response that cannot be passed on yet. */
-	readonly buffer: BufferAccount;
+	readonly bufferBudget: BufferBudget;
 	readonly activity: TargetActivity;
 	readonly onEnd: () => void;
 };
@@ -98,6 +100,8 @@
 	readonly #caller: CallerExchange;
 	readonly #options: TargetExchangeOptions;
 	readonly #connection: LeasedConnection;
+	/** Memory for the parts of the response that cannot be passed on yet. */
+	readonly #buffer: BufferAccount;
 	#request?: ClientRequest;
 	#response?: IncomingMessage;
 	#body?: ResponseBody;
@@ -106,6 +110,8 @@
 	#hasConnected: boolean;
 	#hasEnded = false;
 	#hasDeliveredEvents = false;
+	/** True if the buffered response is released when the response to the caller has been sent. */
+	#isBufferHandedOver = false;
 	#interimResponseCount = 0;
 	/** Time at which the request was sent or the last event of the response arrived. */
 	#progressAt: number;
@@ -118,6 +124,15 @@
 		this.#send = send;
 		this.#caller = caller;
 		this.#options = options;
+		this.#buffer = options.bufferBudget.openAccount(() => {
+			if (this.#hasEnded) {
+				// The caller does not read the response that was delivered to it.
+				caller.abort();
+				this.#buffer.release();
+			} else {
+				this.#abort(this.#failureOutcome, 'the responses of all exchanges exceed the memory, and this is the largest');
+			}
+		});
 		this.#connection = options.pool.lease(send.address, send.needsFreshConnection);
 		this.#hasConnected = !this.#connection.isNew;
 		this.#progressAt = options.readClock();
@@ -307,28 +322,33 @@
 		return this.#body;
 	}
 
-	#bufferBody(response: IncomingMessage, onComplete: (body: Uint8Array) => void): void {
-		const collector = new ByteCollector();
+	#bufferBody(response: IncomingMessage, onComplete: (body: readonly Uint8Array[]) => void): void {
+		if (!isSelfDelimited(response)) {
+			this.#abort(this.#failureOutcome, 'response has neither a length nor chunked encoding');
+			return;
+		}
+
+		if ((findDeclaredLength(response) ?? 0) > maxBytesPerExchange && hasBody(response)) {
+			this.#abort(this.#failureOutcome, 'response declares a length over the size limit');
+			return;
+		}
+
+		const collector = new BodyCollector();
 		let partCount = 0;
 		this.#readBody(response, {
 			onData: part => {
-				if (++partCount <= maxBodyParts && this.#options.buffer.trySet(collector.length + part.length)) {
-					collector.add(part);
-				} else {
+				collector.add(part);
+				if (++partCount > maxBodyParts || !this.#buffer.trySet(collector.capacity)) {
 					this.#abort(this.#failureOutcome, 'response exceeds the size limit');
 				}
 			},
-			onComplete: () => {
-				if (isSelfDelimited(response)) {
-					onComplete(collector.toBytes());
-				} else {
-					this.#abort(this.#failureOutcome, 'response has neither a length nor chunked encoding');
-				}
+			onComplete() {
+				onComplete(collector.takeBlocks());
 			},
 		});
 	}
 
-	#handleBufferedResponse(response: IncomingMessage, {kind}: ResponseHead, body: Uint8Array): void {
+	#handleBufferedResponse(response: IncomingMessage, {kind}: ResponseHead, body: readonly Uint8Array[]): void {
 		const {statusCode = 0, rawHeaders} = response;
 		const detail = `status ${statusCode}`;
 		if (kind === responseKind.otherTarget) {
@@ -341,6 +361,8 @@
 			const buffered = {
 				status: statusCode, headers: this.#selectResponseHeaders(rawHeaders), body, declaredBytes: findDeclaredLength(response), source: this.#source!,
 			};
+			this.#isBufferHandedOver = true;
+			this.#caller.keepBuffer(this.#buffer);
 			if (statusCode >= 500) {
 				this.#caller.heldResponse = buffered;
 				this.#finishAndRelease(response, sendOutcome.failed, detail);
@@ -357,7 +379,7 @@
 			onData: part => {
 				const {lastEventId} = splitter;
 				const events = splitter.push(part);
-				if (splitter.partialLength > maxEventBytes || !this.#options.buffer.trySet(splitter.partialLength)) {
+				if (splitter.partialLength > maxEventBytes || !this.#buffer.trySet(splitter.partialLength)) {
 					this.#abort(this.#failureOutcome, 'event exceeds the size limit');
 					return;
 				}
@@ -466,7 +488,9 @@
 		this.#body?.close();
 		clearTimeout(this.#connectTimer);
 		clearInterval(this.#silenceTimer);
-		this.#options.buffer.release();
+		if (!this.#isBufferHandedOver) {
+			this.#buffer.release();
+		}
 	}
 }
 
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -3,6 +3,7 @@
  * server may send, and a caller that records what reaches it.
  */
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
 	createServer, type AddressInfo, type Server, type Socket,
@@ -14,6 +15,7 @@
 } from '@sequoiatally/dispatch';
 import {err, type Result} from 'neverthrow';
 import {createLogger, LifecycleManager, readMonotonicMs} from '@sequoiatally/runtime';
+import type {BufferAccount} from '../lib/buffer-budget.js';
 import type {BufferedResponse, CallerExchange} from '../lib/caller-exchange.js';
 import {ConnectionPool} from '../lib/connection-pool.js';
 import {
@@ -83,8 +85,12 @@
 		this.head = {requestId: String(openId)};
 	}
 
+	keepBuffer(buffer: BufferAccount): void {
+		buffer.release();
+	}
+
 	deliverResponse({body}: BufferedResponse): void {
-		this.received = new TextDecoder().decode(body);
+		this.received = Buffer.concat(body).toString('utf8');
 		this.deliveryCount++;
 	}
 
@@ -155,6 +161,7 @@
 			}),
 			callerProtocol: new HeaderCallerProtocol(),
 			origin: {id: 'gateway-1', incarnation: 'i-1'},
+			memoryBytes: 250 * 1024 * 1024,
 			emit: event => {
 				if (event.kind === eventKind.sendOpened) {
 					opened.push(event.sendId);
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -97,27 +97,32 @@
 	assert.equal(caller.received, 'id: 1\ndata: a\n\n');
 });
 
-test('endless bodies of many requests together stay within one limit of memory', async () => {
-	await fixture.startTarget((socket, requestId) => {
-		socket.write(`HTTP/1.1 200 OK\r\nid: ${requestId}\r\ncontent-length: 900000000\r\n\r\n`);
-		writeForever(socket, 'x'.repeat(60_000));
-	});
-	const before = process.memoryUsage().arrayBuffers;
-	const count = 24;
-	for (let index = 0; index < count; index++) {
-		fixture.startSend();
-	}
+for (const [name, createHead, repeated] of [
+	['a length', (requestId: string) => `HTTP/1.1 200 OK\r\nid: ${requestId}\r\ncontent-length: 900000000\r\n\r\n`, 'x'.repeat(60_000)],
+	['chunks', createChunkedHead, `ea60\r\n${'x'.repeat(60_000)}\r\n`],
+] as const) {
+	test(`endless bodies with ${name} of many requests together stay within one limit of memory`, async () => {
+		await fixture.startTarget((socket, requestId) => {
+			socket.write(createHead(requestId));
+			writeForever(socket, repeated);
+		});
+		const before = process.memoryUsage().arrayBuffers;
+		const count = 24;
+		for (let index = 0; index < count; index++) {
+			fixture.startSend();
+		}
 
-	let largest = 0;
-	for (let ended = 0; ended < count;) {
-		await fixture.waitForEvent();
-		ended = fixture.events.filter(({kind}) => kind === eventKind.sendEnded).length;
-		largest = Math.max(largest, process.memoryUsage().arrayBuffers - before);
-	}
+		let largest = 0;
+		for (let ended = 0; ended < count;) {
+			await fixture.waitForEvent();
+			ended = fixture.events.filter(({kind}) => kind === eventKind.sendEnded).length;
+			largest = Math.max(largest, process.memoryUsage().arrayBuffers - before);
+		}
 
-	// Growing buffers and unread socket data come on top of the 48 MiB of content.
-	assert.ok(largest < 200 * 1024 * 1024, `${Math.round(largest / 1024 / 1024)} MiB`);
-});
+		// Parts that wait for garbage collection come on top of the content.
+		assert.ok(largest < 200 * 1024 * 1024, `${Math.round(largest / 1024 / 1024)} MiB`);
+	});
+}
 
 test('a stream that only sends comments or parts of an event is reported as silent', async () => {
 	for (const text of [': alive\n\n', 'x']) {
