--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -26,10 +26,11 @@
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
 const connectTimeoutMs = 300;
-/** Largest event of a stream. */
+/** Largest event of a stream, with the comments before it, in bytes. */
 const maxEventBytes = 1024 * 1024;
-/** Largest number of parts of a buffered response: each costs time, however small it is. */
+/** Largest number of parts of a buffered response, and of an event with the comments before it: each part costs time, however small it is. */
 const maxBodyParts = 65_536;
+const maxEventParts = 8192;
 /** Largest number of interim responses (status 1xx) before a response. */
 const maxInterimResponses = 8;
 
@@ -375,17 +376,22 @@
 
 	#relayStream(response: IncomingMessage): void {
 		const splitter = new EventSplitter();
+		let bytesWithoutEvent = 0;
+		let partsWithoutEvent = 0;
 		const body = this.#readBody(response, {
 			onData: part => {
 				const {lastEventId} = splitter;
 				const events = splitter.push(part);
-				if (splitter.partialLength > maxEventBytes || !this.#buffer.trySet(splitter.partialLength)) {
+				const hasNewEvent = splitter.lastEventId !== lastEventId;
+				bytesWithoutEvent = hasNewEvent ? splitter.partialLength : bytesWithoutEvent + part.length;
+				partsWithoutEvent = hasNewEvent ? 0 : partsWithoutEvent + 1;
+				if (bytesWithoutEvent > maxEventBytes || partsWithoutEvent > maxEventParts || !this.#buffer.trySet(splitter.partialLength)) {
 					this.#abort(this.#failureOutcome, 'event exceeds the size limit');
 					return;
 				}
 
 				// Bytes without a new event, such as comments, are no progress.
-				if (splitter.lastEventId !== lastEventId) {
+				if (hasNewEvent) {
 					this.#progressAt = this.#recordActivity();
 					this.#silenceTimer?.refresh();
 				}
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -97,6 +97,19 @@
 	assert.equal(caller.received, 'id: 1\ndata: a\n\n');
 });
 
+// Guards against one target that takes all of the processor, so that other requests run out of time.
+test('a stream of comments without end is interrupted', async () => {
+	await fixture.startTarget((socket, requestId) => {
+		socket.write(createChunkedHead(requestId));
+		writeChunk(socket, 'id: 1\ndata: a\n\n');
+		writeForever(socket, `1000\r\n${': alive\n\n'.repeat(455)}\n\r\n`);
+	});
+	fixture.startSend({isStream: true});
+	const {outcome, detail} = await fixture.waitForEnd();
+	assert.equal(outcome, sendOutcome.interrupted);
+	assert.match(detail, /size limit/);
+});
+
 for (const [name, createHead, repeated] of [
 	['a length', (requestId: string) => `HTTP/1.1 200 OK\r\nid: ${requestId}\r\ncontent-length: 900000000\r\n\r\n`, 'x'.repeat(60_000)],
 	['chunks', createChunkedHead, `ea60\r\n${'x'.repeat(60_000)}\r\n`],
