Instances know the demand of the whole fleet for a prompt (LIMIT)

In virtual time, a prompt that 30% of the requests share breaks the rule at 7 instances (31 of 322 requests), at 58 (406 of 1,676) and at 58 of which half restart in waves (409 of 1,671).

Cause: that a prompt needs more than one target was only seen from load reports, which are older than the requests that they steer; with 58 instances, the own requests show almost nothing. Ruled out as the only cause: restarts (the rule breaks without them).

Each instance now counts its requests of a prompt and exchanges the estimate of the fleet's demand with peers; as many targets of the ranking share the prompt as the demand needs. A prompt that no peer receives keeps its target.

prompt_demand_test: three tests fail without the change and pass with it.

--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members.ts
@@ -183,6 +183,11 @@
 		}));
 }
 
+/** Counts the instances that are known to run, including this one. */
+export function computeInstanceCount({byId}: MemberState): number {
+	return byId.size + 1;
+}
+
 /**
  * Computes how many instances may exist. Limits of the whole fleet are divided by
  * this number: a member that has ended makes shares smaller until it expires, and
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -85,6 +85,14 @@
 	readonly begunAgeMs?: number;
 };
 
+/** Requests with a prompt prefix that many callers share. */
+export type SharedDemand = {
+	/** Identifier of the last part of the prefix. */
+	readonly prefix: string;
+	/** Estimated number of such requests that the whole fleet has in progress. */
+	readonly requests: number;
+};
+
 /** A pool that the sender reaches. */
 export type SharedService = {
 	readonly pool: string;
@@ -116,6 +124,8 @@
 	readonly readings: readonly SharedCacheEntry[];
 	/** Recent failed sends to targets. */
 	readonly failures?: readonly SharedFailure[];
+	/** Prompt prefixes that the sender receives often; absent if there are none. */
+	readonly demands?: readonly SharedDemand[];
 	/** Prompt parts that may crash targets; absent if there are none. */
 	readonly suspects?: readonly SharedSuspect[];
 	/** Pools that the sender reached recently, without those to which it has no path now; absent from builds that do not relay. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the target of a request. Requests that share a prompt go to the same
- * target within its load limit, by a ranking that is equal on every instance;
- * all others go to the least loaded target, preferably in this availability
+ * target within its load limit, by a ranking that is equal on every instance, or to as many
+ * targets of the ranking as the demand of the whole fleet needs; all others go to the least loaded target, preferably in this availability
  * zone.
  */
 import {hashText, mixHashes} from '@sequoiatally/core';
@@ -10,7 +10,7 @@
 } from './target-limits.js';
 import type {Pool} from './directory-facts.js';
 import {PoolLoad} from './pool-load.js';
-import {findFirstRanked} from './ranking.js';
+import {findFirstRanked, listFirstRanked} from './ranking.js';
 import {isAwaitingTrial, isUsable, verdict} from './target-health.js';
 import {findStatedLimitsEnd, isWithinStatedLimits, type Target} from './target-state.js';
 
@@ -28,6 +28,8 @@
 const minHealthyFraction = 0.4;
 /** Cost of a target in another zone, as a fraction of its slots. */
 const otherZonePenalty = 0.35;
+/** Part of the room between the mean load and the load limit that the requests of one prefix may take: the rest is for variations and other prompts. */
+const prefixRoomFraction = 0.3;
 
 /** State that the choice of a target depends on. */
 export type PlacementView = {
@@ -44,6 +46,8 @@
 export type PromptPrefix = {
 	readonly key: string;
 	readonly tokenCount: number;
+	/** Estimated number of requests with the prefix that the whole fleet has in progress. */
+	readonly demand: number;
 	/** True for a target that is known to have cached the prefix. */
 	readonly isHolder: (target: Target) => boolean;
 };
@@ -70,7 +74,7 @@
 	readonly load: number;
 	/** Mean estimated load of the pool's targets. */
 	readonly meanLoad: number;
-	/** Reason why the target that ranks first for the prompt was skipped; `undefined` if it was chosen. */
+	/** Reason why the target that ranks first for the prompt was skipped; `undefined` if it, or one that shares its requests, was chosen. */
 	readonly preferredSkipReason?: SkipReason;
 };
 
@@ -117,12 +121,14 @@
 	const belowLimit = candidates.filter(target => load.estimate(target) + 1 <= loadLimit);
 	const warm = belowLimit.filter(({coldUntil}) => coldUntil <= now);
 	// A cold target is slow and has nothing to reuse, so it receives only requests that exceed the limits of warm targets.
-	const target = warm.find(other => other === preferred)
+	const spread = Math.ceil(prefix.demand / (prefixRoomFraction * Math.max(1, loadLimit - load.mean)));
+	const sharers = spread > 1 ? listFirstRanked(accepting, keyHash, spread) : [preferred];
+	const target = findFirstRanked(warm.filter(other => sharers.includes(other)), hashText(requestId))
 		?? findFirstRanked(warm.filter(other => prefix.isHolder(other)), keyHash)
 		?? findFirstRanked(warm, keyHash)
 		?? findFirstRanked(belowLimit, keyHash)
 		?? chooseLeastLoaded(view, candidates, load, requestId);
-	const preferredSkipReason = target === preferred
+	const preferredSkipReason = sharers.includes(target)
 		? undefined
 		: explainSkip(preferred, {
 			usable, candidates, triedTargetIds, isWithinLimit: isWithinStatedLimits(preferred, view.fleet, now),
--- a/packages/dispatch/src/lib/ranking.ts
+++ b/packages/dispatch/src/lib/ranking.ts
@@ -20,3 +20,8 @@
 
 	return first;
 }
+
+/** Lists the `count` targets that rank first for a prompt. */
+export function listFirstRanked(targets: readonly Target[], keyHash: number, count: number): Target[] {
+	return [...targets].sort((a, b) => mixHashes(keyHash, b.hash) - mixHashes(keyHash, a.hash)).slice(0, count);
+}
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -12,7 +12,7 @@
 	DirectoryLostEvent, DirectoryReadEvent, PeerAnsweredEvent, PeerCalledEvent, PeerFailedEvent,
 } from './event.js';
 import {
-	applyMembers, choosePeers, describeMembers, removeUnreachableMember, listWatchers, expireMembers, type Watchers,
+	applyMembers, choosePeers, computeInstanceCount, describeMembers, removeUnreachableMember, listWatchers, expireMembers, type Watchers,
 } from './members.js';
 import {ejectIfFaulty} from './end-request.js';
 import type {PeerMessage, SharedService} from './peer-message.js';
@@ -195,6 +195,7 @@
 		self, directory, members, drainStartedAt, lapseGraceUntil, platformReadableSince,
 	} = state;
 	const suspects = state.quarantine.describe(now);
+	const demands = state.promptDemand.describe(computeInstanceCount(members), now);
 	const limits = state.targets.statements.describeLimits(now);
 	const leaving = state.targets.statements.describeLeaving(now);
 	const services = describeServices(state, now);
@@ -215,6 +216,7 @@
 		services,
 		...(unreachedPools.length > 0 && {unreachedPools}),
 		...(suspects.length > 0 && {suspects}),
+		...(demands.length > 0 && {demands}),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
 		isWatching: state.isWatching,
 		readingMs: platformReadableSince === undefined ? undefined : Math.round(now - platformReadableSince),
@@ -352,6 +354,7 @@
 		recordLog(step, 'target-leaving', {target: record.id, source: message.from.id});
 	}
 
+	state.promptDemand.applyShared(message.demands ?? [], messageCreatedAt);
 	state.cacheHolders.applyEntries(message.readings, state.targets.byId, messageCreatedAt);
 	for (const target of state.failureReports.applyShared(message.failures ?? [], state.targets, messageCreatedAt, now)) {
 		ejectIfFaulty(step, target);
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -16,6 +16,7 @@
 import {
 	isPathProbablyLost, recordReached, recordServed, recordUnreached, relayedRequestLimit,
 } from './reduce-paths.js';
+import {findPromptKey} from './prompt.js';
 import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, drawRetryAfterMs, resolveRequest,
@@ -72,9 +73,18 @@
 		state.relayedOpenIds.add(request.openId);
 	}
 
+	recordDemand(step, request);
 	sendOrQueue(step, request);
 }
 
+function recordDemand({state, now}: Step, {route, promptParts, isRelayed}: OpenRequest): void {
+	const key = route.hasPrompts ? findPromptKey(promptParts) : undefined;
+	// The peer that received a relayed request has counted it.
+	if (key !== undefined && !isRelayed) {
+		state.promptDemand.record(key, state.routeDurations.computeMeanMs(route.name, now) ?? 0, now);
+	}
+}
+
 /** Refuses requests that others than members relay, and too many of them. */
 function admitRelayed({state}: Step, {relayedFrom}: RequestArrivedEvent): Result<undefined, Failure> {
 	return relayedFrom === undefined || (isMember(state.members, relayedFrom) && state.relayedOpenIds.size < relayedRequestLimit)
--- a/packages/dispatch/src/lib/route-durations.ts
+++ b/packages/dispatch/src/lib/route-durations.ts
@@ -11,7 +11,7 @@
 /** Margin for a request that takes longer than all recent ones: a multiple, and a time in milliseconds. */
 const margin = {multiple: 1.5, ms: 200};
 
-type Period = {readonly startedAt: number; count: number; longestMs: number};
+type Period = {readonly startedAt: number; count: number; sumMs: number; longestMs: number};
 
 export class RouteDurations {
 	/** The present period of each route, and the one before. */
@@ -26,18 +26,36 @@
 		}
 
 		current.count++;
+		current.sumMs += durationMs;
 		current.longestMs = Math.max(current.longestMs, durationMs);
 		this.#periods.set(routeName, [current, previous]);
 	}
 
 	/** Estimates the time within which a request of the route ends; `undefined` if too few have ended lately. */
 	estimateMs(routeName: string, now: number): number | undefined {
-		const recent = (this.#periods.get(routeName) ?? []).filter(period => period !== undefined && now - period.startedAt < 2 * periodMs) as Period[];
-		const count = recent.reduce((sum, period) => sum + period.count, 0);
+		const recent = this.#listRecent(routeName, now);
+		const count = countRequests(recent);
 		return count < minCount ? undefined : (Math.max(...recent.map(({longestMs}) => longestMs)) * margin.multiple) + margin.ms;
 	}
+
+	/** Computes the mean time that requests of the route took; `undefined` if none has ended lately. */
+	computeMeanMs(routeName: string, now: number): number | undefined {
+		const recent = this.#listRecent(routeName, now);
+		const count = countRequests(recent);
+		return count === 0 ? undefined : recent.reduce((sum, period) => sum + period.sumMs, 0) / count;
+	}
+
+	#listRecent(routeName: string, now: number): Period[] {
+		return (this.#periods.get(routeName) ?? []).filter(period => period !== undefined && now - period.startedAt < 2 * periodMs) as Period[];
+	}
+}
+
+function countRequests(periods: readonly Period[]): number {
+	return periods.reduce((sum, {count}) => sum + count, 0);
 }
 
 function createPeriod(startedAt: number): Period {
-	return {startedAt, count: 0, longestMs: 0};
+	return {
+		startedAt, count: 0, sumMs: 0, longestMs: 0,
+	};
 }
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -8,6 +8,7 @@
 import {effectKind} from './effect.js';
 import {createNotRunFailure, finishWithFailure} from './end-request.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
+import {computeInstanceCount} from './members.js';
 import {
 	choosePlacement, findLimitEnd, type Placement, type PlacementView,
 } from './placement.js';
@@ -85,10 +86,11 @@
 	return chooseRelayPeer(step, {...request, triedTargetIds}) !== undefined || findPlacement(step, request, triedTargetIds) !== undefined;
 }
 
-function findPlacement(step: Step, {
-	requestId, route, poolName, promptParts,
-}: OpenRequest, triedTargetIds: ReadonlySet<string>): Placement | undefined {
+function findPlacement(step: Step, request: OpenRequest, triedTargetIds: ReadonlySet<string>): Placement | undefined {
 	const {state, now} = step;
+	const {
+		requestId, route, poolName, promptParts,
+	} = request;
 	const view = createPlacementView(step, poolName);
 	const key = route.hasPrompts ? findPromptKey(promptParts) : undefined;
 	return view === undefined
@@ -97,7 +99,12 @@
 			requestId,
 			prefix: key === undefined
 				? undefined
-				: {key, tokenCount: countSharedTokens(promptParts), isHolder: target => state.cacheHolders.has(key, target)},
+				: {
+					key,
+					tokenCount: countSharedTokens(promptParts),
+					demand: state.promptDemand.estimate(key, computeInstanceCount(state.members), now),
+					isHolder: target => state.cacheHolders.has(key, target),
+				},
 			triedTargetIds,
 			isRetryable: isRetryable(route),
 		}, now);
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -13,6 +13,7 @@
 import {CacheHolders} from './cache-holders.js';
 import {FailureReports} from './failure-reports.js';
 import {CrashQuarantine, type LostRequest} from './crash-quarantine.js';
+import {PromptDemand} from './prompt-demand.js';
 import {RelayPeers} from './relay-peers.js';
 import {RouteDurations} from './route-durations.js';
 import {RetryBudget, type RetryBounds} from './retry-budget.js';
@@ -125,6 +126,7 @@
 	readonly failureReports: FailureReports;
 	readonly quarantine: CrashQuarantine;
 	readonly routeDurations: RouteDurations;
+	readonly promptDemand: PromptDemand;
 	/** Checks in progress by target. */
 	crashChecks: Map<string, CrashCheck>;
 	/** True if crashes became known that peers have not been notified of. */
@@ -174,6 +176,7 @@
 		failureReports: new FailureReports(),
 		quarantine: new CrashQuarantine(),
 		routeDurations: new RouteDurations(),
+		promptDemand: new PromptDemand(),
 		crashChecks: new Map(),
 		hasUnreportedCrash: false,
 		nextNoticeAt: 0,
--- /dev/null
+++ b/packages/dispatch/src/test/prompt_demand_test.ts
@@ -0,0 +1,115 @@
+/**
+ * Tests the demand for a prompt in the whole fleet, and that a prompt with a large demand does not
+ * overload the target that ranks first for it.
+ */
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {PromptDemand} from '../lib/prompt-demand.js';
+import {createRoute} from './gateway-fixture.js';
+import {SimulatedFleet, type Arrival} from './simulated-fleet.js';
+
+const fleetSize = 10;
+/** Load limit of the platform: a multiple of the pool's mean load, plus a fixed number of requests. */
+const loadLimit = {multiple: 2, floor: 3};
+/** Requests in a window that may reach a target above the limit: fewer than `count`, or at most this share of them. */
+const allowedExcess = {share: 0.03, count: 20};
+const windowMs = 5000;
+const settlingMs = 5000;
+
+test('the demand for a prompt follows from the own requests and from the estimates of peers', () => {
+	const demand = new PromptDemand();
+	for (let now = 0; now < 4000; now += 250) {
+		demand.record('hot', 500, now);
+	}
+
+	assert.equal(demand.estimate('hot', fleetSize, 4000), 0, 'no peer receives the prompt');
+	demand.applyShared([{prefix: 'hot', requests: 20}], 4000);
+	// Four requests a second at each of ten instances, half a second each: 20 in progress, less the first of the window.
+	const estimate = demand.estimate('hot', fleetSize, 4000);
+	assert.ok(estimate > 15 && estimate <= 20, String(estimate));
+	assert.deepEqual(demand.describe(fleetSize, 4000).map(({prefix}) => prefix), ['hot']);
+	assert.equal(demand.estimate('hot', fleetSize, 10_000), 0, 'the reports are outdated');
+	assert.deepEqual(demand.describe(fleetSize, 10_000), []);
+});
+
+// Guards against prompts of one caller that lose their cached parts: a caller's requests come to one instance.
+test('a prompt that only this instance receives has no demand beyond it', () => {
+	const demand = new PromptDemand();
+	for (let now = 0; now < 4000; now += 100) {
+		demand.record('session', 1000, now);
+	}
+
+	assert.equal(demand.estimate('session', fleetSize, 4000), 0);
+});
+
+test('an instance that has just started takes the demand from its peers', () => {
+	const demand = new PromptDemand();
+	demand.applyShared([{prefix: 'hot', requests: 30}], 100);
+	demand.applyShared([{prefix: 'hot', requests: 50}], 120);
+	demand.record('hot', 0, 150);
+	assert.equal(demand.estimate('hot', fleetSize, 150), 40);
+	assert.deepEqual(demand.describe(fleetSize, 150), [], 'estimates of peers are not passed on');
+});
+
+test('the number of prompts that are tracked is bounded', () => {
+	const demand = new PromptDemand();
+	for (let index = 0; index < 5000; index++) {
+		demand.record(`prompt-${index}`, 500, 0);
+		demand.record(`prompt-${index}`, 500, 1);
+	}
+
+	assert.ok(demand.describe(fleetSize, 1500).length <= 8);
+	demand.applyShared([{prefix: 'prompt-0', requests: 9}], 1500);
+	assert.equal(demand.estimate('prompt-0', fleetSize, 1500), 9, 'its own requests were forgotten, so only the report counts');
+});
+
+/** Plays a prompt that gets `hotShare` of the requests, beside 600 others; `onStep` is called before each step of the traffic. */
+function playHotPrompt(fleet: SimulatedFleet, requestsPerS: number, hotShare: number, onStep?: (sinceMs: number) => void): Arrival[] {
+	const route = createRoute();
+	fleet.advance(6000);
+	const startedAt = fleet.now;
+	fleet.advance(settlingMs + (2 * windowMs), () => {
+		for (let count = fleet.drawCount(requestsPerS); count > 0; count--) {
+			const prompt = fleet.random() < hotShare ? 'hot' : `chat-${Math.floor(fleet.random() * 600)}`;
+			fleet.sendRequest(route, [prompt, 'turn'], undefined, 8000);
+		}
+
+		onStep?.(fleet.now - startedAt);
+	});
+	return fleet.arrivals.filter(({at}) => at >= startedAt);
+}
+
+function assertWithinLimit(arrivals: readonly Arrival[], fromMs: number): void {
+	const startedAt = arrivals[0]!.at;
+	for (let from = startedAt + fromMs; from + windowMs <= arrivals.at(-1)!.at; from += 500) {
+		const inWindow = arrivals.filter(({at}) => at >= from && at < from + windowMs);
+		const over = inWindow.filter(({load, meanLoad}) => load > (loadLimit.multiple * meanLoad) + loadLimit.floor).length;
+		assert.ok(over < allowedExcess.count || over <= inWindow.length * allowedExcess.share, `${over} of ${inWindow.length} requests above the limit from ${from - startedAt} ms`);
+	}
+}
+
+// Guards against LIMIT: many instances, each with few requests, send a prompt to one target until its report reaches them.
+for (const [gatewayCount, engineCount, requestsPerS] of [[7, 13, 64], [58, 63, 335]] as const) {
+	test(`a hot prompt at ${gatewayCount} instances stays within the load limit of its targets once its demand is known`, () => {
+		for (const seed of [1, 2, 3]) {
+			const fleet = new SimulatedFleet({gatewayCount, engineCount, seed});
+			assertWithinLimit(playHotPrompt(fleet, requestsPerS, 0.3), settlingMs);
+		}
+	});
+}
+
+// Guards against LIMIT on the users' grown deployment: instances that have just started know neither loads nor demand.
+test('a hot prompt stays within the load limit of its targets while instances restart in waves', () => {
+	const gatewayCount = 58;
+	for (const seed of [1, 2, 3]) {
+		const fleet = new SimulatedFleet({gatewayCount, engineCount: 63, seed});
+		let restartedCount = 0;
+		const arrivals = playHotPrompt(fleet, 335, 0.3, sinceMs => {
+			const waveCount = Math.floor((sinceMs - settlingMs) / 2000);
+			for (; restartedCount < Math.min(gatewayCount / 2, waveCount * 6); restartedCount++) {
+				fleet.restart(fleet.nodes[restartedCount]!, 600);
+			}
+		});
+		assertWithinLimit(arrivals, settlingMs);
+	}
+});
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -86,6 +86,9 @@
 	/** Time since which the sending instance had run without interruption. */
 	readonly senderRunningSince: number;
 	readonly sender: string;
+	/** Number of requests that the engine held before, and the mean of all running engines. */
+	readonly load: number;
+	readonly meanLoad: number;
 };
 
 /** A request of a caller and how its first attempt went. */
@@ -189,7 +192,7 @@
 	}
 
 	/** Sends a caller's request to one of the running instances. */
-	sendRequest(route: Route, prompt: readonly string[], fingerprint?: string): void {
+	sendRequest(route: Route, prompt: readonly string[], fingerprint?: string, partTokens = 400): void {
 		const running = this.listRunning();
 		const node = running[Math.floor(this.random() * running.length)];
 		if (node === undefined) {
@@ -205,7 +208,7 @@
 		// The fixture assigns the identifier before it returns it.
 		const openId = node.gateway.nextOpenId;
 		this.#requestByKey.set(createRequestKey(node.gateway, openId), request);
-		node.gateway.receiveRequest(route, {prompt, partTokens: 400, fingerprint});
+		node.gateway.receiveRequest(route, {prompt, partTokens, fingerprint});
 		this.#drainEffects(node);
 	}
 
@@ -572,6 +575,7 @@
 
 		this.arrivals.push({
 			at: this.now, engineId: engine.id, prompt, fingerprint, sender: node.address, senderRunningSince: node.runningSince,
+			load: this.#runs.filter(other => other.engine === engine).length, meanLoad: this.#runs.length / this.listEngineIds().length,
 		});
 		this.#runs.push(run);
 	}
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -104,6 +104,7 @@
 		})),
 		begunAgeMs: createOptionalCheck(isNumber),
 	}))),
+	demands: createOptionalCheck(createListCheck(createObjectCheck({prefix: isString, requests: isNumber}))),
 	services: createOptionalCheck(createListCheck(createObjectCheck({pool: isString, ageMs: isNumber}))),
 	unreachedPools: createOptionalCheck(createListCheck(isString)),
 	wantsUpdate: isBoolean,
--- a/packages/gateway/src/test/parse-peer-message_test.ts
+++ b/packages/gateway/src/test/parse-peer-message_test.ts
@@ -65,3 +65,10 @@
 test('text that is not JSON is refused', () => {
 	assert.ok(parsePeerMessage('{"from"').isErr());
 });
+
+test('a message with the demand for prompts is accepted, and one with an unreadable demand is not', () => {
+	assert.ok(parsePeerMessage(JSON.stringify({...call, demands: [{prefix: 'a1', requests: 12.5}]})).isOk());
+	for (const demand of [{prefix: 'a1'}, {prefix: 1, requests: 2}, {prefix: 'a1', requests: null}, 'a1']) {
+		assert.ok(parsePeerMessage(JSON.stringify({...call, demands: [demand]})).isErr());
+	}
+});
