--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses the target of a request. Requests that share a prompt go to the same
- * target within its load limit, by a ranking that is equal on every instance, or to as many
- * targets of the ranking as the demand of the whole fleet needs; all others go to the least loaded target, preferably in this availability
- * zone.
+ * target within its load limit, by a ranking that is equal on every instance, or to as
+ * many targets of the ranking as the demand of the whole fleet needs; all others go to
+ * the least loaded target, preferably in this availability zone.
  */
 import {hashText, mixHashes} from '@sequoiatally/core';
 import {
@@ -120,9 +120,9 @@
 	const loadLimit = computeLoadLimit(load.mean, prefix);
 	const belowLimit = candidates.filter(target => load.estimate(target) + 1 <= loadLimit);
 	const warm = belowLimit.filter(({coldUntil}) => coldUntil <= now);
+	const sharerCount = Math.ceil(prefix.demand / (prefixRoomFraction * Math.max(1, loadLimit - load.mean)));
+	const sharers = sharerCount > 1 ? listFirstRanked(accepting, keyHash, sharerCount) : [preferred];
 	// A cold target is slow and has nothing to reuse, so it receives only requests that exceed the limits of warm targets.
-	const spread = Math.ceil(prefix.demand / (prefixRoomFraction * Math.max(1, loadLimit - load.mean)));
-	const sharers = spread > 1 ? listFirstRanked(accepting, keyHash, spread) : [preferred];
 	const target = findFirstRanked(warm.filter(other => sharers.includes(other)), hashText(requestId))
 		?? findFirstRanked(warm.filter(other => prefix.isHolder(other)), keyHash)
 		?? findFirstRanked(warm, keyHash)
