--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestHead, Failure, RelayOrigin} from '@sequoiatally/dispatch';
-import type {BufferAccount} from './buffer-budget.js';
+import type {BufferAccount} from '@sequoiatally/runtime';
 import type {CallerProtocol, RawHeaders} from './protocol.js';
 import {createFailureOutcomeHeaders, createSourceHeaders, type ResponseSource} from './relay-headers.js';
 
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -7,9 +7,9 @@
 import {
 	eventKind, sendOutcome, type Event, type RelayOrigin, type SendEffect, type SendOutcome, type TargetReport,
 } from '@sequoiatally/dispatch';
-import {describeError} from '@sequoiatally/runtime';
-import {BodyCollector} from './body-collector.js';
-import {BufferBudget, maxBytesPerExchange, type BufferAccount} from './buffer-budget.js';
+import {
+	BodyCollector, BufferBudget, describeError, maxBytesPerExchange, type BufferAccount,
+} from '@sequoiatally/runtime';
 import type {CallerExchange} from './caller-exchange.js';
 import type {ConnectionPool, LeasedConnection} from './connection-pool.js';
 import {EventSplitter} from './event-splitter.js';
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -14,8 +14,9 @@
 	effectKind, eventKind, type Event, type RequestHead, type SendEffect, type SendOutcome,
 } from '@sequoiatally/dispatch';
 import {err, type Result} from 'neverthrow';
-import {createLogger, LifecycleManager, readMonotonicMs} from '@sequoiatally/runtime';
-import type {BufferAccount} from '../lib/buffer-budget.js';
+import {
+	createLogger, LifecycleManager, readMonotonicMs, type BufferAccount,
+} from '@sequoiatally/runtime';
 import type {BufferedResponse, CallerExchange} from '../lib/caller-exchange.js';
 import {ConnectionPool} from '../lib/connection-pool.js';
 import {
--- a/packages/router/src/lib/router.ts
+++ b/packages/router/src/lib/router.ts
@@ -2,6 +2,8 @@
  * Assembles a router: connects the reducer with its servers and clients.
  */
 import {randomUUID} from 'node:crypto';
+import {totalmem} from 'node:os';
+import process from 'node:process';
 import {
 	createState, createUnknownRefusal, eventKind, refusalReason, RendezvousChoice, timelineKind, type AnswerBorrowEffect,
 	type BorrowEffect, type CancelEffect, type DispatchEffect, type Effect, type Event,
@@ -218,7 +220,9 @@
 	metrics.addTrafficMeter('peers', peerClient.traffic);
 	runner.setEffectHandler(new RouterEffectHandler({
 		openRequests,
-		targetClient: new TargetClient(emit, readMonotonicMs, settings.targetSilenceMs, lifecycle),
+		targetClient: new TargetClient({
+			emit, readClock: readMonotonicMs, idleTimeoutMs: settings.targetSilenceMs, memoryBytes: findMemoryBytes(),
+		}, lifecycle),
 		platformClient,
 		peerClient,
 		peerServer,
@@ -246,3 +250,9 @@
 	emit({kind: eventKind.tick});
 	return {runner, abortOpenRequests: () => callerServer.abortOpenRequests()};
 }
+
+/** Finds the memory that the process may use: that of the machine, or less if the process is restricted. */
+function findMemoryBytes(): number {
+	const constrainedBytes = process.constrainedMemory();
+	return constrainedBytes > 0 ? Math.min(totalmem(), constrainedBytes) : totalmem();
+}
--- a/packages/router/src/lib/target-client.ts
+++ b/packages/router/src/lib/target-client.ts
@@ -7,7 +7,9 @@
 import {
 	attemptOutcome, eventKind, type AttemptOutcome, type DispatchEffect, type Event, type ProbeEffect,
 } from '@sequoiatally/core';
-import {describeError, type LifecycleManager} from '@sequoiatally/runtime';
+import {
+	BodyCollector, BufferBudget, describeError, type BufferAccount, type LifecycleManager,
+} from '@sequoiatally/runtime';
 import {Agent, request, type Dispatcher} from 'undici';
 import {AttemptError, type AttemptResult} from './attempt-result.js';
 import {deliverStream, isEventStream} from './deliver-stream.js';
@@ -24,20 +26,33 @@
 /** Codes of errors that occur before a connection is established. */
 const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
+export type TargetClientOptions = {
+	readonly emit: (event: Event) => void;
+	readonly readClock: () => number;
+	/** Time without a byte after which the connection of an answer is considered lost, in milliseconds. */
+	readonly idleTimeoutMs: number;
+	/** Memory that the process may use. */
+	readonly memoryBytes: number;
+};
+
 /** Sends requests to targets and reports how each attempt ended. */
 export class TargetClient {
 	readonly #agent: Agent;
 	readonly #emit: (event: Event) => void;
 	readonly #readClock: () => number;
 	readonly #idleTimeoutMs: number;
+	/** Memory for plain answers that have not arrived as a whole. */
+	readonly #bufferBudget: BufferBudget;
 	readonly #abortControllers = new Map<number, AbortController>();
 	readonly #deadlineTimers = new Map<number, NodeJS.Timeout>();
 
-	/** `idleTimeoutMs` is the time without a byte after which the connection of an answer is considered lost. */
-	constructor(emit: (event: Event) => void, readClock: () => number, idleTimeoutMs: number, lifecycle: LifecycleManager) {
+	constructor({
+		emit, readClock, idleTimeoutMs, memoryBytes,
+	}: TargetClientOptions, lifecycle: LifecycleManager) {
 		this.#emit = emit;
 		this.#readClock = readClock;
 		this.#idleTimeoutMs = idleTimeoutMs;
+		this.#bufferBudget = new BufferBudget(memoryBytes);
 		this.#agent = createAgent(idleTimeoutMs);
 		lifecycle.own('target connections', async () => this.#agent.destroy());
 	}
@@ -134,7 +149,15 @@
 			return deliverStream(response, openRequest, effect.targetId);
 		}
 
-		return deliverPlain(response, openRequest);
+		const buffer = this.#bufferBudget.openAccount(() => {
+			response.body.destroy(new AttemptError({outcome: attemptOutcome.unknown, detail: 'the answers of all attempts exceed the memory, and this is the largest'}));
+			buffer.release();
+		});
+		try {
+			return await deliverPlain(response, openRequest, buffer);
+		} finally {
+			buffer.release();
+		}
 	}
 
 	#reportLoad(targetId: string, {headers}: Dispatcher.ResponseData, askedAt: number): void {
@@ -184,21 +207,18 @@
 	return statusCode === 204 || statusCode === 304 || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
-async function deliverPlain(response: Dispatcher.ResponseData, openRequest: OpenRequest): Promise<AttemptResult> {
+async function deliverPlain(response: Dispatcher.ResponseData, openRequest: OpenRequest, buffer: BufferAccount): Promise<AttemptResult> {
 	if (openRequest.hasStarted || !isFramed(response)) {
 		destroyBody(response);
 		throw new AttemptError({outcome: attemptOutcome.unknown, detail: `the answer with status ${response.statusCode} does not continue the stream, or has no end`});
 	}
 
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const collector = new BodyCollector();
 	for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size > maxPlainAnswerBytes) {
+		collector.add(chunk);
+		if (collector.capacity > maxPlainAnswerBytes || !buffer.trySet(collector.capacity)) {
 			throw new AttemptError({outcome: attemptOutcome.unknown, detail: 'the answer is too large'});
 		}
-
-		chunks.push(chunk);
 	}
 
 	const contentType = response.headers['content-type'];
@@ -206,7 +226,7 @@
 		requestId: openRequest.content.requestId,
 		status: response.statusCode,
 		contentType: typeof contentType === 'string' ? contentType : 'application/octet-stream',
-		body: Buffer.concat(chunks),
+		body: Buffer.concat(collector.takeBlocks()),
 	});
 	return {outcome: attemptOutcome.complete};
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,8 +1,10 @@
 /**
- * Code shared by all processes: life cycle, settings, logs, clocks and the
- * timeline.
+ * Code shared by all processes: life cycle, settings, logs, clocks, the memory of
+ * buffered bodies and the timeline.
  */
+export * from './lib/body-collector.js';
 export * from './lib/bounded-log.js';
+export * from './lib/buffer-budget.js';
 export * from './lib/clock.js';
 export * from './lib/errors.js';
 export * from './lib/event-queue.js';
