--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -76,6 +76,8 @@
 	readonly meanLoad: number;
 	/** Reason why the target that ranks first for the prompt was skipped; `undefined` if it, or one that shares its requests, was chosen. */
 	readonly preferredSkipReason?: SkipReason;
+	/** Number of targets that share the requests with the prompt; `undefined` if it is one. */
+	readonly sharerCount?: number;
 };
 
 /** Chooses the target of a request; returns `undefined` if no target may receive the request now. */
@@ -134,7 +136,7 @@
 			usable, candidates, triedTargetIds, isWithinLimit: isWithinStatedLimits(preferred, view.fleet, now),
 		});
 	return {
-		target, load: load.estimate(target), meanLoad: load.mean, preferredSkipReason,
+		target, load: load.estimate(target), meanLoad: load.mean, preferredSkipReason, sharerCount: sharers.length > 1 ? sharers.length : undefined,
 	};
 }
 
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -157,7 +157,7 @@
 }
 
 function startSend(step: Step, request: OpenRequest, {
-	target, load, meanLoad, preferredSkipReason,
+	target, load, meanLoad, preferredSkipReason, sharerCount,
 }: Placement, isRelayed: boolean): void {
 	const {state, now} = step;
 	const {route} = request;
@@ -201,7 +201,7 @@
 		meanLoad: Math.round(meanLoad * 10) / 10,
 		prompt: route.hasPrompts ? findPromptKey(request.promptParts) : undefined,
 		sharedTokens: route.hasPrompts ? countSharedTokens(request.promptParts) : undefined,
-		passedOver: preferredSkipReason, copyFrom: copySource?.record.id, cold: target.coldUntil > now || undefined,
+		passedOver: preferredSkipReason, sharers: sharerCount, copyFrom: copySource?.record.id, cold: target.coldUntil > now || undefined,
 	});
 }
 
--- a/packages/dispatch/src/test/prompt_demand_test.ts
+++ b/packages/dispatch/src/test/prompt_demand_test.ts
@@ -4,8 +4,9 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {effectKind, type LogEffect} from '../index.js';
 import {PromptDemand} from '../lib/prompt-demand.js';
-import {createRoute} from './gateway-fixture.js';
+import {createRoute, GatewayFixture} from './gateway-fixture.js';
 import {SimulatedFleet, type Arrival} from './simulated-fleet.js';
 
 const fleetSize = 10;
@@ -63,6 +64,18 @@
 	assert.equal(demand.estimate('prompt-0', fleetSize, 1500), 9, 'its own requests were forgotten, so only the report counts');
 });
 
+test('the log of a send tells among how many targets a prompt with a large demand is divided', () => {
+	const gateway = new GatewayFixture();
+	gateway.loadDirectory(Array.from({length: 8}, (_, index) => `engine-${index}`));
+	const route = createRoute();
+	const findSharers = () => gateway.effects.findLast(effect => effect.kind === effectKind.log && effect.event === 'sent') as LogEffect | undefined;
+	gateway.receiveRequest(route, {prompt: ['hot', 'turn']});
+	assert.equal(findSharers()?.fields.sharers, undefined);
+	gateway.state.promptDemand.applyShared([{prefix: 'hot', requests: 3}], gateway.now);
+	gateway.receiveRequest(route, {prompt: ['hot', 'turn']});
+	assert.ok(Number(findSharers()?.fields.sharers) > 1);
+});
+
 /** Plays a prompt that gets `hotShare` of the requests, beside 600 others; `onStep` is called before each step of the traffic. */
 function playHotPrompt(fleet: SimulatedFleet, requestsPerS: number, hotShare: number, onStep?: (sinceMs: number) => void): Arrival[] {
 	const route = createRoute();
