Test: responses of a peer that relays a request, with odd bytes behind them

The relayed path uses the same reader; the test holds that for whole responses and for both kinds of a peer's failures.

--- a/packages/gateway/src/test/response-end_test.ts
+++ b/packages/gateway/src/test/response-end_test.ts
@@ -73,6 +73,21 @@
 	}
 }
 
+// Guards against MIXED over two hops, and against refusals of a peer that lose their proof that the request has not run.
+test('the response of a peer that relays a request is used as a whole although odd bytes follow it', async () => {
+	for (const [stated, expected, received] of [
+		['target t 1', sendOutcome.complete, body], ['failure no-target not-run', sendOutcome.rejected, ''], ['failure answer-lost unknown', sendOutcome.lost, ''],
+	] as const) {
+		await fixture.startTarget((socket, requestId) => {
+			socket.write(`${createResponse(requestId, body).replace('\r\n', `\r\nsequoiatally-relay-outcome: ${stated}\r\n`)}no-bytes-of-http`);
+		});
+		const caller = fixture.startSend({isRelayed: true});
+		await fixture.assertOutcome(expected);
+		assert.equal(caller.received, received);
+		await fixture.close();
+	}
+});
+
 // Guards against MIXED: a part of a response that another send has replaced reaches the caller.
 test('nothing of a response reaches the caller after its exchange was cancelled, although all of it has arrived', async () => {
 	await fixture.startTarget((socket, requestId) => {
