--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -74,6 +74,8 @@
 	readonly body = new Uint8Array(0);
 	readonly head: {readonly requestId: string};
 	lastEventId?: string;
+	/** An error response that is kept until it is known whether another target sends a better one. */
+	heldResponse?: BufferedResponse;
 	hasStarted = false;
 	received = '';
 	/** Number of responses that were delivered or finished. */
--- a/packages/gateway/src/test/response-end_test.ts
+++ b/packages/gateway/src/test/response-end_test.ts
@@ -4,6 +4,7 @@
  * reaches the caller. Where a response is cut into segments is drawn.
  */
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import type {Socket} from 'node:net';
 import {afterEach, test} from 'node:test';
@@ -73,6 +74,21 @@
 	}
 }
 
+// Guards against MIXED: an error response that is held for the caller has lost a part of its body.
+test('an error response is held as a whole although odd bytes follow it', async () => {
+	for (const [, createForm] of forms) {
+		await fixture.startTarget((socket, requestId) => {
+			socket.write(`${createForm(requestId, body).replace('200 OK', '500 Error')}no-bytes-of-http`);
+		});
+		const caller = fixture.startSend();
+		await fixture.assertOutcome(sendOutcome.failed);
+		assert.equal(caller.heldResponse?.status, 500);
+		assert.equal(Buffer.concat(caller.heldResponse.body).toString('utf8'), body);
+		assert.equal(caller.deliveryCount, 0);
+		await fixture.close();
+	}
+});
+
 // Guards against MIXED over two hops, and against refusals of a peer that lose their proof that the request has not run.
 test('the response of a peer that relays a request is used as a whole although odd bytes follow it', async () => {
 	for (const [stated, expected, received] of [
