Logs tell how a stream ended and what a stop cuts

Lines that were queued while a batch was written at the end of the process were lost (bounded-log_test failed before).

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -80,6 +80,11 @@
 		this.#handleRequest(request, response, parseOrigin(request.headers));
 	}
 
+	/** Number of requests that were received in part. */
+	get incomingCount(): number {
+		return this.#incomingCount;
+	}
+
 	/** True if a request is being received, or a response has not been sent completely. */
 	get isBusy(): boolean {
 		return this.#incomingCount > 0 || this.openExchanges.size > 0;
@@ -167,6 +172,10 @@
 			this.openExchanges.delete(openId);
 			this.#relayedBytes -= relayedBytes;
 			if (!response.writableFinished) {
+				if (response.writableEnded) {
+					this.#options.log('response-cut', {requestId: head.value.requestId, detail: 'the connection closed before the end of the response was sent'});
+				}
+
 				this.#options.emit({kind: eventKind.callerLeft, openId});
 			}
 		});
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -190,6 +190,22 @@
 		}
 	}
 
+	/** Logs the end of the process, and each request that it cuts. */
+	logStop(reason: string): void {
+		const now = readMonotonicMs();
+		for (const {requestId, route, arrivedAt, currentSend, hasResponseStarted, queuedUntil} of this.state.openRequests.values()) {
+			this.log.write('warn', {
+				event: 'request-cut', requestId, route: route.name, target: currentSend?.target.record.id, queued: queuedUntil !== undefined || undefined,
+				hasBegun: hasResponseStarted, tookMs: Math.round(now - arrivedAt),
+			});
+		}
+
+		this.log.write('warn', {
+			event: 'stopped', reason, open: this.state.openRequests.size, unsent: this.#callers.openExchanges.size - this.state.openRequests.size, receiving: this.#callers.incomingCount,
+			drainedMs: this.state.drainStartedAt === undefined ? undefined : Math.round(now - this.state.drainStartedAt),
+		});
+	}
+
 	/** Serves metrics on their own address, if there is one. A failure to listen is only logged, so that requests are still served. */
 	async #serveMetrics(): Promise<void> {
 		const {metricsAddress} = this.#settings;
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -401,10 +401,9 @@
 				}
 			},
 			onComplete: () => {
-				// A resumed stream may have no events left.
-				const hasEvents = this.#hasDeliveredEvents || this.#send.resumeAfterEventId !== undefined;
-				if (splitter.partialLength > 0 || !hasEvents || !isSelfDelimited(response)) {
-					this.#abort(this.#failureOutcome, 'stream ended with a partial event, without events or without an explicit end');
+				const fault = this.#findStreamFault(response, splitter);
+				if (fault !== undefined) {
+					this.#abort(this.#failureOutcome, fault);
 					return;
 				}
 
@@ -414,6 +413,20 @@
 		});
 	}
 
+	/** Finds the reason why a stream whose bytes have all arrived is not complete. */
+	#findStreamFault(response: IncomingMessage, {partialLength}: EventSplitter): string | undefined {
+		if (partialLength > 0) {
+			return 'stream ended in the middle of an event';
+		}
+
+		// A resumed stream may have no events left.
+		if (!this.#hasDeliveredEvents && this.#send.resumeAfterEventId === undefined) {
+			return 'stream ended without events';
+		}
+
+		return isSelfDelimited(response) ? undefined : 'stream ended with its connection, without length or chunked encoding';
+	}
+
 	#relayEvents(response: IncomingMessage, body: ResponseBody, {splitter, events}: {readonly splitter: EventSplitter; readonly events: Uint8Array}): void {
 		const {openId, sendId, resumeAfterEventId} = this.#send;
 		if (!this.#hasDeliveredEvents) {
--- a/packages/runtime/src/lib/bounded-log.ts
+++ b/packages/runtime/src/lib/bounded-log.ts
@@ -29,13 +29,16 @@
 	#pendingLines: string[] = [];
 	#pendingBytes = 0;
 	#unreportedDropCount = 0;
-	#isWriting = false;
+	/** Resolves when the batch that is being written is written; `undefined` if there is none. */
+	#currentWrite?: Promise<void>;
 
 	constructor(fixedFields: Readonly<Record<string, string>>, readWallClock: () => number, lifecycle: LifecycleManager) {
 		this.#fixedFields = fixedFields;
 		this.#readWallClock = readWallClock;
 		lifecycle.ownInterval('log batches', flushIntervalMs, () => {
-			this.#flush();
+			if (this.#currentWrite === undefined) {
+				void this.#flush();
+			}
 		});
 		lifecycle.own('log', async () => this.close());
 	}
@@ -52,15 +55,10 @@
 		this.#enqueue(wallMs, level, event, fields);
 	}
 
-	/** Writes the pending lines and resolves when they are written or the write has failed; resolves at once if a batch is being written. */
+	/** Writes the pending lines, after the batch that is being written; resolves when they are written or a write has failed. */
 	async close(): Promise<void> {
-		if (this.#isWriting || this.#pendingLines.length === 0) {
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			this.#flush(resolve);
-		});
+		await this.#currentWrite;
+		await this.#flush();
 	}
 
 	#consumeBudget(event: string, second: number): boolean {
@@ -82,11 +80,7 @@
 		this.#pendingLines.push(line);
 	}
 
-	#flush(done?: () => void): void {
-		if (this.#isWriting) {
-			return;
-		}
-
+	async #flush(): Promise<void> {
 		if (this.#unreportedDropCount > 0) {
 			const count = this.#unreportedDropCount;
 			this.#unreportedDropCount = 0;
@@ -94,24 +88,25 @@
 		}
 
 		if (this.#pendingLines.length === 0) {
-			done?.();
 			return;
 		}
 
 		const batch = Buffer.from(this.#pendingLines.join(''));
 		this.#pendingLines = [];
-		this.#isWriting = true;
-		this.#writeBatch(batch, done);
+		this.#currentWrite = new Promise(resolve => {
+			this.#writeBatch(batch, resolve);
+		});
+		await this.#currentWrite;
 	}
 
-	#writeBatch(remaining: Uint8Array, done?: () => void): void {
+	#writeBatch(remaining: Uint8Array, done: () => void): void {
 		write(standardOutputFd, remaining, (error, written) => {
 			if (error === null && written < remaining.length) {
 				this.#writeBatch(remaining.subarray(written), done);
 				return;
 			}
 
-			this.#isWriting = false;
+			this.#currentWrite = undefined;
 			this.#pendingBytes = 0;
 			for (const line of this.#pendingLines) {
 				this.#pendingBytes += line.length;
@@ -121,7 +116,7 @@
 				this.#enqueue(this.#readWallClock(), 'warn', 'log-not-written', {detail: describeError(error)});
 			}
 
-			done?.();
+			done();
 		});
 	}
 }
--- a/packages/runtime/src/test/bounded-log_test.ts
+++ b/packages/runtime/src/test/bounded-log_test.ts
@@ -24,3 +24,20 @@
 	assert.equal(lines.find(({event}) => event === 'log-lines-dropped')?.count, 600);
 	assert.ok(lines.some(({event, instance}) => event === 'other' && instance === 'i-1'));
 });
+
+const closingProgram = `
+	import process from 'node:process';
+	import {BoundedLog, createLogger, LifecycleManager} from ${JSON.stringify(new URL('../index.js', import.meta.url).href)};
+	const log = new BoundedLog({instance: 'i-1'}, () => 1_000_000, new LifecycleManager(createLogger('test', 'silent')));
+	log.write('info', {event: 'first', text: 'x'.repeat(200_000)});
+	const earlier = log.close();
+	log.write('info', {event: 'last'});
+	await log.close();
+	process.exit(0);
+`;
+
+// Guards against a process that ends without its last log lines.
+test('lines that are queued while a batch is being written are written before the log closes', () => {
+	const {stdout} = spawnSync(process.execPath, ['--input-type=module', '--eval', closingProgram], {encoding: 'utf8'});
+	assert.deepEqual(stdout.trim().split('\n').map(line => (JSON.parse(line) as {event: string}).event), ['first', 'last']);
+});
