Instances that hear of two crashes in messages of different delay count both

A second crash counts by itself only if its send started after the first crash. Both times are ages in messages, and each crash kept the times of the message that reported it first: if the message of the first crash took longer, the second send seemed to start before it.

The earliest times that any message states are kept now.

--- a/packages/dispatch/src/lib/crash-quarantine.ts
+++ b/packages/dispatch/src/lib/crash-quarantine.ts
@@ -290,7 +290,10 @@
 			this.#evictSuspect(partId);
 		}
 
-		if (suspect.crashes.has(process)) {
+		const known = suspect.crashes.get(process);
+		if (known !== undefined) {
+			// Messages only arrive late. The earliest times keep the order of crashes and sends that a single message states.
+			suspect.crashes.set(process, {at: Math.min(known.at, at), sentAt: findEarliest(known.sentAt, time.sentAt)});
 			return false;
 		}
 
@@ -493,6 +496,10 @@
 	return count;
 }
 
+function findEarliest(first: number | undefined, second: number | undefined): number | undefined {
+	return first === undefined || second === undefined ? first ?? second : Math.min(first, second);
+}
+
 function createKey(names: readonly string[]): string {
 	return names.join(',');
 }
--- a/packages/dispatch/src/test/crash_quarantine_test.ts
+++ b/packages/dispatch/src/test/crash_quarantine_test.ts
@@ -5,7 +5,7 @@
 import {test} from 'node:test';
 import {effectKind, eventKind, sendOutcome} from '../index.js';
 import type {FleetView} from '../lib/target-limits.js';
-import {CrashQuarantine} from '../lib/crash-quarantine.js';
+import {CrashQuarantine, createRequestSuspectId} from '../lib/crash-quarantine.js';
 import {
 	createRoute, createTargetChange, createTargetRecord, GatewayFixture, repeatableRoute,
 } from './gateway-fixture.js';
@@ -151,6 +151,23 @@
 	assert.equal(quarantine.size, 1);
 });
 
+// Guards against an instance that takes two crashes for one, because it heard of the first one late (BUDGET).
+test('a request that crashed a second target after the first is quarantined by instances that hear of the crashes in messages of different delay', () => {
+	const request = createRequestSuspectId('deadly');
+	const witness = createQuarantine();
+	const peer = createQuarantine();
+	witness.recordCrash({partIds: [request], at: start, sentAt: start - 50}, {id: 'engine-1', bornAt: 1}, start);
+	peer.applyShared(witness.describe(start), start + 60, start + 60);
+	peer.update(start + 60);
+	// Sent again as soon as the first target was lost.
+	witness.recordCrash({partIds: [request], at: start + 70, sentAt: start}, {id: 'engine-2', bornAt: 1}, start + 70);
+	peer.applyShared(witness.describe(start + 100), start + 101, start + 101);
+	for (const quarantine of [witness, peer]) {
+		quarantine.update(start + 1000);
+		assert.notEqual(quarantine.findQuarantine([request]), undefined);
+	}
+});
+
 test('instances that exchange suspects come to the same result in any order, also one that starts later', () => {
 	const [first, second, late] = [createQuarantine(), createQuarantine(), createQuarantine()];
 	for (const [index, quarantine] of [first, second, first].entries()) {
