--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -382,6 +382,11 @@
 	}
 }
 
+/** True if the process was paused after `since`, a pause that has not been noticed by a tick yet included: timeouts since then say nothing about others. */
+export function hasPausedSince({state: {lastTickAt, lastTickGap}, now}: Step, since: number): boolean {
+	return (lastTickAt > 0 && now - lastTickAt > tickGapMs) || (lastTickGap !== undefined && since < lastTickGap.endedAt);
+}
+
 /** Performs the periodic work of a tick: expiry, watching and peer calls. */
 export function updateFleet(step: Step): void {
 	const {state, now} = step;
--- a/packages/dispatch/src/lib/reduce-paths.ts
+++ b/packages/dispatch/src/lib/reduce-paths.ts
@@ -4,7 +4,7 @@
  */
 import {effectKind, logLevel} from './effect.js';
 import {takeQueriedAddresses} from './members.js';
-import {callPeers, tickGapMs} from './reduce-fleet.js';
+import {callPeers, hasPausedSince} from './reduce-fleet.js';
 import type {PeerMessage} from './peer-message.js';
 import {recordLog, type OpenRequest, type Step} from './state.js';
 import {pathState, TargetPath, type PathState} from './target-paths.js';
@@ -44,9 +44,7 @@
 
 /** Records that no connection to a target could be opened, unless this process did not run in between, which explains it. */
 export function recordUnreached(step: Step, {record}: Target, startedAt: number): void {
-	const {state: {lastTickAt, lastTickGap}, now} = step;
-	const isInGap = lastTickAt > 0 && now - lastTickAt > tickGapMs;
-	if (isInGap || (lastTickGap !== undefined && startedAt < lastTickGap.endedAt)) {
+	if (hasPausedSince(step, startedAt)) {
 		return;
 	}
 
--- a/packages/dispatch/src/lib/reduce-quarantine.ts
+++ b/packages/dispatch/src/lib/reduce-quarantine.ts
@@ -9,6 +9,7 @@
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {listSharedParts} from './prompt.js';
 import {createRequestSuspectId, parseRequestSuspectId, type Quarantine} from './crash-quarantine.js';
+import {hasPausedSince} from './reduce-fleet.js';
 import {findPath, recordReached, recordUnreached} from './reduce-paths.js';
 import {
 	findFleetView, recordLog, type CrashCheck, type CurrentSend, type OpenRequest, type Step,
@@ -50,7 +51,9 @@
 		return;
 	}
 
-	state.crashChecks.set(id, {target, sendId, losses: [loss]});
+	state.crashChecks.set(id, {
+		target, sendId, losses: [loss], startedAt: now, restartCount: 0,
+	});
 	effects.push({kind: effectKind.checkTarget, targetId: id, address});
 }
 
@@ -82,11 +85,26 @@
 	if (isListening === false) {
 		check.refusedAt = now;
 		updateQuarantine(step);
-	} else {
+	} else if (isListening === true || !tryRestartCheck(step, check)) {
 		state.crashChecks.delete(targetId);
 	}
 }
 
+/** Starts a check again if this process was paused during it; returns false if it was not, or too often. */
+function tryRestartCheck(step: Step, check: CrashCheck): boolean {
+	const {id, address} = check.target.record;
+	if (!hasPausedSince(step, check.startedAt) || check.restartCount >= maxCheckRestarts) {
+		return false;
+	}
+
+	check.restartCount++;
+	check.startedAt = step.now;
+	check.refusedAt = undefined;
+	check.hasCheckedPath = false;
+	step.effects.push({kind: effectKind.checkTarget, targetId: id, address});
+	return true;
+}
+
 /** Time after a loss from which an opened connection proves that this instance can still reach targets, in milliseconds: what arrived before may be handled later. */
 const pathProofMarginMs = 15;
 /** Time after a refusal after which another target is checked for such a proof, and time limit for the proof, in milliseconds. */
@@ -94,6 +112,8 @@
 const pathProofLimitMs = 1500;
 /** Time after a refusal in which an opened connection is such a proof, in milliseconds. */
 const pathProofDurationMs = 500;
+/** Number of times that a check is started again because this process was paused during it. */
+const maxCheckRestarts = 3;
 
 /** Records the crashes of targets that refused a check, once it is certain that this instance reaches other targets. */
 function updateCrashChecks(step: Step): void {
@@ -111,6 +131,9 @@
 		if (others.length === 0 || (isReachedSince && reachedAt <= refusedAt + pathProofDurationMs)) {
 			state.crashChecks.delete(targetId);
 			recordCrash(step, check);
+		} else if (now - refusedAt > pathProofDurationMs && tryRestartCheck(step, check)) {
+			// The pause has used up the time for the proof.
+			continue;
 		} else if (now - refusedAt > pathProofLimitMs) {
 			state.crashChecks.delete(targetId);
 			settleUnproved(step, check, isReachedSince);
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -90,6 +90,9 @@
 	/** The first of the lost sends. */
 	readonly sendId: number;
 	readonly losses: LostRequest[];
+	/** Time at which the check was last started, and how often it was started again. */
+	startedAt: number;
+	restartCount: number;
 	/** Time at which the target's address refused the connection. */
 	refusedAt?: number;
 	/** True once another target was checked, to find out whether this instance reaches any. */
--- a/packages/dispatch/src/test/crash_quarantine_test.ts
+++ b/packages/dispatch/src/test/crash_quarantine_test.ts
@@ -7,7 +7,7 @@
 import type {FleetView} from '../lib/target-limits.js';
 import {CrashQuarantine, createRequestSuspectId} from '../lib/crash-quarantine.js';
 import {
-	createRoute, createTargetChange, createTargetRecord, GatewayFixture, repeatableRoute,
+	createRoute, createTargetChange, createTargetRecord, GatewayFixture, onceRoute, repeatableRoute,
 } from './gateway-fixture.js';
 
 const start = 1_000_000;
@@ -335,3 +335,43 @@
 		assert.equal(gateway.state.quarantine.size, isReachedByPeer ? 0 : 1);
 	}
 });
+
+// Guards against a crash that is not counted because the instance was paused while it looked for the proof (BUDGET).
+test('crashes count although the instance is paused before the result of the check, or before the proof that it reaches other targets (freeze)', () => {
+	for (const isPausedAfterRefusal of [true, false]) {
+		const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3', 'desk-4']);
+		const crashedIds = new Set<string>();
+		const advanceAndAnswerChecks = (rounds: number) => {
+			for (let round = 0; round < rounds; round++) {
+				gateway.advance(100);
+				const checks = gateway.effects.filter(effect => effect.kind === effectKind.checkTarget);
+				gateway.effects = [];
+				for (const {targetId} of checks) {
+					gateway.handle({kind: eventKind.targetChecked, targetId, isListening: !crashedIds.has(targetId)});
+				}
+			}
+		};
+
+		for (let run = 0; run < 2; run++) {
+			advanceAndAnswerChecks(1);
+			gateway.receiveRequest(onceRoute, {fingerprint: 'deadly'});
+			const {openId, sendId, targetId} = gateway.takeLastSend();
+			crashedIds.add(targetId);
+			gateway.handle({
+				kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.lost, detail: 'test',
+			});
+			gateway.effects = [];
+			if (isPausedAfterRefusal) {
+				gateway.handle({kind: eventKind.targetChecked, targetId, isListening: false});
+				gateway.now += 900;
+			} else {
+				gateway.now += 900;
+				gateway.handle({kind: eventKind.targetChecked, targetId, isListening: undefined});
+			}
+
+			advanceAndAnswerChecks(8);
+		}
+
+		assert.equal(gateway.state.quarantine.size, 1, isPausedAfterRefusal ? 'paused after the refusal' : 'paused before the result');
+	}
+});
