A cut stream to a caller without chunks is reset

What callers saw: a caller with HTTP/1.0 gets a stream without length and chunks, so its end is that of the connection. Cause: CallerExchange.abort() closed the connection in the same way for every form, and at the end of the process the server closed the connections itself. Evidence: both tests of connection-ends_test failed before (/once/stream/x?end=reset: 3 events, not reset; the same after a second SIGTERM). Why it works: a reset is an error at the reader, a FIN is the end of such a body. A process that is killed (SIGKILL) is still closed with a FIN by the system; Node.js cannot change that.

--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -57,6 +57,8 @@
 	readonly relayedFrom?: RelayOrigin;
 	readonly #response: ServerResponse;
 	readonly #protocol: CallerProtocol;
+	/** True if the end of the response is that of its connection: then only a reset tells that it is cut. */
+	#endsWithConnection = false;
 
 	constructor(
 		readonly openId: number,
@@ -106,6 +108,7 @@
 
 	startStream(status: number, headers: RawHeaders, source: ResponseSource): void {
 		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source)]);
+		this.#endsWithConnection = !this.#response.chunkedEncoding;
 	}
 
 	/** Writes events; returns false if they are buffered because the caller reads more slowly than they arrive. */
@@ -124,6 +127,10 @@
 
 	/** Closes the connection in the middle of the response, so that the caller cannot take it for complete. */
 	abort(): void {
+		if (this.#endsWithConnection) {
+			this.#response.socket?.resetAndDestroy();
+		}
+
 		this.#response.destroy();
 	}
 
