Streams that end with their connection are passed on in that form

Cause: the gateway counted each such stream as lost, since a target that breaks off may close its connection in the same way, and its own response in chunks could not say what the target's said. Change: the response to the caller takes the form of the target's stream: no length, no chunks, Connection: close. It ends with a FIN if the target's did at the end of an event (outcome end-unproved, effect finish-stream), and is reset otherwise. Where the route allows it, the stream is still resumed after its last event to find out whether it goes on; a resume that is not allowed, fails, is silent, or ends empty in the same form leaves the end as the target gave it. One that has any byte of a body (answer-continued) shows that the stream was not whole: then the response is broken off unless it is completed. A response that began in chunks is never finished by a connection's end. A target that ends so counts as good; a peer's relayed stream is not resumed by the origin. Why it works: the response states neither more nor less than the target's did, over each hop. Not proved by this form: a gateway or target that is killed between two events also ends with a FIN.

--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -11,6 +11,7 @@
 	refuse: 'refuse',
 	deliverHeld: 'deliver-held',
 	breakOff: 'break-off',
+	finishStream: 'finish-stream',
 	checkTarget: 'check-target',
 	callPeer: 'call-peer',
 	answerPeer: 'answer-peer',
@@ -64,6 +65,9 @@
 /** Close the caller's connection because its response cannot be completed. */
 export type BreakOffEffect = {readonly kind: typeof effectKind.breakOff; readonly openId: number};
 
+/** End the caller's stream, whose end is that of its connection. */
+export type FinishStreamEffect = {readonly kind: typeof effectKind.finishStream; readonly openId: number};
+
 /** Find out whether a process listens on a target's address; the result is emitted as an event. */
 export type CheckTargetEffect = {readonly kind: typeof effectKind.checkTarget; readonly targetId: string; readonly address: string};
 
@@ -92,5 +96,5 @@
 export type FinishDrainEffect = {readonly kind: typeof effectKind.finishDrain; readonly isLimitReached: boolean};
 
 export type Effect =
-	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | CheckTargetEffect
+	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect | CheckTargetEffect
 	| CallPeerEffect | AnswerPeerEffect | WatchEffect | LogEffect | FinishDrainEffect;
--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -111,9 +111,13 @@
 	return otherTargets.length === 0 ? 0 : sum / otherTargets.length;
 }
 
-/** Ends the request: breaks off a response that has started, else delivers a target's held error response, else sends `failure`. */
+/** Ends the request: finishes a stream in the form in which the target ended it, breaks off any other response that has started, else delivers a target's held error response, else sends `failure`. */
 export function finishWithFailure(step: Step, request: OpenRequest, failure: Failure): void {
-	if (request.hasResponseStarted) {
+	if (request.hasUnprovedEnd && request.endsWithConnection) {
+		step.effects.push({kind: effectKind.finishStream, openId: request.openId});
+		step.state.routeDurations.record(request.route.name, step.now - request.arrivedAt, step.now);
+		finishRequest(step, request, 'answered', 'stream ended with its connection');
+	} else if (request.hasResponseStarted) {
 		step.effects.push({kind: effectKind.breakOff, openId: request.openId});
 		finishRequest(step, request, 'broken-off', failure.reason);
 	} else if (request.hasHeldFailure) {
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -10,6 +10,7 @@
 	requestArrived: 'request-arrived',
 	sendOpened: 'send-opened',
 	answerStarted: 'answer-started',
+	answerContinued: 'answer-continued',
 	answerSilent: 'answer-silent',
 	sendEnded: 'send-ended',
 	callerLeft: 'caller-left',
@@ -77,6 +78,8 @@
 	lost: 'lost',
 	/** The stream broke after some events were delivered. */
 	interrupted: 'interrupted',
+	/** All bytes of the stream were delivered, up to the end of an event; that they are all is stated by the end of the connection alone. */
+	endUnproved: 'end-unproved',
 } as const;
 export type SendOutcome = typeof sendOutcome[keyof typeof sendOutcome];
 
@@ -95,8 +98,13 @@
 	readonly openId: number;
 	readonly sendId: number;
 	readonly targetReport?: TargetReport;
+	/** True if the response to the caller ends with its connection, so that its end states no more than that. */
+	readonly endsWithConnection?: boolean;
 };
 
+/** The response of a resumed send has a body: the stream was not at its end. */
+export type AnswerContinuedEvent = {readonly kind: typeof eventKind.answerContinued; readonly openId: number; readonly sendId: number};
+
 /** A timeout of a send, `responseStartTimeoutMs` or `eventGapTimeoutMs`, has expired; emitted again each time that it expires again. */
 export type AnswerSilentEvent = {
 	readonly kind: typeof eventKind.answerSilent;
@@ -167,6 +175,6 @@
 export type TickEvent = {readonly kind: typeof eventKind.tick};
 
 export type Event =
-	| RequestArrivedEvent | SendOpenedEvent | AnswerStartedEvent | AnswerSilentEvent | SendEndedEvent | CallerLeftEvent | TargetCheckedEvent
-	| DirectoryReadEvent | DirectoryLostEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
+	| RequestArrivedEvent | SendOpenedEvent | AnswerStartedEvent | AnswerContinuedEvent | AnswerSilentEvent | SendEndedEvent
+	| CallerLeftEvent | TargetCheckedEvent | DirectoryReadEvent | DirectoryLostEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
 	| DrainRequestedEvent | SettingsChangedEvent | TickEvent;
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -7,8 +7,8 @@
 	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, recordFailure,
 } from './end-request.js';
 import {
-	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent,
-	type SendOpenedEvent, type SendOutcome,
+	sendOutcome, type AnswerContinuedEvent, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent,
+	type SendEndedEvent, type SendOpenedEvent, type SendOutcome,
 } from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {failureKind, type FailureKind} from './failure-reports.js';
@@ -66,6 +66,8 @@
 		possibleRunCount: 0,
 		triedTargetIds: new Set(),
 		hasResponseStarted: false,
+		endsWithConnection: false,
+		hasUnprovedEnd: false,
 		hasHeldFailure: false,
 	};
 	state.openRequests.set(request.openId, request);
@@ -133,19 +135,28 @@
 	}
 }
 
-export function applyAnswerStarted(step: Step, {openId, sendId, targetReport}: AnswerStartedEvent): void {
+export function applyAnswerStarted(step: Step, {openId, sendId, targetReport, endsWithConnection = false}: AnswerStartedEvent): void {
 	const request = findCurrentRequest(step, openId, sendId);
 	if (request === undefined) {
 		return;
 	}
 
 	request.hasResponseStarted = true;
+	request.endsWithConnection = endsWithConnection;
+	request.hasUnprovedEnd = false;
 	recordResponse(step, request, true);
 	recordTargetReport(step, request, targetReport);
 	recordCacheHolder(step, request, targetReport);
 	recordResponseBegun(step, request);
 }
 
+export function applyAnswerContinued(step: Step, {openId, sendId}: AnswerContinuedEvent): void {
+	const request = findCurrentRequest(step, openId, sendId);
+	if (request !== undefined) {
+		request.hasUnprovedEnd = false;
+	}
+}
+
 /** Records the target as cache holder of the prompt, since a target that responds has read the prompt. */
 function recordCacheHolder(step: Step, {route, promptParts, currentSend}: OpenRequest, report: TargetReport | undefined): void {
 	const {state, now} = step;
@@ -239,7 +250,8 @@
 	}
 
 	send.silenceCount++;
-	if (isBusy(send, event) || !mayRetry(step, request, true) || !hasOtherTarget(step, request)) {
+	const canGiveUp = request.hasUnprovedEnd || (mayRetry(step, request, true) && hasOtherTarget(step, request));
+	if (isBusy(send, event) || !canGiveUp) {
 		return;
 	}
 
@@ -270,6 +282,7 @@
 	[sendOutcome.failed]: verdict.failed,
 	[sendOutcome.lost]: verdict.lost,
 	[sendOutcome.interrupted]: verdict.lost,
+	[sendOutcome.endUnproved]: verdict.good,
 };
 
 /** Failures that other instances can use; a lost response says too little about the target. */
@@ -280,7 +293,7 @@
 };
 
 /** Outcomes that prove that the target responded to this request. */
-const respondingOutcomes: ReadonlySet<SendOutcome> = new Set([sendOutcome.complete, sendOutcome.failed]);
+const respondingOutcomes: ReadonlySet<SendOutcome> = new Set([sendOutcome.complete, sendOutcome.failed, sendOutcome.endUnproved]);
 
 /** Records what a failed send tells about its target, and about the path to it; what a peer relayed tells about neither. */
 function recordSendFailure(step: Step, send: CurrentSend, outcome: SendOutcome): void {
@@ -344,11 +357,22 @@
 			break;
 		}
 
+		case sendOutcome.endUnproved: {
+			request.hasUnprovedEnd = true;
+			request.triedTargetIds.add(send.target.record.id);
+			if (send.isRelayed) {
+				recordRunsOfPeer(request);
+			}
+
+			// A resume finds out whether the stream goes on.
+			retryOrFail(step, request, createFailure(failureReason.answerLost));
+			break;
+		}
+
 		case sendOutcome.lost:
 		case sendOutcome.interrupted: {
 			if (send.isRelayed) {
-				// The peer has sent it as often as it was allowed to.
-				request.possibleRunCount = Math.max(request.possibleRunCount, request.route.targetLimit);
+				recordRunsOfPeer(request);
 			} else {
 				checkForCrash(step, request, send);
 			}
@@ -359,6 +383,11 @@
 	}
 }
 
+/** Counts the runs at a peer, which has sent the request as often as it was allowed to. */
+function recordRunsOfPeer(request: OpenRequest): void {
+	request.possibleRunCount = Math.max(request.possibleRunCount, request.route.targetLimit);
+}
+
 export function applyCallerLeft(step: Step, {openId}: CallerLeftEvent): void {
 	const request = step.state.openRequests.get(openId);
 	if (request === undefined) {
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -9,7 +9,8 @@
 	callPeers, applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
 } from './reduce-fleet.js';
 import {
-	advanceQueuedRequests, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, applySendOpened, endTimedOutRequests,
+	advanceQueuedRequests, applyAnswerContinued, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, applySendOpened,
+	endTimedOutRequests,
 } from './reduce-requests.js';
 import {checkPathsForPeer, updatePaths} from './reduce-paths.js';
 import {applyTargetChecked, updateQuarantine} from './reduce-quarantine.js';
@@ -35,6 +36,11 @@
 			break;
 		}
 
+		case eventKind.answerContinued: {
+			applyAnswerContinued(step, event);
+			break;
+		}
+
 		case eventKind.answerStarted: {
 			applyAnswerStarted(step, event);
 			break;
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -174,7 +174,8 @@
 	const copySource = isRelayed ? undefined : findCopySource(step, request, target);
 	const runLimit = findRunLimit(request);
 	// A peer that relays the request finds out itself that a target is silent, and uses up the sends that are left.
-	const canTimeOut = isRetryable(route) && !isRelayed && request.possibleRunCount < runLimit;
+	// A resume that only finds out whether the stream goes on is given up without another one.
+	const canTimeOut = isRetryable(route) && !isRelayed && (request.possibleRunCount < runLimit || request.hasUnprovedEnd);
 	step.effects.push({
 		kind: effectKind.send,
 		openId: request.openId,
@@ -234,7 +235,7 @@
 }
 
 export function retryOrFail(step: Step, request: OpenRequest, failure: Failure): void {
-	if (mayRetry(step, request, request.possibleRunCount > 0) && (trySend(step, request) || tryQueueForPath(step, request))) {
+	if (mayRetry(step, request, request.possibleRunCount > 0) && (trySend(step, request) || (!request.hasUnprovedEnd && tryQueueForPath(step, request)))) {
 		return;
 	}
 
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -150,6 +150,105 @@
 	assert.deepEqual(gateway.effects.filter(({kind}) => kind !== effectKind.log).map(({kind}) => kind), [effectKind.breakOff]);
 });
 
+const streamRoute = createRoute();
+
+/** Starts a stream whose response to the caller ends with its connection, or is in chunks; returns its send. */
+function startStream(gateway: GatewayFixture, route = resumableRoute, endsWithConnection = true): SendEffect {
+	gateway.receiveRequest(route, {prompt: ['root', 'doc', 'own']});
+	const send = gateway.takeLastSend();
+	gateway.handle({
+		kind: eventKind.answerStarted, openId: send.openId, sendId: send.sendId, endsWithConnection,
+	});
+	return send;
+}
+
+/** Lists how streams that have begun were ended. */
+function listStreamEnds({effects}: GatewayFixture): string[] {
+	return effects.map(({kind}) => kind).filter(kind => kind === effectKind.finishStream || kind === effectKind.breakOff);
+}
+
+// Guards against LOST: the caller's connection is cut although all of the stream has arrived (issue 45).
+test('a stream that may run once and ends with its connection is ended in the same form, and does not count against its target', () => {
+	const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2']);
+	for (let count = 0; count < 4; count++) {
+		endSend(gateway, startStream(gateway, streamRoute), sendOutcome.endUnproved, '7');
+		assert.deepEqual(listStreamEnds(gateway), [effectKind.finishStream]);
+		assert.equal(gateway.state.openRequests.size, 0);
+	}
+
+	assert.ok([...gateway.state.targets.byId.values()].every(({health}) => health.failureWeight === 0 && health.ejectedUntil === 0));
+});
+
+// Guards against ORDER: a response in chunks is finished although nothing proves that the target's stream was whole.
+test('a stream in chunks is not finished by a target whose stream ends with its connection', () => {
+	for (const route of [streamRoute, resumableRoute]) {
+		const gateway = new GatewayFixture().loadDirectory(['engine-1']);
+		endSend(gateway, startStream(gateway, route, false), sendOutcome.endUnproved, '7');
+		assert.deepEqual(listStreamEnds(gateway), [effectKind.breakOff]);
+	}
+});
+
+// Guards against LOST: a resume that cannot prove the end of a whole stream, or is not allowed, turns it into a cut one (issue 45).
+test('a resumable stream that ended with its connection is resumed once, and ends in its own form unless that shows more of it', () => {
+	for (const [outcome, ends] of [
+		[sendOutcome.endUnproved, [effectKind.finishStream]],
+		[sendOutcome.interrupted, [effectKind.finishStream]],
+		[sendOutcome.rejected, [effectKind.finishStream]],
+		[sendOutcome.connectionRefused, [effectKind.finishStream]],
+		[sendOutcome.complete, []],
+	] as const) {
+		const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2']);
+		const first = startStream(gateway);
+		endSend(gateway, first, sendOutcome.endUnproved, '7');
+		assert.deepEqual(listStreamEnds(gateway), [], 'waits for the resume');
+		const second = gateway.takeLastSend();
+		assert.equal(second.resumeAfterEventId, '7');
+		assert.notEqual(second.targetId, first.targetId);
+		endSend(gateway, second, outcome, '7');
+		assert.deepEqual(listStreamEnds(gateway), ends, outcome);
+		assert.equal(gateway.state.openRequests.size, 0);
+	}
+
+	const alone = new GatewayFixture().loadDirectory(['engine-1']);
+	endSend(alone, startStream(alone), sendOutcome.endUnproved, '7');
+	assert.deepEqual(listStreamEnds(alone), [effectKind.finishStream]);
+});
+
+// Guards against ORDER: a stream looks complete although a resume has shown a part of what follows.
+test('a stream whose resume goes on and then fails is broken off, also if no event of it was delivered', () => {
+	const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2']);
+	endSend(gateway, startStream(gateway), sendOutcome.endUnproved, '7');
+	const {openId, sendId} = gateway.takeLastSend();
+	gateway.handle({kind: eventKind.answerContinued, openId, sendId});
+	gateway.handle({
+		kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.interrupted, detail: 'test', lastEventId: '7',
+	});
+	assert.deepEqual(listStreamEnds(gateway), [effectKind.breakOff]);
+});
+
+// Guards against streams that wait for their end, up to their time limit, since the target of a resume is silent.
+test('a resume that only finds out whether the stream goes on is given up when its target is silent, and at the time limit', () => {
+	const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2']);
+	endSend(gateway, startStream(gateway), sendOutcome.endUnproved, '7');
+	const second = gateway.takeLastSend();
+	assert.ok(second.responseStartTimeoutMs > 0);
+	const {openId, sendId} = second;
+	gateway.handle({
+		kind: eventKind.sendOpened, openId, sendId, isNewConnection: true,
+	});
+	gateway.handle({
+		kind: eventKind.answerSilent, openId, sendId, lastEventId: '7', silentSince: gateway.now,
+	});
+	assert.ok(gateway.effects.some(({kind}) => kind === effectKind.cancel));
+	assert.deepEqual(listStreamEnds(gateway), [effectKind.finishStream]);
+
+	const other = new GatewayFixture().loadDirectory(['engine-1', 'engine-2']);
+	endSend(other, startStream(other), sendOutcome.endUnproved, '7');
+	assert.deepEqual(listStreamEnds(other), []);
+	other.advance(resumableRoute.timeLimitMs);
+	assert.deepEqual(listStreamEnds(other), [effectKind.finishStream]);
+});
+
 test('a request times out at the earlier of the deadlines of its caller and its route', () => {
 	for (const timeoutMs of [300, 60_000]) {
 		const gateway = new GatewayFixture().loadDirectory(desks);
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -441,6 +441,11 @@
 				break;
 			}
 
+			case effectKind.finishStream: {
+				this.#passOn(node.gateway, effect.openId, {kind: eventKind.sendEnded, outcome: sendOutcome.endUnproved});
+				break;
+			}
+
 			case effectKind.checkTarget: {
 				const {targetId} = effect;
 				const {gateway} = node;
--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -20,6 +20,15 @@
 	readonly source: ResponseSource;
 };
 
+/** The start of a target's stream. */
+export type StreamHead = {
+	readonly status: number;
+	readonly headers: RawHeaders;
+	readonly source: ResponseSource;
+	/** False if the target's stream ends with its connection: the caller's response takes the same form, since any other one states more at its end. */
+	readonly hasFraming: boolean;
+};
+
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authenticate', 'proxy-authorization', 'content-length']);
 
@@ -57,7 +66,6 @@
 	readonly relayedFrom?: RelayOrigin;
 	readonly #response: ServerResponse;
 	readonly #protocol: CallerProtocol;
-	/** True if the end of the response is that of its connection: then only a reset tells that it is cut. */
 	#endsWithConnection = false;
 
 	constructor(
@@ -78,6 +86,11 @@
 		return this.#response.headersSent;
 	}
 
+	/** True if the end of the response is that of its connection: then only a reset tells that it is cut. */
+	get endsWithConnection(): boolean {
+		return this.#endsWithConnection;
+	}
+
 	/** Closes the connection after the response, so that the caller opens another one for its next request. */
 	closeAfterResponse(): void {
 		if (!this.#response.headersSent) {
@@ -106,7 +119,13 @@
 		this.#response.end(body.at(-1));
 	}
 
-	startStream(status: number, headers: RawHeaders, source: ResponseSource): void {
+	/** Starts a stream; one without framing has neither a length nor chunks, so that it ends with its connection. */
+	startStream({status, headers, source, hasFraming}: StreamHead): void {
+		if (!hasFraming) {
+			this.#response.shouldKeepAlive = false;
+			this.#response.useChunkedEncodingByDefault = false;
+		}
+
 		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source)]);
 		this.#endsWithConnection = !this.#response.chunkedEncoding;
 	}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,7 +6,8 @@
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {
-	createState, effectKind, eventKind, isReady, reduce, type CheckTargetEffect, type Effect, type Event, type FleetBounds, type LogEffect, type State,
+	createState, effectKind, eventKind, isReady, reduce, type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event,
+	type FinishStreamEffect, type FleetBounds, type LogEffect, type RefuseEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
 	BoundedLog, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
@@ -249,6 +250,35 @@
 		this.log.write(level, {event, ...fields});
 	}
 
+	/** Ends the response to a caller. */
+	#endExchange(effect: RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect): void {
+		const caller = this.#callers.openExchanges.get(effect.openId);
+		switch (effect.kind) {
+			case effectKind.refuse: {
+				caller?.refuse(effect.failure);
+				break;
+			}
+
+			case effectKind.deliverHeld: {
+				if (caller?.heldResponse !== undefined) {
+					caller.deliverResponse(caller.heldResponse);
+				}
+
+				break;
+			}
+
+			case effectKind.breakOff: {
+				caller?.abort();
+				break;
+			}
+
+			case effectKind.finishStream: {
+				caller?.finishStream();
+				break;
+			}
+		}
+	}
+
 	#executeEffect(effect: Effect): void {
 		try {
 			this.#dispatchEffect(effect);
@@ -273,22 +303,11 @@
 				break;
 			}
 
-			case effectKind.refuse: {
-				this.#callers.openExchanges.get(effect.openId)?.refuse(effect.failure);
-				break;
-			}
-
-			case effectKind.deliverHeld: {
-				const caller = this.#callers.openExchanges.get(effect.openId);
-				if (caller?.heldResponse !== undefined) {
-					caller.deliverResponse(caller.heldResponse);
-				}
-
-				break;
-			}
-
-			case effectKind.breakOff: {
-				this.#callers.openExchanges.get(effect.openId)?.abort();
+			case effectKind.refuse:
+			case effectKind.deliverHeld:
+			case effectKind.breakOff:
+			case effectKind.finishStream: {
+				this.#endExchange(effect);
 				break;
 			}
 
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -378,8 +378,15 @@
 		const splitter = new EventSplitter();
 		let bytesWithoutEvent = 0;
 		let partsWithoutEvent = 0;
+		let hasContinued = false;
+		const {openId, sendId, resumeAfterEventId} = this.#send;
 		const body = this.#readBody(response, {
 			onData: part => {
+				if (resumeAfterEventId !== undefined && !hasContinued) {
+					hasContinued = true;
+					this.#options.emit({kind: eventKind.answerContinued, openId, sendId});
+				}
+
 				const {lastEventId} = splitter;
 				const events = splitter.push(part);
 				const hasNewEvent = splitter.lastEventId !== lastEventId;
@@ -401,12 +408,17 @@
 				}
 			},
 			onComplete: () => {
-				const fault = this.#findStreamFault(response, splitter);
+				const fault = this.#findStreamFault(splitter);
 				if (fault !== undefined) {
 					this.#abort(this.#failureOutcome, fault);
 					return;
 				}
 
+				if (!isSelfDelimited(response)) {
+					this.#finishAndRelease(response, sendOutcome.endUnproved, 'stream ended with its connection, without length or chunked encoding');
+					return;
+				}
+
 				this.#caller.finishStream();
 				this.#finishAndRelease(response, sendOutcome.complete, 'stream');
 			},
@@ -414,7 +426,7 @@
 	}
 
 	/** Finds the reason why a stream whose bytes have all arrived is not complete. */
-	#findStreamFault(response: IncomingMessage, {partialLength}: EventSplitter): string | undefined {
+	#findStreamFault({partialLength}: EventSplitter): string | undefined {
 		if (partialLength > 0) {
 			return 'stream ended in the middle of an event';
 		}
@@ -424,7 +436,7 @@
 			return 'stream ended without events';
 		}
 
-		return isSelfDelimited(response) ? undefined : 'stream ended with its connection, without length or chunked encoding';
+		return undefined;
 	}
 
 	#relayEvents(response: IncomingMessage, body: ResponseBody, {splitter, events}: {readonly splitter: EventSplitter; readonly events: Uint8Array}): void {
@@ -438,11 +450,14 @@
 			this.#hasDeliveredEvents = true;
 			this.#startSilenceTimer();
 			if (!this.#caller.hasStarted) {
-				this.#caller.startStream(response.statusCode!, this.#selectResponseHeaders(response.rawHeaders), this.#source!);
+				const headers = this.#selectResponseHeaders(response.rawHeaders);
+				this.#caller.startStream({
+					status: response.statusCode!, headers, source: this.#source!, hasFraming: isSelfDelimited(response),
+				});
 			}
 
 			this.#options.emit({
-				kind: eventKind.answerStarted, openId, sendId, targetReport: this.#targetReport,
+				kind: eventKind.answerStarted, openId, sendId, targetReport: this.#targetReport, endsWithConnection: this.#caller.endsWithConnection,
 			});
 		}
 
