--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -20,6 +20,15 @@
 	readonly source: ResponseSource;
 };
 
+/** The start of a target's stream. */
+export type StreamHead = {
+	readonly status: number;
+	readonly headers: RawHeaders;
+	readonly source: ResponseSource;
+	/** False if the target's stream ends with its connection: the caller's response takes the same form, since any other one states more at its end. */
+	readonly hasFraming: boolean;
+};
+
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'proxy-authenticate', 'proxy-authorization', 'content-length']);
 
@@ -57,6 +66,7 @@
 	readonly relayedFrom?: RelayOrigin;
 	readonly #response: ServerResponse;
 	readonly #protocol: CallerProtocol;
+	#endsWithConnection = false;
 
 	constructor(
 		readonly openId: number,
@@ -76,6 +86,11 @@
 		return this.#response.headersSent;
 	}
 
+	/** True if the end of the response is that of its connection: then only a reset tells that it is cut. */
+	get endsWithConnection(): boolean {
+		return this.#endsWithConnection;
+	}
+
 	/** Closes the connection after the response, so that the caller opens another one for its next request. */
 	closeAfterResponse(): void {
 		if (!this.#response.headersSent) {
@@ -104,8 +119,15 @@
 		this.#response.end(body.at(-1));
 	}
 
-	startStream(status: number, headers: RawHeaders, source: ResponseSource): void {
+	/** Starts a stream; one without framing has neither a length nor chunks, so that it ends with its connection. */
+	startStream({status, headers, source, hasFraming}: StreamHead): void {
+		if (!hasFraming) {
+			this.#response.shouldKeepAlive = false;
+			this.#response.useChunkedEncodingByDefault = false;
+		}
+
 		this.#response.writeHead(status, [...headers, ...this.#createSourceHeaders(source)]);
+		this.#endsWithConnection = !this.#response.chunkedEncoding;
 	}
 
 	/** Writes events; returns false if they are buffered because the caller reads more slowly than they arrive. */
@@ -124,6 +146,10 @@
 
 	/** Closes the connection in the middle of the response, so that the caller cannot take it for complete. */
 	abort(): void {
+		if (this.#endsWithConnection) {
+			this.#response.socket?.resetAndDestroy();
+		}
+
 		this.#response.destroy();
 	}
 
