A repeated SIGTERM no longer cuts the requests under way

Cause: the second stop signal of any kind ended the process at once. A supervisor repeats SIGTERM; it ends a process with SIGKILL if it does not want to wait. Change: the first SIGTERM or SIGINT starts the planned stop; only a second SIGINT stops at once, and all other signals are logged (signal-ignored) and change nothing. SIGTERM and then one SIGINT does not cut; two SIGINTs do. The router, pass-through and stand-ins share the code. A scenario of whole-answers sent SIGTERM and SIGINT and expected the router to end at once. This is what the change takes back, so the scenario now sends SIGTERM twice, SIGINT, and a second SIGINT: the router must run on after each of the first three, and the last one has to end the stream with the same typed error as before.

--- a/packages/router/src/bin/router.ts
+++ b/packages/router/src/bin/router.ts
@@ -61,5 +61,9 @@
 lifecycle.handleSignals(() => {
 	runner.handle({kind: eventKind.drainRequested, by: 'signal', graceMs: settings.drainGraceMs});
 	setTimeout(async () => stopImmediately('drain limit'), settings.drainLimitMs).unref();
-}, async () => stopImmediately('second signal'));
+}, {
+	stopAtOnce() {
+		void stopImmediately('second signal');
+	},
+});
 logger.info({event: 'started', callerPort: settings.callerAddress.port});
--- a/packages/runtime/src/lib/lifecycle-manager.ts
+++ b/packages/runtime/src/lib/lifecycle-manager.ts
@@ -4,10 +4,17 @@
  */
 import process from 'node:process';
 import {describeError} from './errors.js';
-import type {Logger} from './logger.js';
+import type {LogFields, Logger} from './logger.js';
 
 type OwnedResource = {readonly name: string; readonly close: () => void | Promise<void>};
 
+export type SignalOptions = {
+	/** Ends the process without waiting for open requests; by default, it exits with code 1. */
+	readonly stopAtOnce?: () => void;
+	/** Writes a log line; by default, the manager's logger does. */
+	readonly log?: (fields: LogFields) => void;
+};
+
 /**
  * Owns the resources of one process.
  *
@@ -46,25 +53,25 @@
 	}
 
 	/**
-	 * Calls `stop` at the first SIGTERM or SIGINT. At any later one, calls
-	 * `stopAtOnce`, or exits with code 1 if that is not given.
+	 * Calls `stop` at the first SIGTERM or SIGINT, and `stopAtOnce` at the second SIGINT. A supervisor
+	 * may repeat SIGTERM and ends a process with SIGKILL if it has to; a person at a terminal has
+	 * only SIGINT. Therefore all other signals are logged and change nothing.
 	 */
-	handleSignals(stop: () => void, stopAtOnce?: () => void): void {
+	handleSignals(stop: () => void, {stopAtOnce = exitWithFailure, log = this.#logger.warn}: SignalOptions = {}): void {
 		let isStopping = false;
-		const handle = (signal: string) => {
-			if (isStopping) {
-				this.#logger.warn({event: 'second-signal', signal, message: 'Second stop signal received; stopping at once and cutting open requests.'});
-				if (stopAtOnce !== undefined) {
-					stopAtOnce();
-					return;
-				}
-
-				// eslint-disable-next-line unicorn/no-process-exit
-				process.exit(1);
+		let interruptCount = 0;
+		const handle = (signal: NodeJS.Signals) => {
+			interruptCount += signal === 'SIGINT' ? 1 : 0;
+			if (!isStopping) {
+				isStopping = true;
+				log({event: 'stop-signal', signal});
+				stop();
+			} else if (signal === 'SIGINT' && interruptCount > 1) {
+				log({event: 'second-signal', signal, message: 'Second SIGINT received; stopping at once and cutting open requests.'});
+				stopAtOnce();
+			} else {
+				log({event: 'signal-ignored', signal, message: 'The process is already stopping; a second SIGINT stops it at once.'});
 			}
-
-			isStopping = true;
-			stop();
 		};
 
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
@@ -83,3 +90,8 @@
 		}
 	}
 }
+
+function exitWithFailure(): void {
+	// eslint-disable-next-line unicorn/no-process-exit
+	process.exit(1);
+}
--- a/packages/scenarios/features/whole-answers.feature
+++ b/packages/scenarios/features/whole-answers.feature
@@ -70,9 +70,9 @@
     When a caller reads 8000000 bytes only after router 2 began to shut down
     Then it got the complete answer
 
-  Scenario: a router that receives a second stop signal ends its streams with a typed error
+  Scenario: a router ends its streams with a typed error at a second SIGINT, and at no other repeated signal
     Given a deployment of 2 routers, 3 engines and 3 plain services
     And 3 engines fail with "endless"
-    When router 1 receives two stop signals in the middle of a chat
+    When router 1 receives SIGTERM twice and SIGINT twice in the middle of a chat
     Then every answer is a refusal with the outcome "unknown"
     And the reason is "stopped"
--- a/packages/scenarios/src/test/whole_answers_test.ts
+++ b/packages/scenarios/src/test/whole_answers_test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import {connect} from 'node:net';
 import {after} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	answerKind, Caller, type Answer, type FleetTarget, waitUntil,
 } from '@sequoiatally/load';
@@ -240,12 +241,18 @@
 		const [requestedCount, receivedCount] = world.byteCounts;
 		assert.ok(receivedCount! > requestedCount!, `${receivedCount} of ${requestedCount} bytes`);
 	}],
-	[/^router 1 receives two stop signals in the middle of a chat$/, async world => {
+	[/^router 1 receives SIGTERM twice and SIGINT twice in the middle of a chat$/, async world => {
 		const {callerAddress, process: {child}} = world.findRouter(1);
 		const {body} = await request(`http://${callerAddress}${exampleModelRoute.path}`, {
 			method: 'POST', headers: {authorization: `Bearer ${guestKey}`}, body: JSON.stringify({model: exampleModelRoute.model}),
 		});
-		child.kill('SIGTERM');
+		for (const signal of ['SIGTERM', 'SIGTERM', 'SIGINT'] as const) {
+			child.kill(signal);
+			// Longer than it takes to stop at once.
+			await delay(400);
+			assert.equal(child.exitCode, null, 'only a second SIGINT stops the router at once');
+		}
+
 		child.kill('SIGINT');
 		world.answers = [describeStreamEnd(await body.text())];
 	}],
