A connection that the gateway closes no longer loses the last bytes of a response

Cause: a response is complete for the gateway when the kernel has taken it. If bytes arrive on a socket that is closed (or are unread when it is closed), the kernel resets the connection and discards what is still in the send buffer. Change: a connection is closed for sending first; what still arrives is read and ignored until the client closes it, for one second at most. This holds for connections that the HTTP server closes after a response, and for all connections at the end of the drain, when the gateway also stops to listen. At the drain limit and at a second SIGINT, connections are still closed at once. Cost: a stop lasts up to 1 s longer while callers keep their connections open; it still ends before the drain limit.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -11,6 +11,7 @@
 import type {LifecycleManager, SocketAddress} from '@sequoiatally/runtime';
 import {ByteCollector} from './byte-collector.js';
 import {CallerExchange} from './caller-exchange.js';
+import {ConnectionCloser} from './connection-closer.js';
 import type {CallerProtocol} from './protocol.js';
 import {listenOn} from './listen.js';
 import {createFailureOutcomeHeaders, parseOrigin} from './relay-headers.js';
@@ -42,6 +43,7 @@
 	readonly openExchanges = new Map<number, CallerExchange>();
 	readonly #options: CallerServerOptions;
 	readonly #server: Server;
+	readonly #connectionCloser: ConnectionCloser;
 	#maxHeadBytes = absoluteMaxHeadBytes;
 	#maxBodyBytes = defaultMaxBodyBytes;
 	#nextOpenId = 1;
@@ -56,8 +58,14 @@
 		this.#server = createServer({
 			maxHeaderSize: absoluteMaxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: 60_000, noDelay: true,
 		}, (request, response) => {
-			this.#handleRequest(request, response, undefined);
+			if (request.socket.writableEnded) {
+				// The connection is closed for responses.
+				request.resume();
+			} else {
+				this.#handleRequest(request, response, undefined);
+			}
 		});
+		this.#connectionCloser = new ConnectionCloser(this.#server);
 		this.#server.on('clientError', (error: Error & {code?: string}, socket) => {
 			if (error.code !== 'ECONNRESET') {
 				options.log('unreadable-request', {detail: error.code ?? error.message});
@@ -105,6 +113,11 @@
 		}
 	}
 
+	/** Stops to listen and closes all connections once no request or response is under way; returns true when the process can end without cutting a response. */
+	tryCloseConnections(now: number): boolean {
+		return !this.isBusy && this.#connectionCloser.tryCloseAll(now);
+	}
+
 	#handleRequest(request: IncomingMessage, response: ServerResponse, relayedFrom: RelayOrigin | undefined): void {
 		const body = new ByteCollector();
 		let isRefused = false;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -319,7 +319,7 @@
 
 			case effectKind.finishDrain: {
 				// A response that is complete for the reducer may still be on its way to a slow caller.
-				if (effect.isLimitReached || !this.#callers.isBusy) {
+				if (effect.isLimitReached || this.#callers.tryCloseConnections(readMonotonicMs())) {
 					this.#onDrained?.();
 				}
 
