Log lines are no longer lost when their reader is slow for a moment

Seen in an own test: lines missing from the log of a process, one of them cut in the middle. Cause: Node.js sets the standard output to non-blocking mode when it is a pipe (a gateway of the test deployment runs with O_NONBLOCK on it, read from /proc). A write to a full pipe then fails with EAGAIN, and the rest of the batch was dropped. Evidence: bounded-log_test before the change: a batch of 800 KB with a reader that pauses for 50 ms is cut in the middle of a line, 3 of 3 runs. Change: the write is repeated until the reader has made room. The end of the process waits 200 ms for it at most, so that a reader that has stopped does not hold it (second new test, which passed before as well, because everything was dropped). Lines that queue up meanwhile are bounded as before. Measured: bounded-log_test 4 of 4 pass, three runs.

--- a/packages/runtime/src/lib/bounded-log.ts
+++ b/packages/runtime/src/lib/bounded-log.ts
@@ -6,6 +6,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
+import {setTimeout as delay} from 'node:timers/promises';
 import {describeError} from './errors.js';
 import type {LifecycleManager} from './lifecycle-manager.js';
 import type {LogFields, LogLevel} from './logger.js';
@@ -16,6 +17,10 @@
 const maxPendingBytes = 1024 * 1024;
 /** Interval between batches. */
 const flushIntervalMs = 200;
+/** Time after which a write is repeated if the reader of the log has left no room, in milliseconds. */
+const writeRetryMs = 10;
+/** Time for which the end of the process waits for the reader of the log, in milliseconds. */
+const closeTimeoutMs = 200;
 const standardOutputFd = 1;
 
 type EventBudget = {second: number; lines: number};
@@ -31,6 +36,8 @@
 	#unreportedDropCount = 0;
 	/** Resolves when the batch that is being written is written; `undefined` if there is none. */
 	#currentWrite?: Promise<void>;
+	/** True if the rest of the log is given up because its reader has stopped. */
+	#isGivenUp = false;
 
 	constructor(fixedFields: Readonly<Record<string, string>>, readWallClock: () => number, lifecycle: LifecycleManager) {
 		this.#fixedFields = fixedFields;
@@ -55,8 +62,13 @@
 		this.#enqueue(wallMs, level, event, fields);
 	}
 
-	/** Writes the pending lines, after the batch that is being written; resolves when they are written or a write has failed. */
+	/** Writes the pending lines, after the batch that is being written; resolves when they are written, a write has failed, or the reader has stopped. */
 	async close(): Promise<void> {
+		await Promise.race([this.#writePending(), delay(closeTimeoutMs, undefined, {ref: false})]);
+		this.#isGivenUp = this.#currentWrite !== undefined;
+	}
+
+	async #writePending(): Promise<void> {
 		await this.#currentWrite;
 		await this.#flush();
 	}
@@ -106,6 +118,14 @@
 				return;
 			}
 
+			// The standard output may be in non-blocking mode; a write to a full pipe then fails.
+			if (error?.code === 'EAGAIN' && !this.#isGivenUp) {
+				setTimeout(() => {
+					this.#writeBatch(remaining, done);
+				}, writeRetryMs);
+				return;
+			}
+
 			this.#currentWrite = undefined;
 			this.#pendingBytes = 0;
 			for (const line of this.#pendingLines) {
--- a/packages/runtime/src/test/bounded-log_test.ts
+++ b/packages/runtime/src/test/bounded-log_test.ts
@@ -3,7 +3,8 @@
  * lines are reported.
  */
 import assert from 'node:assert/strict';
-import {spawnSync} from 'node:child_process';
+import {spawn, spawnSync} from 'node:child_process';
+import {once} from 'node:events';
 import process from 'node:process';
 import {test} from 'node:test';
 
@@ -41,3 +42,42 @@
 	const {stdout} = spawnSync(process.execPath, ['--input-type=module', '--eval', closingProgram], {encoding: 'utf8'});
 	assert.deepEqual(stdout.trim().split('\n').map(line => (JSON.parse(line) as {event: string}).event), ['first', 'last']);
 });
+
+/** Writes a batch that is larger than the buffers of a pipe; the first access to `stdout` makes Node.js set the pipe to non-blocking mode. */
+const largeBatchProgram = `
+	import process from 'node:process';
+	import {BoundedLog, createLogger, LifecycleManager} from ${JSON.stringify(new URL('../index.js', import.meta.url).href)};
+	const log = new BoundedLog({instance: 'i-1'}, () => 1_000_000, new LifecycleManager(createLogger('test', 'silent')));
+	void process.stdout;
+	for (let index = 0; index < 400; index++) log.write('info', {event: 'large', index, text: 'x'.repeat(2000)});
+	await log.close();
+	process.exit(0);
+`;
+
+// Guards against log lines that are lost, and one that is cut, because the reader is slower than the process for a moment.
+test('a batch that the pipe cannot take at once is written whole before the log closes', async () => {
+	const child = spawn(process.execPath, ['--input-type=module', '--eval', largeBatchProgram], {stdio: ['ignore', 'pipe', 'inherit']});
+	let text = '';
+	let isPaused = false;
+	child.stdout.on('data', (chunk: Uint8Array) => {
+		text += String(chunk);
+		if (!isPaused) {
+			isPaused = true;
+			child.stdout.pause();
+			setTimeout(() => {
+				child.stdout.resume();
+			}, 50);
+		}
+	});
+	await once(child, 'close');
+	const indexes = text.trim().split('\n').map(line => (JSON.parse(line) as {index: number}).index);
+	assert.deepEqual(indexes, Array.from({length: 400}, (_, index) => index));
+});
+
+// Guards against a process that does not end, and is killed, because nobody reads its log.
+test('a log whose reader has stopped closes in a bounded time', async () => {
+	const child = spawn(process.execPath, ['--input-type=module', '--eval', largeBatchProgram], {stdio: ['ignore', 'pipe', 'inherit']});
+	const [code] = await once(child, 'exit', {signal: AbortSignal.timeout(5000)}) as [number];
+	assert.equal(code, 0);
+	child.stdout.destroy();
+});
