Requests that are open at the drain limit get a true answer

Cause: the reducer only let the process end at the limit. It ended no request, and the server refused no request whose body was still being received.

Change: a stop. At the drain limit, or at the event `stopRequested`, the reducer ends every open request: 502 `answer-lost` if a target may have run it, 503 `draining` if it was provably not sent, a held error response as it is, and a stream that has begun is broken off; each leaves its line (`failed`, `refused`, `broken-off`), after one `stop-started`. Requests in reception, and all later ones, are refused as `draining`. Nothing is ended earlier than before.

A refusal before an exchange now carries the Retry-After of its failure: 0 for `draining`.

--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -16,6 +16,7 @@
 	answerPeer: 'answer-peer',
 	watch: 'watch',
 	log: 'log',
+	refuseIncoming: 'refuse-incoming',
 	finishDrain: 'finish-drain',
 } as const;
 
@@ -88,9 +89,15 @@
 	readonly position: DirectoryPosition;
 };
 
-/** End the process: no request is open, or the drain limit is reached. Repeated until the process ends. */
+/** Refuse the requests whose body is still being received, and those that arrive later. */
+export type RefuseIncomingEffect = {readonly kind: typeof effectKind.refuseIncoming};
+
+/**
+ * End the process as soon as all responses are sent, or at once if `isLimitReached` is
+ * true. No request is open. Repeated until the process ends.
+ */
 export type FinishDrainEffect = {readonly kind: typeof effectKind.finishDrain; readonly isLimitReached: boolean};
 
 export type Effect =
 	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | CheckTargetEffect
-	| CallPeerEffect | AnswerPeerEffect | WatchEffect | LogEffect | FinishDrainEffect;
+	| CallPeerEffect | AnswerPeerEffect | WatchEffect | LogEffect | RefuseIncomingEffect | FinishDrainEffect;
--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -80,6 +80,11 @@
 	}
 }
 
+/** True when a target may have run the request; a send whose connection has not opened does not count. */
+export function mayHaveRun({possibleRunCount, currentSend}: OpenRequest): boolean {
+	return possibleRunCount - (currentSend?.hasOpened === false ? 1 : 0) > 0;
+}
+
 export function cancelCurrentSend(step: Step, request: OpenRequest): void {
 	const {currentSend, openId} = request;
 	if (currentSend === undefined) {
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -20,6 +20,7 @@
 	peerAnswered: 'peer-answered',
 	peerFailed: 'peer-failed',
 	drainRequested: 'drain-requested',
+	stopRequested: 'stop-requested',
 	settingsChanged: 'settings-changed',
 	tick: 'tick',
 } as const;
@@ -160,6 +161,9 @@
 /** The process received a request to drain and end. */
 export type DrainRequestedEvent = {readonly kind: typeof eventKind.drainRequested; readonly by: string};
 
+/** The process has to end at once, with or without a drain before: no request may finish. */
+export type StopRequestedEvent = {readonly kind: typeof eventKind.stopRequested; readonly by: string};
+
 /** Settings that can change at run time were changed. */
 export type SettingsChangedEvent = {readonly kind: typeof eventKind.settingsChanged; readonly seedAddresses: readonly string[]};
 
@@ -169,4 +173,4 @@
 export type Event =
 	| RequestArrivedEvent | SendOpenedEvent | AnswerStartedEvent | AnswerSilentEvent | SendEndedEvent | CallerLeftEvent | TargetCheckedEvent
 	| DirectoryReadEvent | DirectoryLostEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
-	| DrainRequestedEvent | SettingsChangedEvent | TickEvent;
+	| DrainRequestedEvent | StopRequestedEvent | SettingsChangedEvent | TickEvent;
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -4,7 +4,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {effectKind, logLevel} from './effect.js';
 import {
-	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, recordFailure,
+	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, mayHaveRun, recordTimedOutSend, recordFailure,
 } from './end-request.js';
 import {
 	sendOutcome, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent, type SendEndedEvent,
@@ -385,13 +385,12 @@
 			continue;
 		}
 
-		const unsentCount = request.currentSend?.hasOpened === false ? 1 : 0;
-		const mayHaveRun = request.possibleRunCount - unsentCount > 0;
+		const failure = mayHaveRun(request) ? createFailure(failureReason.deadlineExceeded) : createFailure(failureReason.noTarget, 0);
 		if (request.currentSend !== undefined) {
 			recordTimedOutSend(step, request);
 			cancelCurrentSend(step, request);
 		}
 
-		finishWithFailure(step, request, mayHaveRun ? createFailure(failureReason.deadlineExceeded) : createFailure(failureReason.noTarget, 0));
+		finishWithFailure(step, request, failure);
 	}
 }
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -2,18 +2,17 @@
  * The reducer: every decision of a gateway, as a function of its state, an
  * event and the present time. The reducer performs no I/O and reads no clock.
  */
-import {effectKind, logLevel, type Effect} from './effect.js';
-import {eventKind, type DrainRequestedEvent, type Event} from './event.js';
-import {choosePeers} from './members.js';
+import type {Effect} from './effect.js';
+import {eventKind, type Event} from './event.js';
+import {advanceDrain, startDrain, startStop} from './reduce-drain.js';
 import {
-	callPeers, applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
+	applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
 } from './reduce-fleet.js';
 import {
 	advanceQueuedRequests, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applySendEnded, applySendOpened, endTimedOutRequests,
 } from './reduce-requests.js';
 import {checkPathsForPeer, updatePaths} from './reduce-paths.js';
 import {applyTargetChecked, updateQuarantine} from './reduce-quarantine.js';
-import {drainAcceptDurationMs} from './resolve-request.js';
 import {recordLog, type State, type Step} from './state.js';
 
 /** Applies one event: changes `state` in place and returns the effects in the order in which they have to run. */
@@ -47,13 +46,13 @@
 
 		case eventKind.sendEnded: {
 			applySendEnded(step, event);
-			finishDrainIfIdle(step);
+			advanceDrain(step);
 			break;
 		}
 
 		case eventKind.callerLeft: {
 			applyCallerLeft(step, event);
-			finishDrainIfIdle(step);
+			advanceDrain(step);
 			break;
 		}
 
@@ -94,6 +93,11 @@
 			break;
 		}
 
+		case eventKind.stopRequested: {
+			startStop(step, event.by);
+			break;
+		}
+
 		case eventKind.settingsChanged: {
 			step.state.members.seedAddresses = event.seedAddresses;
 			recordLog(step, 'settings-changed', {seeds: event.seedAddresses});
@@ -106,39 +110,8 @@
 			updateQuarantine(step);
 			advanceQueuedRequests(step);
 			endTimedOutRequests(step);
-			finishDrainIfIdle(step);
+			advanceDrain(step);
 			break;
 		}
 	}
 }
-
-function startDrain(step: Step, {by}: DrainRequestedEvent): void {
-	const {state, now} = step;
-	if (state.drainStartedAt !== undefined) {
-		return;
-	}
-
-	state.drainStartedAt = now;
-	recordLog(step, 'drain-started', {by, open: state.openRequests.size}, logLevel.warn);
-	callPeers(step, choosePeers(state.members, state.self.address, drainNotificationCount, state.random));
-}
-
-/** Number of peers that are called when this instance starts to drain; other peers remove this instance after a later message from it, or when its entry expires. */
-const drainNotificationCount = 3;
-
-/** Ends the drain when no request is open and callers had time to switch to another instance, or at the drain limit. */
-function finishDrainIfIdle(step: Step): void {
-	const {state, now} = step;
-	if (state.drainStartedAt === undefined) {
-		return;
-	}
-
-	const elapsed = now - state.drainStartedAt;
-	const isLimitReached = elapsed >= state.bounds.drainLimitMs;
-	if (isLimitReached || (state.openRequests.size === 0 && elapsed >= drainAcceptDurationMs + drainCloseDurationMs)) {
-		step.effects.push({kind: effectKind.finishDrain, isLimitReached});
-	}
-}
-
-/** Time after `drainAcceptDurationMs` for the connections of refused callers to close, in milliseconds. */
-const drainCloseDurationMs = 600;
--- a/packages/dispatch/src/lib/resolve-request.ts
+++ b/packages/dispatch/src/lib/resolve-request.ts
@@ -54,6 +54,10 @@
  * it could not be repeated.
  */
 function canFinishInDrain({state, now}: Step, route: Route, drainStartedAt: number): boolean {
+	if (state.stopStartedAt !== undefined) {
+		return false;
+	}
+
 	const elapsed = now - drainStartedAt;
 	const leftMs = state.bounds.drainLimitMs - elapsed;
 	if (route.timeLimitMs <= leftMs) {
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -29,7 +29,7 @@
 	readonly changeLimitMs: number;
 	/** Time after which the platform removes the registration of a target that has ended, in milliseconds. */
 	readonly registrationExpiryMs: number;
-	/** Longest time from the start of the drain to the end of the process, in milliseconds. */
+	/** Longest time from the start of the drain until the requests that are still open are ended, in milliseconds. */
 	readonly drainLimitMs: number;
 };
 
@@ -148,6 +148,8 @@
 	retryBudgets: Map<string, RetryBudget>;
 	nextSendId: number;
 	drainStartedAt?: number;
+	/** Time at which all open requests were ended, so that the process can end. */
+	stopStartedAt?: number;
 	lastTickAt: number;
 	/** The last time between two ticks in which the process did not run. */
 	lastTickGap?: {readonly startedAt: number; readonly endedAt: number};
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -472,6 +472,7 @@
 			case effectKind.log:
 			case effectKind.watch:
 			case effectKind.deliverHeld:
+			case effectKind.refuseIncoming:
 			case effectKind.finishDrain: {
 				break;
 			}
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -35,6 +35,8 @@
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
 
+const incompleteDetail = 'the process ends before the request is complete';
+
 type ReceivedRequest = {readonly body: Uint8Array; readonly relayedFrom: RelayOrigin | undefined};
 
 export class CallerServer {
@@ -48,8 +50,10 @@
 	#isDraining = false;
 	/** Size of the bodies of open requests that peers relay, in bytes. */
 	#relayedBytes = 0;
-	/** Number of requests that were received in part. */
-	#incomingCount = 0;
+	/** Requests that were received in part, each with the function that refuses it. */
+	readonly #incoming = new Map<IncomingMessage, (reason: FailureReason, detail: string) => void>();
+	/** True if requests that are not complete yet are refused. */
+	#isRefusing = false;
 
 	constructor(options: CallerServerOptions) {
 		this.#options = options;
@@ -82,12 +86,12 @@
 
 	/** Number of requests that were received in part. */
 	get incomingCount(): number {
-		return this.#incomingCount;
+		return this.#incoming.size;
 	}
 
 	/** True if a request is being received, or a response has not been sent completely. */
 	get isBusy(): boolean {
-		return this.#incomingCount > 0 || this.openExchanges.size > 0;
+		return this.#incoming.size > 0 || this.openExchanges.size > 0;
 	}
 
 	/** Applies the limits of new configuration tables. */
@@ -105,6 +109,14 @@
 		}
 	}
 
+	/** Refuses the requests that are being received, and from now on all that are not complete when they arrive. */
+	refuseIncoming(): void {
+		this.#isRefusing = true;
+		for (const refuse of this.#incoming.values()) {
+			refuse(failureReason.draining, incompleteDetail);
+		}
+	}
+
 	#handleRequest(request: IncomingMessage, response: ServerResponse, relayedFrom: RelayOrigin | undefined): void {
 		const body = new ByteCollector();
 		let isRefused = false;
@@ -119,6 +131,8 @@
 			refuse(failureReason.headTooLarge, 'the request head exceeds the configured limit');
 		} else if (Number(request.headers['content-length'] ?? 0) > this.#maxBodyBytes) {
 			refuse(failureReason.bodyTooLarge, 'the request body exceeds the configured limit');
+		} else if (this.#isRefusing) {
+			refuse(failureReason.draining, incompleteDetail);
 		}
 
 		request.on('data', (chunk: Uint8Array) => {
@@ -128,9 +142,9 @@
 				body.add(chunk);
 			}
 		});
-		this.#incomingCount++;
+		this.#incoming.set(request, refuse);
 		request.once('close', () => {
-			this.#incomingCount--;
+			this.#incoming.delete(request);
 		});
 		request.on('error', () => {
 			// Nothing to report before an exchange starts; later, the `close` event of the response reports it.
@@ -185,9 +199,17 @@
 	}
 
 	#refuseBeforeExchange(response: ServerResponse, relayedFrom: RelayOrigin | undefined, reason: FailureReason, detail: string): void {
-		const {status} = createFailure(reason);
+		const failure = createFailure(reason, reason === failureReason.draining ? 0 : undefined);
+		const {status} = failure;
 		this.#options.log('refused', {reason, status, detail});
-		response.writeHead(status, [...(relayedFrom === undefined ? [] : createFailureOutcomeHeaders(reason)), 'Content-Length', '0', 'Connection', 'close']);
+		response.writeHead(status, [
+			...Object.entries(this.#options.protocol.createFailureHeaders(failure)).flat(),
+			...(relayedFrom === undefined ? [] : createFailureOutcomeHeaders(reason)),
+			'Content-Length',
+			'0',
+			'Connection',
+			'close',
+		]);
 		response.end();
 	}
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,7 +6,8 @@
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {
-	createState, effectKind, eventKind, isReady, reduce, type CheckTargetEffect, type Effect, type Event, type FleetBounds, type LogEffect, type State,
+	createState, effectKind, eventKind, isReady, reduce, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event, type FleetBounds,
+	type LogEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
 	BoundedLog, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
@@ -240,6 +241,13 @@
 		});
 	}
 
+	#deliverHeldResponse({openId}: DeliverHeldEffect): void {
+		const caller = this.#callers.openExchanges.get(openId);
+		if (caller?.heldResponse !== undefined) {
+			caller.deliverResponse(caller.heldResponse);
+		}
+	}
+
 	#writeLog({level, event, fields}: LogEffect): void {
 		this.#metrics.count(event);
 		if (typeof fields.tookMs === 'number') {
@@ -279,11 +287,7 @@
 			}
 
 			case effectKind.deliverHeld: {
-				const caller = this.#callers.openExchanges.get(effect.openId);
-				if (caller?.heldResponse !== undefined) {
-					caller.deliverResponse(caller.heldResponse);
-				}
-
+				this.#deliverHeldResponse(effect);
 				break;
 			}
 
@@ -317,6 +321,11 @@
 				break;
 			}
 
+			case effectKind.refuseIncoming: {
+				this.#callers.refuseIncoming();
+				break;
+			}
+
 			case effectKind.finishDrain: {
 				// A response that is complete for the reducer may still be on its way to a slow caller.
 				if (effect.isLimitReached || !this.#callers.isBusy) {
