A request that was accepted is not judged again during a drain

Cause: `refreshResolution` resolves a request again if the tables have changed, and the resolution contained the admission during a drain: a few seconds into it, a request with a long time limit counted as a new one that comes too late.

Change: the admission (`admitInDrain`, with the rest of the drain) is decided once, at the arrival. The resolution only finds route and client account; what the new tables no longer allow is refused as before. Side effect: a request with an unknown key that arrives in a drain gets 401 instead of 503, under the same condition as at any time (the directory is current).

Evidence: the new test of drain_test failed before (actual '503 draining', expected nothing) and passes now; requests_test, route_durations_test and lost_paths_test pass.

--- a/packages/dispatch/src/lib/reduce-drain.ts
+++ b/packages/dispatch/src/lib/reduce-drain.ts
@@ -2,15 +2,19 @@
  * The end of an instance: a drain, in which open requests may finish, and then the stop,
  * which ends the requests that are still open with what is known about them.
  */
+import {err, ok, type Result} from 'neverthrow';
+import {routeKind, type Route} from './directory-facts.js';
 import {effectKind, logLevel} from './effect.js';
 import {cancelCurrentSend, finishWithFailure, mayHaveRun} from './end-request.js';
 import type {DrainRequestedEvent} from './event.js';
-import {createFailure, failureReason} from './failure.js';
+import {createFailure, failureReason, type Failure} from './failure.js';
 import {choosePeers} from './members.js';
 import {callPeers} from './reduce-fleet.js';
-import {drainAcceptDurationMs} from './resolve-request.js';
+import type {ResolvedRequest} from './resolve-request.js';
 import {recordLog, type OpenRequest, type Step} from './state.js';
 
+/** Time after the start of the drain in which new requests are accepted that usually end in time, in milliseconds; later, only those that are sure to. */
+const drainAcceptDurationMs = 2600;
 /** Number of peers that are called when this instance starts to drain; other peers remove this instance after a later message from it, or when its entry expires. */
 const drainNotificationCount = 3;
 /** Time after `drainAcceptDurationMs` for the connections of refused callers to close, in milliseconds. */
@@ -29,6 +33,30 @@
 	callPeers(step, choosePeers(state.members, state.self.address, drainNotificationCount, state.random));
 }
 
+/** Refuses a new request that may not finish before the drain limit, and every one from the stop on. A request that was accepted is not judged again. */
+export function admitInDrain(step: Step, resolved: ResolvedRequest): Result<ResolvedRequest, Failure> {
+	const {drainStartedAt, stopStartedAt} = step.state;
+	const isAdmitted = drainStartedAt === undefined || (stopStartedAt === undefined && canFinishInDrain(step, resolved.route, drainStartedAt));
+	return isAdmitted ? ok(resolved) : err(createFailure(failureReason.draining, 0));
+}
+
+/**
+ * True when a new request is accepted during the drain: with a time limit that ends before
+ * the drain limit, or early in the drain if requests of its route usually end in time. One
+ * that may run only once is accepted early only if that is known: cut at the drain limit,
+ * it could not be repeated.
+ */
+function canFinishInDrain({state, now}: Step, route: Route, drainStartedAt: number): boolean {
+	const elapsed = now - drainStartedAt;
+	const leftMs = state.bounds.drainLimitMs - elapsed;
+	if (route.timeLimitMs <= leftMs) {
+		return true;
+	}
+
+	const usualMs = state.routeDurations.estimateMs(route.name, now) ?? (route.kind === routeKind.once ? Number.POSITIVE_INFINITY : 0);
+	return elapsed <= drainAcceptDurationMs && usualMs <= leftMs;
+}
+
 /** Ends all open requests, refuses all others from now on, and lets the process end as soon as the responses are sent. */
 export function startStop(step: Step, by: string): void {
 	const {state, now} = step;
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -17,6 +17,7 @@
 	isPathProbablyLost, recordReached, recordServed, recordUnreached, relayedRequestLimit,
 } from './reduce-paths.js';
 import {findPromptKey} from './prompt.js';
+import {admitInDrain} from './reduce-drain.js';
 import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, drawRetryAfterMs, resolveRequest,
@@ -38,7 +39,7 @@
 
 export function applyArrival(step: Step, event: RequestArrivedEvent): void {
 	const {state, now} = step;
-	const resolved = admitRelayed(step, event).andThen(() => resolveRequest(step, event));
+	const resolved = admitRelayed(step, event).andThen(() => resolveRequest(step, event)).andThen(found => admitInDrain(step, found));
 	if (resolved.isErr()) {
 		refuseArrival(step, event, resolved.error);
 		return;
--- a/packages/dispatch/src/lib/resolve-request.ts
+++ b/packages/dispatch/src/lib/resolve-request.ts
@@ -5,9 +5,7 @@
  */
 import {hashText} from '@sequoiatally/core';
 import {err, ok, type Result} from 'neverthrow';
-import {
-	routeKind, type Account, type Route, type Split,
-} from './directory-facts.js';
+import type {Account, Route, Split} from './directory-facts.js';
 import type {RequestArrivedEvent} from './event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {findPromptKey} from './prompt.js';
@@ -17,15 +15,13 @@
 /** Smallest retry delay that is sent to callers, and the largest random addition, which spreads their retries, in milliseconds. */
 const minRetryAfterMs = 50;
 const retryAfterJitterMs = 250;
-/** Time after the start of the drain in which new requests are accepted that usually end in time, in milliseconds; later, only those that are sure to. */
-export const drainAcceptDurationMs = 2600;
 
 /** The route of a request and the client account of its key. */
-type ResolvedRequest = {readonly route: Route; readonly account?: Account};
+export type ResolvedRequest = {readonly route: Route; readonly account?: Account};
 
 /** Finds route and client account in the current configuration tables. */
 export function resolveRequest(step: Step, {host, path, keyDigest}: Pick<RequestArrivedEvent, 'host' | 'path' | 'keyDigest'>): Result<ResolvedRequest, Failure> {
-	const {directory, drainStartedAt} = step.state;
+	const {directory} = step.state;
 	if (directory.tables === undefined) {
 		return err(createFailure(failureReason.notReady, drawRetryAfterMs(step)));
 	}
@@ -35,10 +31,6 @@
 		return err(createLookupFailure(step, failureReason.noRoute));
 	}
 
-	if (drainStartedAt !== undefined && !canFinishInDrain(step, route, drainStartedAt)) {
-		return err(createFailure(failureReason.draining, 0));
-	}
-
 	if (route.isPublic || directory.tables.accounts === undefined) {
 		return ok({route});
 	}
@@ -47,27 +39,6 @@
 	return account === undefined ? err(createLookupFailure(step, failureReason.keyUnknown)) : ok({route, account});
 }
 
-/**
- * True when a new request is accepted during the drain: with a time limit that ends before
- * the drain limit, or early in the drain if requests of its route usually end in time. One
- * that may run only once is accepted early only if that is known: cut at the drain limit,
- * it could not be repeated.
- */
-function canFinishInDrain({state, now}: Step, route: Route, drainStartedAt: number): boolean {
-	if (state.stopStartedAt !== undefined) {
-		return false;
-	}
-
-	const elapsed = now - drainStartedAt;
-	const leftMs = state.bounds.drainLimitMs - elapsed;
-	if (route.timeLimitMs <= leftMs) {
-		return true;
-	}
-
-	const usualMs = state.routeDurations.estimateMs(route.name, now) ?? (route.kind === routeKind.once ? Number.POSITIVE_INFINITY : 0);
-	return elapsed <= drainAcceptDurationMs && usualMs <= leftMs;
-}
-
 /** Creates the failure for a missing route or key; with an old directory it asks for a retry, since another instance may have a newer directory. */
 function createLookupFailure(step: Step, reason: typeof failureReason.noRoute | typeof failureReason.keyUnknown): Failure {
 	const age = computeDirectoryAge(step);
--- a/packages/dispatch/src/test/drain_test.ts
+++ b/packages/dispatch/src/test/drain_test.ts
@@ -7,7 +7,7 @@
 	effectKind, eventKind, sendOutcome, type Route, type SendEffect, type SendOutcome,
 } from '../index.js';
 import {
-	createRoute, createTables, GatewayFixture, onceRoute, repeatableRoute, resumableRoute,
+	createRoute, createTables, createTablesChange, GatewayFixture, onceRoute, repeatableRoute, resumableRoute,
 } from './gateway-fixture.js';
 
 /** Time from the start of the drain until the responses of open requests are ended, in milliseconds; the settings of the fixture give it. */
@@ -25,6 +25,13 @@
 	gateway.handle({kind: eventKind.drainRequested, by: 'test'});
 }
 
+/** Lets requests of the route take `durationMs` before now. */
+function recordDurations(gateway: GatewayFixture, route: Route, durationMs: number): void {
+	for (let count = 0; count < 20; count++) {
+		gateway.state.routeDurations.record(route.name, durationMs, gateway.now);
+	}
+}
+
 function endSend(gateway: GatewayFixture, {openId, sendId}: SendEffect, outcome: SendOutcome): void {
 	gateway.handle({
 		kind: eventKind.sendEnded, openId, sendId, outcome, detail: 'test',
@@ -136,3 +143,31 @@
 		assert.equal(finish?.isLimitReached, false);
 	}
 });
+
+// Guards against accepted requests that are refused or broken off as new ones, because the tables change during a drain (LOST, issue 45).
+test('a request that was accepted is sent again and resumed during a drain, also after a change of the tables', () => {
+	for (const route of [slowOnceRoute, slowRepeatableRoute, slowResumableRoute]) {
+		for (const isDraining of [false, true]) {
+			const gateway = createGateway(['desk-1', 'desk-2', 'engine-1', 'engine-2']);
+			if (isDraining) {
+				startDrain(gateway);
+				recordDurations(gateway, route, 100);
+			}
+
+			gateway.receiveRequest(route, {prompt: ['root', 'own']});
+			const first = gateway.takeLastSend();
+			const hasBegun = route === slowResumableRoute;
+			if (hasBegun) {
+				gateway.handle({kind: eventKind.answerStarted, openId: first.openId, sendId: first.sendId});
+			}
+
+			startDrain(gateway);
+			gateway.advance(4000);
+			gateway.applyChanges(2, [createTablesChange(2, createTables(2, {routes}))]);
+			endSend(gateway, first, hasBegun ? sendOutcome.interrupted : sendOutcome.rejected);
+			assert.deepEqual(listEnds(gateway), [], route.name);
+			assert.equal(gateway.listSends().length, 1, route.name);
+			assert.notEqual(gateway.takeLastSend().targetId, first.targetId);
+		}
+	}
+});
