The estimate in a drain sees the requests that are still open

Cause: the estimate of a route's usual time knew only requests that had ended. While its time grows, or its targets fall silent, those that are open are older than all of them, and the estimate stays low; a retryable route without any that ended lately counted as 0 ms.

Change: the age of the oldest open request of the route counts like the duration of one that ended; without an estimate it is the time of a retryable route. It is computed only for an arrival early in a drain that its time limit does not admit.

Evidence: the new test of route_durations_test failed before (actual [], expected [503]) and passes now; another one shows that open requests of other routes and young ones do not count. drain_test and requests_test pass.

--- a/packages/dispatch/src/lib/reduce-drain.ts
+++ b/packages/dispatch/src/lib/reduce-drain.ts
@@ -12,7 +12,9 @@
 import {callPeers} from './reduce-fleet.js';
 import type {ResolvedRequest} from './resolve-request.js';
 import {isRetryable} from './send-request.js';
-import {recordLog, type OpenRequest, type Step} from './state.js';
+import {
+	recordLog, type OpenRequest, type State, type Step,
+} from './state.js';
 
 /** Time after the start of the drain in which new requests are accepted that usually end in time, in milliseconds; later, only those that are sure to. */
 const drainAcceptDurationMs = 2600;
@@ -54,8 +56,25 @@
 		return true;
 	}
 
-	const usualMs = state.routeDurations.estimateMs(route.name, now) ?? (isRetryable(route) ? 0 : Number.POSITIVE_INFINITY);
-	return elapsed <= drainAcceptDurationMs && usualMs <= leftMs;
+	if (elapsed > drainAcceptDurationMs) {
+		return false;
+	}
+
+	const openMs = computeLongestOpenMs(state, route.name, now);
+	const usualMs = state.routeDurations.estimateMs(route.name, now, openMs) ?? (isRetryable(route) ? openMs : Number.POSITIVE_INFINITY);
+	return usualMs <= leftMs;
+}
+
+/** Computes the age of the oldest open request of the route, in milliseconds; 0 without one. */
+function computeLongestOpenMs({openRequests}: State, routeName: string, now: number): number {
+	let longestMs = 0;
+	for (const {route, arrivedAt} of openRequests.values()) {
+		if (route.name === routeName) {
+			longestMs = Math.max(longestMs, now - arrivedAt);
+		}
+	}
+
+	return longestMs;
 }
 
 /** Ends all open requests, refuses all others from now on, and lets the process end as soon as the responses are sent. */
--- a/packages/dispatch/src/lib/route-durations.ts
+++ b/packages/dispatch/src/lib/route-durations.ts
@@ -31,11 +31,14 @@
 		this.#periods.set(routeName, [current, previous]);
 	}
 
-	/** Estimates the time within which a request of the route ends; `undefined` if too few have ended lately. */
-	estimateMs(routeName: string, now: number): number | undefined {
+	/**
+	 * Estimates the time within which a request of the route ends; `undefined` if too few have ended lately.
+	 * `openMs` is the age of the oldest one that has not ended: it may be older than all that have.
+	 */
+	estimateMs(routeName: string, now: number, openMs = 0): number | undefined {
 		const recent = this.#listRecent(routeName, now);
 		const count = countRequests(recent);
-		return count < minCount ? undefined : (Math.max(...recent.map(({longestMs}) => longestMs)) * margin.multiple) + margin.ms;
+		return count < minCount ? undefined : (Math.max(openMs, ...recent.map(({longestMs}) => longestMs)) * margin.multiple) + margin.ms;
 	}
 
 	/** Computes the mean time that requests of the route took; `undefined` if none has ended lately. */
--- a/packages/dispatch/src/test/route_durations_test.ts
+++ b/packages/dispatch/src/test/route_durations_test.ts
@@ -49,6 +49,41 @@
 	}
 });
 
+// Guards against requests that are accepted in a planned stop although those before them on the route have not ended for long (LOST, issue 45).
+test('a draining instance also estimates the time of a request from those of its route that are open for longer than all that ended', () => {
+	for (const route of [slowOnceRoute, streamRoute, resumableStreamRoute]) {
+		for (const hasEnded of [true, false]) {
+			const gateway = new GatewayFixture().loadDirectory(['desk-1', 'engine-1'], createTables(1, {routes: [route]}));
+			gateway.receiveRequest(route, {prompt: ['root', 'own']});
+			gateway.advance(3700);
+			for (let count = 0; count < (hasEnded ? 20 : 0); count++) {
+				gateway.state.routeDurations.record(route.name, 100, gateway.now);
+			}
+
+			gateway.handle({kind: eventKind.drainRequested, by: 'test'});
+			// Later, the time limit of `slowOnceRoute` ends after the drain limit.
+			gateway.advance(2000);
+			gateway.receiveRequest(route, {prompt: ['root', 'other']});
+			assert.deepEqual(gateway.listRefusalStatuses(), [503], `${route.name}, ${String(hasEnded)}`);
+		}
+	}
+});
+
+test('open requests of other routes, and young ones, do not count in the estimate', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'engine-1'], createTables(1, {routes: [slowOnceRoute, streamRoute]}));
+	for (let count = 0; count < 20; count++) {
+		gateway.state.routeDurations.record(streamRoute.name, 1500, gateway.now);
+	}
+
+	gateway.receiveRequest(slowOnceRoute);
+	gateway.advance(4500);
+	gateway.receiveRequest(streamRoute, {prompt: ['root', 'own']});
+	gateway.handle({kind: eventKind.drainRequested, by: 'test'});
+	gateway.advance(1000);
+	gateway.receiveRequest(streamRoute, {prompt: ['root', 'other']});
+	assert.deepEqual(gateway.listRefusalStatuses(), []);
+});
+
 test('the longest of the recent requests counts, and is forgotten', () => {
 	const durations = new RouteDurations();
 	let now = 1000;
