--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -4,7 +4,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {effectKind, logLevel} from './effect.js';
 import {
-	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, recordTimedOutSend, recordFailure,
+	cancelCurrentSend, createNotRunFailure, endCurrentSend, finishRequest, finishWithFailure, mayHaveRun, recordTimedOutSend, recordFailure,
 } from './end-request.js';
 import {
 	sendOutcome, type AnswerContinuedEvent, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type RequestArrivedEvent,
@@ -17,6 +17,7 @@
 	isPathProbablyLost, recordReached, recordServed, recordUnreached, relayedRequestLimit,
 } from './reduce-paths.js';
 import {findPromptKey} from './prompt.js';
+import {admitInDrain} from './reduce-drain.js';
 import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, drawRetryAfterMs, resolveRequest,
@@ -38,7 +39,7 @@
 
 export function applyArrival(step: Step, event: RequestArrivedEvent): void {
 	const {state, now} = step;
-	const resolved = admitRelayed(step, event).andThen(() => resolveRequest(step, event));
+	const resolved = admitRelayed(step, event).andThen(() => resolveRequest(step, event)).andThen(found => admitInDrain(step, found));
 	if (resolved.isErr()) {
 		refuseArrival(step, event, resolved.error);
 		return;
@@ -414,13 +415,12 @@
 			continue;
 		}
 
-		const unsentCount = request.currentSend?.hasOpened === false ? 1 : 0;
-		const mayHaveRun = request.possibleRunCount - unsentCount > 0;
+		const failure = mayHaveRun(request) ? createFailure(failureReason.deadlineExceeded) : createFailure(failureReason.noTarget, 0);
 		if (request.currentSend !== undefined) {
 			recordTimedOutSend(step, request);
 			cancelCurrentSend(step, request);
 		}
 
-		finishWithFailure(step, request, mayHaveRun ? createFailure(failureReason.deadlineExceeded) : createFailure(failureReason.noTarget, 0));
+		finishWithFailure(step, request, failure);
 	}
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -336,6 +336,11 @@
 				break;
 			}
 
+			case effectKind.refuseIncoming: {
+				this.#callers.refuseIncoming();
+				break;
+			}
+
 			case effectKind.finishDrain: {
 				// A response that is complete for the reducer may still be on its way to a slow caller.
 				if (effect.isLimitReached || this.#callers.tryCloseConnections(readMonotonicMs())) {
