--- a/packages/dispatch/src/test/drain_test.ts
+++ b/packages/dispatch/src/test/drain_test.ts
@@ -7,7 +7,7 @@
 	effectKind, eventKind, sendOutcome, type Route, type SendEffect, type SendOutcome,
 } from '../index.js';
 import {
-	createRoute, createTables, createTablesChange, GatewayFixture, onceRoute, repeatableRoute, resumableRoute,
+	createRoute, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture, onceRoute, repeatableRoute, resumableRoute,
 } from './gateway-fixture.js';
 
 /** Time from the start of the drain until the responses of open requests are ended, in milliseconds; the settings of the fixture give it. */
@@ -93,7 +93,7 @@
 });
 
 // Guards against streams that are cut at the drain limit without a log line (issue 45).
-test('a stream that has begun is broken off at the drain limit, also between two sends', () => {
+test('a stream that has begun is broken off at the drain limit, also one that was just resumed', () => {
 	const gateway = createGateway(['engine-1', 'engine-2']);
 	gateway.receiveRequest(slowResumableRoute, {prompt: ['root', 'own']});
 	const {openId, sendId} = gateway.takeLastSend();
@@ -171,3 +171,65 @@
 		}
 	}
 });
+
+// Guards against requests that wait for a place when a planned stop ends, and are cut without an answer (issue 45).
+test('a request that is queued during a drain is sent as soon as a target registers, or refused as not run at the drain limit', () => {
+	const route = {...slowRepeatableRoute, latencyTargetMs: 60_000};
+	for (const hasTarget of [true, false]) {
+		const gateway = new GatewayFixture().loadDirectory([], createTables(1, {routes: [route]}));
+		recordDurations(gateway, route, 100);
+		startDrain(gateway);
+		gateway.advance(2500);
+		gateway.receiveRequest(route);
+		assert.equal(gateway.state.queuedRequests.size, 1);
+		gateway.advance(3000);
+		if (hasTarget) {
+			gateway.applyChanges(2, [createTargetChange(2, createTargetRecord('desk-1'))]);
+			assert.equal(gateway.listSends().length, 1);
+		}
+
+		assert.deepEqual(listEnds(gateway), []);
+		gateway.advance(drainLimitMs - 5500);
+		assert.deepEqual(listEnds(gateway), ['503 draining']);
+		assert.equal(gateway.state.queuedRequests.size, 0);
+	}
+});
+
+// Guards against streams that wait for the decision about a path, between two sends, when the process stops (issue 45).
+test('a stream that waits for its next send is broken off by a stop, and a request that may have run is answered with 502', () => {
+	for (const hasBegun of [true, false]) {
+		const gateway = createGateway(['engine-1']);
+		gateway.receiveRequest(slowResumableRoute, {prompt: ['root', 'own']});
+		const waiting = gateway.takeLastSend();
+		if (hasBegun) {
+			gateway.handle({kind: eventKind.answerStarted, openId: waiting.openId, sendId: waiting.sendId});
+		}
+
+		gateway.advance(25);
+		gateway.receiveRequest(slowResumableRoute, {prompt: ['root', 'other']});
+		endSend(gateway, gateway.takeLastSend({opens: false}), sendOutcome.notSent);
+		endSend(gateway, waiting, sendOutcome.interrupted);
+		assert.ok([...gateway.state.queuedRequests].some(({openId}) => openId === waiting.openId), 'it waits');
+		gateway.effects = [];
+		gateway.handle({kind: eventKind.stopRequested, by: 'test'});
+		assert.deepEqual(listEnds(gateway), [hasBegun ? 'break-off' : '502 answer-lost', '503 draining']);
+		assert.equal(gateway.state.openRequests.size, 0);
+		assert.equal(gateway.state.queuedRequests.size, 0);
+	}
+});
+
+// Guards against a peer that ends relayed requests without telling the origin what is known about them (issue 45).
+test('a relayed request ends at the drain limit of the peer like any other', () => {
+	for (const opens of [true, false]) {
+		const gateway = createGateway();
+		gateway.createPeerAnswer();
+		gateway.receiveRequest(slowOnceRoute, {relayedFrom: {id: 'gateway-9', incarnation: 'i', runLimit: 1}});
+		gateway.takeLastSend({opens});
+		startDrain(gateway);
+		gateway.advance(drainLimitMs);
+		assert.deepEqual(listEnds(gateway), [opens ? '502 answer-lost' : '503 draining']);
+		gateway.receiveRequest(onceRoute, {relayedFrom: {id: 'gateway-9', incarnation: 'i', runLimit: 1}});
+		assert.deepEqual(listEnds(gateway), ['503 draining'], 'the origin may go on elsewhere');
+		assert.equal(gateway.state.relayedOpenIds.size, 0);
+	}
+});
