--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -192,7 +192,8 @@
 	}
 
 	/** Logs the end of the process, and each request that it cuts. */
-	logStop(reason: string): void {
+	logStop(): void {
+		const {drainStartedAt, stopStartedAt} = this.state;
 		const now = readMonotonicMs();
 		for (const {requestId, route, arrivedAt, currentSend, hasResponseStarted, queuedUntil} of this.state.openRequests.values()) {
 			this.log.write('warn', {
@@ -202,8 +203,12 @@
 		}
 
 		this.log.write('warn', {
-			event: 'stopped', reason, open: this.state.openRequests.size, unsent: this.#callers.openExchanges.size - this.state.openRequests.size, receiving: this.#callers.incomingCount,
-			drainedMs: this.state.drainStartedAt === undefined ? undefined : Math.round(now - this.state.drainStartedAt),
+			event: 'stopped',
+			reason: stopStartedAt === undefined ? 'drained' : 'stop',
+			open: this.state.openRequests.size,
+			unsent: this.#callers.openExchanges.size - this.state.openRequests.size,
+			receiving: this.#callers.incomingCount,
+			drainedMs: drainStartedAt === undefined ? undefined : Math.round(now - drainStartedAt),
 		});
 	}
 
