What the end of a process cuts is reset before the servers close, for peers too

What callers saw: a stream without length and chunks that a peer relays looked complete when the end of the peer cut it (ORDER): the server for peers closed its connections with a FIN before the open responses were broken off. Cause: the resource that breaks them off was registered with the server for callers, and resources are closed in reverse order; the server for peers may be registered later. Change: the gateway breaks off the open responses first, of callers and of peers. A resumed send whose exchange was ended by the event that it goes on passes nothing on after that.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -73,12 +73,13 @@
 
 	async listen(address: SocketAddress, lifecycle: LifecycleManager): Promise<void> {
 		await listenOn(this.#server, address, lifecycle);
-		// Before the server closes the connections: a response whose end is that of its connection would look complete.
-		lifecycle.own('open responses', () => {
-			for (const exchange of this.openExchanges.values()) {
-				exchange.abort();
-			}
-		});
+	}
+
+	/** Breaks off all open responses. A response whose end is that of its connection would look complete if a server closed that. */
+	abortAll(): void {
+		for (const exchange of this.openExchanges.values()) {
+			exchange.abort();
+		}
 	}
 
 	/** Handles a request that a peer received from its caller and cannot send to a target. */
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -385,6 +385,9 @@
 				if (resumeAfterEventId !== undefined && !hasContinued) {
 					hasContinued = true;
 					this.#options.emit({kind: eventKind.answerContinued, openId, sendId});
+					if (this.#hasEnded) {
+						return;
+					}
 				}
 
 				const {lastEventId} = splitter;
