One budget for the bodies of all requests: those that do not fit are refused before they are read

Cause: the bodies of all requests had no common limit, and a body that grew was copied into a buffer of up to twice its size.

Change: BufferBudget has accounts for bodies, of callers and of peers, beside those for responses. A declared length is reserved before the body is read. What does not fit gets 503 with Retry-After, and is truly not run; what was passed on never gives way. An eighth is kept for bodies of up to 64 KB. Bodies are kept in the blocks in which they arrive. Log lines memory-full and memory-free, three metrics.

--- a/packages/dispatch/src/lib/failure.ts
+++ b/packages/dispatch/src/lib/failure.ts
@@ -10,6 +10,8 @@
 	noRoute: 'no-route',
 	bodyTooLarge: 'body-too-large',
 	headTooLarge: 'head-too-large',
+	/** The body does not fit into the memory beside those of the open requests. */
+	memoryFull: 'memory-full',
 	/** No configuration tables have been received yet. */
 	notReady: 'not-ready',
 	/** The directory has no matching entry but may be out of date. */
@@ -47,6 +49,7 @@
 	[failureReason.noRoute]: 404,
 	[failureReason.bodyTooLarge]: 413,
 	[failureReason.headTooLarge]: 431,
+	[failureReason.memoryFull]: 503,
 	[failureReason.notReady]: 503,
 	[failureReason.directoryStale]: 503,
 	[failureReason.draining]: 503,
--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -62,7 +62,8 @@
 		readonly openId: number,
 		readonly head: RequestHead,
 		readonly request: IncomingMessage,
-		readonly body: Uint8Array,
+		/** The parts of the request's body, in order. */
+		readonly body: readonly Uint8Array[],
 		options: {readonly response: ServerResponse; readonly protocol: CallerProtocol; readonly relayedFrom?: RelayOrigin},
 	) {
 		this.relayedFrom = options.relayedFrom;
@@ -145,6 +146,7 @@
 	}
 }
 
-function computeLength(parts: readonly Uint8Array[]): number {
+/** Computes the length of a body from its parts, in bytes. */
+export function computeLength(parts: readonly Uint8Array[]): number {
 	return parts.reduce((length, part) => length + part.length, 0);
 }
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -8,8 +8,9 @@
 import {
 	createFailure, eventKind, failureReason, type CallerLimits, type Event, type FailureReason, type RelayOrigin,
 } from '@sequoiatally/dispatch';
-import type {LifecycleManager, SocketAddress} from '@sequoiatally/runtime';
-import {ByteCollector} from './byte-collector.js';
+import {
+	BodyCollector, type BufferBudget, type LifecycleManager, type SocketAddress,
+} from '@sequoiatally/runtime';
 import {CallerExchange} from './caller-exchange.js';
 import type {CallerProtocol} from './protocol.js';
 import {listenOn} from './listen.js';
@@ -27,15 +28,32 @@
 const maxRelayedBytes = 32 * 1024 * 1024;
 /** Largest request body until configuration tables are received. */
 const defaultMaxBodyBytes = 4 * 1024 * 1024;
+/** Limits for what is read and discarded after a request was rejected, in milliseconds and bytes: the caller reads the response meanwhile. */
+const discardTimeoutMs = 2000;
+const maxDiscardedBytes = 16 * 1024 * 1024;
+/** Smallest retry delay for a body that does not fit, and the largest random addition, in milliseconds. */
+const minMemoryRetryAfterMs = 250;
+const memoryRetryAfterJitterMs = 500;
 
 export type CallerServerOptions = {
 	readonly protocol: CallerProtocol;
+	/** Memory for the bytes that all exchanges hold. */
+	readonly bufferBudget: BufferBudget;
 	readonly emit: (event: Event) => void;
+	/** Draws a number in [0, 1). */
+	readonly random: () => number;
 	/** Writes a log line. */
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
 
-type ReceivedRequest = {readonly body: Uint8Array; readonly relayedFrom: RelayOrigin | undefined};
+type ReceivedRequest = {
+	readonly body: readonly Uint8Array[];
+	readonly bodyBytes: number;
+	readonly relayedFrom: RelayOrigin | undefined;
+};
+
+/** Why a request is rejected before its exchange starts. */
+type Rejection = {readonly relayedFrom: RelayOrigin | undefined; readonly reason: FailureReason; readonly detail: string};
 
 export class CallerServer {
 	/** Exchanges whose response is not complete, by `openId`. */
@@ -106,26 +124,36 @@
 	}
 
 	#handleRequest(request: IncomingMessage, response: ServerResponse, relayedFrom: RelayOrigin | undefined): void {
-		const body = new ByteCollector();
-		let isRefused = false;
+		const account = this.#options.bufferBudget.openBodyAccount();
+		let body: BodyCollector | undefined = new BodyCollector();
+		let bodyBytes = 0;
 		const refuse = (reason: FailureReason, detail: string) => {
-			if (!isRefused) {
-				isRefused = true;
-				this.#refuseBeforeExchange(response, relayedFrom, reason, detail);
+			if (body !== undefined) {
+				body = undefined;
+				account.release();
+				this.#refuseBeforeExchange(request, response, {relayedFrom, reason, detail});
 			}
 		};
 
+		const declaredBytes = Number(request.headers['content-length'] ?? 0);
 		if (relayedFrom === undefined && computeHeadBytes(request) > this.#maxHeadBytes) {
 			refuse(failureReason.headTooLarge, 'the request head exceeds the configured limit');
-		} else if (Number(request.headers['content-length'] ?? 0) > this.#maxBodyBytes) {
+		} else if (declaredBytes > this.#maxBodyBytes) {
 			refuse(failureReason.bodyTooLarge, 'the request body exceeds the configured limit');
+		} else if (!account.tryExtend(declaredBytes)) {
+			refuse(failureReason.memoryFull, 'the declared length of the request body does not fit into the memory');
 		}
 
 		request.on('data', (chunk: Uint8Array) => {
-			if (body.length + chunk.length > this.#maxBodyBytes) {
+			bodyBytes += chunk.length;
+			if (bodyBytes > this.#maxBodyBytes) {
 				refuse(failureReason.bodyTooLarge, 'the request body exceeds the configured limit');
-			} else if (!isRefused) {
-				body.add(chunk);
+				return;
+			}
+
+			body?.add(chunk);
+			if (body !== undefined && !account.tryExtend(body.capacity)) {
+				refuse(failureReason.memoryFull, 'the request body does not fit into the memory');
 			}
 		});
 		this.#incomingCount++;
@@ -135,23 +163,26 @@
 		request.on('error', () => {
 			// Nothing to report before an exchange starts; later, the `close` event of the response reports it.
 		});
+		response.once('close', () => {
+			account.release();
+		});
 		request.on('end', () => {
-			if (!isRefused) {
-				this.#startExchange(request, response, {body: body.toBytes(), relayedFrom});
+			if (body !== undefined) {
+				this.#startExchange(request, response, {body: body.takeBlocks(), bodyBytes, relayedFrom});
 			}
 		});
 	}
 
-	#startExchange(request: IncomingMessage, response: ServerResponse, {body, relayedFrom}: ReceivedRequest): void {
+	#startExchange(request: IncomingMessage, response: ServerResponse, {body, bodyBytes, relayedFrom}: ReceivedRequest): void {
 		const head = this.#options.protocol.readHead(request);
 		if (head.isErr()) {
-			this.#refuseBeforeExchange(response, relayedFrom, failureReason.badRequest, head.error.detail);
+			this.#refuseBeforeExchange(request, response, {relayedFrom, reason: failureReason.badRequest, detail: head.error.detail});
 			return;
 		}
 
-		const relayedBytes = relayedFrom === undefined ? 0 : body.length;
+		const relayedBytes = relayedFrom === undefined ? 0 : bodyBytes;
 		if (this.#relayedBytes + relayedBytes > maxRelayedBytes) {
-			this.#refuseBeforeExchange(response, relayedFrom, failureReason.relayRefused, 'the bodies of relayed requests exceed the limit');
+			this.#refuseBeforeExchange(request, response, {relayedFrom, reason: failureReason.relayRefused, detail: 'the bodies of relayed requests exceed the limit'});
 			return;
 		}
 
@@ -184,12 +215,49 @@
 		});
 	}
 
-	#refuseBeforeExchange(response: ServerResponse, relayedFrom: RelayOrigin | undefined, reason: FailureReason, detail: string): void {
-		const {status} = createFailure(reason);
-		this.#options.log('refused', {reason, status, detail});
-		response.writeHead(status, [...(relayedFrom === undefined ? [] : createFailureOutcomeHeaders(reason)), 'Content-Length', '0', 'Connection', 'close']);
+	#refuseBeforeExchange(request: IncomingMessage, response: ServerResponse, {relayedFrom, reason, detail}: Rejection): void {
+		const {random, protocol, log} = this.#options;
+		const failure = createFailure(reason, reason === failureReason.memoryFull ? minMemoryRetryAfterMs + (random() * memoryRetryAfterJitterMs) : undefined);
+		const {status} = failure;
+		log('refused', {reason, status, detail});
+		response.writeHead(status, [
+			...Object.entries(protocol.createFailureHeaders(failure)).flat(),
+			...(relayedFrom === undefined ? [] : createFailureOutcomeHeaders(reason)),
+			'Content-Length',
+			'0',
+			'Connection',
+			'close',
+		]);
+		endAfterBody(request, response);
+	}
+}
+
+/**
+ * Sends a response without a body at once, but ends it only when the request has been read, or the caller sends
+ * too much or for too long: bytes that arrive at a closed connection reset it, and the caller could lose the response.
+ */
+function endAfterBody(request: IncomingMessage, response: ServerResponse): void {
+	if (request.complete) {
 		response.end();
+		return;
 	}
+
+	response.flushHeaders();
+	let discardedBytes = 0;
+	const end = () => {
+		clearTimeout(timer);
+		response.end();
+	};
+
+	const timer = setTimeout(end, discardTimeoutMs);
+	request.once('end', end);
+	request.once('close', end);
+	request.on('data', (chunk: Uint8Array) => {
+		discardedBytes += chunk.length;
+		if (discardedBytes > maxDiscardedBytes) {
+			end();
+		}
+	});
 }
 
 /** Computes the size of the request line and headers as sent, in bytes, without optional white space. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -9,7 +9,7 @@
 	createState, effectKind, eventKind, isReady, reduce, type CheckTargetEffect, type Effect, type Event, type FleetBounds, type LogEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
-	BoundedLog, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
+	BoundedLog, BufferBudget, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {CallerServer} from './caller-server.js';
 import {ConnectionPool} from './connection-pool.js';
@@ -113,10 +113,19 @@
 			this.handle(event);
 		};
 
+		const bufferBudget = new BufferBudget(settings.memoryBytes, isFull => {
+			const event = isFull ? 'memory-full' : 'memory-free';
+			this.#metrics.count(event);
+			this.log.write(isFull ? 'warn' : 'info', {
+				event, bodyBytes: bufferBudget.bodyBytes, bodyBytesLimit: bufferBudget.bodyBytesLimit, open: this.#callers.openExchanges.size,
+			});
+		});
 		const pool = new ConnectionPool(readMonotonicMs, lifecycle);
 		this.#pool = pool;
 		this.#callers = new CallerServer({
 			protocol: protocols.callers,
+			bufferBudget,
+			random: Math.random,
 			emit,
 			log: (event, fields) => {
 				this.#metrics.count(event);
@@ -128,7 +137,7 @@
 			protocol: protocols.targets,
 			callerProtocol: protocols.callers,
 			origin: {id: settings.instanceId, incarnation},
-			memoryBytes: settings.memoryBytes,
+			bufferBudget,
 			emit,
 			readClock: readMonotonicMs,
 		});
@@ -143,6 +152,9 @@
 			['relayed_requests', () => this.state.relayedOpenIds.size],
 			['quarantined_prompts', () => this.state.quarantine.size],
 			['target_connections_opened', () => pool.openedCount],
+			['body_bytes', () => bufferBudget.bodyBytes],
+			['body_bytes_limit', () => bufferBudget.bodyBytesLimit],
+			['response_bytes', () => bufferBudget.responseBytes],
 			['log_lines_dropped', () => this.log.droppedTotal],
 		]);
 		this.#peers = new PeerTransport({
--- a/packages/gateway/src/lib/request-fingerprint.ts
+++ b/packages/gateway/src/lib/request-fingerprint.ts
@@ -15,7 +15,8 @@
 	readonly url: string;
 	/** Digest of the caller's key: the requests of two client accounts are never the same. */
 	readonly keyDigest?: string;
-	readonly body: Uint8Array;
+	/** The parts of the body, in order. */
+	readonly body: readonly Uint8Array[];
 };
 
 /** Computes the fingerprint of a request, from which neither its content nor its caller's key can be told. */
@@ -23,6 +24,9 @@
 	const hash = createHash('sha256');
 	// In JSON, no text can continue into the next one.
 	hash.update(JSON.stringify([method, host, url, keyDigest]));
-	hash.update(body);
+	for (const part of body) {
+		hash.update(part);
+	}
+
 	return hash.digest('base64url').slice(0, fingerprintLength);
 }
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -8,9 +8,9 @@
 	eventKind, sendOutcome, type Event, type RelayOrigin, type SendEffect, type SendOutcome, type TargetReport,
 } from '@sequoiatally/dispatch';
 import {
-	BodyCollector, BufferBudget, describeError, maxBytesPerExchange, type BufferAccount,
+	BodyCollector, describeError, maxBytesPerExchange, type BufferAccount, type BufferBudget,
 } from '@sequoiatally/runtime';
-import type {CallerExchange} from './caller-exchange.js';
+import {computeLength, type CallerExchange} from './caller-exchange.js';
 import type {ConnectionPool, LeasedConnection} from './connection-pool.js';
 import {EventSplitter} from './event-splitter.js';
 import {
@@ -47,28 +47,25 @@
 	readonly callerProtocol: CallerProtocol;
 	/** Identity of this instance, for peers that relay its requests. */
 	readonly origin: Omit<RelayOrigin, 'runLimit'>;
-	/** Memory that the process may use. */
-	readonly memoryBytes: number;
+	/** Memory for the bytes that all exchanges hold. */
+	readonly bufferBudget: BufferBudget;
 	readonly emit: (event: Event) => void;
 	readonly readClock: () => number;
 };
 
 export class TargetClient {
 	readonly #options: TargetClientOptions;
-	readonly #bufferBudget: BufferBudget;
 	readonly #activity = new TargetActivity();
 	readonly #activeExchanges = new Map<number, TargetExchange>();
 
 	constructor(options: TargetClientOptions) {
 		this.#options = options;
-		this.#bufferBudget = new BufferBudget(options.memoryBytes);
 	}
 
 	/** Starts a send; its end is emitted as an event. */
 	startSend(send: SendEffect, caller: CallerExchange): void {
 		const exchange = new TargetExchange(send, caller, {
 			...this.#options,
-			bufferBudget: this.#bufferBudget,
 			activity: this.#activity,
 			onEnd: () => {
 				this.#activeExchanges.delete(send.sendId);
@@ -91,7 +88,6 @@
 }
 
 type TargetExchangeOptions = TargetClientOptions & {
-	readonly bufferBudget: BufferBudget;
 	readonly activity: TargetActivity;
 	readonly onEnd: () => void;
 };
@@ -184,7 +180,11 @@
 				this.#abort(this.#failureOutcome, 'connection closed without a response');
 			}
 		});
-		this.#request.end(body);
+		for (const part of body.slice(0, -1)) {
+			this.#request.write(part);
+		}
+
+		this.#request.end(body.at(-1));
 		this.#startSilenceTimer();
 		if (this.#hasConnected) {
 			this.#reportOpened(false);
@@ -223,14 +223,14 @@
 		return now;
 	}
 
-	#createHeaders(body: Uint8Array): string[] {
+	#createHeaders(body: readonly Uint8Array[]): string[] {
 		const {protocol, callerProtocol, origin, readClock} = this.#options;
 		const callerHeaders = selectUnrelatedHeaders(this.#caller.request.rawHeaders);
 		const headers = this.#send.isRelayed
 			? [...callerProtocol.createRelayHeaders(callerHeaders, this.#send, readClock()), ...createOriginHeaders({...origin, runLimit: this.#send.runLimit})]
 			: protocol.createSendHeaders(callerHeaders, this.#send, readClock());
 		if (body.length > 0 || this.#caller.request.headers['content-length'] !== undefined || this.#caller.request.headers['transfer-encoding'] !== undefined) {
-			headers.push('Content-Length', String(body.length));
+			headers.push('Content-Length', String(computeLength(body)));
 		}
 
 		headers.push('Connection', 'keep-alive');
--- /dev/null
+++ b/packages/gateway/src/test/caller-server_test.ts
@@ -0,0 +1,208 @@
+/**
+ * Tests how requests are received: what their bodies take of the memory, and that callers receive a rejection
+ * that is sent before their body has been read.
+ */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	request as startRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
+} from 'node:http';
+import {connect, createServer, type AddressInfo} from 'node:net';
+import {after, beforeEach, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	eventKind, type Event, type Failure, type RequestHead,
+} from '@sequoiatally/dispatch';
+import {BufferBudget, createLogger, LifecycleManager} from '@sequoiatally/runtime';
+import {ok, type Result} from 'neverthrow';
+import {CallerServer} from '../lib/caller-server.js';
+import {CallerProtocol, type HeadFault} from '../lib/protocol.js';
+
+const memoryBytes = 200 * 1024 * 1024;
+/** Large bodies of which four take more than the memory for bodies. */
+const largeBytes = 7 * 1024 * 1024;
+const waitMs = 3000;
+
+class PlainProtocol extends CallerProtocol {
+	override readHead({url = ''}: IncomingMessage): Result<RequestHead, HeadFault> {
+		return ok({
+			requestId: url, host: 'a.example', path: url, keyDigest: undefined, timeoutMs: undefined, promptParts: [],
+		});
+	}
+
+	override createRelayHeaders(): string[] {
+		return [];
+	}
+
+	override createFailureHeaders({retryAfterMs}: Failure): Record<string, string> {
+		return retryAfterMs === undefined ? {} : {'Retry-After': String(retryAfterMs / 1000)};
+	}
+}
+
+const lifecycle = new LifecycleManager(createLogger('test', 'error'));
+const port = await findFreePort();
+const bufferBudget = new BufferBudget(memoryBytes);
+const events: Event[] = [];
+const server = new CallerServer({
+	protocol: new PlainProtocol(), bufferBudget, emit(event) {
+		events.push(event);
+	}, random: () => 0.5, log() {
+		// Not checked here.
+	},
+});
+await server.listen({host: '127.0.0.1', port}, lifecycle);
+server.applyLimits({headBytes: 16_384, bodyBytes: 8 * 1024 * 1024, idleTimeoutMs: 15_000});
+
+after(async () => lifecycle.closeAll());
+
+beforeEach(() => {
+	events.length = 0;
+	assert.equal(bufferBudget.bodyBytes, 0);
+});
+
+async function findFreePort(): Promise<number> {
+	const listener = createServer().listen(0, '127.0.0.1');
+	await once(listener, 'listening');
+	const {port: freePort} = listener.address() as AddressInfo;
+	listener.close();
+	await once(listener, 'close');
+	return freePort;
+}
+
+async function waitUntil(description: string, isTrue: () => boolean): Promise<void> {
+	const giveUpAt = Date.now() + waitMs;
+	while (!isTrue()) {
+		assert.ok(Date.now() < giveUpAt, description);
+		await delay(5);
+	}
+}
+
+function startPost(headers: IncomingHttpHeaders = {}): ClientRequest {
+	const request = startRequest({
+		host: '127.0.0.1', port, path: '/x', method: 'POST', agent: false, headers,
+	});
+	request.on('error', () => {
+		// The connection may be closed on purpose.
+	});
+	return request;
+}
+
+/** Starts requests of which the memory for bodies holds no further one. */
+async function fillMemory(): Promise<ClientRequest[]> {
+	const requests: ClientRequest[] = [];
+	while (bufferBudget.bodyBytes + largeBytes <= bufferBudget.bodyBytesLimit * 0.87) {
+		const heldBytes = bufferBudget.bodyBytes;
+		const request = startPost({'content-length': String(largeBytes)});
+		request.flushHeaders();
+		requests.push(request);
+		await waitUntil('the declared length is reserved', () => bufferBudget.bodyBytes === heldBytes + largeBytes);
+	}
+
+	return requests;
+}
+
+async function closeAll(requests: readonly ClientRequest[]): Promise<void> {
+	for (const request of requests) {
+		request.destroy();
+	}
+
+	await waitUntil('the memory is released', () => bufferBudget.bodyBytes === 0);
+}
+
+async function receive(request: ClientRequest): Promise<IncomingMessage> {
+	const [response] = await once(request, 'response') as [IncomingMessage];
+	response.resume();
+	return response;
+}
+
+test('callers that leave before their body is complete hold no memory', async () => {
+	const requests = await fillMemory();
+	assert.ok(requests.length > 0);
+	requests[0]!.write(Buffer.alloc(100_000));
+	await closeAll(requests);
+	assert.deepEqual(events, []);
+});
+
+// Guards against LOST: a body with a declared length that does not fit is read, and drives the process over its memory.
+test('a request whose declared length does not fit is rejected as not run before its body is sent, and small ones go on', async () => {
+	const held = await fillMemory();
+	const request = startPost({'content-length': String(largeBytes)});
+	request.flushHeaders();
+	const {statusCode, headers} = await receive(request);
+	assert.equal(statusCode, 503);
+	assert.equal(headers['retry-after'], '0.5');
+	request.destroy();
+	const small = startPost();
+	small.end('small');
+	await waitUntil('the small request arrives', () => events.some(({kind}) => kind === eventKind.requestArrived));
+	assert.equal(events.length, 1);
+	await closeAll([...held, small]);
+});
+
+test('a request without a declared length is rejected as soon as the memory is full', async () => {
+	const held = await fillMemory();
+	const request = startPost({'transfer-encoding': 'chunked'});
+	const received = receive(request);
+	request.end(Buffer.alloc(largeBytes));
+	const {statusCode, headers} = await received;
+	assert.equal(statusCode, 503);
+	assert.equal(headers['retry-after'], '0.5');
+	await closeAll(held);
+	assert.deepEqual(events, []);
+});
+
+// Guards against a rejection that is lost: closing a connection with unread bytes resets it, and the caller may drop what it has received.
+test('a caller that sends its whole body before it reads receives the rejection', async () => {
+	const held = await fillMemory();
+	for (let index = 0; index < 5; index++) {
+		const socket = connect(port, '127.0.0.1');
+		socket.pause();
+		socket.write(`POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: ${largeBytes}\r\n\r\n`);
+		await delay(50);
+		const isWritten = new Promise<Error | undefined>(resolve => {
+			socket.on('error', resolve);
+			socket.write(Buffer.alloc(largeBytes), error => {
+				resolve(error ?? undefined);
+			});
+		});
+		assert.equal(await isWritten, undefined, 'the connection stays open until the body is sent');
+		let text = '';
+		socket.on('data', chunk => {
+			text += String(chunk);
+		});
+		socket.resume();
+		await once(socket, 'close');
+		assert.match(text, /^HTTP\/1.1 503 /);
+	}
+
+	await closeAll(held);
+	assert.deepEqual(events, []);
+});
+
+test('the connection of a caller that goes on sending after a rejection is closed', async () => {
+	const socket = connect(port, '127.0.0.1');
+	socket.on('error', () => {
+		// The connection is reset.
+	});
+	socket.write('POST /x HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n');
+	const chunk = `10000\r\n${'x'.repeat(65_536)}\r\n`;
+	const write = () => {
+		while (!socket.destroyed && socket.write(chunk)) {
+			// Writes until the socket's buffer is full.
+		}
+	};
+
+	socket.on('drain', write);
+	write();
+	let text = '';
+	socket.on('data', part => {
+		text += String(part);
+	});
+	await new Promise(resolve => {
+		socket.on('close', resolve);
+	});
+	assert.match(text, /^HTTP\/1.1 413 /);
+	assert.ok(socket.bytesWritten < 64 * 1024 * 1024, `${socket.bytesWritten} bytes`);
+	assert.deepEqual(events, []);
+});
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -15,7 +15,7 @@
 } from '@sequoiatally/dispatch';
 import {err, type Result} from 'neverthrow';
 import {
-	createLogger, LifecycleManager, readMonotonicMs, type BufferAccount,
+	BufferBudget, createLogger, LifecycleManager, readMonotonicMs, type BufferAccount,
 } from '@sequoiatally/runtime';
 import type {BufferedResponse, CallerExchange} from '../lib/caller-exchange.js';
 import {ConnectionPool} from '../lib/connection-pool.js';
@@ -71,7 +71,7 @@
 		method: 'POST', url: '/x', rawHeaders: [], headers: {},
 	};
 
-	readonly body = new Uint8Array(0);
+	readonly body: readonly Uint8Array[] = [];
 	readonly head: {readonly requestId: string};
 	lastEventId?: string;
 	/** An error response that is kept until it is known whether another target sends a better one. */
@@ -164,7 +164,7 @@
 			}),
 			callerProtocol: new HeaderCallerProtocol(),
 			origin: {id: 'gateway-1', incarnation: 'i-1'},
-			memoryBytes: 250 * 1024 * 1024,
+			bufferBudget: new BufferBudget(250 * 1024 * 1024),
 			emit: event => {
 				if (event.kind === eventKind.sendOpened) {
 					opened.push(event.sendId);
--- a/packages/runtime/src/lib/buffer-budget.ts
+++ b/packages/runtime/src/lib/buffer-budget.ts
@@ -1,24 +1,61 @@
 /**
- * Limits the memory that all exchanges together use for bytes that they cannot pass
- * on yet. A faulty target may send bytes without end, and several may do so at the
- * same time: if the memory is used up, the exchange that holds the most ends, because a
+ * Limits the memory that all exchanges together use for bytes that they hold: the bodies
+ * of requests, and parts of responses that cannot be passed on yet. Each of the two has
+ * its own share, so that no request that was passed on is cut for the body of another one.
+ *
+ * Bodies: one that does not fit is rejected, and large ones leave room for small ones.
+ *
+ * Responses: a faulty target may send bytes without end, and several may do so at the
+ * same time. If the memory is used up, the exchange that holds the most ends, because a
  * sound response is rarely the largest one.
  */
 
 /** Largest number of bytes that are held for one exchange. */
 export const maxBytesPerExchange = 16 * 1024 * 1024;
-/** Share of the process's memory that all exchanges may use. The rest is for the program, callers' requests and buffers that wait for garbage collection. */
+/** Share of the process's memory that the responses of all exchanges may use. */
 const memoryShare = 0.15;
+/** Memory for the program, its state and buffers that wait for garbage collection, in bytes. */
+const runtimeBytes = 170 * 1024 * 1024;
+/** Share of the process's memory that the bodies of requests may use even if that leaves less for the program. */
+const minBodyShare = 0.1;
+/** Largest size of a small body, in bytes. */
+const maxSmallBodyBytes = 64 * 1024;
+/** Share of the bodies' memory that only small bodies may use. */
+const smallBodyShare = 0.125;
+/** Share of the bodies' memory below which bodies that were rejected fit again. */
+const freeShare = 0.75;
 
 /** The memory of all exchanges. */
 export class BufferBudget {
+	/** Largest number of bytes of all bodies. */
+	readonly bodyBytesLimit: number;
 	readonly #maxBytes: number;
+	readonly #onBodiesFull: (isFull: boolean) => void;
 	readonly #accounts = new Set<BufferAccount>();
 	#usedBytes = 0;
+	#bodyBytes = 0;
+	#areBodiesFull = false;
 
-	/** `memoryBytes` is the memory that the process may use for everything. */
-	constructor(memoryBytes: number) {
+	/** `memoryBytes` is the memory that the process may use for everything; `onBodiesFull` is called when a body is rejected for the first time, and when there is room again. */
+	constructor(memoryBytes: number, onBodiesFull: (isFull: boolean) => void = () => undefined) {
 		this.#maxBytes = memoryBytes * memoryShare;
+		this.bodyBytesLimit = Math.floor(Math.max(memoryBytes * minBodyShare, (memoryBytes * (1 - memoryShare)) - runtimeBytes));
+		this.#onBodiesFull = onBodiesFull;
+	}
+
+	/** Number of bytes of all bodies, as far as they are reserved. */
+	get bodyBytes(): number {
+		return this.#bodyBytes;
+	}
+
+	/** Number of bytes that responses hold. */
+	get responseBytes(): number {
+		return this.#usedBytes;
+	}
+
+	/** Opens the account of one request's body. */
+	openBodyAccount(): BodyAccount {
+		return new BodyAccount((delta, bytes) => this.#tryChangeBody(delta, bytes));
 	}
 
 	/** Opens the account of one exchange; `onEvicted` has to end the exchange and release the account. */
@@ -52,6 +89,25 @@
 		return true;
 	}
 
+	/** Adds `delta` bytes to the account of a body, which then holds `bytes`; returns false if they do not fit. */
+	#tryChangeBody(delta: number, bytes: number): boolean {
+		const limit = bytes <= maxSmallBodyBytes ? this.bodyBytesLimit : this.bodyBytesLimit * (1 - smallBodyShare);
+		const fits = delta <= 0 || this.#bodyBytes + delta <= limit;
+		if (fits) {
+			this.#bodyBytes += delta;
+		}
+
+		if (!this.#areBodiesFull && !fits) {
+			this.#areBodiesFull = true;
+			this.#onBodiesFull(true);
+		} else if (this.#areBodiesFull && this.#bodyBytes < this.bodyBytesLimit * freeShare) {
+			this.#areBodiesFull = false;
+			this.#onBodiesFull(false);
+		}
+
+		return fits;
+	}
+
 	#isFull(delta: number): boolean {
 		return delta > 0 && this.#usedBytes + delta > this.#maxBytes;
 	}
@@ -104,3 +160,35 @@
 		this.trySet(0);
 	}
 }
+
+/** The memory of one request's body. */
+export class BodyAccount {
+	#bytes = 0;
+	readonly #tryChange: (delta: number, bytes: number) => boolean;
+
+	/** `tryChange` changes the memory of all bodies by the first number; the account then holds the second one. */
+	constructor(tryChange: (delta: number, bytes: number) => boolean) {
+		this.#tryChange = tryChange;
+	}
+
+	/** Extends the account to `bytes`; returns false if they do not fit. */
+	tryExtend(bytes: number): boolean {
+		if (bytes <= this.#bytes) {
+			return true;
+		}
+
+		if (!this.#tryChange(bytes - this.#bytes, bytes)) {
+			return false;
+		}
+
+		this.#bytes = bytes;
+		return true;
+	}
+
+	/** Releases all bytes. */
+	release(): void {
+		const bytes = this.#bytes;
+		this.#bytes = 0;
+		this.#tryChange(-bytes, 0);
+	}
+}
--- a/packages/runtime/src/test/buffer-budget_test.ts
+++ b/packages/runtime/src/test/buffer-budget_test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests the memory for responses: what is collected, what it takes, and who has to give way.
+ * Tests the memory for bodies and responses: what is collected, what it takes, and who has to give way.
  */
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
@@ -65,3 +65,51 @@
 	first.release();
 	assert.equal(second.trySet(9 * mebibyte), true);
 });
+
+// Guards against LOST: bodies that come together exceed the memory of the process.
+test('bodies that do not fit together are rejected, and fit again when others are released', () => {
+	const changes: boolean[] = [];
+	const budget = new BufferBudget(350 * mebibyte, isFull => {
+		changes.push(isFull);
+	});
+	const accounts = Array.from({length: 100}, () => budget.openBodyAccount());
+	const held = accounts.filter(account => account.tryExtend(4 * mebibyte));
+	assert.equal(budget.bodyBytes, held.length * 4 * mebibyte);
+	assert.ok(budget.bodyBytes <= budget.bodyBytesLimit && held.length >= 20, `${held.length} bodies of 4 MB`);
+	assert.deepEqual(changes, [true], 'told once');
+	const [first, ...rest] = held;
+	assert.equal(first!.tryExtend(8 * mebibyte), false, 'an extension that does not fit changes nothing');
+	first!.release();
+	first!.release();
+	assert.equal(budget.bodyBytes, rest.length * 4 * mebibyte);
+	assert.equal(budget.openBodyAccount().tryExtend(4 * mebibyte), true);
+	assert.deepEqual(changes, [true]);
+	for (const account of rest) {
+		account.release();
+	}
+
+	assert.deepEqual(changes, [true, false]);
+	assert.equal(budget.bodyBytes, 4 * mebibyte);
+});
+
+test('large bodies leave room for small ones, and neither takes the memory of responses', () => {
+	for (const memoryMb of [160, 250, 350, 1000]) {
+		const budget = new BufferBudget(memoryMb * mebibyte);
+		while (budget.openBodyAccount().tryExtend(mebibyte)) {
+			// Fills the memory with large bodies.
+		}
+
+		const isHeld = Array.from({length: 20}, () => budget.openBodyAccount().tryExtend(64 * 1024));
+		assert.deepEqual(new Set(isHeld), new Set([true]), `${memoryMb} MB`);
+		while (budget.openBodyAccount().tryExtend(1024)) {
+			// Fills the rest with small bodies.
+		}
+
+		assert.ok(budget.bodyBytes <= budget.bodyBytesLimit);
+		const response = budget.openAccount(() => {
+			assert.fail('a response gives way to a body');
+		});
+		assert.equal(response.trySet(maxBytesPerExchange), true);
+		assert.equal(budget.responseBytes, maxBytesPerExchange);
+	}
+});
