What the head of a request decides is answered before its body is read; late bodies give way

Cause: the head was read when the body had arrived.

Change: checkHead asks what the arrival of the whole request asks (route, key, stop, the member that relays), without changing anything; the arrival decides again. It comes before the declared length is reserved. A body that has not arrived within its route's time limit gives way when another one needs its memory: 408, body-late, truly not run. Otherwise it is received to its end. Refusals before the arrival have the same JSON body and log fields of the request as those after it, but close the connection.

Tried first: to refuse late bodies always; that failed platform-scenario_test "still being received" (408 where 200 or 503 is asked for).

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -2,6 +2,7 @@
  * The decisions of a gateway: one reducer for all events, which returns effects
  * as data. Nothing in this package performs I/O.
  */
+export * from './lib/check-head.js';
 export * from './lib/directory.js';
 export * from './lib/directory-facts.js';
 export type * from './lib/directory-position.js';
--- a/packages/dispatch/src/lib/failure.ts
+++ b/packages/dispatch/src/lib/failure.ts
@@ -10,6 +10,8 @@
 	noRoute: 'no-route',
 	bodyTooLarge: 'body-too-large',
 	headTooLarge: 'head-too-large',
+	/** The body did not arrive within the route's time limit, and others need its memory. */
+	bodyLate: 'body-late',
 	/** The body does not fit into the memory beside those of the open requests. */
 	memoryFull: 'memory-full',
 	/** No configuration tables have been received yet. */
@@ -49,6 +51,7 @@
 	[failureReason.noRoute]: 404,
 	[failureReason.bodyTooLarge]: 413,
 	[failureReason.headTooLarge]: 431,
+	[failureReason.bodyLate]: 408,
 	[failureReason.memoryFull]: 503,
 	[failureReason.notReady]: 503,
 	[failureReason.directoryStale]: 503,
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -86,7 +86,7 @@
 }
 
 /** Refuses requests that others than members relay, and too many of them. */
-function admitRelayed({state}: Step, {relayedFrom}: RequestArrivedEvent): Result<undefined, Failure> {
+export function admitRelayed({state}: Step, {relayedFrom}: Pick<RequestArrivedEvent, 'relayedFrom'>): Result<undefined, Failure> {
 	return relayedFrom === undefined || (isMember(state.members, relayedFrom) && state.relayedOpenIds.size < relayedRequestLimit)
 		? ok(undefined)
 		: err(createFailure(failureReason.relayRefused));
--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -129,7 +129,7 @@
 	}
 
 	refuse(failure: Failure): void {
-		const body = JSON.stringify({error: {reason: failure.reason, requestId: this.head.requestId}});
+		const body = createFailureBody(failure, this.head.requestId);
 		this.#response.writeHead(failure.status, [
 			...Object.entries(this.#protocol.createFailureHeaders(failure)).flat(),
 			...(this.relayedFrom === undefined ? [] : createFailureOutcomeHeaders(failure.reason)),
@@ -146,6 +146,11 @@
 	}
 }
 
+/** Creates the body of a response that the gateway itself generates. */
+export function createFailureBody({reason}: Failure, requestId: string): string {
+	return JSON.stringify({error: {reason, requestId}});
+}
+
 /** Computes the length of a body from its parts, in bytes. */
 export function computeLength(parts: readonly Uint8Array[]): number {
 	return parts.reduce((length, part) => length + part.length, 0);
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -2,17 +2,19 @@
  * HTTP server for callers: buffers each request, emits it as an event for the
  * reducer, and reports callers that disconnect before their response is sent.
  */
+import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	createFailure, eventKind, failureReason, type CallerLimits, type Event, type FailureReason, type RelayOrigin,
+	createFailure, eventKind, failureReason, type CallerLimits, type Event, type Failure, type FailureReason, type RelayOrigin, type RequestHead,
 } from '@sequoiatally/dispatch';
 import {
 	BodyCollector, type BufferBudget, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
-import {CallerExchange} from './caller-exchange.js';
-import type {CallerProtocol} from './protocol.js';
+import {CallerExchange, createFailureBody} from './caller-exchange.js';
+import type {Result} from 'neverthrow';
+import type {CallerProtocol, HeadFault} from './protocol.js';
 import {listenOn} from './listen.js';
 import {createFailureOutcomeHeaders, parseOrigin} from './relay-headers.js';
 import {computeFingerprint} from './request-fingerprint.js';
@@ -40,6 +42,8 @@
 	/** Memory for the bytes that all exchanges hold. */
 	readonly bufferBudget: BufferBudget;
 	readonly emit: (event: Event) => void;
+	/** Checks what the head alone decides; returns the time after which an incomplete body gives way to others, in milliseconds. */
+	readonly checkHead: (head: RequestHead, relayedFrom: RelayOrigin | undefined) => Result<number, Failure>;
 	/** Draws a number in [0, 1). */
 	readonly random: () => number;
 	/** Writes a log line. */
@@ -47,13 +51,14 @@
 };
 
 type ReceivedRequest = {
+	readonly head: RequestHead;
 	readonly body: readonly Uint8Array[];
 	readonly bodyBytes: number;
 	readonly relayedFrom: RelayOrigin | undefined;
 };
 
-/** Why a request is rejected before its exchange starts. */
-type Rejection = {readonly relayedFrom: RelayOrigin | undefined; readonly reason: FailureReason; readonly detail: string};
+/** Why a request is rejected before its exchange starts; `head` is `undefined` if it cannot be read. */
+type Rejection = {readonly head: RequestHead | undefined; readonly relayedFrom: RelayOrigin | undefined; readonly failure: Failure; readonly detail?: string};
 
 export class CallerServer {
 	/** Exchanges whose response is not complete, by `openId`. */
@@ -124,24 +129,47 @@
 	}
 
 	#handleRequest(request: IncomingMessage, response: ServerResponse, relayedFrom: RelayOrigin | undefined): void {
-		const account = this.#options.bufferBudget.openBodyAccount();
+		const {bufferBudget, protocol, checkHead} = this.#options;
+		const account = bufferBudget.openBodyAccount();
+		const head: Result<RequestHead, HeadFault> = protocol.readHead(request);
 		let body: BodyCollector | undefined = new BodyCollector();
 		let bodyBytes = 0;
-		const refuse = (reason: FailureReason, detail: string) => {
+		let timer: NodeJS.Timeout | undefined;
+		const reject = (failure: Failure, detail?: string) => {
 			if (body !== undefined) {
 				body = undefined;
 				account.release();
-				this.#refuseBeforeExchange(request, response, {relayedFrom, reason, detail});
+				clearTimeout(timer);
+				this.#refuseBeforeExchange(request, response, {
+					head: head.unwrapOr(undefined), relayedFrom, failure, detail,
+				});
 			}
 		};
 
+		const refuse = (reason: FailureReason, detail: string) => {
+			reject(createFailure(reason), detail);
+		};
+
 		const declaredBytes = Number(request.headers['content-length'] ?? 0);
+		const hasBody = declaredBytes > 0 || request.headers['transfer-encoding'] !== undefined;
 		if (relayedFrom === undefined && computeHeadBytes(request) > this.#maxHeadBytes) {
 			refuse(failureReason.headTooLarge, 'the request head exceeds the configured limit');
 		} else if (declaredBytes > this.#maxBodyBytes) {
 			refuse(failureReason.bodyTooLarge, 'the request body exceeds the configured limit');
-		} else if (!account.tryExtend(declaredBytes)) {
-			refuse(failureReason.memoryFull, 'the declared length of the request body does not fit into the memory');
+		} else if (head.isErr()) {
+			refuse(failureReason.badRequest, head.error.detail);
+		} else if (hasBody) {
+			checkHead(head.value, relayedFrom).match(timeLimitMs => {
+				timer = setTimeout(() => {
+					account.giveWay(() => {
+						refuse(failureReason.bodyLate, 'the request body did not arrive within the time limit of its route, and others need the memory');
+					});
+				}, timeLimitMs);
+			}, reject);
+		}
+
+		if (body !== undefined && !account.tryExtend(declaredBytes)) {
+			this.#rejectForMemory(reject, 'the declared length of the request body does not fit into the memory');
 		}
 
 		request.on('data', (chunk: Uint8Array) => {
@@ -153,7 +181,7 @@
 
 			body?.add(chunk);
 			if (body !== undefined && !account.tryExtend(body.capacity)) {
-				refuse(failureReason.memoryFull, 'the request body does not fit into the memory');
+				this.#rejectForMemory(reject, 'the request body does not fit into the memory');
 			}
 		});
 		this.#incomingCount++;
@@ -164,36 +192,39 @@
 			// Nothing to report before an exchange starts; later, the `close` event of the response reports it.
 		});
 		response.once('close', () => {
+			clearTimeout(timer);
 			account.release();
 		});
 		request.on('end', () => {
-			if (body !== undefined) {
-				this.#startExchange(request, response, {body: body.takeBlocks(), bodyBytes, relayedFrom});
+			clearTimeout(timer);
+			account.keep();
+			if (body !== undefined && head.isOk()) {
+				this.#startExchange(request, response, {
+					head: head.value, body: body.takeBlocks(), bodyBytes, relayedFrom,
+				});
 			}
 		});
 	}
 
-	#startExchange(request: IncomingMessage, response: ServerResponse, {body, bodyBytes, relayedFrom}: ReceivedRequest): void {
-		const head = this.#options.protocol.readHead(request);
-		if (head.isErr()) {
-			this.#refuseBeforeExchange(request, response, {relayedFrom, reason: failureReason.badRequest, detail: head.error.detail});
-			return;
-		}
-
+	#startExchange(request: IncomingMessage, response: ServerResponse, {
+		head, body, bodyBytes, relayedFrom,
+	}: ReceivedRequest): void {
 		const relayedBytes = relayedFrom === undefined ? 0 : bodyBytes;
 		if (this.#relayedBytes + relayedBytes > maxRelayedBytes) {
-			this.#refuseBeforeExchange(request, response, {relayedFrom, reason: failureReason.relayRefused, detail: 'the bodies of relayed requests exceed the limit'});
+			this.#refuseBeforeExchange(request, response, {
+				head, relayedFrom, failure: createFailure(failureReason.relayRefused), detail: 'the bodies of relayed requests exceed the limit',
+			});
 			return;
 		}
 
 		this.#relayedBytes += relayedBytes;
 		const {method = '', url = ''} = request;
-		const {host, keyDigest} = head.value;
+		const {host, keyDigest} = head;
 		const fingerprint = computeFingerprint({
 			method, host, url, keyDigest, body,
 		});
 		const openId = this.#nextOpenId++;
-		const exchange = new CallerExchange(openId, head.value, request, body, {response, protocol: this.#options.protocol, relayedFrom});
+		const exchange = new CallerExchange(openId, head, request, body, {response, protocol: this.#options.protocol, relayedFrom});
 		if (this.#isDraining) {
 			exchange.closeAfterResponse();
 		}
@@ -204,36 +235,45 @@
 			this.#relayedBytes -= relayedBytes;
 			if (!response.writableFinished) {
 				if (response.writableEnded) {
-					this.#options.log('response-cut', {requestId: head.value.requestId, detail: 'the connection closed before the end of the response was sent'});
+					this.#options.log('response-cut', {requestId: head.requestId, detail: 'the connection closed before the end of the response was sent'});
 				}
 
 				this.#options.emit({kind: eventKind.callerLeft, openId});
 			}
 		});
 		this.#options.emit({
-			kind: eventKind.requestArrived, openId, ...head.value, fingerprint, relayedFrom,
+			kind: eventKind.requestArrived, openId, ...head, fingerprint, relayedFrom,
 		});
 	}
 
-	#refuseBeforeExchange(request: IncomingMessage, response: ServerResponse, {relayedFrom, reason, detail}: Rejection): void {
-		const {random, protocol, log} = this.#options;
-		const failure = createFailure(reason, reason === failureReason.memoryFull ? minMemoryRetryAfterMs + (random() * memoryRetryAfterJitterMs) : undefined);
-		const {status} = failure;
-		log('refused', {reason, status, detail});
+	#rejectForMemory(reject: (failure: Failure, detail: string) => void, detail: string): void {
+		reject(createFailure(failureReason.memoryFull, minMemoryRetryAfterMs + (this.#options.random() * memoryRetryAfterJitterMs)), detail);
+	}
+
+	#refuseBeforeExchange(request: IncomingMessage, response: ServerResponse, rejection: Rejection): void {
+		const {head, relayedFrom, failure, detail} = rejection;
+		const {protocol, log} = this.#options;
+		const {reason, status} = failure;
+		log('refused', {
+			requestId: head?.requestId, host: head?.host, path: head?.path, reason, status, detail,
+		});
+		const body = head === undefined ? '' : createFailureBody(failure, head.requestId);
 		response.writeHead(status, [
 			...Object.entries(protocol.createFailureHeaders(failure)).flat(),
 			...(relayedFrom === undefined ? [] : createFailureOutcomeHeaders(reason)),
+			...(head === undefined ? [] : ['Content-Type', 'application/json']),
 			'Content-Length',
-			'0',
+			String(Buffer.byteLength(body)),
 			'Connection',
 			'close',
 		]);
+		response.write(body);
 		endAfterBody(request, response);
 	}
 }
 
 /**
- * Sends a response without a body at once, but ends it only when the request has been read, or the caller sends
+ * Ends a response that has been written only when the request has been read, or the caller sends
  * too much or for too long: bytes that arrive at a closed connection reset it, and the caller could lose the response.
  */
 function endAfterBody(request: IncomingMessage, response: ServerResponse): void {
@@ -242,7 +282,6 @@
 		return;
 	}
 
-	response.flushHeaders();
 	let discardedBytes = 0;
 	const end = () => {
 		clearTimeout(timer);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,7 +6,8 @@
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {
-	createState, effectKind, eventKind, isReady, reduce, type CheckTargetEffect, type Effect, type Event, type FleetBounds, type LogEffect, type State,
+	checkHead, createState, effectKind, eventKind, isReady, reduce,
+	type CheckTargetEffect, type Effect, type Event, type FleetBounds, type LogEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
 	BoundedLog, BufferBudget, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
@@ -126,6 +127,7 @@
 			protocol: protocols.callers,
 			bufferBudget,
 			random: Math.random,
+			checkHead: (head, relayedFrom) => checkHead(this.state, {...head, relayedFrom}, readMonotonicMs()),
 			emit,
 			log: (event, fields) => {
 				this.#metrics.count(event);
--- a/packages/gateway/src/test/caller-server_test.ts
+++ b/packages/gateway/src/test/caller-server_test.ts
@@ -12,10 +12,10 @@
 import {after, beforeEach, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	eventKind, type Event, type Failure, type RequestHead,
+	createFailure, eventKind, failureReason, type Event, type Failure, type RequestHead,
 } from '@sequoiatally/dispatch';
 import {BufferBudget, createLogger, LifecycleManager} from '@sequoiatally/runtime';
-import {ok, type Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import {CallerServer} from '../lib/caller-server.js';
 import {CallerProtocol, type HeadFault} from '../lib/protocol.js';
 
@@ -43,9 +43,16 @@
 const lifecycle = new LifecycleManager(createLogger('test', 'error'));
 const port = await findFreePort();
 const bufferBudget = new BufferBudget(memoryBytes);
+/** Time limit of the route `/short`, in milliseconds. */
+const shortLimitMs = 200;
 const events: Event[] = [];
 const server = new CallerServer({
-	protocol: new PlainProtocol(), bufferBudget, emit(event) {
+	protocol: new PlainProtocol(),
+	bufferBudget,
+	checkHead({path}) {
+		return path === '/keyed' ? err(createFailure(failureReason.keyUnknown)) : ok(path === '/short' ? shortLimitMs : 60_000);
+	},
+	emit(event) {
 		events.push(event);
 	}, random: () => 0.5, log() {
 		// Not checked here.
@@ -78,9 +85,9 @@
 	}
 }
 
-function startPost(headers: IncomingHttpHeaders = {}): ClientRequest {
+function startPost(headers: IncomingHttpHeaders = {}, path = '/x'): ClientRequest {
 	const request = startRequest({
-		host: '127.0.0.1', port, path: '/x', method: 'POST', agent: false, headers,
+		host: '127.0.0.1', port, path, method: 'POST', agent: false, headers,
 	});
 	request.on('error', () => {
 		// The connection may be closed on purpose.
@@ -206,3 +213,71 @@
 	assert.ok(socket.bytesWritten < 64 * 1024 * 1024, `${socket.bytesWritten} bytes`);
 	assert.deepEqual(events, []);
 });
+
+// Guards against callers without a key that fill the memory with bodies, and so get the requests of others refused.
+test('a request that its head alone decides is rejected before its body is sent, and reserves nothing', async () => {
+	const request = startPost({'content-length': String(largeBytes)}, '/keyed');
+	request.flushHeaders();
+	const [response] = await once(request, 'response') as [IncomingMessage];
+	let text = '';
+	for await (const chunk of response) {
+		text += String(chunk);
+	}
+
+	assert.equal(response.statusCode, 401);
+	assert.deepEqual(JSON.parse(text), {error: {reason: failureReason.keyUnknown, requestId: '/keyed'}});
+	assert.equal(bufferBudget.bodyBytes, 0);
+	request.destroy();
+	assert.deepEqual(events, []);
+});
+
+// Guards against callers that send their bodies slowly, and so get the requests of others refused.
+test('a body that trickles in keeps its memory from others no longer than the time limit of its route', async () => {
+	const late = startPost({'content-length': String(largeBytes)}, '/short');
+	late.flushHeaders();
+	await waitUntil('the declared length is reserved', () => bufferBudget.bodyBytes === largeBytes);
+	const received = receive(late);
+	const interval = setInterval(() => {
+		late.write('x');
+	}, 20);
+	const held = await fillMemory();
+	const early = startPost({'content-length': String(largeBytes)});
+	early.flushHeaders();
+	const earlyResponse = await receive(early);
+	assert.equal(earlyResponse.statusCode, 503);
+	early.destroy();
+	await delay(shortLimitMs);
+	const next = startPost({'content-length': String(largeBytes)});
+	next.end(Buffer.alloc(largeBytes));
+	const {statusCode} = await received;
+	assert.equal(statusCode, 408);
+	clearInterval(interval);
+	await waitUntil('the next request arrives', () => events.length === 1);
+	late.destroy();
+	await closeAll([...held, next]);
+});
+
+test('a late body is received to its end while nobody needs its memory, and then gives way no more', async () => {
+	const late = startPost({'content-length': String(largeBytes)}, '/short');
+	late.flushHeaders();
+	await delay(shortLimitMs * 2);
+	late.end(Buffer.alloc(largeBytes));
+	await waitUntil('the request arrives', () => events.length === 1);
+	const held = await fillMemory();
+	const next = startPost({'content-length': String(largeBytes)});
+	next.flushHeaders();
+	const {statusCode} = await receive(next);
+	assert.equal(statusCode, 503);
+	assert.equal(bufferBudget.bodyBytes, (held.length + 1) * largeBytes);
+	next.destroy();
+	await closeAll([...held, late]);
+});
+
+test('a body that arrives within the time limit of its route starts its request, however long that takes then', async () => {
+	const request = startPost({}, '/short');
+	request.end('small');
+	await delay(shortLimitMs * 2);
+	assert.deepEqual(events.map(({kind}) => kind), [eventKind.requestArrived]);
+	request.destroy();
+	await waitUntil('the memory is released', () => bufferBudget.bodyBytes === 0);
+});
--- a/packages/runtime/src/lib/buffer-budget.ts
+++ b/packages/runtime/src/lib/buffer-budget.ts
@@ -3,7 +3,8 @@
  * of requests, and parts of responses that cannot be passed on yet. Each of the two has
  * its own share, so that no request that was passed on is cut for the body of another one.
  *
- * Bodies: one that does not fit is rejected, and large ones leave room for small ones.
+ * Bodies: one that does not fit is rejected, and large ones leave room for small ones. Only
+ * bodies that arrive late give way.
  *
  * Responses: a faulty target may send bytes without end, and several may do so at the
  * same time. If the memory is used up, the exchange that holds the most ends, because a
@@ -32,6 +33,8 @@
 	readonly #maxBytes: number;
 	readonly #onBodiesFull: (isFull: boolean) => void;
 	readonly #accounts = new Set<BufferAccount>();
+	/** Bodies that give way to others. */
+	readonly #lateBodies = new Set<BodyAccount>();
 	#usedBytes = 0;
 	#bodyBytes = 0;
 	#areBodiesFull = false;
@@ -55,7 +58,11 @@
 
 	/** Opens the account of one request's body. */
 	openBodyAccount(): BodyAccount {
-		return new BodyAccount((delta, bytes) => this.#tryChangeBody(delta, bytes));
+		const account: BodyAccount = new BodyAccount({
+			lateBodies: this.#lateBodies,
+			change: (delta, bytes) => this.#tryChangeBody(account, delta, bytes),
+		});
+		return account;
 	}
 
 	/** Opens the account of one exchange; `onEvicted` has to end the exchange and release the account. */
@@ -89,9 +96,19 @@
 		return true;
 	}
 
-	/** Adds `delta` bytes to the account of a body, which then holds `bytes`; returns false if they do not fit. */
-	#tryChangeBody(delta: number, bytes: number): boolean {
+	/** Adds `delta` bytes to the account of a body, which then holds `bytes`; returns false if they do not fit, also if others give way. */
+	#tryChangeBody(account: BodyAccount, delta: number, bytes: number): boolean {
 		const limit = bytes <= maxSmallBodyBytes ? this.bodyBytesLimit : this.bodyBytesLimit * (1 - smallBodyShare);
+		for (const late of this.#lateBodies) {
+			if (this.#bodyBytes + Math.max(0, delta) <= limit) {
+				break;
+			}
+
+			if (late !== account) {
+				late.evict();
+			}
+		}
+
 		const fits = delta <= 0 || this.#bodyBytes + delta <= limit;
 		if (fits) {
 			this.#bodyBytes += delta;
@@ -161,14 +178,21 @@
 	}
 }
 
+type BodyAccountOptions = {
+	/** Bodies that give way to others. */
+	readonly lateBodies: Set<BodyAccount>;
+	/** Changes the memory of all bodies by `delta`, of which the account then holds `bytes`; returns false if they do not fit. */
+	readonly change: (delta: number, bytes: number) => boolean;
+};
+
 /** The memory of one request's body. */
 export class BodyAccount {
 	#bytes = 0;
-	readonly #tryChange: (delta: number, bytes: number) => boolean;
+	#onEvicted?: () => void;
+	readonly #options: BodyAccountOptions;
 
-	/** `tryChange` changes the memory of all bodies by the first number; the account then holds the second one. */
-	constructor(tryChange: (delta: number, bytes: number) => boolean) {
-		this.#tryChange = tryChange;
+	constructor(options: BodyAccountOptions) {
+		this.#options = options;
 	}
 
 	/** Extends the account to `bytes`; returns false if they do not fit. */
@@ -177,7 +201,7 @@
 			return true;
 		}
 
-		if (!this.#tryChange(bytes - this.#bytes, bytes)) {
+		if (!this.#options.change(bytes - this.#bytes, bytes)) {
 			return false;
 		}
 
@@ -185,10 +209,27 @@
 		return true;
 	}
 
+	/** Lets the body give way to others from now on; `onEvicted` has to end the request and release the account. */
+	giveWay(onEvicted: () => void): void {
+		this.#onEvicted = onEvicted;
+		this.#options.lateBodies.add(this);
+	}
+
+	/** Keeps the body from now on, until it is released. */
+	keep(): void {
+		this.#options.lateBodies.delete(this);
+	}
+
+	/** Ends the request in favor of others. */
+	evict(): void {
+		this.#onEvicted?.();
+	}
+
 	/** Releases all bytes. */
 	release(): void {
 		const bytes = this.#bytes;
 		this.#bytes = 0;
-		this.#tryChange(-bytes, 0);
+		this.keep();
+		this.#options.change(-bytes, 0);
 	}
 }
