--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -72,7 +72,8 @@
 		readonly openId: number,
 		readonly head: RequestHead,
 		readonly request: IncomingMessage,
-		readonly body: Uint8Array,
+		/** The parts of the request's body, in order. */
+		readonly body: readonly Uint8Array[],
 		options: {readonly response: ServerResponse; readonly protocol: CallerProtocol; readonly relayedFrom?: RelayOrigin},
 	) {
 		this.relayedFrom = options.relayedFrom;
@@ -154,7 +155,7 @@
 	}
 
 	refuse(failure: Failure): void {
-		const body = JSON.stringify({error: {reason: failure.reason, requestId: this.head.requestId}});
+		const body = createFailureBody(failure, this.head.requestId);
 		this.#response.writeHead(failure.status, [
 			...Object.entries(this.#protocol.createFailureHeaders(failure)).flat(),
 			...(this.relayedFrom === undefined ? [] : createFailureOutcomeHeaders(failure.reason)),
@@ -171,6 +172,12 @@
 	}
 }
 
-function computeLength(parts: readonly Uint8Array[]): number {
+/** Creates the body of a response that the gateway itself generates. */
+export function createFailureBody({reason}: Failure, requestId: string): string {
+	return JSON.stringify({error: {reason, requestId}});
+}
+
+/** Computes the length of a body from its parts, in bytes. */
+export function computeLength(parts: readonly Uint8Array[]): number {
 	return parts.reduce((length, part) => length + part.length, 0);
 }
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -2,17 +2,20 @@
  * HTTP server for callers: buffers each request, emits it as an event for the
  * reducer, and reports callers that disconnect before their response is sent.
  */
+import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {
-	createFailure, eventKind, failureReason, type CallerLimits, type Event, type FailureReason, type RelayOrigin,
+	createFailure, eventKind, failureReason, type CallerLimits, type Event, type Failure, type FailureReason, type RelayOrigin, type RequestHead,
 } from '@sequoiatally/dispatch';
-import type {LifecycleManager, SocketAddress} from '@sequoiatally/runtime';
-import {ByteCollector} from './byte-collector.js';
-import {CallerExchange} from './caller-exchange.js';
+import {
+	BodyCollector, type BufferBudget, type LifecycleManager, type SocketAddress,
+} from '@sequoiatally/runtime';
+import {CallerExchange, createFailureBody} from './caller-exchange.js';
 import {ConnectionCloser} from './connection-closer.js';
-import type {CallerProtocol} from './protocol.js';
+import type {Result} from 'neverthrow';
+import type {CallerProtocol, HeadFault} from './protocol.js';
 import {listenOn} from './listen.js';
 import {createFailureOutcomeHeaders, parseOrigin} from './relay-headers.js';
 import {computeFingerprint} from './request-fingerprint.js';
@@ -28,17 +31,37 @@
 const maxRelayedBytes = 32 * 1024 * 1024;
 /** Largest request body until configuration tables are received. */
 const defaultMaxBodyBytes = 4 * 1024 * 1024;
+/** Limits for what is read and discarded after a request was rejected, in milliseconds and bytes: the caller reads the response meanwhile. */
+const discardTimeoutMs = 2000;
+const maxDiscardedBytes = 16 * 1024 * 1024;
+/** Smallest retry delay for a body that does not fit, and the largest random addition, in milliseconds. */
+const minMemoryRetryAfterMs = 250;
+const memoryRetryAfterJitterMs = 500;
 
 export type CallerServerOptions = {
 	readonly protocol: CallerProtocol;
+	/** Memory for the bytes that all exchanges hold. */
+	readonly bufferBudget: BufferBudget;
 	readonly emit: (event: Event) => void;
+	/** Checks what the head alone decides; returns the time after which an incomplete body gives way to others, in milliseconds. */
+	readonly checkHead: (head: RequestHead, relayedFrom: RelayOrigin | undefined) => Result<number, Failure>;
+	/** Draws a number in [0, 1). */
+	readonly random: () => number;
 	/** Writes a log line. */
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
 
 const incompleteDetail = 'the process ends before the request is complete';
 
-type ReceivedRequest = {readonly body: Uint8Array; readonly relayedFrom: RelayOrigin | undefined};
+type ReceivedRequest = {
+	readonly head: RequestHead;
+	readonly body: readonly Uint8Array[];
+	readonly bodyBytes: number;
+	readonly relayedFrom: RelayOrigin | undefined;
+};
+
+/** Why a request is rejected before its exchange starts; `head` is `undefined` if it cannot be read. */
+type Rejection = {readonly head: RequestHead | undefined; readonly relayedFrom: RelayOrigin | undefined; readonly failure: Failure; readonly detail?: string};
 
 export class CallerServer {
 	/** Exchanges whose response is not complete, by `openId`. */
@@ -138,28 +161,61 @@
 	}
 
 	#handleRequest(request: IncomingMessage, response: ServerResponse, relayedFrom: RelayOrigin | undefined): void {
-		const body = new ByteCollector();
-		let isRefused = false;
-		const refuse = (reason: FailureReason, detail: string) => {
-			if (!isRefused) {
-				isRefused = true;
-				this.#refuseBeforeExchange(response, relayedFrom, reason, detail);
+		const {bufferBudget, protocol, checkHead} = this.#options;
+		const account = bufferBudget.openBodyAccount();
+		const head: Result<RequestHead, HeadFault> = protocol.readHead(request);
+		let body: BodyCollector | undefined = new BodyCollector();
+		let bodyBytes = 0;
+		let timer: NodeJS.Timeout | undefined;
+		const reject = (failure: Failure, detail?: string) => {
+			if (body !== undefined) {
+				body = undefined;
+				account.release();
+				clearTimeout(timer);
+				this.#refuseBeforeExchange(request, response, {
+					head: head.unwrapOr(undefined), relayedFrom, failure, detail,
+				});
 			}
 		};
 
+		const refuse = (reason: FailureReason, detail: string) => {
+			reject(createFailure(reason, reason === failureReason.draining ? 0 : undefined), detail);
+		};
+
+		const declaredBytes = Number(request.headers['content-length'] ?? 0);
+		const hasBody = declaredBytes > 0 || request.headers['transfer-encoding'] !== undefined;
 		if (relayedFrom === undefined && computeHeadBytes(request) > this.#maxHeadBytes) {
 			refuse(failureReason.headTooLarge, 'the request head exceeds the configured limit');
-		} else if (Number(request.headers['content-length'] ?? 0) > this.#maxBodyBytes) {
+		} else if (declaredBytes > this.#maxBodyBytes) {
 			refuse(failureReason.bodyTooLarge, 'the request body exceeds the configured limit');
 		} else if (this.#isRefusing) {
 			refuse(failureReason.draining, incompleteDetail);
+		} else if (head.isErr()) {
+			refuse(failureReason.badRequest, head.error.detail);
+		} else if (hasBody) {
+			checkHead(head.value, relayedFrom).match(timeLimitMs => {
+				timer = setTimeout(() => {
+					account.giveWay(() => {
+						refuse(failureReason.bodyLate, 'the request body did not arrive within the time limit of its route, and others need the memory');
+					});
+				}, timeLimitMs);
+			}, reject);
+		}
+
+		if (body !== undefined && !account.tryExtend(declaredBytes)) {
+			this.#rejectForMemory(reject, 'the declared length of the request body does not fit into the memory');
 		}
 
 		request.on('data', (chunk: Uint8Array) => {
-			if (body.length + chunk.length > this.#maxBodyBytes) {
+			bodyBytes += chunk.length;
+			if (bodyBytes > this.#maxBodyBytes) {
 				refuse(failureReason.bodyTooLarge, 'the request body exceeds the configured limit');
-			} else if (!isRefused) {
-				body.add(chunk);
+				return;
+			}
+
+			body?.add(chunk);
+			if (body !== undefined && !account.tryExtend(body.capacity)) {
+				this.#rejectForMemory(reject, 'the request body does not fit into the memory');
 			}
 		});
 		this.#incoming.set(request, refuse);
@@ -169,34 +225,40 @@
 		request.on('error', () => {
 			// Nothing to report before an exchange starts; later, the `close` event of the response reports it.
 		});
+		response.once('close', () => {
+			clearTimeout(timer);
+			account.release();
+		});
 		request.on('end', () => {
-			if (!isRefused) {
-				this.#startExchange(request, response, {body: body.toBytes(), relayedFrom});
+			clearTimeout(timer);
+			account.keep();
+			if (body !== undefined && head.isOk()) {
+				this.#startExchange(request, response, {
+					head: head.value, body: body.takeBlocks(), bodyBytes, relayedFrom,
+				});
 			}
 		});
 	}
 
-	#startExchange(request: IncomingMessage, response: ServerResponse, {body, relayedFrom}: ReceivedRequest): void {
-		const head = this.#options.protocol.readHead(request);
-		if (head.isErr()) {
-			this.#refuseBeforeExchange(response, relayedFrom, failureReason.badRequest, head.error.detail);
-			return;
-		}
-
-		const relayedBytes = relayedFrom === undefined ? 0 : body.length;
+	#startExchange(request: IncomingMessage, response: ServerResponse, {
+		head, body, bodyBytes, relayedFrom,
+	}: ReceivedRequest): void {
+		const relayedBytes = relayedFrom === undefined ? 0 : bodyBytes;
 		if (this.#relayedBytes + relayedBytes > maxRelayedBytes) {
-			this.#refuseBeforeExchange(response, relayedFrom, failureReason.relayRefused, 'the bodies of relayed requests exceed the limit');
+			this.#refuseBeforeExchange(request, response, {
+				head, relayedFrom, failure: createFailure(failureReason.relayRefused), detail: 'the bodies of relayed requests exceed the limit',
+			});
 			return;
 		}
 
 		this.#relayedBytes += relayedBytes;
 		const {method = '', url = ''} = request;
-		const {host, keyDigest} = head.value;
+		const {host, keyDigest} = head;
 		const fingerprint = computeFingerprint({
 			method, host, url, keyDigest, body,
 		});
 		const openId = this.#nextOpenId++;
-		const exchange = new CallerExchange(openId, head.value, request, body, {response, protocol: this.#options.protocol, relayedFrom});
+		const exchange = new CallerExchange(openId, head, request, body, {response, protocol: this.#options.protocol, relayedFrom});
 		if (this.#isDraining) {
 			exchange.closeAfterResponse();
 		}
@@ -207,31 +269,68 @@
 			this.#relayedBytes -= relayedBytes;
 			if (!response.writableFinished) {
 				if (response.writableEnded) {
-					this.#options.log('response-cut', {requestId: head.value.requestId, detail: 'the connection closed before the end of the response was sent'});
+					this.#options.log('response-cut', {requestId: head.requestId, detail: 'the connection closed before the end of the response was sent'});
 				}
 
 				this.#options.emit({kind: eventKind.callerLeft, openId});
 			}
 		});
 		this.#options.emit({
-			kind: eventKind.requestArrived, openId, ...head.value, fingerprint, relayedFrom,
+			kind: eventKind.requestArrived, openId, ...head, fingerprint, relayedFrom,
 		});
 	}
 
-	#refuseBeforeExchange(response: ServerResponse, relayedFrom: RelayOrigin | undefined, reason: FailureReason, detail: string): void {
-		const failure = createFailure(reason, reason === failureReason.draining ? 0 : undefined);
-		const {status} = failure;
-		this.#options.log('refused', {reason, status, detail});
+	#rejectForMemory(reject: (failure: Failure, detail: string) => void, detail: string): void {
+		reject(createFailure(failureReason.memoryFull, minMemoryRetryAfterMs + (this.#options.random() * memoryRetryAfterJitterMs)), detail);
+	}
+
+	#refuseBeforeExchange(request: IncomingMessage, response: ServerResponse, rejection: Rejection): void {
+		const {head, relayedFrom, failure, detail} = rejection;
+		const {protocol, log} = this.#options;
+		const {reason, status} = failure;
+		log('refused', {
+			requestId: head?.requestId, host: head?.host, path: head?.path, reason, status, detail,
+		});
+		const body = head === undefined ? '' : createFailureBody(failure, head.requestId);
 		response.writeHead(status, [
-			...Object.entries(this.#options.protocol.createFailureHeaders(failure)).flat(),
+			...Object.entries(protocol.createFailureHeaders(failure)).flat(),
 			...(relayedFrom === undefined ? [] : createFailureOutcomeHeaders(reason)),
+			...(head === undefined ? [] : ['Content-Type', 'application/json']),
 			'Content-Length',
-			'0',
+			String(Buffer.byteLength(body)),
 			'Connection',
 			'close',
 		]);
+		response.write(body);
+		endAfterBody(request, response);
+	}
+}
+
+/**
+ * Ends a response that has been written only when the request has been read, or the caller sends
+ * too much or for too long: bytes that arrive at a closed connection reset it, and the caller could lose the response.
+ */
+function endAfterBody(request: IncomingMessage, response: ServerResponse): void {
+	if (request.complete) {
 		response.end();
+		return;
 	}
+
+	let discardedBytes = 0;
+	const end = () => {
+		clearTimeout(timer);
+		response.end();
+	};
+
+	const timer = setTimeout(end, discardTimeoutMs);
+	request.once('end', end);
+	request.once('close', end);
+	request.on('data', (chunk: Uint8Array) => {
+		discardedBytes += chunk.length;
+		if (discardedBytes > maxDiscardedBytes) {
+			end();
+		}
+	});
 }
 
 /** Computes the size of the request line and headers as sent, in bytes, without optional white space. */
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,11 +6,12 @@
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {
-	createState, effectKind, eventKind, isReady, reduce, type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event,
-	type FinishStreamEffect, type FleetBounds, type LogEffect, type RefuseEffect, type State,
+	checkHead, createState, effectKind, eventKind, isReady, reduce,
+	type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event, type FinishStreamEffect, type FleetBounds, type LogEffect,
+	type RefuseEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
-	BoundedLog, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
+	BoundedLog, BufferBudget, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {CallerServer} from './caller-server.js';
 import {ConnectionPool} from './connection-pool.js';
@@ -114,10 +115,20 @@
 			this.handle(event);
 		};
 
+		const bufferBudget = new BufferBudget(settings.memoryBytes, isFull => {
+			const event = isFull ? 'memory-full' : 'memory-free';
+			this.#metrics.count(event);
+			this.log.write(isFull ? 'warn' : 'info', {
+				event, bodyBytes: bufferBudget.bodyBytes, bodyBytesLimit: bufferBudget.bodyBytesLimit, open: this.#callers.openExchanges.size,
+			});
+		});
 		const pool = new ConnectionPool(readMonotonicMs, lifecycle);
 		this.#pool = pool;
 		this.#callers = new CallerServer({
 			protocol: protocols.callers,
+			bufferBudget,
+			random: Math.random,
+			checkHead: (head, relayedFrom) => checkHead(this.state, {...head, relayedFrom}, readMonotonicMs()),
 			emit,
 			log: (event, fields) => {
 				this.#metrics.count(event);
@@ -129,7 +140,7 @@
 			protocol: protocols.targets,
 			callerProtocol: protocols.callers,
 			origin: {id: settings.instanceId, incarnation},
-			memoryBytes: settings.memoryBytes,
+			bufferBudget,
 			emit,
 			readClock: readMonotonicMs,
 		});
@@ -144,6 +155,9 @@
 			['relayed_requests', () => this.state.relayedOpenIds.size],
 			['quarantined_prompts', () => this.state.quarantine.size],
 			['target_connections_opened', () => pool.openedCount],
+			['body_bytes', () => bufferBudget.bodyBytes],
+			['body_bytes_limit', () => bufferBudget.bodyBytesLimit],
+			['response_bytes', () => bufferBudget.responseBytes],
 			['log_lines_dropped', () => this.log.droppedTotal],
 		]);
 		this.#peers = new PeerTransport({
