A relay passes on a reset as a reset

The soak's relay ended the gateway's connection cleanly when a worker reset it, so that a response without length that was broken off looked whole to the gateway. tcp-relay_test failed before: 'end' instead of ECONNRESET.

--- a/packages/load/src/lib/tcp-relay.ts
+++ b/packages/load/src/lib/tcp-relay.ts
@@ -100,8 +100,13 @@
 		from.on('end', () => {
 			to.end();
 		});
-		from.on('error', () => {
-			to.destroy();
+		from.on('error', ({code}: NodeJS.ErrnoException) => {
+			// A reset must not look like a clean end on the other side.
+			if (code === 'ECONNRESET') {
+				to.resetAndDestroy();
+			} else {
+				to.destroy();
+			}
 		});
 		from.on('close', () => {
 			this.#sockets.delete(from);
--- a/packages/load/src/test/tcp-relay_test.ts
+++ b/packages/load/src/test/tcp-relay_test.ts
@@ -41,6 +41,44 @@
 	}
 });
 
+// Guards against soaks in which a response that a target resets looks complete to the gateway (LOST).
+void test('a relay passes on a reset as a reset, and a clean end as a clean end', async () => {
+	for (const endsCleanly of [true, false]) {
+		const server = createServer(socket => {
+			socket.write('part', () => {
+				if (endsCleanly) {
+					socket.end();
+				} else {
+					setTimeout(() => socket.resetAndDestroy(), 50);
+				}
+			});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+		const relay = new TcpRelay((server.address() as AddressInfo).port);
+		await relay.listen();
+		const [host, port] = relay.address.split(':');
+		const socket = connect(Number(port), host);
+		try {
+			const outcome = await new Promise<string>(resolve => {
+				socket.resume();
+				socket.on('end', () => {
+					resolve('end');
+				});
+				socket.on('error', ({code}: NodeJS.ErrnoException) => {
+					resolve(code ?? 'error');
+				});
+			});
+			assert.equal(outcome, endsCleanly ? 'end' : 'ECONNRESET');
+		} finally {
+			socket.destroy();
+			await relay.close();
+			server.close();
+		}
+	}
+});
+
 void test('a silent relay keeps connections open, and delivers the delayed data once it is up again', async () => {
 	const server = createServer(socket => {
 		socket.pipe(socket);
