A check whether a process listens reads its connection before it takes it for open

Cause: the time for which a connection has to stay open ran out while the process was busy, and the timer ran before the end of the connection, which had already arrived, was read. The evidence is now weighed after connections have been read once more.

--- a/packages/gateway/src/lib/listener-check.ts
+++ b/packages/gateway/src/lib/listener-check.ts
@@ -100,16 +100,12 @@
 		this.#hasReceivedData = false;
 		this.#connectionCount++;
 		let hasOpened = false;
-		this.#timer = setTimeout(() => {
-			this.#weigh(connectionEvidence.unanswered, socket);
-		}, Math.max(0, checkTimeoutMs - this.#computeElapsedMs()));
+		this.#scheduleWeighing(connectionEvidence.unanswered, socket, Math.max(0, checkTimeoutMs - this.#computeElapsedMs()));
 		socket.once('connect', () => {
 			hasOpened = true;
 			if (this.#socket === socket && !this.#isOver) {
 				clearTimeout(this.#timer);
-				this.#timer = setTimeout(() => {
-					this.#weigh(connectionEvidence.held, socket);
-				}, holdMs);
+				this.#scheduleWeighing(connectionEvidence.held, socket, holdMs);
 			}
 		});
 		socket.once('error', (error: Error & {code?: string}) => {
@@ -128,6 +124,15 @@
 		socket.once('close', handleClose);
 	}
 
+	/** Weighs the evidence after a delay. If the process was paused meanwhile, what has happened on the connection is read first. */
+	#scheduleWeighing(evidence: ConnectionEvidence, socket: Socket, delayMs: number): void {
+		this.#timer = setTimeout(() => {
+			setImmediate(() => {
+				this.#weigh(evidence, socket);
+			});
+		}, delayMs);
+	}
+
 	#computeElapsedMs(): number {
 		return this.#options.readClock() - this.#startedAt;
 	}
--- a/packages/gateway/src/test/listener-check_test.ts
+++ b/packages/gateway/src/test/listener-check_test.ts
@@ -69,6 +69,19 @@
 	});
 }
 
+// Guards against BUDGET: a crash counts for nobody, since the instance was paused when the connection was closed.
+test('a process whose listening socket and connections are closed while the instance is paused counts as gone (freeze)', async () => {
+	const address = await startServer();
+	setTimeout(() => {
+		// Timers run before connections are read again after this.
+		setImmediate(() => {
+			stopListening();
+			Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 200);
+		});
+	}, 100);
+	assert.equal(await check(address), false);
+});
+
 test('a process that accepts connections and resets each of them neither counts as gone nor is tried without end', async () => {
 	const address = await startServer(socket => {
 		socket.resetAndDestroy();
