Test of a limit in a response: the first event waits until the head has been read

The test failed once beside load on the merged code ("the head was read before the first event"): the target sent the event 60 ms after the head, and the process that read both was busy for longer. The target now waits until the head has been read, and 60 ms more, so that the same bound of 40 ms holds whatever the load is.

--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -223,7 +223,11 @@
 
 test('a limit in a response is reported once, with the time at which the head was read (capped targets)', async () => {
 	await fixture.startTarget(async (socket, requestId) => {
+		const headRead = new Promise<void>(resolve => {
+			fixture.onResponseHead = resolve;
+		});
 		socket.write(`HTTP/1.1 200 OK\r\nid: ${requestId}\r\nlimit: 3.1\r\ntransfer-encoding: chunked\r\n\r\n`);
+		await headRead;
 		await delay(60);
 		writeChunk(socket, 'id: 1\ndata: a\n\n');
 		await delay(20);
