Requests on one connection are handled one after the other; unreadable ones hold nothing

A caller that sends its next request before the response to the one before lost it around a planned stop: Node.js hands over both at once, the response with Connection: close ends the connection, and neither the lost response nor its exchange is ever reported as closed. A body that cannot be parsed held its memory until its caller closed the connection.

A request is handled when the responses before it on its connection have been sent; if one of them closed the connection, it is not passed on.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -6,6 +6,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import {
 	createFailure, eventKind, failureReason, type CallerLimits, type Event, type Failure, type FailureReason, type RelayOrigin, type RequestHead,
 } from '@sequoiatally/dispatch';
@@ -77,6 +78,8 @@
 	#relayedBytes = 0;
 	/** Requests that were received in part, each with the function that refuses it. */
 	readonly #incoming = new Map<IncomingMessage, (reason: FailureReason, detail: string) => void>();
+	/** The response to the latest request of each connection. */
+	readonly #latestResponses = new WeakMap<Socket, ServerResponse>();
 	/** True if requests that are not complete yet are refused. */
 	#isRefusing = false;
 
@@ -85,12 +88,7 @@
 		this.#server = createServer({
 			maxHeaderSize: absoluteMaxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: 60_000, noDelay: true,
 		}, (request, response) => {
-			if (request.socket.writableEnded) {
-				// The connection is closed for responses.
-				request.resume();
-			} else {
-				this.#handleRequest(request, response, undefined);
-			}
+			this.#handleInTurn(request, response);
 		});
 		this.#connectionCloser = new ConnectionCloser(this.#server);
 		this.#server.on('clientError', (error: Error & {code?: string}, socket) => {
@@ -99,7 +97,8 @@
 			}
 
 			if (socket.writable && error.code !== 'ECONNRESET') {
-				socket.end(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+				socket.write(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+				this.#connectionCloser.close(socket as Socket);
 			} else {
 				socket.destroy();
 			}
@@ -160,6 +159,33 @@
 		}
 	}
 
+	/**
+	 * Handles a request when the responses to those before it on its connection have been sent. One of them may close the
+	 * connection; a request that was passed on by then would lose its response, and Node.js would not report its end.
+	 */
+	#handleInTurn(request: IncomingMessage, response: ServerResponse): void {
+		const {socket} = request;
+		const previous = this.#latestResponses.get(socket);
+		this.#latestResponses.set(socket, response);
+		if (previous !== undefined && !previous.closed) {
+			previous.once('close', () => {
+				this.#handleNext(request, response);
+			});
+			return;
+		}
+
+		this.#handleNext(request, response);
+	}
+
+	#handleNext(request: IncomingMessage, response: ServerResponse): void {
+		if (request.socket.writableEnded || request.socket.destroyed) {
+			// The connection is closed for responses.
+			request.resume();
+		} else {
+			this.#handleRequest(request, response, undefined);
+		}
+	}
+
 	#handleRequest(request: IncomingMessage, response: ServerResponse, relayedFrom: RelayOrigin | undefined): void {
 		const {bufferBudget, protocol, checkHead} = this.#options;
 		const account = bufferBudget.openBodyAccount();
@@ -232,9 +258,12 @@
 		request.on('end', () => {
 			clearTimeout(timer);
 			account.keep();
-			if (body !== undefined && head.isOk()) {
+			const received = body;
+			// From now on, the exchange decides about the request.
+			body = undefined;
+			if (received !== undefined && head.isOk()) {
 				this.#startExchange(request, response, {
-					head: head.value, body: body.takeBlocks(), bodyBytes, relayedFrom,
+					head: head.value, body: received.takeBlocks(), bodyBytes, relayedFrom,
 				});
 			}
 		});
--- a/packages/gateway/src/lib/connection-closer.ts
+++ b/packages/gateway/src/lib/connection-closer.ts
@@ -30,6 +30,11 @@
 		});
 	}
 
+	/** Closes one connection. */
+	close(socket: Socket): void {
+		closeForSending(socket);
+	}
+
 	/**
 	 * Stops to listen and closes all connections; returns true when their clients have closed them too,
 	 * or have had the time for it. To be called again until then.
--- a/packages/gateway/src/test/caller-server_test.ts
+++ b/packages/gateway/src/test/caller-server_test.ts
@@ -8,7 +8,7 @@
 import {
 	request as startRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage,
 } from 'node:http';
-import {connect, createServer, type AddressInfo} from 'node:net';
+import {connect} from 'node:net';
 import {after, beforeEach, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
@@ -17,28 +17,11 @@
 import {BufferBudget, createLogger, LifecycleManager} from '@sequoiatally/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import {CallerServer} from '../lib/caller-server.js';
-import {CallerProtocol, type HeadFault} from '../lib/protocol.js';
+import {findFreePort, PlainProtocol, waitUntil} from './caller-server-fixture.js';
 
 const memoryBytes = 200 * 1024 * 1024;
 /** Large bodies of which four take more than the memory for bodies. */
 const largeBytes = 7 * 1024 * 1024;
-const waitMs = 3000;
-
-class PlainProtocol extends CallerProtocol {
-	override readHead({url = ''}: IncomingMessage): Result<RequestHead, HeadFault> {
-		return ok({
-			requestId: url, host: 'a.example', path: url, keyDigest: undefined, timeoutMs: undefined, promptParts: [],
-		});
-	}
-
-	override createRelayHeaders(): string[] {
-		return [];
-	}
-
-	override createFailureHeaders({retryAfterMs}: Failure): Record<string, string> {
-		return retryAfterMs === undefined ? {} : {'Retry-After': String(retryAfterMs / 1000)};
-	}
-}
 
 const lifecycle = new LifecycleManager(createLogger('test', 'error'));
 const port = await findFreePort();
@@ -68,23 +51,6 @@
 	assert.equal(bufferBudget.bodyBytes, 0);
 });
 
-async function findFreePort(): Promise<number> {
-	const listener = createServer().listen(0, '127.0.0.1');
-	await once(listener, 'listening');
-	const {port: freePort} = listener.address() as AddressInfo;
-	listener.close();
-	await once(listener, 'close');
-	return freePort;
-}
-
-async function waitUntil(description: string, isTrue: () => boolean): Promise<void> {
-	const giveUpAt = Date.now() + waitMs;
-	while (!isTrue()) {
-		assert.ok(Date.now() < giveUpAt, description);
-		await delay(5);
-	}
-}
-
 function startPost(headers: IncomingHttpHeaders = {}, path = '/x'): ClientRequest {
 	const request = startRequest({
 		host: '127.0.0.1', port, path, method: 'POST', agent: false, headers,
