A held error response that gives way for memory no longer cuts its caller

An error response of a target is held while the request is sent to others. If the responses of all exchanges exceeded the memory and it was the largest, its caller's connection was closed, as if the caller did not read it.

--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -6,7 +6,7 @@
 import {createServer} from 'node:http';
 import process from 'node:process';
 import {
-	checkHead, createState, effectKind, eventKind, isReady, reduce,
+	checkHead, createFailure, createState, effectKind, eventKind, failureReason, isReady, reduce,
 	type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event, type FinishStreamEffect, type FleetBounds, type LogEffect,
 	type RefuseEffect, type State,
 } from '@sequoiatally/dispatch';
@@ -283,7 +283,10 @@
 			}
 
 			case effectKind.deliverHeld: {
-				if (caller?.heldResponse !== undefined) {
+				if (caller?.heldResponse === undefined) {
+					// Dropped, since the responses of all exchanges exceeded the memory.
+					caller?.refuse(createFailure(failureReason.answerLost));
+				} else {
 					caller.deliverResponse(caller.heldResponse);
 				}
 
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -122,10 +122,13 @@
 		this.#caller = caller;
 		this.#options = options;
 		this.#buffer = options.bufferBudget.openAccount(() => {
-			if (this.#hasEnded) {
+			if (this.#hasEnded && caller.hasStarted) {
 				// The caller does not read the response that was delivered to it.
 				caller.abort();
 				this.#buffer.release();
+			} else if (this.#hasEnded) {
+				caller.heldResponse = undefined;
+				this.#buffer.release();
 			} else {
 				this.#abort(this.#failureOutcome, 'the responses of all exchanges exceed the memory, and this is the largest');
 			}
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -84,13 +84,17 @@
 	/** If true, the caller does not read until `resumeReading` is called. */
 	isSlow = false;
 	resumeReading?: () => void;
+	/** If true, the memory of the response is held as long as the response is. */
+	holdsBuffer = false;
 
 	constructor(openId: number) {
 		this.head = {requestId: String(openId)};
 	}
 
 	keepBuffer(buffer: BufferAccount): void {
-		buffer.release();
+		if (!this.holdsBuffer) {
+			buffer.release();
+		}
 	}
 
 	deliverResponse({body}: BufferedResponse): void {
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -221,6 +221,25 @@
 	await fixture.assertOutcome(sendOutcome.notSent);
 });
 
+// Guards against LOST: a caller whose request is still sent to other targets is cut, since an error response that is held for it takes the memory.
+test('an error response that is held is dropped when the responses of all exchanges exceed the memory, and its caller is not cut', async () => {
+	const bodyBytes = 13 * 1024 * 1024;
+	await fixture.startTarget((socket, requestId) => {
+		socket.write(`HTTP/1.1 500 Failed\r\nid: ${requestId}\r\ncontent-length: ${bodyBytes}\r\n\r\n`);
+		socket.write('x'.repeat(bodyBytes));
+	});
+	const callers = [];
+	for (let count = 0; count < 3; count++) {
+		const caller = fixture.startSend();
+		caller.holdsBuffer = true;
+		callers.push(caller);
+		await fixture.assertOutcome(sendOutcome.failed);
+	}
+
+	assert.equal(callers.filter(({heldResponse}) => heldResponse === undefined).length, 1);
+	assert.ok(callers.every(({received}) => received === ''));
+});
+
 test('a limit in a response is reported once, with the time at which the head was read (capped targets)', async () => {
 	await fixture.startTarget(async (socket, requestId) => {
 		const headRead = new Promise<void>(resolve => {
