--- a/packages/gateway/src/lib/listener-check.ts
+++ b/packages/gateway/src/lib/listener-check.ts
@@ -126,11 +126,14 @@
 
 	/** Weighs the evidence after a delay. If the process was paused meanwhile, what has happened on the connection is read first. */
 	#scheduleWeighing(evidence: ConnectionEvidence, socket: Socket, delayMs: number): void {
-		this.#timer = setTimeout(() => {
+		const timer = setTimeout(() => {
 			setImmediate(() => {
-				this.#weigh(evidence, socket);
+				if (this.#timer === timer) {
+					this.#weigh(evidence, socket);
+				}
 			});
 		}, delayMs);
+		this.#timer = timer;
 	}
 
 	#computeElapsedMs(): number {
--- a/packages/runtime/src/lib/lifecycle-manager.ts
+++ b/packages/runtime/src/lib/lifecycle-manager.ts
@@ -67,7 +67,7 @@
 				log({event: 'stop-signal', signal});
 				stop();
 			} else if (signal === 'SIGINT' && interruptCount > 1) {
-				log({event: 'second-signal', signal, message: 'Second SIGINT received; stopping at once and cutting open requests.'});
+				log({event: 'second-signal', signal, message: 'Second SIGINT received; stopping at once.'});
 				stopAtOnce();
 			} else {
 				log({event: 'signal-ignored', signal, message: 'The process is already stopping; a second SIGINT stops it at once.'});
