A stream goes back to a silent target if its resume elsewhere fails

Its target paused for 2.6 s; after 1 s the gateway gave it up and resumed at a target that had crashed 1.3 s before, and both runs that the route allows were used up.

Cause: a silent target was given up for good, although silence proves nothing (LOST: no reason to end an answer sooner), and the only other run may fail. The target that was silent has run the request already, so a resume there runs on no further one: when the resume elsewhere has failed, the stream goes back there, once, if the target may still receive it and time and budget allow. requests_test: the new test fails without the change (34 of 35) and passes with it.

--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -259,6 +259,7 @@
 	request.lastEventId = event.lastEventId ?? request.lastEventId;
 	step.effects.push({kind: effectKind.cancel, openId: event.openId, sendId: event.sendId});
 	endCurrentSend(step, request, verdict.lost, 'silent');
+	request.silentTargetId = send.isRelayed ? undefined : send.target.record.id;
 	retryOrFail(step, request, createFailure(failureReason.answerLost));
 }
 
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -86,12 +86,13 @@
 	return chooseRelayPeer(step, {...request, triedTargetIds}) !== undefined || findPlacement(step, request, triedTargetIds) !== undefined;
 }
 
-function findPlacement(step: Step, request: OpenRequest, triedTargetIds: ReadonlySet<string>): Placement | undefined {
+/** Finds a target for the request, among all of its pool or only `targets` of it. */
+function findPlacement(step: Step, request: OpenRequest, triedTargetIds: ReadonlySet<string>, targets?: readonly Target[]): Placement | undefined {
 	const {state, now} = step;
 	const {
 		requestId, route, poolName, promptParts,
 	} = request;
-	const view = createPlacementView(step, poolName);
+	const view = createPlacementView(step, poolName, targets);
 	const key = route.hasPrompts ? findPromptKey(promptParts) : undefined;
 	return view === undefined
 		? undefined
@@ -116,14 +117,14 @@
 	return view === undefined ? undefined : findLimitEnd(view, triedTargetIds, step.now);
 }
 
-function createPlacementView(step: Step, poolName: string): PlacementView | undefined {
+function createPlacementView(step: Step, poolName: string, targets?: readonly Target[]): PlacementView | undefined {
 	const {state} = step;
 	const pool = state.directory.poolByName.get(poolName);
 	return pool === undefined
 		? undefined
 		: {
 			pool,
-			targets: state.targets.byPool.get(poolName) ?? [],
+			targets: targets ?? state.targets.byPool.get(poolName) ?? [],
 			closedZones: state.directory.closedZones,
 			zone: state.self.zone,
 			fleet: findFleetView(step),
@@ -240,9 +241,40 @@
 		return;
 	}
 
-	finishWithFailure(step, request, failure);
+	if (!tryReturnToSilentTarget(step, request)) {
+		finishWithFailure(step, request, failure);
+	}
 }
 
+/**
+ * Resumes a stream at the target that was given up because it was silent, when the resume at another one has failed. That
+ * target has run the request already, so that it runs on no further one. Returns false if the target may not receive it.
+ */
+function tryReturnToSilentTarget(step: Step, request: OpenRequest): boolean {
+	const {silentTargetId, hasResponseStarted, hasUnprovedEnd} = request;
+	request.silentTargetId = undefined;
+	if (silentTargetId === undefined || !hasResponseStarted || hasUnprovedEnd || !hasTimeForRetry(step, request) || !isRetryInBudget(step, request)) {
+		return false;
+	}
+
+	if (!refreshResolution(step, request)) {
+		return true;
+	}
+
+	const silentTarget = step.state.targets.byId.get(silentTargetId);
+	const placement = silentTarget?.record.pool === request.poolName && silentTarget.isRegistered
+		? findPlacement(step, request, noTargetIds, [silentTarget])
+		: undefined;
+	if (placement === undefined) {
+		return false;
+	}
+
+	startSend(step, request, placement, false);
+	return true;
+}
+
+const noTargetIds: ReadonlySet<string> = new Set();
+
 /** Queues a request that may be sent again until it is known whether this instance has lost its path to the pool. */
 function tryQueueForPath(step: Step, request: OpenRequest): boolean {
 	const {state, now} = step;
@@ -258,9 +290,8 @@
 
 /** True when one more send of the request is allowed; `mayHaveRun` is true if an earlier send may have run. */
 export function mayRetry(step: Step, request: OpenRequest, mayHaveRun: boolean): boolean {
-	const {now} = step;
-	const {route, sendCount, possibleRunCount, arrivalCount, deadlineAt, hasResponseStarted} = request;
-	if (deadlineAt - now < minRetryTimeMs || sendCount >= route.targetLimit + extraSendLimit) {
+	const {route, possibleRunCount, hasResponseStarted} = request;
+	if (!hasTimeForRetry(step, request)) {
 		return false;
 	}
 
@@ -271,5 +302,13 @@
 	const isAllowed = mayHaveRun
 		? isRetryable(route) && possibleRunCount < findRunLimit(request) && (!hasResponseStarted || route.canResume)
 		: !hasResponseStarted;
-	return isAllowed && (arrivalCount === 0 || findRetryBudget(step, request.poolName).mayRetry(findFleetView(step).size, now));
+	return isAllowed && isRetryInBudget(step, request);
+}
+
+function hasTimeForRetry({now}: Step, {route, sendCount, deadlineAt}: OpenRequest): boolean {
+	return deadlineAt - now >= minRetryTimeMs && sendCount < route.targetLimit + extraSendLimit;
+}
+
+function isRetryInBudget(step: Step, {arrivalCount, poolName}: OpenRequest): boolean {
+	return arrivalCount === 0 || findRetryBudget(step, poolName).mayRetry(findFleetView(step).size, step.now);
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -81,6 +81,8 @@
 	endsWithConnection: boolean;
 	/** True if the last target ended its stream with its connection, and no send since has shown that the stream goes on. */
 	hasUnprovedEnd: boolean;
+	/** The last target that was given up because it was silent. */
+	silentTargetId?: string;
 	/** True if a target's error response is held for the caller. */
 	hasHeldFailure: boolean;
 	lastEventId?: string;
--- a/packages/dispatch/src/test/requests_test.ts
+++ b/packages/dispatch/src/test/requests_test.ts
@@ -89,6 +89,52 @@
 	assert.equal(gateway.takeLastSend().resumeAfterEventId, '11');
 });
 
+/** Gives up a stream at a silent target, and loses its resume at another one; returns the send to the silent target. */
+function loseResumeOfSilentStream(gateway: GatewayFixture, beforeLoss?: (silentTargetId: string) => void): SendEffect {
+	// Served requests leave room in the retry budget.
+	for (let count = 0; count < 20; count++) {
+		endSend(gateway, startStream(gateway), sendOutcome.complete);
+		gateway.advance(100);
+	}
+
+	gateway.effects = [];
+	const first = startStream(gateway);
+	const silentSince = gateway.now;
+	gateway.advance(1200);
+	gateway.handle({
+		kind: eventKind.answerSilent, openId: first.openId, sendId: first.sendId, silentSince, lastEventId: '11',
+	});
+	const second = gateway.takeLastSend();
+	assert.notEqual(second.targetId, first.targetId);
+	beforeLoss?.(first.targetId);
+	endSend(gateway, second, sendOutcome.interrupted, '11');
+	return first;
+}
+
+// Guards against LOST: a stream whose target only paused is cut, since the target where it was resumed fails (soak, seed 9512).
+test('a stream that was given up at a silent target goes back there if its resume fails, once, and runs on no further target', () => {
+	for (const lastOutcome of [sendOutcome.complete, sendOutcome.interrupted]) {
+		const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2', 'engine-3']);
+		const first = loseResumeOfSilentStream(gateway);
+		const third = gateway.takeLastSend();
+		assert.equal(third.targetId, first.targetId);
+		assert.equal(third.resumeAfterEventId, '11');
+		endSend(gateway, third, lastOutcome, '12');
+		assert.deepEqual(gateway.listSends(), []);
+		assert.deepEqual(listStreamEnds(gateway), lastOutcome === sendOutcome.complete ? [] : [effectKind.breakOff]);
+		assert.equal(gateway.state.openRequests.size, 0);
+	}
+});
+
+test('a stream does not go back to a silent target that has left meanwhile', () => {
+	const gateway = new GatewayFixture().loadDirectory(['engine-1', 'engine-2', 'engine-3']);
+	loseResumeOfSilentStream(gateway, silentTargetId => {
+		gateway.applyChanges(2, [createTargetChange(2, createTargetRecord(silentTargetId, {isLeaving: true}))]);
+	});
+	assert.deepEqual(gateway.listSends(), []);
+	assert.deepEqual(listStreamEnds(gateway), [effectKind.breakOff]);
+});
+
 test('a send to a silent target is not canceled while there is no other target (two of three gone, burst)', () => {
 	const gateway = new GatewayFixture().loadDirectory(['desk-1']);
 	const openId = gateway.receiveRequest(repeatableRoute);
