--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -209,24 +209,16 @@
 		}
 	}
 
-	/** Logs the end of the process, and each request that it cuts. */
+	/** Logs the end of the process, and what it leaves unfinished; the requests that are open have ended before. */
 	logStop(): void {
 		const {drainStartedAt, stopStartedAt} = this.state;
-		const now = readMonotonicMs();
-		for (const {requestId, route, arrivedAt, currentSend, hasResponseStarted, queuedUntil} of this.state.openRequests.values()) {
-			this.log.write('warn', {
-				event: 'request-cut', requestId, route: route.name, target: currentSend?.target.record.id, queued: queuedUntil !== undefined || undefined,
-				hasBegun: hasResponseStarted, tookMs: Math.round(now - arrivedAt),
-			});
-		}
-
 		this.log.write('warn', {
 			event: 'stopped',
 			reason: stopStartedAt === undefined ? 'drained' : 'stop',
 			open: this.state.openRequests.size,
 			unsent: this.#callers.openExchanges.size - this.state.openRequests.size,
 			receiving: this.#callers.incomingCount,
-			drainedMs: drainStartedAt === undefined ? undefined : Math.round(now - drainStartedAt),
+			drainedMs: drainStartedAt === undefined ? undefined : Math.round(readMonotonicMs() - drainStartedAt),
 		});
 	}
 
