--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -14,6 +14,7 @@
 export type * from './lib/peer-message.js';
 export * from './lib/reducer.js';
 export * from './lib/state.js';
+export type * from './lib/stream-message.js';
 export type {TargetReport, TargetStatement} from './lib/target-statements.js';
 export type {SelfInfo} from './lib/members.js';
 export {targetSubjectPrefix} from './lib/target-state.js';
--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -3,6 +3,7 @@
  */
 import type {DirectoryPosition} from './directory-position.js';
 import type {PeerMessage} from './peer-message.js';
+import type {StreamMessage} from './stream-message.js';
 import type {Failure} from './failure.js';
 
 export const effectKind = {
@@ -15,6 +16,8 @@
 	checkTarget: 'check-target',
 	callPeer: 'call-peer',
 	answerPeer: 'answer-peer',
+	callStreamPeer: 'call-stream-peer',
+	answerStreamPeer: 'answer-stream-peer',
 	watch: 'watch',
 	readHistory: 'read-history',
 	refreshDirectory: 'refresh-directory',
@@ -92,6 +95,10 @@
 export type CallPeerEffect = {readonly kind: typeof effectKind.callPeer; readonly address: string; readonly message: PeerMessage};
 export type AnswerPeerEffect = {readonly kind: typeof effectKind.answerPeer; readonly callId: number; readonly message: PeerMessage};
 
+/** Tell a peer of streams, and ask it for some; the response or the failure is emitted as an event. */
+export type CallStreamPeerEffect = {readonly kind: typeof effectKind.callStreamPeer; readonly address: string; readonly message: StreamMessage};
+export type AnswerStreamPeerEffect = {readonly kind: typeof effectKind.answerStreamPeer; readonly callId: number; readonly message: StreamMessage};
+
 export const logLevel = {info: 'info', warn: 'warn'} as const;
 
 /** Write a log line. */
@@ -135,4 +142,5 @@
 
 export type Effect =
 	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect | CheckTargetEffect
-	| CallPeerEffect | AnswerPeerEffect | WatchEffect | ReadHistoryEffect | RefreshDirectoryEffect | LogEffect | RefuseIncomingEffect | FinishDrainEffect;
+	| CallPeerEffect | AnswerPeerEffect | CallStreamPeerEffect | AnswerStreamPeerEffect
+	| WatchEffect | ReadHistoryEffect | RefreshDirectoryEffect | LogEffect | RefuseIncomingEffect | FinishDrainEffect;
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -5,6 +5,7 @@
 import type {DirectoryUpdate} from './directory.js';
 import type {PlatformHistory} from './past-versions.js';
 import type {PeerMessage} from './peer-message.js';
+import type {StreamMessage} from './stream-message.js';
 import type {TargetReport} from './target-statements.js';
 
 export const eventKind = {
@@ -21,6 +22,8 @@
 	directoryLost: 'directory-lost',
 	historyRead: 'history-read',
 	directoryRefreshed: 'directory-refreshed',
+	streamPeerCalled: 'stream-peer-called',
+	streamPeerAnswered: 'stream-peer-answered',
 	peerCalled: 'peer-called',
 	peerAnswered: 'peer-answered',
 	peerFailed: 'peer-failed',
@@ -213,6 +216,20 @@
 };
 export type PeerFailedEvent = {readonly kind: typeof eventKind.peerFailed; readonly address: string; readonly detail: string};
 
+/** A peer told of streams or asks for them; the response is returned as an effect with the same `callId`. */
+export type StreamPeerCalledEvent = {readonly kind: typeof eventKind.streamPeerCalled; readonly callId: number; readonly message: StreamMessage};
+/** A call about streams has ended. */
+export type StreamPeerAnsweredEvent = {
+	readonly kind: typeof eventKind.streamPeerAnswered;
+	readonly address: string;
+	/** Keys of the streams that the peer was asked for. */
+	readonly askedKeys: readonly string[];
+	/** The response; `undefined` if the call failed. */
+	readonly message?: StreamMessage;
+	/** Why it failed, for the log. */
+	readonly fault?: string;
+};
+
 /** The process received a request to drain and end. */
 export type DrainRequestedEvent = {readonly kind: typeof eventKind.drainRequested; readonly by: string};
 
@@ -227,7 +244,8 @@
 
 /** Events of the platform and of peers. */
 export type FleetEvent =
-	| DirectoryReadEvent | DirectoryLostEvent | HistoryReadEvent | DirectoryRefreshedEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent;
+	| DirectoryReadEvent | DirectoryLostEvent | HistoryReadEvent | DirectoryRefreshedEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
+	| StreamPeerCalledEvent | StreamPeerAnsweredEvent;
 
 export type Event =
 	| RequestArrivedEvent | SendOpenedEvent | AnswerStartedEvent | AnswerContinuedEvent | AnswerSilentEvent | SendEndedEvent
--- a/packages/dispatch/src/lib/ranking.ts
+++ b/packages/dispatch/src/lib/ranking.ts
@@ -1,5 +1,5 @@
 /**
- * Rendezvous hashing of prompts to targets. Every instance computes the same
+ * Rendezvous hashing, mostly of prompts to targets. Every instance computes the same
  * ranking from the same targets, and adding or removing a target moves only the
  * prompts that rank this target first.
  */
@@ -21,7 +21,7 @@
 	return first;
 }
 
-/** Lists the `count` targets that rank first for a prompt. */
-export function listFirstRanked(targets: readonly Target[], keyHash: number, count: number): Target[] {
-	return [...targets].sort((a, b) => mixHashes(keyHash, b.hash) - mixHashes(keyHash, a.hash)).slice(0, count);
+/** Lists the `count` targets, or members, that rank first for a prompt or another key. */
+export function listFirstRanked<T extends {readonly hash: number}>(items: readonly T[], keyHash: number, count: number): T[] {
+	return [...items].sort((a, b) => mixHashes(keyHash, b.hash) - mixHashes(keyHash, a.hash)).slice(0, count);
 }
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -19,6 +19,7 @@
 } from './reduce-paths.js';
 import {findPromptKey} from './prompt.js';
 import {admitInDrain} from './reduce-drain.js';
+import {recordBegunStream} from './reduce-begun-streams.js';
 import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
 import {startEndCheck} from './reduce-stream-ends.js';
 import {computeDirectoryAge, resolveRequest} from './resolve-request.js';
@@ -138,6 +139,7 @@
 
 	request.hasResponseStarted = true;
 	bindVersion(request, softwareVersion);
+	recordBegunStream(step, request);
 	request.unprovedEnd = undefined;
 	recordResponse(step, request, true);
 	recordTargetReport(step, request, targetReport);
--- a/packages/dispatch/src/lib/reduce-take-ups.ts
+++ b/packages/dispatch/src/lib/reduce-take-ups.ts
@@ -2,16 +2,19 @@
  * Finds the software version of a stream that a caller takes up. The request waits for a short
  * time until the version is known, and is refused as not run if it is not.
  *
- * The version follows from the versions that may have been in service when the stream began.
+ * This instance may have served the stream, or peers know it (`reduce-begun-streams.ts`). If all
+ * that know it have ended, the version follows from the versions that may have been in service when the stream began.
  * An instance that was paused or cut off may not know all of them, and cannot tell: its clock
  * may have stood still too. Only a read of the platform that began after the take-up arrived
  * proves that it knows every version with which the stream may have begun.
  */
+import {computeStreamKey} from './begun-streams.js';
 import {effectKind} from './effect.js';
 import type {DirectoryRefreshedEvent, RequestArrivedEvent} from './event.js';
 import {createFailure, failureReason, type FailureReason} from './failure.js';
 import {endWithFailure} from './end-request.js';
-import {applyDirectoryUpdate, platformSource} from './reduce-fleet.js';
+import {choosePeers} from './members.js';
+import {applyDirectoryUpdate, callPeers, platformSource} from './reduce-fleet.js';
 import {computeStreamWindowMs} from './reduce-history.js';
 import {computeDirectoryAge, drawRetryAfterMs} from './resolve-request.js';
 import {sendOrQueue} from './send-request.js';
@@ -27,20 +30,46 @@
 /** Smallest retry delay for streams that cannot be taken up, in milliseconds: what is in service has to change first. */
 const minRetryAfterMs = 1000;
 
+/** Time between two calls for a missing part of the directory, in milliseconds, and number of peers that are called at a time. */
+const updateCallIntervalMs = 150;
+const updatePeerCount = 2;
+/** Time after which a version that follows from the versions in service is used although a peer that was asked has not responded, in milliseconds. */
+const peerPreferenceMs = 150;
+
 /** Why a take-up is refused. */
 const refusalCause = {
-	/** This instance could not find out whether it knows all versions. */
+	/** No peer that responded knows the stream, and this instance could not find out whether it knows all versions. */
 	unproved: 'unproved',
-	/** Several versions may have begun the stream. */
+	/** No peer that responded knows the stream, and several versions may have begun it. */
 	uncertain: 'uncertain',
 	/** No target has the version that began the stream. */
 	gone: 'gone',
 } as const;
 
+/** From what the version of a stream was found. */
+const versionSource = {
+	/** This instance served the stream, or was told of it by one that did. */
+	memory: 'memory',
+	/** A peer that was asked. */
+	peer: 'peer',
+	/** The versions that were in service. */
+	window: 'window',
+} as const;
+type FoundVersion = {readonly softwareVersion: string; readonly source: typeof versionSource[keyof typeof versionSource]};
+
 /** Starts to find the version of a stream that a caller takes up; the request is sent as soon as it is known. */
 export function startTakeUp(step: Step, request: OpenRequest, {resumedRequestId}: RequestArrivedEvent): void {
 	const {state, now} = step;
-	request.takeUp = {resumedRequestId, decideBy: now + Math.min(maxWaitMs, (request.deadlineAt - now) * maxWaitFraction), readFailureCount: 0};
+	const streamKey = resumedRequestId === undefined ? undefined : computeStreamKey(request.streamId, request.account);
+	const canAsk = streamKey !== undefined && state.members.byId.size > 0;
+	request.takeUp = {
+		resumedRequestId,
+		streamKey,
+		...(!canAsk && {awaitedPeers: new Set()}),
+		askedPeerCount: 0,
+		decideBy: now + Math.min(maxWaitMs, (request.deadlineAt - now) * maxWaitFraction),
+		readFailureCount: 0,
+	};
 	state.pendingTakeUps.add(request);
 	advanceTakeUp(step, request);
 }
@@ -55,23 +84,51 @@
 function advanceTakeUp(step: Step, request: OpenRequest): void {
 	const {state, now} = step;
 	const {arrivedAt, poolName, takeUp} = request;
-	const {decideBy, readFailureCount} = takeUp!;
-	if (state.provedAt >= arrivedAt) {
-		const version = findVersionInWindow(step, request);
-		if (version === undefined) {
-			refuseTakeUp(step, request, refusalCause.uncertain);
-		} else if ((state.poolVersions.get(poolName)?.get(version) ?? 0) === 0) {
-			refuseTakeUp(step, request, refusalCause.gone, version);
-		} else {
-			bindTakeUp(step, request, version);
-		}
-	} else if (now >= decideBy || readFailureCount >= readFailureLimit) {
-		refuseTakeUp(step, request, refusalCause.unproved);
+	const {decideBy, readFailureCount, awaitedPeers} = takeUp!;
+	const isProved = state.provedAt >= arrivedAt;
+	const isReadable = !isProved && readFailureCount < readFailureLimit;
+	const found = findVersion(step, request, isProved);
+	if (found !== undefined && (state.poolVersions.get(poolName)?.get(found.softwareVersion) ?? 0) > 0) {
+		bindTakeUp(step, request, found);
+	} else if (found !== undefined && isProved) {
+		refuseTakeUp(step, request, refusalCause.gone, found.softwareVersion);
+	} else if (now >= decideBy || (!isReadable && found === undefined && awaitedPeers?.size === 0)) {
+		refuseTakeUp(step, request, isProved ? refusalCause.uncertain : refusalCause.unproved, found?.softwareVersion);
 	} else {
-		requestRefresh(step);
+		if (isReadable) {
+			requestRefresh(step);
+		}
+
+		if (found !== undefined && readFailureCount > 0) {
+			requestUpdate(step);
+		}
 	}
 }
 
+/** Calls peers for the directory, because targets of a version are missing that one of them knows. */
+function requestUpdate(step: Step): void {
+	const {state, now} = step;
+	if (now >= state.nextUpdateCallAt) {
+		state.nextUpdateCallAt = now + updateCallIntervalMs;
+		callPeers(step, choosePeers(state.members, state.self.address, updatePeerCount, state.random));
+	}
+}
+
+/** Finds the version of the stream; what an instance that served it tells precedes what follows from the versions in service. */
+function findVersion(step: Step, request: OpenRequest, isProved: boolean): FoundVersion | undefined {
+	const {state, now} = step;
+	const {arrivedAt, takeUp} = request;
+	const {streamKey, awaitedPeers, askedPeerCount} = takeUp!;
+	const remembered = streamKey === undefined ? undefined : state.begunStreams.findVersion(streamKey);
+	if (remembered !== undefined) {
+		return {softwareVersion: remembered, source: askedPeerCount === 0 ? versionSource.memory : versionSource.peer};
+	}
+
+	const mayUseWindow = isProved && (awaitedPeers?.size === 0 || now - arrivedAt >= peerPreferenceMs);
+	const softwareVersion = mayUseWindow ? findVersionInWindow(step, request) : undefined;
+	return softwareVersion === undefined ? undefined : {softwareVersion, source: versionSource.window};
+}
+
 /** Reads the platform once, unless such a read is in progress. */
 function requestRefresh({state, effects}: Step): void {
 	if (state.isRefreshing) {
@@ -119,11 +176,12 @@
 function describeTakeUp({now}: Step, {requestId, poolName, arrivedAt, takeUp}: OpenRequest): Record<string, unknown> {
 	return {
 		requestId, resumes: takeUp!.resumedRequestId, pool: poolName, waitedMs: Math.round(now - arrivedAt),
+		asked: takeUp!.askedPeerCount, unanswered: takeUp!.awaitedPeers?.size,
 	};
 }
 
-function bindTakeUp(step: Step, request: OpenRequest, softwareVersion: string): void {
-	recordLog(step, 'take-up-bound', {...describeTakeUp(step, request), softwareVersion});
+function bindTakeUp(step: Step, request: OpenRequest, {softwareVersion, source}: FoundVersion): void {
+	recordLog(step, 'take-up-bound', {...describeTakeUp(step, request), softwareVersion, source});
 	request.boundVersion = softwareVersion;
 	step.state.pendingTakeUps.delete(request);
 	sendOrQueue(step, request);
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -4,6 +4,7 @@
  */
 import type {Effect} from './effect.js';
 import {eventKind, type Event, type FleetEvent} from './event.js';
+import {applyStreamPeerAnswered, applyStreamPeerCalled, exchangeStreams} from './reduce-begun-streams.js';
 import {advanceDrain, startDrain, startStop} from './reduce-drain.js';
 import {
 	applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
@@ -105,6 +106,7 @@
 			updateHistoryRead(step);
 			updatePaths(step);
 			updateQuarantine(step);
+			exchangeStreams(step);
 			advanceTakeUps(step);
 			advanceQueuedRequests(step);
 			endTimedOutRequests(step);
@@ -122,6 +124,8 @@
 	eventKind.peerCalled,
 	eventKind.peerAnswered,
 	eventKind.peerFailed,
+	eventKind.streamPeerCalled,
+	eventKind.streamPeerAnswered,
 ]);
 
 function isFleetEvent(event: Event): event is FleetEvent {
@@ -160,6 +164,19 @@
 			break;
 		}
 
+		case eventKind.streamPeerCalled: {
+			applyStreamPeerCalled(step, event);
+			advanceTakeUps(step);
+			break;
+		}
+
+		case eventKind.streamPeerAnswered: {
+			applyStreamPeerAnswered(step, event);
+			advanceTakeUps(step);
+			advanceDrain(step);
+			break;
+		}
+
 		case eventKind.peerAnswered: {
 			applyPeerAnswered(step, event);
 			break;
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -10,6 +10,7 @@
 	computeFleetView, createMemberState, type MemberState, type SelfInfo,
 } from './members.js';
 import type {PromptPart, ResponseForm} from './event.js';
+import {BegunStreams} from './begun-streams.js';
 import {CacheHolders} from './cache-holders.js';
 import {FailureReports} from './failure-reports.js';
 import {CrashQuarantine, type LostRequest} from './crash-quarantine.js';
@@ -137,6 +138,12 @@
 export type TakeUp = {
 	/** Identifier of the request that began the stream, if the caller names it. */
 	readonly resumedRequestId?: string;
+	/** Key of the stream, if the caller names it. */
+	readonly streamKey?: string;
+	/** Addresses of the peers that were asked for the version and have not responded; `undefined` before they are asked. */
+	awaitedPeers?: Set<string>;
+	/** Number of peers that were asked. */
+	askedPeerCount: number;
 	/** Time at which the request is refused if its version is not known by then. */
 	readonly decideBy: number;
 	/** Number of reads of the platform that began after the request arrived and failed. */
@@ -222,6 +229,10 @@
 	queuedRequests: Set<OpenRequest>;
 	/** Requests that take up a stream whose software version is not known yet, in order of arrival. */
 	readonly pendingTakeUps: Set<OpenRequest>;
+	/** Time from which peers may be called again for a part of the directory that a take-up needs. */
+	nextUpdateCallAt: number;
+	/** Streams that callers may take up. */
+	readonly begunStreams: BegunStreams;
 	/** True while a read of the platform that was started for take-ups is in progress. */
 	isRefreshing: boolean;
 	/** Start of the last of these reads that succeeded: everything that was written before is known. */
@@ -279,6 +290,8 @@
 		openRequests: new Map(),
 		queuedRequests: new Set(),
 		pendingTakeUps: new Set(),
+		nextUpdateCallAt: 0,
+		begunStreams: new BegunStreams(),
 		isRefreshing: false,
 		provedAt: Number.NEGATIVE_INFINITY,
 		retryBudgets: new Map(),
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -4,8 +4,8 @@
  * certain prompt part. The simulation records what arrives at the engines.
  */
 import {
-	effectKind, eventKind, sendOutcome, type CallPeerEffect, type Effect, type Event, type FactChange, type PastChange, type PeerMessage,
-	type PlatformHistory, type RefuseEffect, type Route, type SendEffect, type SendOutcome, type TargetReport,
+	effectKind, eventKind, sendOutcome, type CallPeerEffect, type CallStreamPeerEffect, type Effect, type Event, type FactChange, type PastChange,
+	type PeerMessage, type PlatformHistory, type RefuseEffect, type Route, type SendEffect, type SendOutcome, type StreamMessage, type TargetReport,
 } from '../index.js';
 import {
 	createRandom, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
@@ -19,6 +19,8 @@
 /** Time after a crash at which the engine's registration lapses, and at which its replacement starts, in milliseconds. */
 const lapseMs = 2600;
 const restartMs = 4000;
+/** Time between two failed reads of the platform, in milliseconds. */
+const lostReadIntervalMs = 500;
 /** Time from the start of a lost peer call to its failure, in milliseconds. */
 const lostCallMs = 800;
 /** Time after which an attempt to open a connection, and a check of a target, are given up, in milliseconds. */
@@ -58,6 +60,8 @@
 	readRevision: number;
 	/** Set while the instance is cut off from all engines. */
 	cut?: CutMode;
+	/** False while the instance cannot read the platform, although peers may. */
+	canReadPlatform: boolean;
 	/** True while the instance reaches neither the platform nor peers. */
 	isIsolated: boolean;
 	/** Ids of engines that the instance still reaches while it is cut off. */
@@ -135,7 +139,7 @@
 export type StreamFields = NonNullable<Parameters<GatewayFixture['receiveRequest']>[1]>;
 
 type RelayedEvent =
-	| {readonly kind: typeof eventKind.answerStarted}
+	| {readonly kind: typeof eventKind.answerStarted; readonly softwareVersion: string}
 	| {readonly kind: typeof eventKind.sendEnded; readonly outcome: SendOutcome; readonly runCount?: number};
 
 /** Finds how an instance is cut off from an engine; `undefined` if it reaches it. */
@@ -161,6 +165,10 @@
 	readonly engineLimits = new Map<string, number>();
 	/** Times at which processes of instances first passed on a response that named a limit, by instance and engine. */
 	readonly limitHeardAt = new Map<string, number>();
+	/** True while no instance can read the platform. */
+	isPlatformDown = false;
+	/** Number of messages between instances about streams. */
+	streamCallCount = 0;
 	/** Prompt part that crashes each engine that begins to respond to it. */
 	crashingPart?: string;
 	/** Requests that crash each engine that begins to run them. */
@@ -174,7 +182,7 @@
 	readonly #history: FactChange[] = [];
 	readonly #requestByKey = new Map<string, SimulatedRequest>();
 	readonly #scheduled: Array<{readonly at: number; readonly run: () => void}> = [];
-	readonly #pendingAnswers = new Map<number, (message: PeerMessage) => void>();
+	readonly #pendingAnswers = new Map<number, (message: PeerMessage | StreamMessage) => void>();
 	/** Relayed requests, by the instance that relays them and their identifier there. */
 	readonly #relays = new Map<string, Relay>();
 	#runs: Run[] = [];
@@ -191,7 +199,7 @@
 
 		for (let index = 0; index < options.gatewayCount; index++) {
 			this.nodes.push({
-				address: `gateway-${index}:1`, gateway: this.#createGateway(index, 0), runningSince: this.now, pausedUntil: 0, readRevision: 0, isIsolated: false, reachableIds: new Set(),
+				address: `gateway-${index}:1`, gateway: this.#createGateway(index, 0), runningSince: this.now, pausedUntil: 0, readRevision: 0, isIsolated: false, canReadPlatform: true, reachableIds: new Set(),
 			});
 		}
 	}
@@ -409,7 +417,7 @@
 				this.#handle(run, {
 					kind: eventKind.answerStarted, openId, sendId, targetReport: this.#createReport(run),
 				});
-				this.#passOn(run.gateway, openId, {kind: eventKind.answerStarted});
+				this.#passOn(run.gateway, openId, {kind: eventKind.answerStarted, softwareVersion: run.engine.softwareVersion});
 			} else if (run.endsAt <= this.now) {
 				this.#endRun(run, sendOutcome.complete);
 			}
@@ -451,7 +459,11 @@
 	/** Watchers read all changes, the other instances only if they fall back to it. */
 	#readDirectory(node: Node): void {
 		const {gateway} = node;
-		if (gateway.state.isWatching && !node.isIsolated && (node.readRevision < this.#history.length || this.now % 1000 === 0)) {
+		if (gateway.state.isWatching && !this.#canReadPlatform(node) && this.now % lostReadIntervalMs === 0) {
+			gateway.handle({kind: eventKind.directoryLost, detail: 'timeout'});
+		}
+
+		if (gateway.state.isWatching && this.#canReadPlatform(node) && (node.readRevision < this.#history.length || this.now % 1000 === 0)) {
 			const since = gateway.state.directory.revision;
 			node.readRevision = this.#history.length;
 			const changes = this.#history.filter(({revision}) => revision > since);
@@ -459,15 +471,19 @@
 		}
 	}
 
+	#canReadPlatform({isIsolated, canReadPlatform}: Node): boolean {
+		return canReadPlatform && !isIsolated && !this.isPlatformDown;
+	}
+
 	/** Reads the changes since a revision for an instance that asks for them. */
 	#refreshDirectory(node: Node, since: number): void {
 		const {gateway} = node;
 		const startedAt = this.now;
-		this.#schedule(node.isIsolated ? lostCallMs : stepMs, () => {
+		this.#schedule(this.#canReadPlatform(node) ? stepMs : lostCallMs, () => {
 			const changes = this.#history.filter(({revision}) => revision > since);
 			const revision = this.#history.length;
 			this.#handle({node, gateway}, {
-				kind: eventKind.directoryRefreshed, startedAt, ...(!node.isIsolated && {update: {revision, since, changes}}),
+				kind: eventKind.directoryRefreshed, startedAt, ...(this.#canReadPlatform(node) && {update: {revision, since, changes}}),
 			});
 		});
 	}
@@ -533,7 +549,13 @@
 				break;
 			}
 
-			case effectKind.answerPeer: {
+			case effectKind.callStreamPeer: {
+				this.#callStreamPeer(node, effect);
+				break;
+			}
+
+			case effectKind.answerPeer:
+			case effectKind.answerStreamPeer: {
 				this.#pendingAnswers.get(effect.callId)?.(effect.message);
 				this.#pendingAnswers.delete(effect.callId);
 				break;
@@ -675,7 +697,9 @@
 
 		const {send: {openId: originOpenId, sendId}} = relay;
 		this.#handle(relay, event.kind === eventKind.answerStarted
-			? {kind: event.kind, openId: originOpenId, sendId}
+			? {
+				kind: event.kind, openId: originOpenId, sendId, softwareVersion: event.softwareVersion,
+			}
 			: {
 				kind: event.kind, openId: originOpenId, sendId, outcome: event.outcome, detail: 'relayed', runCount: event.runCount,
 			});
@@ -727,13 +751,29 @@
 	}
 
 	#callPeer(node: Node, {address, message}: CallPeerEffect): void {
+		const requestedAt = this.now;
+		this.#exchange(node, address, callId => ({kind: eventKind.peerCalled, callId, message}), (answer?: PeerMessage) => answer === undefined
+			? {kind: eventKind.peerFailed, address, detail: 'timeout'}
+			: {
+				kind: eventKind.peerAnswered, address, message: answer, requestedAt,
+			});
+	}
+
+	#callStreamPeer(node: Node, {address, message}: CallStreamPeerEffect): void {
+		this.streamCallCount++;
+		this.#exchange(node, address, callId => ({kind: eventKind.streamPeerCalled, callId, message}), (answer?: StreamMessage) => ({
+			kind: eventKind.streamPeerAnswered, address, askedKeys: message.askedKeys, message: answer,
+		}));
+	}
+
+	/** Delivers a call to a peer, and its response, or the failure after a timeout, to the caller. */
+	#exchange<T>(node: Node, address: string, createCall: (callId: number) => Event, createResult: (answer?: T) => Event): void {
 		const callee = this.nodes.find(other => other.address === address);
 		const {gateway} = node;
-		const requestedAt = this.now;
 		const isLost = this.random() < (this.#options.callLoss ?? 0);
 		const callId = this.#nextCallId++;
 		let isOver = false;
-		const finish = (event: Parameters<GatewayFixture['handle']>[0]) => {
+		const finish = (event: Event) => {
 			if (!isOver && node.gateway === gateway && node.pausedUntil <= this.now) {
 				gateway.now = this.now;
 				gateway.handle(event);
@@ -744,7 +784,7 @@
 		};
 
 		this.#schedule(lostCallMs, () => {
-			finish({kind: eventKind.peerFailed, address, detail: 'timeout'});
+			finish(createResult());
 		});
 		this.#schedule(stepMs, () => {
 			if (callee === undefined || isLost || callee.pausedUntil > this.now || callee.isIsolated || node.isIsolated) {
@@ -753,13 +793,11 @@
 
 			this.#pendingAnswers.set(callId, answer => {
 				this.#schedule(stepMs, () => {
-					finish({
-						kind: eventKind.peerAnswered, address, message: answer, requestedAt,
-					});
+					finish(createResult(answer as T));
 				});
 			});
 			callee.gateway.now = this.now;
-			callee.gateway.handle({kind: eventKind.peerCalled, callId, message});
+			callee.gateway.handle(createCall(callId));
 			this.#drainEffects(callee);
 		});
 	}
--- a/packages/dispatch/src/test/take_up_proof_test.ts
+++ b/packages/dispatch/src/test/take_up_proof_test.ts
@@ -10,50 +10,18 @@
 import {
 	createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture, resumableRoute as route,
 } from './gateway-fixture.js';
-import {SimulatedFleet, type SimulatedRequest} from './simulated-fleet.js';
+import {SimulatedFleet} from './simulated-fleet.js';
+import {
+	sendStreams, startVersion, takeUpStreams, type TakeUpCounts,
+} from './take-up-plays.js';
 
-const streamCount = 40;
 /** Time for which instances run before versions change: longer than streams can be taken up, in milliseconds. */
 const calmMs = 16_000;
 
-type FleetNode = SimulatedFleet['nodes'][number];
-type Outcome = {readonly joined: number; readonly goingOn: number; readonly refused: number};
-
-/** Adds engines of a version and waits until running instances know them. */
-function startVersion(fleet: SimulatedFleet, version: string, engineCount: number, waitMs: number): void {
-	fleet.softwareVersion = version;
-	for (let count = 0; count < engineCount; count++) {
-		fleet.addEngine();
-	}
-
-	fleet.advance(waitMs);
-}
-
-/** Begins streams at an instance and returns their versions by identifier. */
-function beginStreams(fleet: SimulatedFleet, node: FleetNode, prefix: string): Map<string, string> {
-	const requests = Array.from({length: streamCount}, (_, index) => fleet.sendStream(node, route, {requestId: `${prefix}-${index}`, prompt: [`doc-${index}`]}));
-	fleet.advance(350);
-	const begun = requests.filter(({hasBegun}) => hasBegun);
-	assert.ok(begun.length >= 0.75 * streamCount, `${begun.length} streams begin`);
-	return new Map(begun.map(({requestId, versions}) => [requestId!, [...versions][0]!]));
-}
-
-/** Takes up streams at an instance that may be about to return from a pause, and waits until all are decided. */
-function takeUp(fleet: SimulatedFleet, node: FleetNode, versions: ReadonlyMap<string, string>): Outcome {
-	const requests = [...versions.keys()].map(id => fleet.sendStream(node, route, {
-		requestId: `again-${id}`, resumesAfterEventId: '1', resumedRequestId: id, prompt: ['again'],
-	}));
-	fleet.advance(1800);
-	const isAtVersion = ({versions: found}: SimulatedRequest, index: number) => found.has([...versions.values()][index]!);
-	const begun = requests.filter(({hasBegun}) => hasBegun);
-	const goingOn = requests.filter((request, index) => request.hasBegun && isAtVersion(request, index)).length;
-	return {joined: begun.length - goingOn, goingOn, refused: requests.length - begun.length};
-}
-
 /** Plays a new version that joins while an instance is paused or cut off; its streams begin elsewhere and are taken up at that instance. */
 function playOutOfStep(gatewayCount: number, {
 	versions, outOfStepMs, isPaused, seed,
-}: {versions: readonly string[]; outOfStepMs: number; isPaused: boolean; seed: number}): Outcome {
+}: {versions: readonly string[]; outOfStepMs: number; isPaused: boolean; seed: number}): TakeUpCounts {
 	// Enough engines that one instance may begin all streams at once.
 	const engineCount = Math.max(3, gatewayCount);
 	const fleet = new SimulatedFleet({gatewayCount, engineCount, seed});
@@ -72,11 +40,11 @@
 	}
 
 	startVersion(fleet, versions.at(-1)!, engineCount, outOfStepMs - 400);
-	const streams = beginStreams(fleet, beginning, `stream-${seed}`);
+	const streams = sendStreams(fleet, beginning, `stream-${seed}`);
 	assert.ok([...streams.values()].filter(version => version === versions.at(-1)).length >= 5, 'the new version serves');
 	fleet.restart(beginning, 10_000);
 	fleet.advance(until - fleet.now - 25);
-	return takeUp(fleet, late, streams);
+	return takeUpStreams(fleet, late, streams);
 }
 
 for (const gatewayCount of [2, 7, 60]) {
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -7,8 +7,9 @@
 import process from 'node:process';
 import {
 	checkHead, createFailure, createState, effectKind, eventKind, failureReason, isReady, reduce,
-	type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event, type FinishStreamEffect, type FleetBounds, type LogEffect,
-	type PlatformHistory, type RefuseEffect, type State,
+	type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event, type FinishDrainEffect, type FinishStreamEffect,
+	type FleetBounds, type LogEffect,
+	type PlatformHistory, type RefuseEffect, type SendEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
 	BoundedLog, BufferBudget, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
@@ -258,6 +259,21 @@
 		}
 	}
 
+	#startSend(effect: SendEffect): void {
+		const caller = this.#callers.openExchanges.get(effect.openId);
+		if (caller !== undefined) {
+			caller.runCount = effect.runCount;
+			this.#targets.startSend(effect, caller);
+		}
+	}
+
+	#finishDrain({isLimitReached}: FinishDrainEffect): void {
+		// A response that is complete for the reducer may still be on its way to a slow caller.
+		if (isLimitReached || this.#callers.tryCloseConnections(readMonotonicMs())) {
+			this.#onDrained?.();
+		}
+	}
+
 	#checkTarget({targetId, address}: CheckTargetEffect): void {
 		this.#pool.check(address, (isListening, startedAt, isAccepting) => {
 			this.handle({
@@ -322,12 +338,7 @@
 	#dispatchEffect(effect: Effect): void {
 		switch (effect.kind) {
 			case effectKind.send: {
-				const caller = this.#callers.openExchanges.get(effect.openId);
-				if (caller !== undefined) {
-					caller.runCount = effect.runCount;
-					this.#targets.startSend(effect, caller);
-				}
-
+				this.#startSend(effect);
 				break;
 			}
 
@@ -359,6 +370,16 @@
 				break;
 			}
 
+			case effectKind.callStreamPeer: {
+				void this.#peers.callStreamPeer(effect);
+				break;
+			}
+
+			case effectKind.answerStreamPeer: {
+				this.#peers.answer(effect.callId, effect.message);
+				break;
+			}
+
 			case effectKind.watch: {
 				this.#protocols.directory.setWatching(effect.isWatching, effect.position);
 				break;
@@ -385,11 +406,7 @@
 			}
 
 			case effectKind.finishDrain: {
-				// A response that is complete for the reducer may still be on its way to a slow caller.
-				if (effect.isLimitReached || this.#callers.tryCloseConnections(readMonotonicMs())) {
-					this.#onDrained?.();
-				}
-
+				this.#finishDrain(effect);
 				break;
 			}
 		}
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -3,7 +3,9 @@
  * form that instances send: a part of it that cannot be used would otherwise remain
  * in the state and fail every later decision.
  */
-import {factKind, routeKind, type PeerMessage} from '@sequoiatally/dispatch';
+import {
+	factKind, routeKind, type PeerMessage, type StreamMessage,
+} from '@sequoiatally/dispatch';
 import {err, ok, type Result} from 'neverthrow';
 
 type Check = (value: unknown) => boolean;
@@ -124,8 +126,25 @@
 	isLeaving: createOptionalCheck(isBoolean),
 });
 
+const isSharedStream: Check = value => Array.isArray(value) && value.length === 2 && isString(value[0]) && isString(value[1]);
+
+const isStreamMessage = createObjectCheck({
+	from: createObjectCheck({id: isString, incarnation: isString}),
+	streams: createListCheck(isSharedStream),
+	askedKeys: createListCheck(isString),
+});
+
 /** Parses the JSON text of a message; the error describes the fault. */
 export function parsePeerMessage(text: string): Result<PeerMessage, string> {
+	return parseMessage<PeerMessage>(text, isPeerMessage);
+}
+
+/** Parses the JSON text of a message about streams; the error describes the fault. */
+export function parseStreamMessage(text: string): Result<StreamMessage, string> {
+	return parseMessage<StreamMessage>(text, isStreamMessage);
+}
+
+function parseMessage<T>(text: string, isMessage: Check): Result<T, string> {
 	let value: unknown;
 	try {
 		value = JSON.parse(text);
@@ -133,5 +152,5 @@
 		return err('the message is not JSON');
 	}
 
-	return isPeerMessage(value) ? ok(value as PeerMessage) : err('the message lacks fields, or some of its fields are malformed');
+	return isMessage(value) ? ok(value as T) : err('the message lacks fields, or some of its fields are malformed');
 }
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -8,18 +8,19 @@
 	Agent, createServer, request as startRequest, type IncomingMessage, type ServerResponse,
 } from 'node:http';
 import {
-	eventKind, type CallPeerEffect, type Event, type PeerMessage,
+	eventKind, type CallPeerEffect, type CallStreamPeerEffect, type Event, type PeerMessage, type StreamMessage,
 } from '@sequoiatally/dispatch';
 import {
 	describeError, parseAddress, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {err, type Result} from 'neverthrow';
 import {listenOn} from './listen.js';
-import {parsePeerMessage} from './parse-peer-message.js';
+import {parsePeerMessage, parseStreamMessage} from './parse-peer-message.js';
 import {readResponse} from './read-response.js';
 import {isRelayRequest} from './relay-headers.js';
 
 const peerPath = '/peers';
+const streamPath = '/streams';
 const metricsPath = '/metrics';
 /** Time limit of a call, in milliseconds. */
 const callTimeoutMs = 800;
@@ -30,6 +31,9 @@
 /** Largest message that is read, compressed or not. */
 const maxMessageBytes = 8 * 1024 * 1024;
 
+type Message = PeerMessage | StreamMessage;
+type Parse<T extends Message> = (text: string) => Result<T, string>;
+
 export type PeerTransportOptions = {
 	readonly emit: (event: Event) => void;
 	readonly readClock: () => number;
@@ -42,6 +46,8 @@
 export class PeerTransport {
 	readonly #options: PeerTransportOptions;
 	readonly #agent = new Agent({keepAlive: true, maxSockets: 2, maxFreeSockets: 1});
+	/** Separate connections, so that short messages about streams do not wait for larger ones. */
+	readonly #streamAgent = new Agent({keepAlive: true, maxSockets: 2, maxFreeSockets: 1});
 	readonly #pendingCalls = new Map<number, ServerResponse>();
 	#nextCallId = 1;
 
@@ -49,6 +55,7 @@
 		this.#options = options;
 		lifecycle.own('peer connections', () => {
 			this.#agent.destroy();
+			this.#streamAgent.destroy();
 		});
 	}
 
@@ -67,25 +74,8 @@
 	/** Calls a peer; its response or the failure is emitted as an event. */
 	async call({address, message}: CallPeerEffect): Promise<void> {
 		const requestedAt = this.#options.readClock();
-		const {body, encoding} = encodeMessage(message);
-		const socketAddress = parseAddress(address);
-		if (socketAddress === undefined) {
-			this.#options.emit({kind: eventKind.peerFailed, address, detail: 'invalid peer address'});
-			return;
-		}
-
-		const request = startRequest({
-			agent: this.#agent,
-			...socketAddress,
-			method: 'POST',
-			path: peerPath,
-			headers: {'Content-Type': 'application/json', 'Content-Length': body.length, 'Content-Encoding': encoding},
-			signal: AbortSignal.timeout(callTimeoutMs),
-		});
-		request.end(body);
-		const response = await readResponse(request, maxMessageBytes);
-		const responseMessage = response.mapErr(({detail}) => detail).andThen(({head, body}) => parseBody(head, body));
-		this.#options.emit(responseMessage.match<Event>(
+		const response = await this.#post(address, peerPath, message, parsePeerMessage);
+		this.#options.emit(response.match<Event>(
 			message => ({
 				kind: eventKind.peerAnswered, address, message, requestedAt,
 			}),
@@ -93,8 +83,16 @@
 		));
 	}
 
+	/** Calls a peer about streams; its response or the failure is emitted as an event. */
+	async callStreamPeer({address, message}: CallStreamPeerEffect): Promise<void> {
+		const {askedKeys} = message;
+		const response = await this.#post(address, streamPath, message, parseStreamMessage);
+		const event = {kind: eventKind.streamPeerAnswered, address, askedKeys};
+		this.#options.emit(response.match<Event>(message => ({...event, message}), fault => ({...event, fault})));
+	}
+
 	/** Sends the response to a call of a peer. */
-	answer(callId: number, message: PeerMessage): void {
+	answer(callId: number, message: Message): void {
 		const response = this.#pendingCalls.get(callId);
 		this.#pendingCalls.delete(callId);
 		const {body, encoding} = encodeMessage(message);
@@ -102,6 +100,26 @@
 		response?.end(body);
 	}
 
+	async #post<T extends Message>(address: string, path: string, message: T, parse: Parse<T>): Promise<Result<T, string>> {
+		const {body, encoding} = encodeMessage(message);
+		const socketAddress = parseAddress(address);
+		if (socketAddress === undefined) {
+			return err('invalid peer address');
+		}
+
+		const request = startRequest({
+			agent: path === streamPath ? this.#streamAgent : this.#agent,
+			...socketAddress,
+			method: 'POST',
+			path,
+			headers: {'Content-Type': 'application/json', 'Content-Length': body.length, 'Content-Encoding': encoding},
+			signal: AbortSignal.timeout(callTimeoutMs),
+		});
+		request.end(body);
+		const response = await readResponse(request, maxMessageBytes);
+		return response.mapErr(({detail}) => detail).andThen(({head, body}) => parseBody(head, body, parse));
+	}
+
 	async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		try {
 			if (request.url === metricsPath) {
@@ -111,19 +129,22 @@
 				return;
 			}
 
-			if (request.url !== peerPath || request.method !== 'POST') {
+			if ((request.url !== peerPath && request.url !== streamPath) || request.method !== 'POST') {
 				response.writeHead(404).end();
 				return;
 			}
 
-			const message = parseBody(request, await readBody(request));
-			if (message.isErr()) {
-				throw new PeerMessageError(message.error);
+			const callId = this.#nextCallId++;
+			const body = await readBody(request);
+			const event = request.url === peerPath
+				? parseBody(request, body, parsePeerMessage).map<Event>(message => ({kind: eventKind.peerCalled, callId, message}))
+				: parseBody(request, body, parseStreamMessage).map<Event>(message => ({kind: eventKind.streamPeerCalled, callId, message}));
+			if (event.isErr()) {
+				throw new PeerMessageError(event.error);
 			}
 
-			const callId = this.#nextCallId++;
 			this.#pendingCalls.set(callId, response);
-			this.#options.emit({kind: eventKind.peerCalled, callId, message: message.value});
+			this.#options.emit(event.value);
 		} catch (error) {
 			if (response.headersSent) {
 				response.destroy();
@@ -152,17 +173,17 @@
 }
 
 /** Decodes the body of a message; fails with a description of what is wrong. */
-function parseBody({headers}: IncomingMessage, body: Uint8Array): Result<PeerMessage, string> {
+function parseBody<T extends Message>({headers}: IncomingMessage, body: Uint8Array, parse: Parse<T>): Result<T, string> {
 	try {
 		const content = headers['content-encoding'] === 'deflate' ? inflateSync(body, {maxOutputLength: maxMessageBytes}) : body;
-		return parsePeerMessage(new TextDecoder().decode(content));
+		return parse(new TextDecoder().decode(content));
 	} catch (error) {
 		return err(describeError(error));
 	}
 }
 
 /** Compresses large messages: configuration tables consist mostly of repeated names and would otherwise saturate a slow link. */
-function encodeMessage(message: PeerMessage): {body: Uint8Array; encoding: string} {
+function encodeMessage(message: Message): {body: Uint8Array; encoding: string} {
 	const body = Buffer.from(JSON.stringify(message));
 	return body.length > compressionThresholdBytes ? {body: deflateSync(body, {level: 1}), encoding: 'deflate'} : {body, encoding: 'identity'};
 }
--- a/packages/gateway/src/test/parse-peer-message_test.ts
+++ b/packages/gateway/src/test/parse-peer-message_test.ts
@@ -7,7 +7,7 @@
 import {
 	createState, effectKind, eventKind, factKind, reduce, routeKind, type PeerMessage,
 } from '@sequoiatally/dispatch';
-import {parsePeerMessage} from '../lib/parse-peer-message.js';
+import {parsePeerMessage, parseStreamMessage} from '../lib/parse-peer-message.js';
 
 const peer = {
 	id: 'peer', incarnation: 'i', address: '127.0.0.1:1', zone: 'zone-a', ageMs: 0,
@@ -85,3 +85,12 @@
 
 	assert.ok(parsePeerMessage(JSON.stringify({...call, versions: [{states: []}]})).isErr());
 });
+
+test('messages about streams are accepted only in the form that instances send', () => {
+	const {id, incarnation} = peer;
+	const message = {from: {id, incarnation}, streams: [['1a-2b', 'v1']], askedKeys: ['3c-4d']};
+	assert.deepEqual(parseStreamMessage(JSON.stringify(message))._unsafeUnwrap(), message);
+	for (const change of [{from: undefined}, {streams: [['1a-2b']]}, {streams: [['1a-2b', 1]]}, {askedKeys: [7]}, {askedKeys: undefined}]) {
+		assert.ok(parseStreamMessage(JSON.stringify({...message, ...change})).isErr(), JSON.stringify(change));
+	}
+});
--- a/packages/gateway/src/test/peer-transport_test.ts
+++ b/packages/gateway/src/test/peer-transport_test.ts
@@ -52,9 +52,8 @@
 	server.close();
 });
 
-/** Calls the server and waits until the call has ended and all that it received was handled. */
-async function callPeer(): Promise<Event[]> {
-	const transport = new PeerTransport({
+function createTransport(): PeerTransport {
+	return new PeerTransport({
 		emit(event) {
 			events.push(event);
 		},
@@ -64,7 +63,15 @@
 		},
 		renderMetrics: async () => '',
 	}, lifecycle);
-	await transport.call({kind: effectKind.callPeer, address: `127.0.0.1:${(server.address() as AddressInfo).port}`, message});
+}
+
+function findAddress(): string {
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Calls the server and waits until the call has ended and all that it received was handled. */
+async function callPeer(): Promise<Event[]> {
+	await createTransport().call({kind: effectKind.callPeer, address: findAddress(), message});
 	await delay(50);
 	return events;
 }
@@ -122,3 +129,39 @@
 		await delay(5);
 	}
 });
+
+test('a call about streams goes to its own path, and its response or failure is reported with what was asked', async () => {
+	const streamMessage = {from: {id: 'peer', incarnation: 'i'}, streams: [['1a-2b', 'v1'] as const], askedKeys: []};
+	const call = {kind: effectKind.callStreamPeer, address: findAddress(), message: {...streamMessage, askedKeys: ['1a-2b']}};
+	const body = JSON.stringify(streamMessage);
+	for (const response of [`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`, 'HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n']) {
+		handle = socket => {
+			socket.end(response);
+		};
+
+		await createTransport().callStreamPeer(call);
+	}
+
+	assert.deepEqual(events.map(event => event.kind === eventKind.streamPeerAnswered && [event.askedKeys, event.message]), [[['1a-2b'], streamMessage], [['1a-2b'], undefined]]);
+});
+
+test('a message of a peer about streams is passed on, and its answer is sent back', async () => {
+	const transport = createTransport();
+	const host = '127.0.0.1';
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	await transport.listen({host, port}, lifecycle);
+	const streamMessage = {from: {id: 'peer', incarnation: 'i'}, streams: [], askedKeys: ['1a-2b']};
+	const call = transport.callStreamPeer({kind: effectKind.callStreamPeer, address: `${host}:${port}`, message: streamMessage});
+	await delay(50);
+	const [called] = events;
+	assert.ok(called?.kind === eventKind.streamPeerCalled);
+	assert.deepEqual(called.message, streamMessage);
+	const answer = {from: {id: 'self', incarnation: 'i'}, streams: [['1a-2b', 'v2'] as const], askedKeys: []};
+	transport.answer(called.callId, answer);
+	await call;
+	const answered = events.at(-1);
+	assert.ok(answered?.kind === eventKind.streamPeerAnswered);
+	assert.deepEqual(answered.message, answer);
+});
