--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -5,6 +5,7 @@
 import type {DirectoryUpdate} from './directory.js';
 import type {PlatformHistory} from './past-versions.js';
 import type {PeerMessage} from './peer-message.js';
+import type {StreamMessage} from './stream-message.js';
 import type {TargetReport} from './target-statements.js';
 
 export const eventKind = {
@@ -20,6 +21,9 @@
 	directoryRead: 'directory-read',
 	directoryLost: 'directory-lost',
 	historyRead: 'history-read',
+	directoryRefreshed: 'directory-refreshed',
+	streamPeerCalled: 'stream-peer-called',
+	streamPeerAnswered: 'stream-peer-answered',
 	peerCalled: 'peer-called',
 	peerAnswered: 'peer-answered',
 	peerFailed: 'peer-failed',
@@ -190,6 +194,17 @@
 	readonly fault?: string;
 };
 
+/** A read of the directory that was started by a `refreshDirectory` effect has ended. */
+export type DirectoryRefreshedEvent = {
+	readonly kind: typeof eventKind.directoryRefreshed;
+	/** All changes up to `startedAt`, and perhaps later ones; `undefined` if the read failed. */
+	readonly update?: DirectoryUpdate;
+	/** Time at which the read started. */
+	readonly startedAt: number;
+	/** Why it failed, for the log. */
+	readonly fault?: string;
+};
+
 /** A peer called; the response is returned as an effect with the same `callId`. */
 export type PeerCalledEvent = {readonly kind: typeof eventKind.peerCalled; readonly callId: number; readonly message: PeerMessage};
 export type PeerAnsweredEvent = {
@@ -201,6 +216,20 @@
 };
 export type PeerFailedEvent = {readonly kind: typeof eventKind.peerFailed; readonly address: string; readonly detail: string};
 
+/** A peer told of streams or asks for them; the response is returned as an effect with the same `callId`. */
+export type StreamPeerCalledEvent = {readonly kind: typeof eventKind.streamPeerCalled; readonly callId: number; readonly message: StreamMessage};
+/** A call about streams has ended. */
+export type StreamPeerAnsweredEvent = {
+	readonly kind: typeof eventKind.streamPeerAnswered;
+	readonly address: string;
+	/** Keys of the streams that the peer was asked for. */
+	readonly askedKeys: readonly string[];
+	/** The response; `undefined` if the call failed. */
+	readonly message?: StreamMessage;
+	/** Why it failed, for the log. */
+	readonly fault?: string;
+};
+
 /** The process received a request to drain and end. */
 export type DrainRequestedEvent = {readonly kind: typeof eventKind.drainRequested; readonly by: string};
 
@@ -213,8 +242,12 @@
 /** Time has passed. Ticks arrive several times a second. */
 export type TickEvent = {readonly kind: typeof eventKind.tick};
 
+/** Events of the platform and of peers. */
+export type FleetEvent =
+	| DirectoryReadEvent | DirectoryLostEvent | HistoryReadEvent | DirectoryRefreshedEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
+	| StreamPeerCalledEvent | StreamPeerAnsweredEvent;
+
 export type Event =
 	| RequestArrivedEvent | SendOpenedEvent | AnswerStartedEvent | AnswerContinuedEvent | AnswerSilentEvent | SendEndedEvent
-	| CallerLeftEvent | HoldFailedEvent
-	| TargetCheckedEvent | DirectoryReadEvent | DirectoryLostEvent | HistoryReadEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
+	| CallerLeftEvent | HoldFailedEvent | TargetCheckedEvent | FleetEvent
 	| DrainRequestedEvent | StopRequestedEvent | SettingsChangedEvent | TickEvent;
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -4,8 +4,8 @@
  * certain prompt part. The simulation records what arrives at the engines.
  */
 import {
-	effectKind, eventKind, sendOutcome, type CallPeerEffect, type Effect, type Event, type FactChange, type PastChange, type PeerMessage,
-	type PlatformHistory, type Route, type SendEffect, type SendOutcome, type TargetReport,
+	effectKind, eventKind, sendOutcome, type CallPeerEffect, type CallStreamPeerEffect, type Effect, type Event, type FactChange, type PastChange,
+	type PeerMessage, type PlatformHistory, type RefuseEffect, type Route, type SendEffect, type SendOutcome, type StreamMessage, type TargetReport,
 } from '../index.js';
 import {
 	createRandom, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
@@ -19,6 +19,8 @@
 /** Time after a crash at which the engine's registration lapses, and at which its replacement starts, in milliseconds. */
 const lapseMs = 2600;
 const restartMs = 4000;
+/** Time between two failed reads of the platform, in milliseconds. */
+const lostReadIntervalMs = 500;
 /** Time from the start of a lost peer call to its failure, in milliseconds. */
 const lostCallMs = 800;
 /** Time after which an attempt to open a connection, and a check of a target, are given up, in milliseconds. */
@@ -58,6 +60,10 @@
 	readRevision: number;
 	/** Set while the instance is cut off from all engines. */
 	cut?: CutMode;
+	/** False while the instance cannot read the platform, although peers may. */
+	canReadPlatform: boolean;
+	/** True while the instance reaches neither the platform nor peers. */
+	isIsolated: boolean;
 	/** Ids of engines that the instance still reaches while it is cut off. */
 	reachableIds: ReadonlySet<string>;
 };
@@ -133,7 +139,7 @@
 export type StreamFields = NonNullable<Parameters<GatewayFixture['receiveRequest']>[1]>;
 
 type RelayedEvent =
-	| {readonly kind: typeof eventKind.answerStarted}
+	| {readonly kind: typeof eventKind.answerStarted; readonly softwareVersion: string}
 	| {readonly kind: typeof eventKind.sendEnded; readonly outcome: SendOutcome; readonly runCount?: number};
 
 /** Finds how an instance is cut off from an engine; `undefined` if it reaches it. */
@@ -159,6 +165,10 @@
 	readonly engineLimits = new Map<string, number>();
 	/** Times at which processes of instances first passed on a response that named a limit, by instance and engine. */
 	readonly limitHeardAt = new Map<string, number>();
+	/** True while no instance can read the platform. */
+	isPlatformDown = false;
+	/** Number of messages between instances about streams. */
+	streamCallCount = 0;
 	/** Prompt part that crashes each engine that begins to respond to it. */
 	crashingPart?: string;
 	/** Requests that crash each engine that begins to run them. */
@@ -172,7 +182,7 @@
 	readonly #history: FactChange[] = [];
 	readonly #requestByKey = new Map<string, SimulatedRequest>();
 	readonly #scheduled: Array<{readonly at: number; readonly run: () => void}> = [];
-	readonly #pendingAnswers = new Map<number, (message: PeerMessage) => void>();
+	readonly #pendingAnswers = new Map<number, (message: PeerMessage | StreamMessage) => void>();
 	/** Relayed requests, by the instance that relays them and their identifier there. */
 	readonly #relays = new Map<string, Relay>();
 	#runs: Run[] = [];
@@ -189,7 +199,7 @@
 
 		for (let index = 0; index < options.gatewayCount; index++) {
 			this.nodes.push({
-				address: `gateway-${index}:1`, gateway: this.#createGateway(index, 0), runningSince: this.now, pausedUntil: 0, readRevision: 0, reachableIds: new Set(),
+				address: `gateway-${index}:1`, gateway: this.#createGateway(index, 0), runningSince: this.now, pausedUntil: 0, readRevision: 0, isIsolated: false, canReadPlatform: true, reachableIds: new Set(),
 			});
 		}
 	}
@@ -343,6 +353,7 @@
 	#createGateway(index: number, startedAt: number): GatewayFixture {
 		const gateway = new GatewayFixture(`gateway-${index}`, zones[index % zones.length], this.#options.seed + index + startedAt);
 		gateway.now = this.now;
+		gateway.canRefresh = false;
 		Object.assign(gateway.state.self, {incarnation: `gateway-${index}-${startedAt}`});
 		gateway.handle({kind: eventKind.settingsChanged, seedAddresses: ['gateway-0:1', 'gateway-1:1', 'gateway-2:1']});
 		return gateway;
@@ -406,7 +417,7 @@
 				this.#handle(run, {
 					kind: eventKind.answerStarted, openId, sendId, targetReport: this.#createReport(run),
 				});
-				this.#passOn(run.gateway, openId, {kind: eventKind.answerStarted});
+				this.#passOn(run.gateway, openId, {kind: eventKind.answerStarted, softwareVersion: run.engine.softwareVersion});
 			} else if (run.endsAt <= this.now) {
 				this.#endRun(run, sendOutcome.complete);
 			}
@@ -448,7 +459,11 @@
 	/** Watchers read all changes, the other instances only if they fall back to it. */
 	#readDirectory(node: Node): void {
 		const {gateway} = node;
-		if (gateway.state.isWatching && (node.readRevision < this.#history.length || this.now % 1000 === 0)) {
+		if (gateway.state.isWatching && !this.#canReadPlatform(node) && this.now % lostReadIntervalMs === 0) {
+			gateway.handle({kind: eventKind.directoryLost, detail: 'timeout'});
+		}
+
+		if (gateway.state.isWatching && this.#canReadPlatform(node) && (node.readRevision < this.#history.length || this.now % 1000 === 0)) {
 			const since = gateway.state.directory.revision;
 			node.readRevision = this.#history.length;
 			const changes = this.#history.filter(({revision}) => revision > since);
@@ -456,6 +471,23 @@
 		}
 	}
 
+	#canReadPlatform({isIsolated, canReadPlatform}: Node): boolean {
+		return canReadPlatform && !isIsolated && !this.isPlatformDown;
+	}
+
+	/** Reads the changes since a revision for an instance that asks for them. */
+	#refreshDirectory(node: Node, since: number): void {
+		const {gateway} = node;
+		const startedAt = this.now;
+		this.#schedule(this.#canReadPlatform(node) ? stepMs : lostCallMs, () => {
+			const changes = this.#history.filter(({revision}) => revision > since);
+			const revision = this.#history.length;
+			this.#handle({node, gateway}, {
+				kind: eventKind.directoryRefreshed, startedAt, ...(this.#canReadPlatform(node) && {update: {revision, since, changes}}),
+			});
+		});
+	}
+
 	#drainEffects(node: Node): void {
 		const {effects} = node.gateway;
 		node.gateway.effects = [];
@@ -478,21 +510,7 @@
 			}
 
 			case effectKind.refuse: {
-				const key = createRequestKey(node.gateway, effect.openId);
-				if (this.#relays.has(key)) {
-					const outcome = effect.failure.status === 503 ? sendOutcome.rejected : sendOutcome.lost;
-					this.#passOn(node.gateway, effect.openId, {kind: eventKind.sendEnded, outcome, runCount: effect.runCount});
-					break;
-				}
-
-				const request = this.#requestByKey.get(key);
-				if (request !== undefined) {
-					request.refusedAt = this.now;
-					request.refusalStatus = effect.failure.status;
-					request.refusalReason = effect.failure.reason;
-					request.retryAfterMs = effect.failure.retryAfterMs;
-				}
-
+				this.#refuse(node, effect);
 				break;
 			}
 
@@ -531,7 +549,13 @@
 				break;
 			}
 
-			case effectKind.answerPeer: {
+			case effectKind.callStreamPeer: {
+				this.#callStreamPeer(node, effect);
+				break;
+			}
+
+			case effectKind.answerPeer:
+			case effectKind.answerStreamPeer: {
 				this.#pendingAnswers.get(effect.callId)?.(effect.message);
 				this.#pendingAnswers.delete(effect.callId);
 				break;
@@ -550,6 +574,11 @@
 				break;
 			}
 
+			case effectKind.refreshDirectory: {
+				this.#refreshDirectory(node, effect.position.revision);
+				break;
+			}
+
 			case effectKind.log:
 			case effectKind.watch:
 			case effectKind.deliverHeld:
@@ -560,6 +589,23 @@
 		}
 	}
 
+	#refuse({gateway}: Node, {openId, failure, runCount}: RefuseEffect): void {
+		const key = createRequestKey(gateway, openId);
+		if (this.#relays.has(key)) {
+			const outcome = failure.status === 503 ? sendOutcome.rejected : sendOutcome.lost;
+			this.#passOn(gateway, openId, {kind: eventKind.sendEnded, outcome, runCount});
+			return;
+		}
+
+		const request = this.#requestByKey.get(key);
+		if (request !== undefined) {
+			request.refusedAt = this.now;
+			request.refusalStatus = failure.status;
+			request.refusalReason = failure.reason;
+			request.retryAfterMs = failure.retryAfterMs;
+		}
+	}
+
 	/** True if the caller of a run has received events of a stream that it may take up. */
 	#isResumable({gateway, send, hasBegun}: Run): boolean {
 		return hasBegun && this.#requestByKey.get(createRequestKey(gateway, send.openId))?.requestId !== undefined;
@@ -651,7 +697,9 @@
 
 		const {send: {openId: originOpenId, sendId}} = relay;
 		this.#handle(relay, event.kind === eventKind.answerStarted
-			? {kind: event.kind, openId: originOpenId, sendId}
+			? {
+				kind: event.kind, openId: originOpenId, sendId, softwareVersion: event.softwareVersion,
+			}
 			: {
 				kind: event.kind, openId: originOpenId, sendId, outcome: event.outcome, detail: 'relayed', runCount: event.runCount,
 			});
@@ -703,13 +751,29 @@
 	}
 
 	#callPeer(node: Node, {address, message}: CallPeerEffect): void {
+		const requestedAt = this.now;
+		this.#exchange(node, address, callId => ({kind: eventKind.peerCalled, callId, message}), (answer?: PeerMessage) => answer === undefined
+			? {kind: eventKind.peerFailed, address, detail: 'timeout'}
+			: {
+				kind: eventKind.peerAnswered, address, message: answer, requestedAt,
+			});
+	}
+
+	#callStreamPeer(node: Node, {address, message}: CallStreamPeerEffect): void {
+		this.streamCallCount++;
+		this.#exchange(node, address, callId => ({kind: eventKind.streamPeerCalled, callId, message}), (answer?: StreamMessage) => ({
+			kind: eventKind.streamPeerAnswered, address, askedKeys: message.askedKeys, message: answer,
+		}));
+	}
+
+	/** Delivers a call to a peer, and its response, or the failure after a timeout, to the caller. */
+	#exchange<T>(node: Node, address: string, createCall: (callId: number) => Event, createResult: (answer?: T) => Event): void {
 		const callee = this.nodes.find(other => other.address === address);
 		const {gateway} = node;
-		const requestedAt = this.now;
 		const isLost = this.random() < (this.#options.callLoss ?? 0);
 		const callId = this.#nextCallId++;
 		let isOver = false;
-		const finish = (event: Parameters<GatewayFixture['handle']>[0]) => {
+		const finish = (event: Event) => {
 			if (!isOver && node.gateway === gateway && node.pausedUntil <= this.now) {
 				gateway.now = this.now;
 				gateway.handle(event);
@@ -720,22 +784,20 @@
 		};
 
 		this.#schedule(lostCallMs, () => {
-			finish({kind: eventKind.peerFailed, address, detail: 'timeout'});
+			finish(createResult());
 		});
 		this.#schedule(stepMs, () => {
-			if (callee === undefined || isLost || callee.pausedUntil > this.now) {
+			if (callee === undefined || isLost || callee.pausedUntil > this.now || callee.isIsolated || node.isIsolated) {
 				return;
 			}
 
 			this.#pendingAnswers.set(callId, answer => {
 				this.#schedule(stepMs, () => {
-					finish({
-						kind: eventKind.peerAnswered, address, message: answer, requestedAt,
-					});
+					finish(createResult(answer as T));
 				});
 			});
 			callee.gateway.now = this.now;
-			callee.gateway.handle({kind: eventKind.peerCalled, callId, message});
+			callee.gateway.handle(createCall(callId));
 			this.#drainEffects(callee);
 		});
 	}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -7,8 +7,9 @@
 import process from 'node:process';
 import {
 	checkHead, createFailure, createState, effectKind, eventKind, failureReason, isReady, reduce,
-	type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event, type FinishStreamEffect, type FleetBounds, type LogEffect,
-	type PlatformHistory, type RefuseEffect, type State,
+	type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event, type FinishDrainEffect, type FinishStreamEffect,
+	type FleetBounds, type LogEffect,
+	type PlatformHistory, type RefuseEffect, type SendEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
 	BoundedLog, BufferBudget, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
@@ -81,6 +82,12 @@
 		});
 	}
 
+	override handleRefresh(update: Parameters<DirectoryListener['handleRefresh']>[0], startedAt: number, fault?: string): void {
+		this.#gateway.handle({
+			kind: eventKind.directoryRefreshed, update, startedAt, fault,
+		});
+	}
+
 	override handleUnreadableEntry(key: string, detail: string): void {
 		this.#gateway.log.write('warn', {event: 'unreadable-entry', subject: key, detail});
 	}
@@ -252,6 +259,21 @@
 		}
 	}
 
+	#startSend(effect: SendEffect): void {
+		const caller = this.#callers.openExchanges.get(effect.openId);
+		if (caller !== undefined) {
+			caller.runCount = effect.runCount;
+			this.#targets.startSend(effect, caller);
+		}
+	}
+
+	#finishDrain({isLimitReached}: FinishDrainEffect): void {
+		// A response that is complete for the reducer may still be on its way to a slow caller.
+		if (isLimitReached || this.#callers.tryCloseConnections(readMonotonicMs())) {
+			this.#onDrained?.();
+		}
+	}
+
 	#checkTarget({targetId, address}: CheckTargetEffect): void {
 		this.#pool.check(address, (isListening, startedAt, isAccepting) => {
 			this.handle({
@@ -316,12 +338,7 @@
 	#dispatchEffect(effect: Effect): void {
 		switch (effect.kind) {
 			case effectKind.send: {
-				const caller = this.#callers.openExchanges.get(effect.openId);
-				if (caller !== undefined) {
-					caller.runCount = effect.runCount;
-					this.#targets.startSend(effect, caller);
-				}
-
+				this.#startSend(effect);
 				break;
 			}
 
@@ -353,6 +370,16 @@
 				break;
 			}
 
+			case effectKind.callStreamPeer: {
+				void this.#peers.callStreamPeer(effect);
+				break;
+			}
+
+			case effectKind.answerStreamPeer: {
+				this.#peers.answer(effect.callId, effect.message);
+				break;
+			}
+
 			case effectKind.watch: {
 				this.#protocols.directory.setWatching(effect.isWatching, effect.position);
 				break;
@@ -363,6 +390,11 @@
 				break;
 			}
 
+			case effectKind.refreshDirectory: {
+				this.#protocols.directory.refresh(effect.position);
+				break;
+			}
+
 			case effectKind.log: {
 				this.#writeLog(effect);
 				break;
@@ -374,11 +406,7 @@
 			}
 
 			case effectKind.finishDrain: {
-				// A response that is complete for the reducer may still be on its way to a slow caller.
-				if (effect.isLimitReached || this.#callers.tryCloseConnections(readMonotonicMs())) {
-					this.#onDrained?.();
-				}
-
+				this.#finishDrain(effect);
 				break;
 			}
 		}
