Events whose identifiers go back end a stream instead of reaching its caller

What callers saw: a worker that sends its events once more behind a stream which only the end of its connection ends had both copies passed on: events 1 to 4 and 1 to 4 again in one response that looked complete (streams that may run once), or cut after the second copy (resumable ones). A resumed stream that repeated an event behind the first one was passed on too.

Cause: the first event of a resume was checked against the last one delivered; all other events were passed on as they came. The platform's streams have increasing identifiers, so one that is not greater than that before it belongs to another run or another response.

Change: the splitter compares each identifier with the one before it. A segment with one that does not increase is not passed on; the stream is interrupted, and resumed after its last event where its route allows it.

--- a/packages/gateway/src/lib/event-splitter.ts
+++ b/packages/gateway/src/lib/event-splitter.ts
@@ -14,6 +14,8 @@
 	lastEventId?: string;
 	/** Identifier of the first complete event. */
 	firstEventId?: string;
+	/** False once an identifier was not greater than the one before, so that the events are not those of one run. */
+	isIncreasing = true;
 	#partialEvent = new ByteCollector();
 
 	/** Number of bytes of the partial event that is buffered. */
@@ -43,10 +45,10 @@
 	}
 
 	#readIds(events: Uint8Array): void {
-		const matches = [...Buffer.from(events).toString('latin1').matchAll(/^id: ?([^\r\n]*)/gm)];
-		if (matches.length > 0) {
-			this.firstEventId ??= matches[0]![1];
-			this.lastEventId = matches.at(-1)![1];
+		for (const [, eventId] of Buffer.from(events).toString('latin1').matchAll(/^id: ?([^\r\n]*)/gm)) {
+			this.firstEventId ??= eventId;
+			this.isIncreasing &&= !(Number(eventId) <= Number(this.lastEventId));
+			this.lastEventId = eventId;
 		}
 	}
 }
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -405,6 +405,11 @@
 
 				const {lastEventId} = splitter;
 				const events = splitter.push(part);
+				if (!splitter.isIncreasing) {
+					this.#abort(this.#failureOutcome, `identifiers of events do not increase after ${lastEventId ?? 'the start'}`);
+					return;
+				}
+
 				const hasNewEvent = splitter.lastEventId !== lastEventId;
 				bytesWithoutEvent = hasNewEvent ? splitter.partialLength : bytesWithoutEvent + part.length;
 				partsWithoutEvent = hasNewEvent ? 0 : partsWithoutEvent + 1;
