A path whose connections open and stay silent, or are closed without an answer, is found lost

Cause: a path counted as lost only if connections did not open; an open connection cleared all evidence, proved that a path was back, and made an idle peer report that the pool serves it.

Change: the silence of a whole pool (no answer although sends to two targets are overdue, or three closed sends without one) makes the path suspect. Probes over the service's health path tell slow targets from a silent path: any answer ends the suspicion. The path is lost after three unanswered probes, if a peer was served after the first of them began, 0.25 s ago. What was not sent yet waits for the decision (1.2 s, half of its time); unanswered sends that may run again are cancelled and go to a peer; those that may run once stay. A path is regained, and an idle peer reports a pool, only after answers to probes. No target is probed while paths are open.

Changes to existing tests: SimulatedFleet and GatewayFixture know probes and the new way of a cut; the flapping test plays it too; the hot-prompt test of placement_test lets its targets, which never respond, answer probes, or its requests would wait for the decision.

--- a/packages/dispatch/src/lib/directory-facts.ts
+++ b/packages/dispatch/src/lib/directory-facts.ts
@@ -42,6 +42,8 @@
 	readonly name: string;
 	/** Requests per second that a cold target can serve; 0 if the pool's targets are never cold. */
 	readonly coldRatePerS: number;
+	/** Path of a request that shows whether a target answers; `undefined` if the configuration tables name none. */
+	readonly probePath?: string;
 };
 
 export type Account = {
--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -13,6 +13,7 @@
 	breakOff: 'break-off',
 	finishStream: 'finish-stream',
 	checkTarget: 'check-target',
+	probeTarget: 'probe-target',
 	callPeer: 'call-peer',
 	answerPeer: 'answer-peer',
 	watch: 'watch',
@@ -88,6 +89,15 @@
 /** Find out whether a process listens on a target's address; the result is emitted as an event. */
 export type CheckTargetEffect = {readonly kind: typeof effectKind.checkTarget; readonly targetId: string; readonly address: string};
 
+/** Find out whether a target answers a request that costs it little; the result is emitted as an event. */
+export type ProbeTargetEffect = {
+	readonly kind: typeof effectKind.probeTarget;
+	readonly targetId: string;
+	readonly address: string;
+	/** Path of the request; `undefined` if the configuration tables name none. */
+	readonly path?: string;
+};
+
 export type CallPeerEffect = {readonly kind: typeof effectKind.callPeer; readonly address: string; readonly message: PeerMessage};
 export type AnswerPeerEffect = {readonly kind: typeof effectKind.answerPeer; readonly callId: number; readonly message: PeerMessage};
 
@@ -130,5 +140,5 @@
 export type FinishDrainEffect = {readonly kind: typeof effectKind.finishDrain; readonly isLimitReached: boolean};
 
 export type Effect =
-	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect | CheckTargetEffect
+	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect | CheckTargetEffect | ProbeTargetEffect
 	| CallPeerEffect | AnswerPeerEffect | WatchEffect | ReadHistoryEffect | LogEffect | RefuseIncomingEffect | FinishDrainEffect;
--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/end-request.ts
@@ -26,6 +26,7 @@
 export function endCurrentSend(step: Step, request: OpenRequest, sendVerdict: Verdict | undefined, detail: string): void {
 	const {now} = step;
 	const {target, sentAt, hasOpened, isRelayed} = request.currentSend!;
+	const isPathLost = isOverLostPath(step, request.currentSend!);
 	const targetId = target.record.id;
 	request.currentSend = undefined;
 	if (sendVerdict !== verdict.good) {
@@ -40,7 +41,7 @@
 		}),
 	});
 	recordSendEnd(target);
-	if (sendVerdict === undefined) {
+	if (sendVerdict === undefined || (sendVerdict === verdict.lost && isPathLost)) {
 		target.health.hasTrialInFlight = false;
 		return;
 	}
@@ -110,11 +111,16 @@
 /** Records a lost response for the current target if it may have received the request, and no part of a response was delivered until the deadline. */
 export function recordTimedOutSend(step: Step, {currentSend, hasResponseStarted}: OpenRequest): void {
 	const {target, hasOpened} = currentSend!;
-	if (hasOpened && !hasResponseStarted) {
+	if (hasOpened && !hasResponseStarted && !isOverLostPath(step, currentSend!)) {
 		recordVerdict(target.health, verdict.lost, computePoolFailureRatio(step, target), step.now);
 	}
 }
 
+/** True if the path of a send is lost, so that its loss says nothing about the target. */
+function isOverLostPath({state}: Step, {target, isRelayed}: CurrentSend): boolean {
+	return !isRelayed && state.paths.get(target.record.pool)?.isLostInSilence === true;
+}
+
 /** Computes the mean failure ratio of the pool's other targets with at least two verdicts. */
 function computePoolFailureRatio({state}: Step, target: Target): number {
 	const otherTargets = (state.targets.byPool.get(target.record.pool) ?? []).filter(other => other !== target && other.health.sampleWeight > 1);
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -16,6 +16,7 @@
 	sendEnded: 'send-ended',
 	callerLeft: 'caller-left',
 	targetChecked: 'target-checked',
+	targetProbed: 'target-probed',
 	holdFailed: 'hold-failed',
 	directoryRead: 'directory-read',
 	directoryLost: 'directory-lost',
@@ -168,6 +169,25 @@
 	readonly isAccepting?: boolean;
 };
 
+/** What a probe of a target showed. */
+export const probeResult = {
+	/** The target's address responded in some way. */
+	answered: 'answered',
+	/** The connection opened, and was closed or silent. */
+	unanswered: 'unanswered',
+	/** No connection opened. */
+	unreached: 'unreached',
+} as const;
+
+/** The result of a probe of a target. */
+export type TargetProbedEvent = {
+	readonly kind: typeof eventKind.targetProbed;
+	readonly targetId: string;
+	/** Time at which the probe started. */
+	readonly startedAt: number;
+	readonly result: typeof probeResult[keyof typeof probeResult];
+};
+
 /** The directory, or changes of it, were read from the platform. */
 export type DirectoryReadEvent = {
 	readonly kind: typeof eventKind.directoryRead;
@@ -216,5 +236,6 @@
 export type Event =
 	| RequestArrivedEvent | SendOpenedEvent | AnswerStartedEvent | AnswerContinuedEvent | AnswerSilentEvent | SendEndedEvent
 	| CallerLeftEvent | HoldFailedEvent
-	| TargetCheckedEvent | DirectoryReadEvent | DirectoryLostEvent | HistoryReadEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
+	| TargetCheckedEvent | TargetProbedEvent
+	| DirectoryReadEvent | DirectoryLostEvent | HistoryReadEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
 	| DrainRequestedEvent | StopRequestedEvent | SettingsChangedEvent | TickEvent;
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -267,8 +267,8 @@
 	const services: SharedService[] = [];
 	for (const [pool, path] of paths) {
 		const targetCount = listReceivingIds(targets, pool).length;
-		if (now - path.contactAt <= sharedServiceMaxAgeMs && path.findState(targetCount, now) === pathState.open) {
-			services.push({pool, ageMs: Math.round(now - path.contactAt)});
+		if (now - path.servedAt <= sharedServiceMaxAgeMs && path.findState(targetCount, now) === pathState.open) {
+			services.push({pool, ageMs: Math.round(now - path.servedAt)});
 		}
 	}
 
--- a/packages/dispatch/src/lib/reduce-paths.ts
+++ b/packages/dispatch/src/lib/reduce-paths.ts
@@ -1,12 +1,16 @@
 /**
- * Applies what sends and checks show about the paths of this instance to the targets, and
+ * Applies what sends, checks and probes show about the paths of this instance to the targets, and
  * decides when requests are relayed by a peer.
  */
 import {effectKind, logLevel} from './effect.js';
+import {probeResult, type TargetProbedEvent} from './event.js';
 import {takeQueriedAddresses} from './members.js';
 import {callPeers, hasPausedSince} from './reduce-fleet.js';
+import type {PendingSend} from './path-silence.js';
 import type {PeerMessage} from './peer-message.js';
-import {recordLog, type OpenRequest, type Step} from './state.js';
+import {
+	recordLog, type CurrentSend, type OpenRequest, type Step,
+} from './state.js';
 import {pathState, TargetPath, type PathState} from './target-paths.js';
 import {listReceivingIds, type Target} from './target-state.js';
 
@@ -55,7 +59,41 @@
 /** Records that a target responded to this instance. */
 export function recordServed(step: Step, target: Target): void {
 	target.heardAt = step.now;
-	findPath(step, target.record.pool).servedAt = step.now;
+	recordAnswered(step, target);
+}
+
+/** Records that something at a target's address responded, which shows the path. */
+export function recordAnswered(step: Step, {record}: Target): void {
+	findPath(step, record.pool).recordAnswered(step.now);
+}
+
+/** Records a send that was lost without an answer over a connection that had opened. */
+export function recordLostSend(step: Step, {target: {record}, sentAt}: CurrentSend): void {
+	if (!hasPausedSince(step, sentAt)) {
+		findPath(step, record.pool).silence.recordLostSend(record.id, sentAt);
+	}
+}
+
+/** Applies the result of a probe; a failure says nothing if this process did not run in between. */
+export function applyTargetProbed(step: Step, {targetId, startedAt, result}: TargetProbedEvent): void {
+	const target = step.state.targets.byId.get(targetId);
+	if (target === undefined) {
+		return;
+	}
+
+	const path = findPath(step, target.record.pool);
+	if (result === probeResult.answered) {
+		path.recordProbeAnswered(targetId, step.now);
+	} else if (hasPausedSince(step, startedAt)) {
+		path.silence.recordVoid(targetId);
+	} else {
+		path.recordProbeUnanswered(targetId, startedAt);
+		if (result === probeResult.unreached) {
+			path.recordUnreached(targetId, startedAt);
+		}
+	}
+
+	updatePaths(step);
 }
 
 /** Chooses the peer that relays the request because this instance has lost its path to the pool; `undefined` if the request is sent by itself. */
@@ -69,27 +107,51 @@
 		}, now);
 }
 
+/** Brings the silence of each pool up to date with the sends to it that wait for an answer; those from before a pause of this process do not count. */
+function updateSilences(step: Step): void {
+	const {state, now} = step;
+	const pendingByPool = new Map<string, PendingSend[]>();
+	for (const {poolName, currentSend, hasResponseStarted, route: {latencyTargetMs}} of state.openRequests.values()) {
+		if (currentSend?.hasOpened && !currentSend.isRelayed && !hasResponseStarted && !hasPausedSince(step, currentSend.sentAt)) {
+			const pending = pendingByPool.get(poolName) ?? [];
+			pending.push({targetId: currentSend.target.record.id, sentAt: currentSend.sentAt, latencyTargetMs});
+			pendingByPool.set(poolName, pending);
+		}
+	}
+
+	for (const [poolName, path] of state.paths) {
+		path.updateSilence(pendingByPool.get(poolName) ?? [], listReceivingIds(state.targets, poolName).length, now);
+	}
+}
+
 /** Checks paths that are suspect or lost, asks peers whether they are served, and logs what was lost or regained. */
 export function updatePaths(step: Step): void {
 	const {state, now} = step;
 	state.relayPeers.expire(now);
+	updateSilences(step);
 	let interval: number | undefined;
 	const suspectIntervalMs = Math.min(maxQueryIntervalMs, suspectQueryIntervalMs * (2 ** state.relayQueryCount));
-	const isAnySuspect = [...state.paths.keys()].some(poolName => findPathState(step, poolName) === pathState.suspect);
+	const suspicion = findSuspicion(step);
 	for (const [poolName, path] of state.paths) {
-		const targetIds = listReceivingIds(step.state.targets, poolName);
+		const targetIds = listReceivingIds(state.targets, poolName);
 		const peerServedAt = state.relayPeers.findServedAt(poolName);
 		const change = path.update(targetIds.length, peerServedAt, now);
 		if (change !== undefined) {
 			recordLog(step, change === pathState.lost ? 'path-lost' : 'path-regained', {
-				pool: poolName, targets: targetIds.length, servedMsAgo: Math.round(now - path.servedAt), peerServedMsAgo: Math.round(now - peerServedAt),
+				pool: poolName, targets: targetIds.length, cause: path.cause,
+				servedMsAgo: Math.round(now - path.servedAt), peerServedMsAgo: Math.round(now - peerServedAt),
 			}, logLevel.warn);
 		}
 
 		const current = path.findState(targetIds.length, now);
-		// An instance that loses one path has probably lost the others too.
-		if (current !== pathState.open || isAnySuspect) {
-			checkTargets(step, path.takeChecks(targetIds, now));
+		if (path.recordState(current) && current === pathState.suspect) {
+			recordLog(step, 'path-suspect', {
+				pool: poolName, targets: targetIds.length, cause: path.cause, servedMsAgo: Math.round(now - path.servedAt),
+			});
+		}
+
+		if (current !== pathState.open || suspicion.isAny) {
+			checkPath(step, path, targetIds, suspicion);
 			interval = Math.min(interval ?? maxQueryIntervalMs, current === pathState.lost ? lostQueryIntervalMs : suspectIntervalMs);
 		}
 	}
@@ -103,16 +165,53 @@
 	}
 }
 
-/** Age of the last contact with a pool above which a peer's question about it is answered by a check, in milliseconds. */
+/** What makes paths of this instance suspect: an instance that loses one path has probably lost the others too. */
+type Suspicion = {
+	readonly isAny: boolean;
+	/** True if the targets of a pool cannot be reached. */
+	readonly isUnreached: boolean;
+	/** Time since which a pool is silent that is not known yet to be silent to all. */
+	readonly silentSince: number;
+};
+
+function findSuspicion({state, now}: Step): Suspicion {
+	let isUnreached = false;
+	let isSilent = false;
+	let silentSince = Number.NEGATIVE_INFINITY;
+	for (const [poolName, path] of state.paths) {
+		isUnreached ||= path.isUnreached(listReceivingIds(state.targets, poolName).length, now);
+		const {silenceDecisionAt, silence: {since}} = path;
+		isSilent ||= silenceDecisionAt !== undefined;
+		if (silenceDecisionAt !== undefined && now < silenceDecisionAt) {
+			silentSince = Math.max(silentSince, since!);
+		}
+	}
+
+	return {isAny: isUnreached || isSilent, isUnreached, silentSince};
+}
+
+/** Checks or probes targets of a pool if its path is suspect or lost, or that of another pool suspect. */
+function checkPath(step: Step, path: TargetPath, targetIds: readonly string[], {isUnreached, silentSince}: Suspicion): void {
+	const {now} = step;
+	if (path.lostSince !== undefined || path.silence.since !== undefined || path.servedAt < silentSince) {
+		probeTargets(step, path.takeProbes(targetIds, now));
+	}
+
+	if (isUnreached) {
+		checkTargets(step, path.takeChecks(targetIds, now));
+	}
+}
+
+/** Age of the last contact with a pool above which a peer's question about it is answered by a probe, in milliseconds. */
 const contactMaxAgeMs = 500;
 
-/** Checks the pools that a peer cannot reach and asks about, unless this instance was in contact with them a moment ago; the peer's next call gets the result. */
+/** Probes the pools that a peer cannot reach and asks about, unless this instance was in contact with them a moment ago; the peer's next call gets the result. */
 export function checkPathsForPeer(step: Step, {unreachedPools = []}: PeerMessage): void {
 	for (const poolName of unreachedPools) {
 		const targetIds = listReceivingIds(step.state.targets, poolName);
 		const path = targetIds.length > 0 ? findPath(step, poolName) : undefined;
-		if (path !== undefined && step.now - path.contactAt > contactMaxAgeMs) {
-			checkTargets(step, path.takeChecks(targetIds, step.now));
+		if (path !== undefined && step.now - path.servedAt > contactMaxAgeMs) {
+			probeTargets(step, path.takeProbes(targetIds, step.now));
 		}
 	}
 }
@@ -123,3 +222,12 @@
 		effects.push({kind: effectKind.checkTarget, targetId, address});
 	}
 }
+
+function probeTargets({state, effects}: Step, targetIds: readonly string[]): void {
+	for (const targetId of targetIds) {
+		const {address, pool} = state.targets.byId.get(targetId)!.record;
+		effects.push({
+			kind: effectKind.probeTarget, targetId, address, path: state.directory.poolByName.get(pool)?.probePath,
+		});
+	}
+}
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -15,7 +15,7 @@
 import {failureKind, type FailureKind} from './failure-reports.js';
 import {isMember} from './members.js';
 import {
-	isPathProbablyLost, recordReached, recordServed, recordUnreached, relayedRequestLimit,
+	chooseRelayPeer, findPathState, isPathProbablyLost, recordAnswered, recordLostSend, recordReached, recordServed, recordUnreached, relayedRequestLimit,
 } from './reduce-paths.js';
 import {findPromptKey} from './prompt.js';
 import {admitInDrain} from './reduce-drain.js';
@@ -26,12 +26,13 @@
 } from './resolve-request.js';
 import {admitTakeUp, bindVersion} from './reduce-versions.js';
 import {
-	findSendLimitEnd, hasOtherTarget, mayRetry, retryOrFail, trySend,
+	findDecisionWaitEnd, findSendLimitEnd, hasOtherTarget, mayRetry, retryOrFail, trySend,
 } from './send-request.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step,
 } from './state.js';
 import {verdict, type Verdict} from './target-health.js';
+import {pathState} from './target-paths.js';
 import {recordStatement, statementKind, type TargetReport} from './target-statements.js';
 import {recordTargetStatement, type Target} from './target-state.js';
 
@@ -120,7 +121,8 @@
 	}
 
 	const {state, now} = step;
-	const queuedUntil = Math.min(now + (request.route.latencyTargetMs * queueTimeoutFraction), request.deadlineAt);
+	const waitEnd = findDecisionWaitEnd(step, request);
+	const queuedUntil = Math.min((waitEnd ?? now) + (request.route.latencyTargetMs * queueTimeoutFraction), request.deadlineAt);
 	const limitEnd = findSendLimitEnd(step, request);
 	if (limitEnd !== undefined && limitEnd > queuedUntil) {
 		// Another instance may have a share left even if this one has none.
@@ -262,8 +264,12 @@
 	}
 
 	send.silenceCount++;
+	if (isDecisionPending(step, request)) {
+		return;
+	}
+
 	const canGiveUp = request.unprovedEnd?.isTargetRunning === true || (mayRetry(step, request, true) && hasOtherTarget(step, request));
-	if (isBusy(send, event) || !canGiveUp) {
+	if (isBusy(step, send, event) || !canGiveUp) {
 		return;
 	}
 
@@ -274,15 +280,46 @@
 	retryOrFail(step, request, createFailure(failureReason.answerLost));
 }
 
+/** True if it is not known yet whether the whole pool does not answer this instance: then another target would not answer either. */
+function isDecisionPending({state, now}: Step, {poolName, currentSend}: OpenRequest): boolean {
+	const decisionAt = state.paths.get(poolName)?.silenceDecisionAt;
+	return !currentSend!.isRelayed && decisionAt !== undefined && now < decisionAt;
+}
+
+/** Time without an answer after which a send over a lost path is given up, in milliseconds. */
+const lostSendTimeoutMs = 300;
+
+/** Cancels sends over lost paths that stay unanswered, of requests that may run again, and sends these over peers. */
+export function retrySilentSends(step: Step): void {
+	const {state, now, effects} = step;
+	if (![...state.paths.values()].some(({isLostInSilence}) => isLostInSilence)) {
+		return;
+	}
+
+	for (const request of state.openRequests.values()) {
+		const {openId, poolName, currentSend, hasResponseStarted, triedTargetIds} = request;
+		const isSilent = currentSend?.hasOpened === true && !currentSend.isRelayed && !hasResponseStarted
+			&& now - currentSend.sentAt >= lostSendTimeoutMs && state.paths.get(poolName)?.isLostInSilence;
+		if (isSilent && mayRetry(step, request, true) && chooseRelayPeer(step, request) !== undefined) {
+			triedTargetIds.add(currentSend.target.record.id);
+			effects.push({kind: effectKind.cancel, openId, sendId: currentSend.sendId});
+			endCurrentSend(step, request, verdict.lost, 'silent path');
+			retryOrFail(step, request, createFailure(failureReason.answerLost));
+		}
+	}
+}
+
 /** Number of expired timeouts of a send after which a send is canceled although its target responds to other requests. */
 const maxSilences = 4;
 
 /**
- * True if the target has responded to another request of any instance since this one is
+ * True if the target has responded to another request of an instance since this one is
  * silent: then it is rather busy than gone, and the request would lose its place.
  */
-function isBusy(send: CurrentSend, {silentSince, targetHeardAt = Number.NEGATIVE_INFINITY}: AnswerSilentEvent): boolean {
-	const heardAt = Math.max(targetHeardAt, send.target.reportedLoad?.at ?? Number.NEGATIVE_INFINITY);
+function isBusy(step: Step, send: CurrentSend, {silentSince, targetHeardAt = Number.NEGATIVE_INFINITY}: AnswerSilentEvent): boolean {
+	// Over a lost path, what others hear from the target shows nothing.
+	const isLost = findPathState(step, send.target.record.pool) === pathState.lost;
+	const heardAt = Math.max(targetHeardAt, (isLost ? undefined : send.target.reportedLoad?.at) ?? Number.NEGATIVE_INFINITY);
 	return heardAt > silentSince && send.silenceCount < maxSilences;
 }
 
@@ -308,9 +345,25 @@
 /** Outcomes that prove that the target responded to this request. */
 const respondingOutcomes: ReadonlySet<SendOutcome> = new Set([sendOutcome.complete, sendOutcome.failed, sendOutcome.endUnproved]);
 
+/** Outcomes that something at the target's address stated, whether or not it is the target. */
+const statedOutcomes: ReadonlySet<SendOutcome> = new Set([...respondingOutcomes, sendOutcome.rejected, sendOutcome.misdirected]);
+
 /** Outcomes that prove that the request has not run. */
 const notRunOutcomes: ReadonlySet<SendOutcome> = new Set([sendOutcome.notSent, sendOutcome.connectionRefused, sendOutcome.rejected, sendOutcome.misdirected]);
 
+/** Records what a send that ended tells about the path to its target; `form` is that of its response, if there was one. */
+function recordPathEvidence(step: Step, send: CurrentSend, {outcome, form}: SendEndedEvent): void {
+	if (send.isRelayed) {
+		return;
+	}
+
+	if (statedOutcomes.has(outcome) || form !== undefined) {
+		recordAnswered(step, send.target);
+	} else if (outcome === sendOutcome.lost) {
+		recordLostSend(step, send);
+	}
+}
+
 /** Records what a failed send tells about its target, and about the path to it; what a peer relayed tells about neither. */
 function recordSendFailure(step: Step, send: CurrentSend, outcome: SendOutcome): void {
 	if (send.isRelayed) {
@@ -341,6 +394,7 @@
 	request.lastEventId = event.lastEventId ?? request.lastEventId;
 	request.lastSend!.form = event.form;
 	endCurrentSend(step, request, verdictByOutcome[event.outcome], event.detail);
+	recordPathEvidence(step, send, event);
 	recordSendFailure(step, send, event.outcome);
 	recordRuns(request, send, event);
 
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -3,7 +3,9 @@
  * event and the present time. The reducer performs no I/O and reads no clock.
  */
 import type {Effect} from './effect.js';
-import {eventKind, type Event} from './event.js';
+import {
+	eventKind, type Event, type TargetCheckedEvent, type TargetProbedEvent,
+} from './event.js';
 import {advanceDrain, startDrain, startStop} from './reduce-drain.js';
 import {
 	applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
@@ -11,10 +13,10 @@
 import {
 	advanceQueuedRequests, applyAnswerContinued, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applyHoldFailed,
 	applySendEnded, applySendOpened,
-	endTimedOutRequests,
+	endTimedOutRequests, retrySilentSends,
 } from './reduce-requests.js';
 import {applyHistoryRead, updateHistoryRead} from './reduce-history.js';
-import {checkPathsForPeer, updatePaths} from './reduce-paths.js';
+import {applyTargetProbed, checkPathsForPeer, updatePaths} from './reduce-paths.js';
 import {applyTargetChecked, updateQuarantine} from './reduce-quarantine.js';
 import {applyEndCheck} from './reduce-stream-ends.js';
 import {recordLog, type State, type Step} from './state.js';
@@ -22,11 +24,29 @@
 /** Applies one event: changes `state` in place and returns the effects in the order in which they have to run. */
 export function reduce(state: State, event: Event, now: number): readonly Effect[] {
 	const step: Step = {state, now, effects: []};
-	applyEvent(step, event);
+	if (event.kind === eventKind.targetChecked || event.kind === eventKind.targetProbed) {
+		applyTargetEvidence(step, event);
+	} else {
+		applyEvent(step, event);
+	}
+
 	return step.effects;
 }
 
-function applyEvent(step: Step, event: Event): void {
+/** Applies what a check or a probe has shown about a target. */
+function applyTargetEvidence(step: Step, event: TargetCheckedEvent | TargetProbedEvent): void {
+	if (event.kind === eventKind.targetChecked) {
+		applyTargetChecked(step, event);
+		applyEndCheck(step, event);
+		advanceDrain(step);
+	} else {
+		applyTargetProbed(step, event);
+		retrySilentSends(step);
+		advanceQueuedRequests(step);
+	}
+}
+
+function applyEvent(step: Step, event: Exclude<Event, TargetCheckedEvent | TargetProbedEvent>): void {
 	switch (event.kind) {
 		case eventKind.requestArrived: {
 			applyArrival(step, event);
@@ -71,13 +91,6 @@
 			break;
 		}
 
-		case eventKind.targetChecked: {
-			applyTargetChecked(step, event);
-			applyEndCheck(step, event);
-			advanceDrain(step);
-			break;
-		}
-
 		case eventKind.directoryRead: {
 			applyDirectoryRead(step, event);
 			advanceQueuedRequests(step);
@@ -130,6 +143,7 @@
 			updateFleet(step);
 			updateHistoryRead(step);
 			updatePaths(step);
+			retrySilentSends(step);
 			updateQuarantine(step);
 			advanceQueuedRequests(step);
 			endTimedOutRequests(step);
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -66,6 +66,10 @@
 		return true;
 	}
 
+	if (findDecisionWaitEnd(step, request) !== undefined) {
+		return false;
+	}
+
 	// Another target would probably not be reached either.
 	const placement = !isLost || request.sendCount === 0 ? findPlacement(step, request, request.triedTargetIds) : undefined;
 	if (placement === undefined) {
@@ -77,6 +81,20 @@
 	return true;
 }
 
+/**
+ * Finds the time until which a request that has not been sent waits for the decision whether a pool that is silent
+ * has lost its path, so that it is not written into a hole; `undefined` if it need not wait.
+ */
+export function findDecisionWaitEnd({state, now}: Step, {poolName, possibleRunCount, arrivedAt, deadlineAt}: OpenRequest): number | undefined {
+	const decisionAt = state.paths.get(poolName)?.silenceDecisionAt;
+	if (decisionAt === undefined || possibleRunCount > 0) {
+		return undefined;
+	}
+
+	const waitEnd = Math.min(decisionAt, arrivedAt + ((deadlineAt - arrivedAt) * pathDecisionFraction));
+	return now < waitEnd ? waitEnd : undefined;
+}
+
 function removeFromQueue({state}: Step, request: OpenRequest): void {
 	request.queuedUntil = undefined;
 	state.queuedRequests.delete(request);
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -3,7 +3,7 @@
  * tests advance.
  */
 import {
-	createState, effectKind, eventKind, factKind, reduce, routeKind, type CallPeerEffect, type Effect, type Event, type FactChange,
+	createState, effectKind, eventKind, factKind, probeResult, reduce, routeKind, type CallPeerEffect, type Effect, type Event, type FactChange,
 	type PeerMessage, type RelayOrigin, type Route, type SendEffect, type State, type Tables, type TargetRecord,
 } from '../index.js';
 
@@ -110,6 +110,15 @@
 		}
 	}
 
+	/** Answers the probes among `effects`, as targets do that run. */
+	answerProbes(): void {
+		for (const {targetId} of this.effects.filter(effect => effect.kind === effectKind.probeTarget)) {
+			this.handle({
+				kind: eventKind.targetProbed, targetId, startedAt: this.now, result: probeResult.answered,
+			});
+		}
+	}
+
 	/** Reads a complete directory with the tables and targets of a small deployment. */
 	loadDirectory(targetIds: readonly string[], tables = createTables()): this {
 		this.applyChanges(1, [createTablesChange(1, tables), ...targetIds.map(id => createTargetChange(1, createTargetRecord(id)))], 0);
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -103,7 +103,7 @@
 }
 
 test('callers of instances whose cut begins anew every two seconds are served as often as others (flapping path)', () => {
-	for (const mode of [cutMode.silent, cutMode.reset]) {
+	for (const mode of [cutMode.silent, cutMode.reset, cutMode.accepted]) {
 		const {atCut, atOthers} = playCut({
 			...sizes[0]!, mode, cutFraction: 0.5, seed: 9, callLoss: 0.05, isFlapping: true,
 		});
--- a/packages/dispatch/src/test/placement_test.ts
+++ b/packages/dispatch/src/test/placement_test.ts
@@ -55,6 +55,7 @@
 		const {targetId} = gateway.takeLastSend();
 		counts.set(targetId, (counts.get(targetId) ?? 0) + 1);
 		gateway.advance(300);
+		gateway.answerProbes();
 	}
 
 	const mean = 60 / engines.length;
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -4,8 +4,8 @@
  * certain prompt part. The simulation records what arrives at the engines.
  */
 import {
-	effectKind, eventKind, sendOutcome, type CallPeerEffect, type Effect, type Event, type FactChange, type PastChange, type PeerMessage,
-	type PlatformHistory, type Route, type SendEffect, type SendOutcome, type TargetReport,
+	effectKind, eventKind, probeResult, sendOutcome, type CallPeerEffect, type Effect, type Event, type FactChange, type PastChange, type PeerMessage,
+	type PlatformHistory, type ProbeTargetEffect, type Route, type SendEffect, type SendOutcome, type TargetReport,
 } from '../index.js';
 import {
 	createRandom, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
@@ -46,9 +46,14 @@
 	reset: 'reset',
 	/** Open connections go on, and new ones are refused. */
 	refused: 'refused',
+	/** Connections open, and nothing arrives over them in either direction. */
+	accepted: 'accepted',
 } as const;
 export type CutMode = typeof cutMode[keyof typeof cutMode];
 
+/** Modes in which nothing arrives over open connections. */
+const unansweredModes: ReadonlySet<CutMode | undefined> = new Set([cutMode.silent, cutMode.accepted]);
+
 type Node = {
 	readonly address: string;
 	gateway: GatewayFixture;
@@ -163,6 +168,12 @@
 	crashingPart?: string;
 	/** Requests that crash each engine that begins to run them. */
 	readonly crashingFingerprints = new Set<string>();
+	/** Probes that instances sent to engines. */
+	readonly probes: Array<{readonly at: number; readonly sender: string; readonly targetId: string}> = [];
+	/** Engines that do not answer for now, although connections to them open. */
+	silentIds: ReadonlySet<string> = new Set();
+	/** Time that is added until each response begins, in milliseconds. */
+	beginDelayMs = 0;
 	/** Software version of the engines that start from now on. */
 	softwareVersion = 'v1';
 	readonly #options: FleetOptions;
@@ -384,7 +395,7 @@
 			}
 
 			const {send: {openId, sendId}} = run;
-			if (findCut(run.node, run.engine.id) === cutMode.silent) {
+			if (this.silentIds.has(run.engine.id) || unansweredModes.has(findCut(run.node, run.engine.id))) {
 				continue;
 			}
 
@@ -460,11 +471,15 @@
 		const {effects} = node.gateway;
 		node.gateway.effects = [];
 		for (const effect of effects) {
-			this.#execute(node, effect);
+			if (effect.kind === effectKind.probeTarget) {
+				this.#probeTarget(node, effect);
+			} else {
+				this.#execute(node, effect);
+			}
 		}
 	}
 
-	#execute(node: Node, effect: Effect): void {
+	#execute(node: Node, effect: Exclude<Effect, ProbeTargetEffect>): void {
 		switch (effect.kind) {
 			case effectKind.send: {
 				this.#startRun(node, effect);
@@ -518,7 +533,7 @@
 						gateway.now = this.now;
 						gateway.handle({
 							kind: eventKind.targetChecked, targetId, startedAt,
-							isListening: cut === cutMode.silent ? undefined : isRunning && cut === undefined,
+							isListening: cut === cutMode.silent ? undefined : isRunning && (cut === undefined || cut === cutMode.accepted),
 						});
 						this.#drainEffects(node);
 					}
@@ -670,7 +685,7 @@
 		const engine = this.#engines.get(send.targetId);
 		const {promptParts, fingerprint} = gateway.state.openRequests.get(send.openId)!;
 		const prompt = promptParts.map(({id}) => id);
-		const beginsAt = this.now + beginMs.min + (this.random() * beginMs.extra);
+		const beginsAt = this.now + beginMs.min + (this.random() * beginMs.extra) + this.beginDelayMs;
 		const run: Run = {
 			node, gateway, send, engine: engine!, prompt, fingerprint, beginsAt, endsAt: beginsAt + endMs.min + (this.random() * endMs.extra), hasBegun: false,
 		};
@@ -682,7 +697,7 @@
 			return;
 		}
 
-		if (!engine?.isRunning || cut !== undefined) {
+		if (!engine?.isRunning || (cut !== undefined && cut !== cutMode.accepted)) {
 			this.#endRun(run, sendOutcome.connectionRefused);
 			return;
 		}
@@ -702,6 +717,28 @@
 		this.#runs.push(run);
 	}
 
+	#probeTarget(node: Node, {targetId}: ProbeTargetEffect): void {
+		const {gateway} = node;
+		const startedAt = this.now;
+		this.probes.push({at: startedAt, sender: node.address, targetId});
+		const cut = findCut(node, targetId);
+		const isSilent = cut === undefined ? this.silentIds.has(targetId) : unansweredModes.has(cut);
+		this.#schedule(isSilent ? checkTimeoutMs : stepMs, () => {
+			if (node.gateway !== gateway || node.pausedUntil > this.now) {
+				return;
+			}
+
+			const isRunning = this.#engines.get(targetId)?.isRunning ?? false;
+			const isRefused = !isRunning || cut === cutMode.reset || cut === cutMode.refused || cut === cutMode.silent;
+			const unanswered = isRefused ? probeResult.unreached : probeResult.unanswered;
+			gateway.now = this.now;
+			gateway.handle({
+				kind: eventKind.targetProbed, targetId, startedAt, result: isSilent || isRefused ? unanswered : probeResult.answered,
+			});
+			this.#drainEffects(node);
+		});
+	}
+
 	#callPeer(node: Node, {address, message}: CallPeerEffect): void {
 		const callee = this.nodes.find(other => other.address === address);
 		const {gateway} = node;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -8,7 +8,7 @@
 import {
 	checkHead, createFailure, createState, effectKind, eventKind, failureReason, isReady, reduce,
 	type BreakOffEffect, type CheckTargetEffect, type DeliverHeldEffect, type Effect, type Event, type FinishStreamEffect, type FleetBounds, type LogEffect,
-	type PlatformHistory, type RefuseEffect, type State,
+	type PlatformHistory, type ProbeTargetEffect, type RefuseEffect, type State,
 } from '@sequoiatally/dispatch';
 import {
 	BoundedLog, BufferBudget, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
@@ -22,6 +22,7 @@
 	DirectoryListener, type CallerProtocol, type DirectorySource, type TargetProtocol,
 } from './protocol.js';
 import {TargetClient} from './target-client.js';
+import {TargetProber} from './target-prober.js';
 
 /** Interval of the reducer's ticks, in milliseconds; the resolution of deadlines. */
 const tickIntervalMs = 25;
@@ -101,6 +102,7 @@
 	readonly #callers: CallerServer;
 	readonly #pool: ConnectionPool;
 	readonly #targets: TargetClient;
+	readonly #prober: TargetProber;
 	readonly #peers: PeerTransport;
 	readonly #metrics: GatewayMetrics;
 	#tablesVersion = 0;
@@ -130,6 +132,7 @@
 		});
 		const pool = new ConnectionPool(readMonotonicMs, lifecycle);
 		this.#pool = pool;
+		this.#prober = new TargetProber(protocols.targets, readMonotonicMs, lifecycle);
 		this.#callers = new CallerServer({
 			protocol: protocols.callers,
 			bufferBudget,
@@ -260,6 +263,14 @@
 		});
 	}
 
+	#probeTarget(effect: ProbeTargetEffect): void {
+		this.#prober.probe(effect, (result, startedAt) => {
+			this.handle({
+				kind: eventKind.targetProbed, targetId: effect.targetId, startedAt, result,
+			});
+		});
+	}
+
 	#writeLog({level, event, fields}: LogEffect): void {
 		this.#metrics.count(event);
 		if (typeof fields.tookMs === 'number') {
@@ -343,6 +354,11 @@
 				break;
 			}
 
+			case effectKind.probeTarget: {
+				this.#probeTarget(effect);
+				break;
+			}
+
 			case effectKind.callPeer: {
 				void this.#peers.call(effect);
 				break;
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -48,7 +48,7 @@
 		isPublic: isBoolean,
 		hasPrompts: isBoolean,
 	})),
-	pools: createListCheck(createObjectCheck({name: isString, coldRatePerS: isNumber})),
+	pools: createListCheck(createObjectCheck({name: isString, coldRatePerS: isNumber, probePath: createOptionalCheck(isString)})),
 	accounts: createOptionalCheck(createListCheck(createObjectCheck({name: isString, keyDigests: createListCheck(isString)}))),
 	limits: createObjectCheck({headBytes: isNumber, bodyBytes: isNumber, idleTimeoutMs: isNumber}),
 });
--- a/packages/gateway/src/lib/protocol.ts
+++ b/packages/gateway/src/lib/protocol.ts
@@ -48,6 +48,8 @@
 export abstract class TargetProtocol {
 	/** Creates the headers of a send from the caller's headers. */
 	abstract createSendHeaders(callerHeaders: RawHeaders, send: SendEffect, now: number): string[];
+	/** Creates the headers of a probe, which shows whether the target answers. */
+	abstract createProbeHeaders(targetId: string): string[];
 	abstract readResponseHead(status: number, headers: IncomingHttpHeaders, requestId: string): ResponseHead;
 	/** Selects the headers of the target's response that are forwarded to the caller. */
 	abstract selectResponseHeaders(headers: RawHeaders): string[];
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -25,11 +25,11 @@
 import {TargetClient} from '../lib/target-client.js';
 
 /** Matches responses to requests by the header `id`. */
-class HeaderProtocol extends TargetProtocol {
+export class HeaderProtocol extends TargetProtocol {
 	/** Called when the head of a response has been read. */
 	readonly #onHead: () => void;
 
-	constructor(onHead: () => void) {
+	constructor(onHead: () => void = () => undefined) {
 		super();
 		this.#onHead = onHead;
 	}
@@ -38,6 +38,10 @@
 		return account === undefined ? ['id', String(openId)] : ['id', String(openId), 'account', account];
 	}
 
+	override createProbeHeaders(targetId: string): string[] {
+		return ['target', targetId];
+	}
+
 	override readResponseHead(status: number, {id, limit}: IncomingHttpHeaders, requestId: string): ResponseHead {
 		this.#onHead();
 		const isIdentified = id !== undefined;
--- a/packages/gateway/src/test/parse-peer-message_test.ts
+++ b/packages/gateway/src/test/parse-peer-message_test.ts
@@ -21,7 +21,7 @@
 		name: 'chat', host: 'a.example', prefix: '/chat/', kind: routeKind.stream, canResume: true, timeLimitMs: 5000, latencyTargetMs: 800, eventGapMs: 400,
 		splits: [{pool: 'engines', weight: 1}], targetLimit: 2, isPublic: false, hasPrompts: true,
 	}],
-	pools: [{name: 'engines', coldRatePerS: 5}],
+	pools: [{name: 'engines', coldRatePerS: 5}, {name: 'desk', coldRatePerS: 0, probePath: '/health'}],
 	accounts: [{name: 'crews', keyDigests: ['digest']}],
 	limits: {headBytes: 16_384, bodyBytes: 100_000, idleTimeoutMs: 15_000},
 };
