--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -17,6 +17,7 @@
 	sendEnded: 'send-ended',
 	callerLeft: 'caller-left',
 	targetChecked: 'target-checked',
+	targetProbed: 'target-probed',
 	holdFailed: 'hold-failed',
 	directoryRead: 'directory-read',
 	directoryLost: 'directory-lost',
@@ -172,6 +173,25 @@
 	readonly isAccepting?: boolean;
 };
 
+/** What a probe of a target showed. */
+export const probeResult = {
+	/** The target's address responded in some way. */
+	answered: 'answered',
+	/** The connection opened, and was closed or silent. */
+	unanswered: 'unanswered',
+	/** No connection opened. */
+	unreached: 'unreached',
+} as const;
+
+/** The result of a probe of a target. */
+export type TargetProbedEvent = {
+	readonly kind: typeof eventKind.targetProbed;
+	readonly targetId: string;
+	/** Time at which the probe started. */
+	readonly startedAt: number;
+	readonly result: typeof probeResult[keyof typeof probeResult];
+};
+
 /** The directory, or changes of it, were read from the platform. */
 export type DirectoryReadEvent = {
 	readonly kind: typeof eventKind.directoryRead;
@@ -242,6 +262,9 @@
 /** Time has passed. Ticks arrive several times a second. */
 export type TickEvent = {readonly kind: typeof eventKind.tick};
 
+/** What a check or a probe has shown about a target. */
+export type TargetEvidenceEvent = TargetCheckedEvent | TargetProbedEvent;
+
 /** Events of the platform and of peers. */
 export type FleetEvent =
 	| DirectoryReadEvent | DirectoryLostEvent | HistoryReadEvent | DirectoryRefreshedEvent | PeerCalledEvent | PeerAnsweredEvent | PeerFailedEvent
@@ -249,5 +272,5 @@
 
 export type Event =
 	| RequestArrivedEvent | SendOpenedEvent | AnswerStartedEvent | AnswerContinuedEvent | AnswerSilentEvent | SendEndedEvent
-	| CallerLeftEvent | HoldFailedEvent | TargetCheckedEvent | FleetEvent
+	| CallerLeftEvent | HoldFailedEvent | TargetEvidenceEvent | FleetEvent
 	| DrainRequestedEvent | StopRequestedEvent | SettingsChangedEvent | TickEvent;
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -3,7 +3,9 @@
  * event and the present time. The reducer performs no I/O and reads no clock.
  */
 import type {Effect} from './effect.js';
-import {eventKind, type Event, type FleetEvent} from './event.js';
+import {
+	eventKind, type Event, type FleetEvent, type TargetEvidenceEvent,
+} from './event.js';
 import {applyStreamPeerAnswered, applyStreamPeerCalled, exchangeStreams} from './reduce-begun-streams.js';
 import {advanceDrain, startDrain, startStop} from './reduce-drain.js';
 import {
@@ -12,10 +14,10 @@
 import {
 	advanceQueuedRequests, applyAnswerContinued, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applyHoldFailed,
 	applySendEnded, applySendOpened,
-	endTimedOutRequests,
+	endTimedOutRequests, retrySilentSends,
 } from './reduce-requests.js';
 import {applyHistoryRead, updateHistoryRead} from './reduce-history.js';
-import {checkPathsForPeer, updatePaths} from './reduce-paths.js';
+import {applyTargetProbed, checkPathsForPeer, updatePaths} from './reduce-paths.js';
 import {applyTargetChecked, updateQuarantine} from './reduce-quarantine.js';
 import {applyEndCheck} from './reduce-stream-ends.js';
 import {advanceTakeUps, applyDirectoryRefreshed} from './reduce-take-ups.js';
@@ -28,6 +30,19 @@
 	return step.effects;
 }
 
+/** Applies what a check or a probe has shown about a target. */
+function applyTargetEvidence(step: Step, event: TargetEvidenceEvent): void {
+	if (event.kind === eventKind.targetChecked) {
+		applyTargetChecked(step, event);
+		applyEndCheck(step, event);
+		advanceDrain(step);
+	} else {
+		applyTargetProbed(step, event);
+		retrySilentSends(step);
+		advanceQueuedRequests(step);
+	}
+}
+
 function applyEvent(step: Step, event: Event): void {
 	if (isFleetEvent(event)) {
 		applyFleetEvent(step, event);
@@ -78,10 +93,9 @@
 			break;
 		}
 
-		case eventKind.targetChecked: {
-			applyTargetChecked(step, event);
-			applyEndCheck(step, event);
-			advanceDrain(step);
+		case eventKind.targetChecked:
+		case eventKind.targetProbed: {
+			applyTargetEvidence(step, event);
 			break;
 		}
 
@@ -105,6 +119,7 @@
 			updateFleet(step);
 			updateHistoryRead(step);
 			updatePaths(step);
+			retrySilentSends(step);
 			updateQuarantine(step);
 			exchangeStreams(step);
 			advanceTakeUps(step);
