Simulated fleets pass the software version and the stream on with a relayed request

The gateway's relay does so with the caller's headers and the version that the peer may use; the simulation left both out, so that the peer took a take-up for a new stream.

--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -657,7 +657,10 @@
 
 	#startRelay(node: Node, send: SendEffect): void {
 		const {gateway} = node;
-		const {route, promptParts, fingerprint} = gateway.state.openRequests.get(send.openId)!;
+		const {
+			route, promptParts, fingerprint, requestId, takeUp,
+		} = gateway.state.openRequests.get(send.openId)!;
+		const {softwareVersion, runLimit} = send;
 		const request = this.#requestByKey.get(createRequestKey(gateway, send.openId))!;
 		this.#schedule(stepMs, () => {
 			const peer = this.nodes.find(other => other.address === send.address)!;
@@ -681,7 +684,10 @@
 				node, gateway, send, peer, peerOpenId,
 			});
 			peer.gateway.receiveRequest(route, {
-				prompt: promptParts.map(({id}) => id), partTokens: 400, fingerprint, relayedFrom: {id, incarnation, runLimit: send.runLimit},
+				prompt: promptParts.map(({id}) => id), partTokens: 400, fingerprint, requestId, resumedRequestId: takeUp?.resumedRequestId,
+				...(takeUp !== undefined && {resumesAfterEventId: '1'}), relayedFrom: {
+					id, incarnation, runLimit, softwareVersion,
+				},
 			});
 			this.#drainEffects(peer);
 		});
