--- a/packages/dispatch/src/lib/reduce-history.ts
+++ b/packages/dispatch/src/lib/reduce-history.ts
@@ -34,11 +34,11 @@
 
 /**
  * Computes the time within which a stream of the route that is taken up now has begun, in
- * milliseconds. The instance that began it may have had a directory as old as changes may
- * take to be in force.
+ * milliseconds: it may have been taken up once before, and the instance that began it may have
+ * had a directory as old as changes may take to be in force.
  */
 export function computeStreamWindowMs({timeLimitMs}: Route, {changeLimitMs}: FleetBounds): number {
-	return timeLimitMs + changeLimitMs;
+	return (2 * timeLimitMs) + changeLimitMs;
 }
 
 /** Computes how far back the versions of the pools have to be known, in milliseconds: as long as streams that can be taken up may take. */
