A stream that a caller takes up goes on at its next event, or counts as lost there

What callers saw: who took up a stream after event 4 at a worker that began it again got events 1 to 16, so a number went back; one that repeated event 4, or left out event 5, was passed on as well.

Cause: the first event of a response was checked against the last one delivered only inside one response. The event that a caller names in Last-Event-Id was passed on to the target and not kept.

Change: the request keeps it, and a send of a stream that may be resumed tells it to the client of the target, which checks the first event of the response in the same way. A target that goes on elsewhere has lost the request, which is sent to another one or fails. An empty response is handled as before.

--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -45,6 +45,8 @@
 	readonly needsFreshConnection: boolean;
 	/** Identifier of the event after which an interrupted stream resumes. */
 	readonly resumeAfterEventId?: string;
+	/** Identifier of the event after which a stream goes on that its caller takes up. */
+	readonly takesUpAfterEventId?: string;
 	/** Address of a target from which cached parts of the prompt can be copied. */
 	readonly copyFromAddress?: string;
 	/** Time at which the response has to be complete. */
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -69,6 +69,7 @@
 		poolName,
 		streamId,
 		boundVersion,
+		takesUpAfterEventId: event.resumesAfterEventId,
 		tablesVersion: state.directory.tables!.version,
 		sendCount: 0,
 		arrivalCount: 0,
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -197,6 +197,7 @@
 		isStream: route.kind === routeKind.stream,
 		needsFreshConnection: !isRetryable(route),
 		resumeAfterEventId: request.lastEventId,
+		takesUpAfterEventId: isRetryable(route) ? request.takesUpAfterEventId : undefined,
 		copyFromAddress: copySource?.record.address,
 		deadlineAt: request.deadlineAt,
 		responseStartTimeoutMs: canTimeOut ? Math.max(minResponseStartTimeoutMs, route.latencyTargetMs * responseStartTimeoutFraction) : 0,
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -127,6 +127,8 @@
 	/** True if a target's error response is held for the caller. */
 	hasHeldFailure: boolean;
 	lastEventId?: string;
+	/** Identifier of the last event that the caller has, if it takes up a stream. */
+	readonly takesUpAfterEventId?: string;
 	/** Time at which the request is refused if no target may receive it by then; set while it is queued. */
 	queuedUntil?: number;
 };
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -467,10 +467,11 @@
 	}
 
 	#relayEvents(response: IncomingMessage, body: ResponseBody, {splitter, events}: {readonly splitter: EventSplitter; readonly events: Uint8Array}): void {
-		const {openId, sendId, resumeAfterEventId} = this.#send;
+		const {openId, sendId, resumeAfterEventId, takesUpAfterEventId} = this.#send;
 		if (!this.#hasDeliveredEvents) {
-			if (resumeAfterEventId !== undefined && !isNextEventId(resumeAfterEventId, splitter.firstEventId)) {
-				this.#abort(sendOutcome.interrupted, `stream resumed at event ${splitter.firstEventId} instead of the one after ${resumeAfterEventId}`);
+			const previousId = resumeAfterEventId ?? takesUpAfterEventId;
+			if (previousId !== undefined && !isNextEventId(previousId, splitter.firstEventId)) {
+				this.#abort(this.#failureOutcome, `stream resumed at event ${splitter.firstEventId} instead of the one after ${previousId}`);
 				return;
 			}
 
--- a/packages/gateway/src/test/event-order_test.ts
+++ b/packages/gateway/src/test/event-order_test.ts
@@ -67,6 +67,19 @@
 		assert.equal(caller.lastEventId, '2');
 	});
 
+	// Guards against ORDER: a target goes on elsewhere in a stream that a caller takes up (issue 52).
+	test(`a stream that is taken up goes on at the next event, or counts as lost (${form})`, async () => {
+		for (const [first, isNext] of [[1, false], [2, false], [3, true], [4, false]] as const) {
+			await startTarget(createEvents(first, first + 1));
+			const caller = fixture.startSend({isStream: true, takesUpAfterEventId: '2'});
+			const {outcome} = await fixture.waitForEnd();
+			assert.equal(outcome === sendOutcome.lost, !isNext, String(first));
+			assert.equal(caller.received.startsWith(createEvents(3, 4)), isNext, caller.received);
+			assert.equal(caller.received === '', !isNext);
+			await fixture.close();
+		}
+	});
+
 	// Guards against LOST: identifiers increase, but need not be consecutive.
 	test(`a stream whose identifiers increase in steps is passed on (${form})`, async () => {
 		await startTarget(createEvents(1, 3), createEvents(10, 11));
