The head of a second response is not passed on as an event of the first one

Cause: a head ends with an empty line, as an event does, and events were told apart by empty lines only.

Change: the splitter takes a status line of HTTP, which no line of an event looks like, for the begin of another response, as it does with an identifier that goes back.

--- a/packages/gateway/src/lib/event-splitter.ts
+++ b/packages/gateway/src/lib/event-splitter.ts
@@ -8,14 +8,16 @@
 
 const lineFeed = 10;
 const carriageReturn = 13;
+/** Status line of HTTP, which no line of an event looks like. */
+const statusLinePattern = /^HTTP\/\d\.\d \d{3}/m;
 
 export class EventSplitter {
 	/** Identifier of the last complete event. */
 	lastEventId?: string;
 	/** Identifier of the first complete event. */
 	firstEventId?: string;
-	/** False once an identifier was not greater than the one before, so that the events are not those of one run. */
-	isIncreasing = true;
+	/** Why the bytes are not the events of one response; `undefined` if nothing shows it. */
+	fault?: string;
 	#partialEvent = new ByteCollector();
 
 	/** Number of bytes of the partial event that is buffered. */
@@ -45,9 +47,17 @@
 	}
 
 	#readIds(events: Uint8Array): void {
-		for (const [, eventId] of Buffer.from(events).toString('latin1').matchAll(/^id: ?([^\r\n]*)/gm)) {
+		const text = Buffer.from(events).toString('latin1');
+		if (statusLinePattern.test(text)) {
+			this.fault ??= `head of another response after event ${this.lastEventId}`;
+		}
+
+		for (const [, eventId] of text.matchAll(/^id: ?([^\r\n]*)/gm)) {
 			this.firstEventId ??= eventId;
-			this.isIncreasing &&= !(Number(eventId) <= Number(this.lastEventId));
+			if (Number(eventId) <= Number(this.lastEventId)) {
+				this.fault ??= `event ${eventId} after event ${this.lastEventId}`;
+			}
+
 			this.lastEventId = eventId;
 		}
 	}
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -405,8 +405,8 @@
 
 				const {lastEventId} = splitter;
 				const events = splitter.push(part);
-				if (!splitter.isIncreasing) {
-					this.#abort(this.#failureOutcome, `identifiers of events do not increase after ${lastEventId ?? 'the start'}`);
+				if (splitter.fault !== undefined) {
+					this.#abort(this.#failureOutcome, splitter.fault);
 					return;
 				}
 
--- a/packages/gateway/src/test/event-order_test.ts
+++ b/packages/gateway/src/test/event-order_test.ts
@@ -20,6 +20,8 @@
 	return eventIds.map(eventId => `id: ${eventId}\ndata: piece ${eventId}\n\n`).join('');
 }
 
+const secondHead = 'HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n';
+
 const forms = {
 	chunks: {createHead: createChunkedHead, write: writeChunk, last: '0\r\n\r\n'},
 	'connection end': {
@@ -49,6 +51,17 @@
 		assert.equal(caller.lastEventId, '2');
 	});
 
+	// Guards against ORDER: the head of a second response ends with an empty line, as an event does.
+	test(`the head of a second response is not passed on as an event (${form})`, async () => {
+		for (const segments of [[createEvents(1, 2), secondHead], [createEvents(1, 2), createEvents(3) + secondHead]]) {
+			await startTarget(...segments);
+			const caller = fixture.startSend({isStream: true});
+			await fixture.assertOutcome(sendOutcome.interrupted);
+			assert.equal(caller.received, createEvents(1, 2));
+			await fixture.close();
+		}
+	});
+
 	// Guards against ORDER: as above, if one segment holds both.
 	test(`events that go back within a segment are not passed on (${form})`, async () => {
 		await startTarget(createEvents(1, 2), createEvents(3, 2, 3));
