Streams that break off or fall silent together wait for the decision about the path, and go on over a peer

Cause, from the log lines (notResumed: run limit; sends: 1, deadline-exceeded): each stream was resumed at once at another target over the same path. Where connections open, that resume may have run, so the run limit of two was used up. A stream that falls silent was no evidence about the path, so nothing else was found out either. And while peers reported loads of the target, it counted as busy.

Change: a stream that breaks off, or is silent, waits 25 ms if sends at other targets of the pool are open. Two targets whose streams broke off or are silent, with no answer from the pool since, make the path suspect; then the streams wait for the decision, and resume at a target or over a peer, at their software version as before. A silence that was reported meanwhile is reported again after the decision, if it lasts. Queued requests whose deadline has passed are no longer sent in the tick that ends them. Targets that responded last are probed first.

--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -8,6 +8,7 @@
 export const effectKind = {
 	send: 'send',
 	cancel: 'cancel',
+	reportSilence: 'report-silence',
 	refuse: 'refuse',
 	deliverHeld: 'deliver-held',
 	breakOff: 'break-off',
@@ -63,6 +64,9 @@
 /** Cancel a send and close its connection; no event follows. */
 export type CancelEffect = {readonly kind: typeof effectKind.cancel; readonly openId: number; readonly sendId: number};
 
+/** Report again, as an event, that a send is silent, if it still is. */
+export type ReportSilenceEffect = {readonly kind: typeof effectKind.reportSilence; readonly sendId: number};
+
 /** Respond to the caller with a failure that this instance created. */
 export type RefuseEffect = {
 	readonly kind: typeof effectKind.refuse;
@@ -140,5 +144,6 @@
 export type FinishDrainEffect = {readonly kind: typeof effectKind.finishDrain; readonly isLimitReached: boolean};
 
 export type Effect =
-	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect | CheckTargetEffect | ProbeTargetEffect
+	| SendEffect | CancelEffect | ReportSilenceEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect
+	| CheckTargetEffect | ProbeTargetEffect
 	| CallPeerEffect | AnswerPeerEffect | WatchEffect | ReadHistoryEffect | LogEffect | RefuseIncomingEffect | FinishDrainEffect;
--- a/packages/dispatch/src/lib/path-silence.ts
+++ b/packages/dispatch/src/lib/path-silence.ts
@@ -9,7 +9,7 @@
 
 /** Number of different targets with overdue or lost sends from which a pool is silent; all, in a smaller pool. */
 const overdueCount = 2;
-const lostSendCount = 3;
+const lostSendCount = 2;
 /** Number of different targets that have to leave probes unanswered; all, in a smaller pool. */
 const conclusiveCount = 3;
 /** Fraction of a request's latency target after which it is overdue, and bounds of that time, in milliseconds. */
@@ -39,7 +39,7 @@
 	answeredAt = Number.NEGATIVE_INFINITY;
 	/** Targets that left probes unanswered since then, with the start of the last one. */
 	readonly #unansweredAt = new Map<string, number>();
-	/** Targets at which sends were lost without an answer since then, with the time at which the last one was sent. */
+	/** Targets whose sends were lost, or whose streams fell silent, without an answer since then, with the time from which an answer would have shown the path. */
 	readonly #lostSendAt = new Map<string, number>();
 	/** Targets whose probes are under way, with their start. */
 	readonly #probedAt = new Map<string, number>();
@@ -93,13 +93,18 @@
 		this.#probedAt.delete(targetId);
 	}
 
-	/** Records a send that was lost without an answer. */
-	recordLostSend(targetId: string, sentAt: number): void {
-		if (sentAt > this.answeredAt) {
-			this.#lostSendAt.set(targetId, sentAt);
+	/** Records a send that was lost, or a stream that fell silent, without an answer from `since` on. */
+	recordLostSend(targetId: string, since: number): void {
+		if (since > this.answeredAt) {
+			this.#lostSendAt.set(targetId, since);
 		}
 	}
 
+	/** Finds the time from which a lost or silent send to a target counts; `undefined` if none does. */
+	findLostSend(targetId: string): number | undefined {
+		return this.#lostSendAt.get(targetId);
+	}
+
 	/** Forgets all evidence. */
 	reset(): void {
 		this.#since = undefined;
--- a/packages/dispatch/src/lib/reduce-paths.ts
+++ b/packages/dispatch/src/lib/reduce-paths.ts
@@ -67,10 +67,10 @@
 	findPath(step, record.pool).recordAnswered(step.now);
 }
 
-/** Records a send that was lost without an answer over a connection that had opened. */
-export function recordLostSend(step: Step, {target: {record}, sentAt}: CurrentSend): void {
-	if (!hasPausedSince(step, sentAt)) {
-		findPath(step, record.pool).silence.recordLostSend(record.id, sentAt);
+/** Records a send that was lost, or a stream that fell silent, without an answer from `since` on. */
+export function recordLostSend(step: Step, {target: {record}}: CurrentSend, since: number): void {
+	if (!hasPausedSince(step, since)) {
+		findPath(step, record.pool).silence.recordLostSend(record.id, since);
 	}
 }
 
@@ -194,7 +194,7 @@
 function checkPath(step: Step, path: TargetPath, targetIds: readonly string[], {isUnreached, silentSince}: Suspicion): void {
 	const {now} = step;
 	if (path.lostSince !== undefined || path.silence.since !== undefined || path.servedAt < silentSince) {
-		probeTargets(step, path.takeProbes(targetIds, now));
+		probeTargets(step, path.takeProbes(sortByAnswer(step, targetIds), now));
 	}
 
 	if (isUnreached) {
@@ -211,7 +211,7 @@
 		const targetIds = listReceivingIds(step.state.targets, poolName);
 		const path = targetIds.length > 0 ? findPath(step, poolName) : undefined;
 		if (path !== undefined && step.now - path.servedAt > contactMaxAgeMs) {
-			probeTargets(step, path.takeProbes(targetIds, step.now));
+			probeTargets(step, path.takeProbes(sortByAnswer(step, targetIds), step.now));
 		}
 	}
 }
@@ -223,6 +223,11 @@
 	}
 }
 
+/** Sorts targets by the time of their last response, the latest first: these answer a probe most likely. */
+function sortByAnswer({state: {targets: {byId}}}: Step, targetIds: readonly string[]): string[] {
+	return [...targetIds].sort((a, b) => byId.get(b)!.heardAt - byId.get(a)!.heardAt);
+}
+
 function probeTargets({state, effects}: Step, targetIds: readonly string[]): void {
 	for (const targetId of targetIds) {
 		const {address, pool} = state.targets.byId.get(targetId)!.record;
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -26,7 +26,7 @@
 } from './resolve-request.js';
 import {admitTakeUp, bindVersion} from './reduce-versions.js';
 import {
-	findDecisionWaitEnd, findSendLimitEnd, hasOtherTarget, mayRetry, retryOrFail, trySend,
+	findDecisionWaitEnd, findSendLimitEnd, hasOtherTarget, mayRetry, retryOrFail, tryQueueForPath, trySend, trySettle,
 } from './send-request.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step,
@@ -263,11 +263,17 @@
 		return;
 	}
 
-	send.silenceCount++;
-	if (isDecisionPending(step, request)) {
+	if (request.hasResponseStarted && !send.isRelayed) {
+		recordLostSend(step, send, event.silentSince);
+	}
+
+	if (isDecisionPending(step, request) || trySettleSilence(step, request)) {
+		send.hasDeferredSilence = true;
 		return;
 	}
 
+	send.silenceCount++;
+
 	const canGiveUp = request.unprovedEnd?.isTargetRunning === true || (mayRetry(step, request, true) && hasOtherTarget(step, request));
 	if (isBusy(step, send, event) || !canGiveUp) {
 		return;
@@ -286,6 +292,31 @@
 	return !currentSend!.isRelayed && decisionAt !== undefined && now < decisionAt;
 }
 
+/** Lets the silence of a stream wait once for that of others if no target of its pool has answered since; returns false if it need not wait. */
+function trySettleSilence(step: Step, request: OpenRequest): boolean {
+	const send = request.currentSend!;
+	const path = step.state.paths.get(request.poolName);
+	const isEvidence = path?.lostSince === undefined && path?.silence.findLostSend(send.target.record.id) !== undefined;
+	if (send.isRelayed || send.hasSettled === true || !isEvidence) {
+		return false;
+	}
+
+	send.hasSettled = true;
+	return trySettle(step, request, send.target);
+}
+
+/** Asks for the silences again that were reported while it was not known whether their whole pool is silent. */
+export function reportDeferredSilences(step: Step): void {
+	for (const request of step.state.openRequests.values()) {
+		const {currentSend, settleUntil = Number.NEGATIVE_INFINITY} = request;
+		if (currentSend?.hasDeferredSilence && step.now >= settleUntil && !isDecisionPending(step, request)) {
+			currentSend.hasDeferredSilence = false;
+			request.settleUntil = undefined;
+			step.effects.push({kind: effectKind.reportSilence, sendId: currentSend.sendId});
+		}
+	}
+}
+
 /** Time without an answer after which a send over a lost path is given up, in milliseconds. */
 const lostSendTimeoutMs = 300;
 
@@ -357,10 +388,12 @@
 		return;
 	}
 
-	if (statedOutcomes.has(outcome) || form !== undefined) {
+	if (statedOutcomes.has(outcome)) {
 		recordAnswered(step, send.target);
-	} else if (outcome === sendOutcome.lost) {
-		recordLostSend(step, send);
+	} else if (outcome === sendOutcome.interrupted) {
+		recordLostSend(step, send, step.now);
+	} else if (outcome === sendOutcome.lost && form === undefined) {
+		recordLostSend(step, send, send.sentAt);
 	}
 }
 
@@ -446,6 +479,7 @@
 		case sendOutcome.interrupted: {
 			if (!send.isRelayed) {
 				checkForCrash(step, request, send);
+				trySettle(step, request, send.target);
 			}
 
 			retryOrFail(step, request, createFailure(failureReason.answerLost));
@@ -485,7 +519,13 @@
 /** Sends queued requests for which a target is available now, and refuses requests that were queued too long. */
 export function advanceQueuedRequests(step: Step): void {
 	for (const request of step.state.queuedRequests) {
-		if (!trySend(step, request) && step.now >= request.queuedUntil!) {
+		if (step.now >= request.deadlineAt) {
+			// Ends with its deadline.
+			continue;
+		}
+
+		const isOver = !trySend(step, request) && step.now >= request.queuedUntil!;
+		if (isOver && !(request.hasResponseStarted && tryQueueForPath(step, request))) {
 			finishWithFailure(step, request, createNotRunFailure(step, request, failureReason.noTarget));
 		}
 	}
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -70,6 +70,8 @@
 		return false;
 	}
 
+	request.settleUntil = undefined;
+
 	// Another target would probably not be reached either.
 	const placement = !isLost || request.sendCount === 0 ? findPlacement(step, request, request.triedTargetIds) : undefined;
 	if (placement === undefined) {
@@ -82,19 +84,46 @@
 }
 
 /**
- * Finds the time until which a request that has not been sent waits for the decision whether a pool that is silent
- * has lost its path, so that it is not written into a hole; `undefined` if it need not wait.
+ * Finds the time until which a request that has not been sent, or a stream that has begun, waits for the decision whether
+ * a pool that is silent has lost its path, so that it is not written into a hole; `undefined` if it need not wait.
  */
-export function findDecisionWaitEnd({state, now}: Step, {poolName, possibleRunCount, arrivedAt, deadlineAt}: OpenRequest): number | undefined {
-	const decisionAt = state.paths.get(poolName)?.silenceDecisionAt;
-	if (decisionAt === undefined || possibleRunCount > 0) {
+export function findDecisionWaitEnd({state, now}: Step, request: OpenRequest): number | undefined {
+	const {
+		poolName, possibleRunCount, hasResponseStarted, arrivedAt, deadlineAt, settleUntil = Number.NEGATIVE_INFINITY,
+	} = request;
+	const decisionAt = state.paths.get(poolName)?.silenceDecisionAt ?? Number.NEGATIVE_INFINITY;
+	if (possibleRunCount > 0 && !hasResponseStarted) {
 		return undefined;
 	}
 
-	const waitEnd = Math.min(decisionAt, arrivedAt + ((deadlineAt - arrivedAt) * pathDecisionFraction));
+	const waitEnd = hasResponseStarted
+		? Math.min(Math.max(settleUntil, decisionAt), deadlineAt)
+		: Math.min(decisionAt, arrivedAt + ((deadlineAt - arrivedAt) * pathDecisionFraction));
 	return now < waitEnd ? waitEnd : undefined;
 }
 
+/** Time for which a stream that broke off, or is silent, waits for what happens to streams at other targets, in milliseconds. */
+const settleMs = 25;
+
+/** Lets a stream wait for what happens to others if sends at other targets of the pool wait for answers too; returns false if there are none. */
+export function trySettle({state, now}: Step, request: OpenRequest, {record: {id}}: Target): boolean {
+	const {poolName, hasResponseStarted, silentTargetId, unprovedEnd} = request;
+	if (!hasResponseStarted || silentTargetId !== undefined || unprovedEnd !== undefined) {
+		return false;
+	}
+
+	for (const other of state.openRequests.values()) {
+		const {currentSend} = other;
+		const isWaiting = currentSend === undefined ? other.settleUntil !== undefined : !currentSend.isRelayed && currentSend.target.record.id !== id;
+		if (other !== request && other.poolName === poolName && isWaiting) {
+			request.settleUntil = now + settleMs;
+			return true;
+		}
+	}
+
+	return false;
+}
+
 function removeFromQueue({state}: Step, request: OpenRequest): void {
 	request.queuedUntil = undefined;
 	state.queuedRequests.delete(request);
@@ -322,14 +351,15 @@
 const noTargetIds: ReadonlySet<string> = new Set();
 
 /** Queues a request that may be sent again until it is known whether this instance has lost its path to the pool. */
-function tryQueueForPath(step: Step, request: OpenRequest): boolean {
+export function tryQueueForPath(step: Step, request: OpenRequest): boolean {
 	const {state, now} = step;
-	const {decisionAt} = findPath(step, request.poolName);
-	if (decisionAt === undefined || now >= decisionAt) {
+	const {decisionAt = Number.NEGATIVE_INFINITY} = findPath(step, request.poolName);
+	const waitEnd = findDecisionWaitEnd(step, request);
+	if (waitEnd === undefined && now >= decisionAt) {
 		return false;
 	}
 
-	request.queuedUntil = Math.min(decisionAt, now + ((request.deadlineAt - now) * pathDecisionFraction));
+	request.queuedUntil = waitEnd ?? Math.min(decisionAt, now + ((request.deadlineAt - now) * pathDecisionFraction));
 	state.queuedRequests.add(request);
 	return true;
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -48,6 +48,10 @@
 	readonly runLimit: number;
 	/** Number of times that a timeout of the send has expired. */
 	silenceCount: number;
+	/** True once the silence of a stream has waited for what shows that others are silent too. */
+	hasSettled?: boolean;
+	/** True if a silence was reported while it was not known whether the whole pool is silent: then it is reported again. */
+	hasDeferredSilence?: boolean;
 };
 
 /** Why a request is not sent again. */
@@ -127,6 +131,8 @@
 	/** True if a target's error response is held for the caller. */
 	hasHeldFailure: boolean;
 	lastEventId?: string;
+	/** Time until which a stream that broke off, or is silent, waits for what shows whether streams at other targets do too. */
+	settleUntil?: number;
 	/** Time at which the request is refused if no target may receive it by then; set while it is queued. */
 	queuedUntil?: number;
 };
--- a/packages/dispatch/src/test/silent_pools_test.ts
+++ b/packages/dispatch/src/test/silent_pools_test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	effectKind, eventKind, probeResult, sendOutcome, type ProbeTargetEffect, type Route,
+	effectKind, eventKind, probeResult, responseForm, sendOutcome, type ProbeTargetEffect, type Route, type SendEffect,
 } from '../index.js';
 import {
 	createRoute, createTables, createTablesChange, GatewayFixture, onceRoute, repeatableRoute,
@@ -170,10 +170,13 @@
 const deskIds = ['desk-1', 'desk-2', 'desk-3', 'desk-4'];
 const longOnceRoute = {...onceRoute, timeLimitMs: 8000};
 const longRepeatableRoute = {...repeatableRoute, timeLimitMs: 8000};
+const streamRoute = createRoute({
+	name: 'answer', prefix: '/answer/', canResume: true, targetLimit: 2, timeLimitMs: 8000, splits: [{pool: 'desk', weight: 1}], hasPrompts: false,
+});
 
 /** Loads routes whose time limits leave room for a decision and a retry. */
 function loadLongRoutes(gateway: GatewayFixture): void {
-	gateway.applyChanges(2, [createTablesChange(2, createTables(2, {routes: [longOnceRoute, longRepeatableRoute]}))]);
+	gateway.applyChanges(2, [createTablesChange(2, createTables(2, {routes: [longOnceRoute, longRepeatableRoute, streamRoute]}))]);
 }
 
 // Guards against requests that stay where no answer comes from, and against those that may run once being sent twice.
@@ -310,3 +313,99 @@
 	pool.gateway.advance(25);
 	assert.ok(pool.takeProbes().length > 0);
 });
+
+/** Starts streams at different targets; their first events have arrived. */
+function startStreams(pool: SilentPool, count: number): SendEffect[] {
+	loadLongRoutes(pool.gateway);
+	const sends: SendEffect[] = [];
+	while (new Set(sends.map(({targetId}) => targetId)).size < count) {
+		pool.gateway.receiveRequest(streamRoute);
+		const send = pool.gateway.takeLastSend();
+		pool.gateway.handle({kind: eventKind.answerStarted, openId: send.openId, sendId: send.sendId});
+		sends.push(send);
+	}
+
+	pool.gateway.advance(100);
+	pool.gateway.effects = [];
+	return sends;
+}
+
+function breakOff(pool: SilentPool, {openId, sendId}: SendEffect): void {
+	pool.gateway.handle({
+		kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.interrupted, detail: 'test', lastEventId: '1', form: responseForm.chunks,
+	});
+}
+
+function reportSilence(pool: SilentPool, {openId, sendId}: SendEffect): void {
+	pool.gateway.handle({
+		kind: eventKind.answerSilent, openId, sendId, lastEventId: '1', silentSince: pool.gateway.now - 50,
+	});
+}
+
+// Guards against resumable streams that end broken when all connections of an instance are reset: their resumes went into the same hole (RECOVER).
+test('streams that break off together are not resumed until it is known why, and then at targets or over a peer', () => {
+	for (const isAnswering of [true, false]) {
+		const pool = new SilentPool(deskIds);
+		const sends = startStreams(pool, 3);
+		for (const send of sends) {
+			breakOff(pool, send);
+		}
+
+		assert.deepEqual(pool.gateway.listSends(), []);
+		pool.gateway.advance(50);
+		assert.deepEqual(pool.gateway.listSends(), []);
+		if (isAnswering) {
+			pool.finishProbe(pool.takeProbes()[0]!, probeResult.answered);
+		} else {
+			pool.advance(lossMs);
+		}
+
+		const resumes = pool.gateway.listSends();
+		assert.deepEqual(resumes.map(({openId}) => openId).sort((a, b) => a - b), sends.map(({openId}) => openId).sort((a, b) => a - b));
+		assert.ok(resumes.every(({isRelayed, resumeAfterEventId}) => isRelayed !== isAnswering && resumeAfterEventId === '1'));
+	}
+});
+
+test('a stream that breaks off alone is resumed at once', () => {
+	const pool = new SilentPool(deskIds);
+	const [send] = startStreams(pool, 1);
+	breakOff(pool, send!);
+	assert.equal(pool.gateway.listSends().length, 1);
+});
+
+test('of several streams, one that breaks off or falls silent alone is resumed within two ticks, without a probe', () => {
+	for (const interrupt of [breakOff, reportSilence]) {
+		const pool = new SilentPool(deskIds);
+		const [send] = startStreams(pool, 3);
+		interrupt(pool, send!);
+		assert.deepEqual(pool.gateway.listSends(), []);
+		pool.gateway.advance(50);
+		if (interrupt === reportSilence) {
+			assert.ok(pool.gateway.effects.some(effect => effect.kind === effectKind.reportSilence && effect.sendId === send!.sendId));
+			reportSilence(pool, send!);
+		}
+
+		assert.deepEqual(pool.gateway.listSends().map(({openId}) => openId), [send!.openId]);
+		assert.deepEqual(pool.takeProbes(), []);
+	}
+});
+
+test('streams that fall silent together are given up only when the path is lost, and go on over a peer', () => {
+	const pool = new SilentPool(deskIds);
+	const sends = startStreams(pool, 3);
+	for (const send of sends) {
+		reportSilence(pool, send);
+	}
+
+	pool.advance(lossMs);
+	assert.notEqual(pool.path.lostSince, undefined);
+	assert.deepEqual(pool.gateway.listSends(), []);
+	const reportedIds = pool.gateway.effects.flatMap(effect => effect.kind === effectKind.reportSilence ? [effect.sendId] : []);
+	assert.deepEqual(reportedIds, sends.map(({sendId}) => sendId));
+	for (const send of sends) {
+		reportSilence(pool, send);
+	}
+
+	assert.ok(pool.gateway.listSends().every(({isRelayed}) => isRelayed));
+	assert.equal(pool.gateway.listSends().length, sends.length);
+});
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -5,7 +5,7 @@
  */
 import {
 	effectKind, eventKind, probeResult, sendOutcome, type CallPeerEffect, type Effect, type Event, type FactChange, type PastChange, type PeerMessage,
-	type PlatformHistory, type ProbeTargetEffect, type Route, type SendEffect, type SendOutcome, type TargetReport,
+	type PlatformHistory, type ProbeTargetEffect, type ReportSilenceEffect, type Route, type SendEffect, type SendOutcome, type TargetReport,
 } from '../index.js';
 import {
 	createRandom, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
@@ -473,13 +473,13 @@
 		for (const effect of effects) {
 			if (effect.kind === effectKind.probeTarget) {
 				this.#probeTarget(node, effect);
-			} else {
+			} else if (effect.kind !== effectKind.reportSilence) {
 				this.#execute(node, effect);
 			}
 		}
 	}
 
-	#execute(node: Node, effect: Exclude<Effect, ProbeTargetEffect>): void {
+	#execute(node: Node, effect: Exclude<Effect, ProbeTargetEffect | ReportSilenceEffect>): void {
 		switch (effect.kind) {
 			case effectKind.send: {
 				this.#startRun(node, effect);
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -318,13 +318,19 @@
 
 	#executeEffect(effect: Effect): void {
 		try {
-			this.#dispatchEffect(effect);
+			if (effect.kind === effectKind.checkTarget) {
+				this.#checkTarget(effect);
+			} else if (effect.kind === effectKind.probeTarget) {
+				this.#probeTarget(effect);
+			} else {
+				this.#dispatchEffect(effect);
+			}
 		} catch (error) {
 			this.log.write('error', {event: 'effect-failed', effect: effect.kind, detail: describeError(error)});
 		}
 	}
 
-	#dispatchEffect(effect: Effect): void {
+	#dispatchEffect(effect: Exclude<Effect, CheckTargetEffect | ProbeTargetEffect>): void {
 		switch (effect.kind) {
 			case effectKind.send: {
 				const caller = this.#callers.openExchanges.get(effect.openId);
@@ -341,6 +347,11 @@
 				break;
 			}
 
+			case effectKind.reportSilence: {
+				this.#targets.reportSilence(effect.sendId);
+				break;
+			}
+
 			case effectKind.refuse:
 			case effectKind.deliverHeld:
 			case effectKind.breakOff:
@@ -349,16 +360,6 @@
 				break;
 			}
 
-			case effectKind.checkTarget: {
-				this.#checkTarget(effect);
-				break;
-			}
-
-			case effectKind.probeTarget: {
-				this.#probeTarget(effect);
-				break;
-			}
-
 			case effectKind.callPeer: {
 				void this.#peers.call(effect);
 				break;
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -85,6 +85,11 @@
 		this.#activeExchanges.get(sendId)?.cancel();
 		this.#activeExchanges.delete(sendId);
 	}
+
+	/** Reports again that a send is silent, if it still is. */
+	reportSilence(sendId: number): void {
+		this.#activeExchanges.get(sendId)?.reportSilence();
+	}
 }
 
 type TargetExchangeOptions = TargetClientOptions & {
@@ -212,6 +217,19 @@
 		this.#connection.socket.destroy();
 	}
 
+	/** Reports that there has been no progress within the timeout, unless there was some meanwhile. */
+	reportSilence(): void {
+		const timeoutMs = this.#silenceTimeoutMs;
+		if (!this.#hasEnded && timeoutMs > 0 && this.#silenceTimer !== undefined && this.#options.readClock() - this.#progressAt >= timeoutMs) {
+			this.#emitSilence();
+		}
+	}
+
+	get #silenceTimeoutMs(): number {
+		const {responseStartTimeoutMs, eventGapTimeoutMs} = this.#send;
+		return this.#hasDeliveredEvents ? eventGapTimeoutMs : responseStartTimeoutMs;
+	}
+
 	get #failureOutcome(): SendOutcome {
 		return this.#caller.hasStarted ? sendOutcome.interrupted : sendOutcome.lost;
 	}
@@ -249,23 +267,27 @@
 	}
 
 	#startSilenceTimer(): void {
-		const {responseStartTimeoutMs, eventGapTimeoutMs, openId, sendId} = this.#send;
-		const timeoutMs = this.#hasDeliveredEvents ? eventGapTimeoutMs : responseStartTimeoutMs;
+		const timeoutMs = this.#silenceTimeoutMs;
 		clearInterval(this.#silenceTimer);
 		if (timeoutMs > 0) {
 			this.#silenceTimer = setInterval(() => {
-				this.#options.emit({
-					kind: eventKind.answerSilent,
-					openId,
-					sendId,
-					lastEventId: this.#caller.lastEventId,
-					silentSince: this.#progressAt,
-					targetHeardAt: this.#options.activity.findTime(this.#send.address),
-				});
+				this.#emitSilence();
 			}, timeoutMs);
 		}
 	}
 
+	#emitSilence(): void {
+		const {openId, sendId, address} = this.#send;
+		this.#options.emit({
+			kind: eventKind.answerSilent,
+			openId,
+			sendId,
+			lastEventId: this.#caller.lastEventId,
+			silentSince: this.#progressAt,
+			targetHeardAt: this.#options.activity.findTime(address),
+		});
+	}
+
 	#handleResponse(response: IncomingMessage): void {
 		const {statusCode = 0, headers} = response;
 		this.#response = response;
@@ -490,6 +512,7 @@
 			// While the caller reads too slowly, the target cannot send, so it does not count as silent.
 			body.pause();
 			clearInterval(this.#silenceTimer);
+			this.#silenceTimer = undefined;
 			this.#caller.waitForDrain(() => {
 				if (!this.#hasEnded) {
 					body.resume();
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -170,6 +170,29 @@
 	}
 });
 
+test('a silent send is reported again on request, unless its timeout has not passed since its last event', async () => {
+	let targetSocket: Socket | undefined;
+	await fixture.startTarget((socket, requestId) => {
+		targetSocket = socket;
+		socket.write(createChunkedHead(requestId));
+		writeChunk(socket, 'id: 1\ndata: a\n\n');
+	});
+	const countReports = () => fixture.events.filter(({kind}) => kind === eventKind.answerSilent).length;
+	fixture.startSend({isStream: true, responseStartTimeoutMs: 5000, eventGapTimeoutMs: 1000});
+	while (countReports() === 0) {
+		await fixture.waitForEvent();
+	}
+
+	fixture.client.reportSilence(fixture.nextOpenId - 1);
+	assert.equal(countReports(), 2);
+	writeChunk(targetSocket!, 'id: 2\ndata: b\n\n');
+	await delay(50);
+	fixture.client.reportSilence(fixture.nextOpenId - 1);
+	assert.equal(countReports(), 2);
+	targetSocket!.write('0\r\n\r\n');
+	await fixture.assertOutcome(sendOutcome.complete);
+});
+
 test('a stream that a caller reads slowly is not reported as silent', async () => {
 	await fixture.startTarget((socket, requestId) => {
 		socket.write(createChunkedHead(requestId));
