--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -9,6 +9,7 @@
 export const effectKind = {
 	send: 'send',
 	cancel: 'cancel',
+	reportSilence: 'report-silence',
 	refuse: 'refuse',
 	deliverHeld: 'deliver-held',
 	breakOff: 'break-off',
@@ -69,6 +70,9 @@
 /** Cancel a send and close its connection; no event follows. */
 export type CancelEffect = {readonly kind: typeof effectKind.cancel; readonly openId: number; readonly sendId: number};
 
+/** Report again, as an event, that a send is silent, if it still is. */
+export type ReportSilenceEffect = {readonly kind: typeof effectKind.reportSilence; readonly sendId: number};
+
 /** Respond to the caller with a failure that this instance created. */
 export type RefuseEffect = {
 	readonly kind: typeof effectKind.refuse;
@@ -153,6 +157,6 @@
 export type FinishDrainEffect = {readonly kind: typeof effectKind.finishDrain; readonly isLimitReached: boolean};
 
 export type Effect =
-	| SendEffect | CancelEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect | CheckTargetEffect | ProbeTargetEffect
-	| CallPeerEffect | AnswerPeerEffect | CallStreamPeerEffect | AnswerStreamPeerEffect
+	| SendEffect | CancelEffect | ReportSilenceEffect | RefuseEffect | DeliverHeldEffect | BreakOffEffect | FinishStreamEffect
+	| CheckTargetEffect | ProbeTargetEffect | CallPeerEffect | AnswerPeerEffect | CallStreamPeerEffect | AnswerStreamPeerEffect
 	| WatchEffect | ReadHistoryEffect | RefreshDirectoryEffect | LogEffect | RefuseIncomingEffect | FinishDrainEffect;
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -14,7 +14,7 @@
 import {
 	advanceQueuedRequests, applyAnswerContinued, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applyHoldFailed,
 	applySendEnded, applySendOpened,
-	endTimedOutRequests, retrySilentSends,
+	endTimedOutRequests, reportDeferredSilences, retrySilentSends,
 } from './reduce-requests.js';
 import {applyHistoryRead, updateHistoryRead} from './reduce-history.js';
 import {applyTargetProbed, checkPathsForPeer, updatePaths} from './reduce-paths.js';
@@ -39,6 +39,7 @@
 	} else {
 		applyTargetProbed(step, event);
 		retrySilentSends(step);
+		reportDeferredSilences(step);
 		advanceQueuedRequests(step);
 	}
 }
@@ -120,6 +121,7 @@
 			updateHistoryRead(step);
 			updatePaths(step);
 			retrySilentSends(step);
+			reportDeferredSilences(step);
 			updateQuarantine(step);
 			exchangeStreams(step);
 			advanceTakeUps(step);
