Targets that state that they are brittle get no more rejections than they survive

Cause: nobody read the statement, and a request that one target rejects for want of room was sent to all others at once.

Change: the statement is decoded with the other ones, kept with the named limit of the process (one record, one entry in messages of peers, ended by a later response or with the process), and logged when it changes. The slots of a brittle target, and 0.4 of the rejections that it survives, are divided among the instances into whole ones with owners; an instance that has seen more rejections than it owns sends nothing until the second is over. While nothing in the pool is rejected, only sends of the last 60 ms count. A rejected request is not sent to a brittle target that is as full; it is refused as not run, with a drawn Retry-After. A target that has not responded for a time counts as brittle if others of its pool are. Nothing differs while no target states it.

--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/peer-message.ts
@@ -26,13 +26,15 @@
 	readonly ageMs: number;
 };
 
-/** A limit that a target named in a response, or that it named none any more. */
+/** Limits that a target named in a response, or that it named none any more. */
 export type SharedTargetLimit = {
 	readonly targetId: string;
 	/** Unix time of the target's start in milliseconds. */
 	readonly bornAt: number;
 	/** Requests a second from all instances together; `undefined` if the limit has ended. */
 	readonly requestsPerS?: number;
+	/** Rejections a second that the target survives; `undefined` if it states none. */
+	readonly rejectionsPerS?: number;
 	/** Time since that response, in milliseconds. */
 	readonly ageMs: number;
 };
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/placement.ts
@@ -12,6 +12,7 @@
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked, listFirstRanked} from './ranking.js';
 import {isAwaitingTrial, isUsable, verdict} from './target-health.js';
+import {PoolBrittleness} from './target-room.js';
 import {findStatedLimitsEnd, isWithinStatedLimits, type Target} from './target-state.js';
 
 /**
@@ -62,6 +63,8 @@
 	readonly triedTargetIds: ReadonlySet<string>;
 	/** True if the request can be sent again after a failure. */
 	readonly isRetryable: boolean;
+	/** True if a brittle target has rejected the request. */
+	readonly wasRejected?: boolean;
 };
 
 /** Reason why a request is not sent to the target that ranks first for its prompt. */
@@ -84,7 +87,7 @@
 
 /** Chooses the target of a request; returns `undefined` if no target may receive the request now. */
 export function choosePlacement(view: PlacementView, {
-	requestId, prefix, triedTargetIds, isRetryable,
+	requestId, prefix, triedTargetIds, isRetryable, wasRejected = false,
 }: PlacementRequest, now: number): Placement | undefined {
 	let accepting: Target[] = [];
 	const draining: Target[] = [];
@@ -103,7 +106,13 @@
 	const fitting = view.softwareVersion === undefined ? accepting : accepting.filter(target => isOfVersion(target, view));
 	const healthy = fitting.filter(target => isUsable(target.health, now));
 	const usable = new Set(healthy.length >= Math.max(1, fitting.length * minHealthyFraction) ? healthy : listConnectable(fitting, triedTargetIds, now));
-	let candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasCapacity(view, target, now));
+	const brittleness = new PoolBrittleness(view.targets, view.fleet, now);
+	const load = new PoolLoad(accepting, draining, now);
+	const isWithinLimits = (target: Target) => isWithinStatedLimits(target, view.fleet, now)
+		&& brittleness.mayReject(target)
+		// What one brittle target has rejected would make the next one that is as full reject it too.
+		&& (!wasRejected || load.estimate(target) < target.record.slots || brittleness.findLimit(target) === undefined);
+	let candidates = [...usable].filter(target => !triedTargetIds.has(target.record.id) && hasColdCapacity(view, target, now) && isWithinLimits(target));
 	if (candidates.length === 0) {
 		return undefined;
 	}
@@ -114,7 +123,6 @@
 		candidates = proven.length > 0 ? proven : candidates;
 	}
 
-	const load = new PoolLoad(accepting, draining, now);
 	if (prefix === undefined) {
 		const target = chooseLeastLoaded(view, candidates, load, requestId);
 		return {target, load: load.estimate(target), meanLoad: load.mean};
@@ -136,7 +144,7 @@
 	const preferredSkipReason = sharers.includes(target)
 		? undefined
 		: explainSkip(preferred, {
-			usable, candidates, triedTargetIds, isWithinLimit: isWithinStatedLimits(preferred, view.fleet, now),
+			usable, candidates, triedTargetIds, isWithinLimit: isWithinLimits(preferred),
 		});
 	return {
 		target, load: load.estimate(target), meanLoad: load.mean, preferredSkipReason, sharerCount: sharers.length > 1 ? sharers.length : undefined,
@@ -179,7 +187,7 @@
 	readonly usable: ReadonlySet<Target>;
 	readonly candidates: readonly Target[];
 	readonly triedTargetIds: ReadonlySet<string>;
-	/** False if the target names a limit that allows this instance no further request. */
+	/** False if what the target states allows this instance no further request. */
 	readonly isWithinLimit: boolean;
 };
 
@@ -219,11 +227,6 @@
 	return best.target;
 }
 
-/** True if the target's limits allow this instance another request. */
-function hasCapacity(view: PlacementView, target: Target, now: number): boolean {
-	return hasColdCapacity(view, target, now) && isWithinStatedLimits(target, view.fleet, now);
-}
-
 function hasColdCapacity({pool, fleet, coldBounds}: PlacementView, target: Target, now: number): boolean {
 	if (pool.coldRatePerS === 0) {
 		return true;
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -32,7 +32,9 @@
 	recordLog, type CurrentSend, type OpenRequest, type Step,
 } from './state.js';
 import {verdict, type Verdict} from './target-health.js';
-import {recordStatement, statementKind, type TargetReport} from './target-statements.js';
+import {
+	isBrittle, recordStatement, statementKind, type TargetReport,
+} from './target-statements.js';
 import {recordTargetStatement, type Target} from './target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
@@ -77,6 +79,7 @@
 		triedTargetIds: new Set(),
 		hasResponseStarted: false,
 		hasHeldFailure: false,
+		wasRejectedBrittle: false,
 	};
 	state.openRequests.set(request.openId, request);
 	if (request.isRelayed) {
@@ -219,6 +222,11 @@
 				break;
 			}
 
+			case statementKind.brittle: {
+				recordLog(step, 'target-brittle', {target: id, rejectionsPerS: report.rejectionsPerS ?? 'none'});
+				break;
+			}
+
 			case statementKind.leaving: {
 				recordLog(step, 'target-leaving', {target: id, source: 'response'});
 				break;
@@ -343,6 +351,9 @@
 	endCurrentSend(step, request, verdictByOutcome[event.outcome], event.detail);
 	recordSendFailure(step, send, event.outcome);
 	recordRuns(request, send, event);
+	if (event.outcome === sendOutcome.rejected) {
+		recordRejection(step, request, send);
+	}
 
 	switch (event.outcome) {
 		case sendOutcome.complete: {
@@ -400,6 +411,14 @@
 	}
 }
 
+/** Records that a target rejected the request; a peer counts the rejections of what it relays. */
+function recordRejection({now}: Step, request: OpenRequest, {target, isRelayed}: CurrentSend): void {
+	if (!isRelayed) {
+		target.rejections.record(now);
+		request.wasRejectedBrittle ||= isBrittle(target);
+	}
+}
+
 /** Counts the runs of a send that ended, in place of the one that a current send counts as. A peer that has not told its runs may have used all that it was allowed. */
 function recordRuns(request: OpenRequest, {isRelayed, runLimit}: CurrentSend, {outcome, runCount}: SendEndedEvent): void {
 	const assumedCount = notRunOutcomes.has(outcome) ? 0 : runLimit;
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -110,6 +110,7 @@
 				},
 			triedTargetIds,
 			isRetryable: isRetryable(route),
+			wasRejected: request.wasRejectedBrittle,
 		}, now);
 }
 
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -126,6 +126,8 @@
 	retryObstacle?: RetryObstacle;
 	/** True if a target's error response is held for the caller. */
 	hasHeldFailure: boolean;
+	/** True if a brittle target rejected the request. */
+	wasRejectedBrittle: boolean;
 	lastEventId?: string;
 	/** Time at which the request is refused if no target may receive it by then; set while it is queued. */
 	queuedUntil?: number;
--- a/packages/dispatch/src/lib/target-limits.ts
+++ b/packages/dispatch/src/lib/target-limits.ts
@@ -2,7 +2,8 @@
  * Keeps the fleet from overloading targets that are cold or name a limit in their
  * responses. A target can become cold at any time and reports it late, so the targets of
  * pools with a cold rate are limited at all times: loosely while they count as warm,
- * tightly while they are known to be cold.
+ * tightly while they are known to be cold. A brittle target falls over when it has to
+ * reject too many requests in a second, so the requests that it may reject are limited too.
  *
  * The instances do not coordinate: a limit in whole requests is divided by the number of
  * instances, and the instances that rank first for the target have one request more. If
@@ -50,6 +51,21 @@
 	return computeShare(targetHash, Math.max(1, Math.floor(requestsPerS * namedLimitWindowMs / 1000)), fleet);
 }
 
+/** Fraction of the rejections that a brittle target survives which is used; the rest is for slots that requests of other instances have taken. */
+const usedRejectionsFraction = 0.4;
+/** Mixed into the hash of a target, so that its slots and its rejections have different owners. */
+const slotsHash = hashText('slots');
+
+/** Computes how many rejections a second this instance may receive from a target that survives `rejectionsPerS` of them. */
+export function computeRejectionShare(targetHash: number, rejectionsPerS: number, fleet: FleetView): number {
+	return computeCautiousShare(targetHash, Math.floor(rejectionsPerS * usedRejectionsFraction), fleet);
+}
+
+/** Computes how many of a target's slots belong to this instance. */
+export function computeSlotShare(targetHash: number, slots: number, fleet: FleetView): number {
+	return computeCautiousShare(mixHashes(targetHash, slotsHash), Math.max(1, slots), fleet);
+}
+
 /** Computes the requests per second that this instance may send to a cold target. */
 export function computeColdShare(targetHash: number, ratePerS: number, fleet: FleetView): number {
 	return computeShare(targetHash, Math.max(1, Math.floor(ratePerS * usedColdRateFraction)), fleet);
@@ -65,12 +81,20 @@
 	return Math.max(minWarmShare, Math.floor(total * warmOvercommit / size));
 }
 
-/** Divides `total` requests among the instances. */
-function computeShare(targetHash: number, total: number, fleet: FleetView): number {
+/** Divides `total` requests among the instances, for limits without a margin for members that are missing from the list of this instance. */
+function computeCautiousShare(targetHash: number, total: number, fleet: FleetView): number {
+	return computeShare(targetHash, total, fleet, fleet.size / fleet.memberHashes.length);
+}
+
+/**
+ * Divides `total` requests among the instances. Members that are missing from the list can
+ * make this instance rank too high, but never too low: the limits have a margin for that, or
+ * assume `sizeRatio` instances for each one that is known.
+ */
+function computeShare(targetHash: number, total: number, fleet: FleetView, sizeRatio = 1): number {
 	const base = Math.floor(total / fleet.size);
 	const remainder = total - (base * fleet.size);
-	// Members that are missing from the list can make this instance rank too high, but never too low; both limits have a margin for that.
-	return remainder > 0 && countHigherRanked(targetHash, fleet) < remainder ? base + 1 : base;
+	return remainder > 0 && countHigherRanked(targetHash, fleet) * sizeRatio < remainder ? base + 1 : base;
 }
 
 /** Counts the instances that rank higher than this one for the subject with hash `keyHash`; instances with equal member lists agree on the order. */
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/target-state.ts
@@ -8,9 +8,10 @@
 import {factKind, type FactChange, type TargetRecord} from './directory-facts.js';
 import type {SharedLeavingTarget, SharedTargetLimit, SharedTargetLoad} from './peer-message.js';
 import {SlidingWindow} from './sliding-window.js';
+import {createRejectionWindows} from './target-room.js';
 import {createHealth, type TargetHealth} from './target-health.js';
 import {
-	recordLeaving, recordNamedLimit, recordStatement, TargetStatements, type ProcessStatements, type StatementKind, type TargetReport,
+	recordLeaving, recordNamedLimits, recordStatement, TargetStatements, type ProcessStatements, type StatementKind, type TargetReport,
 } from './target-statements.js';
 
 /** Time by which sends can arrive closer together at the target than they were sent, in milliseconds. */
@@ -39,6 +40,10 @@
 	readonly recentSends: SlidingWindow;
 	/** The sends that count for a limit that the target names, now or later. */
 	readonly recentLimitedSends: SlidingWindow;
+	/** The requests of this instance that the target rejected. */
+	readonly rejections: SlidingWindow;
+	/** The sends that the target may still reject. */
+	readonly undecidedSends: SlidingWindow;
 	/** Time until which the target counts as cold. */
 	coldUntil: number;
 	/** True if the target receives no new requests, because it is leaving or no longer registered. */
@@ -157,6 +162,7 @@
 		heardAt: Number.NEGATIVE_INFINITY,
 		recentSends: new SlidingWindow(sendWindowMs),
 		recentLimitedSends: new SlidingWindow(namedLimitWindowMs + arrivalSpreadMs),
+		...createRejectionWindows(),
 		coldUntil: now + record.coldMs,
 		isGone: isLeaving({record, statements}),
 		isRegistered: true,
@@ -224,6 +230,7 @@
 	target.inFlight++;
 	target.recentSends.record(now);
 	target.recentLimitedSends.record(now);
+	target.undecidedSends.record(now);
 	if (target.health.isOnProbation) {
 		target.health.hasTrialInFlight = true;
 	}
@@ -290,11 +297,11 @@
 /** Applies the limits of a peer's message that are newer than the known ones; their ages are subtracted from `messageCreatedAt`. */
 export function applyNamedLimits({byId}: TargetState, limits: readonly SharedTargetLimit[], messageCreatedAt: number): void {
 	for (const {
-		targetId, bornAt, requestsPerS, ageMs,
+		targetId, bornAt, requestsPerS, rejectionsPerS, ageMs,
 	} of limits) {
 		const target = byId.get(targetId);
 		if (target?.record.bornAt === bornAt) {
-			recordNamedLimit(target.statements, {requestsPerS, at: messageCreatedAt - ageMs});
+			recordNamedLimits(target.statements, {requestsPerS, rejectionsPerS, at: messageCreatedAt - ageMs});
 		}
 	}
 }
--- a/packages/dispatch/src/lib/target-statements.ts
+++ b/packages/dispatch/src/lib/target-statements.ts
@@ -1,6 +1,6 @@
 /**
  * What the processes of targets state about themselves in their responses: how many
- * requests a second they take, that they leave, and for how long this instance shall send
+ * requests a second they take and survive rejecting, that they leave, and for how long this instance shall send
  * them nothing. A statement belongs to one process and ends with it; a process that
  * starts under the same id has stated nothing.
  *
@@ -16,6 +16,8 @@
 	readonly load?: number;
 	/** Number of requests a second that the target takes from all instances together; `undefined` if it sets no limit. */
 	readonly requestsPerS?: number;
+	/** Number of requests a second that the target survives rejecting, from all instances together; `undefined` if it states none. */
+	readonly rejectionsPerS?: number;
 	/** True if the process is about to end and wants no new requests. */
 	readonly isLeaving?: boolean;
 	/** Time for which the target wants no requests from this instance, in milliseconds. */
@@ -34,12 +36,14 @@
 	readonly process?: ProcessId;
 };
 
-/** The limit on requests that a target named in its latest response. */
+/** The limits that a target named in its latest response. */
 type NamedLimit = {
 	/** Time of that response. */
 	readonly at: number;
 	/** Requests a second from all instances together; `undefined` if the target named no limit. */
 	readonly requestsPerS?: number;
+	/** Rejections a second that the target survives; `undefined` if it stated none. */
+	readonly rejectionsPerS?: number;
 	/** Time of the latest response that named a limit. */
 	readonly limitedAt: number;
 };
@@ -53,7 +57,9 @@
 	pausedUntil: number;
 };
 
-export const statementKind = {limit: 'limit', leaving: 'leaving', pause: 'pause'} as const;
+export const statementKind = {
+	limit: 'limit', brittle: 'brittle', leaving: 'leaving', pause: 'pause',
+} as const;
 export type StatementKind = typeof statementKind[keyof typeof statementKind];
 
 /** Longest time for which a target may keep this instance from sending, in milliseconds. */
@@ -89,7 +95,8 @@
 		for (const {process, statements: {limit}} of this.#byProcess.values()) {
 			if (limit !== undefined && now - limit.limitedAt <= sharedLimitMaxAgeMs) {
 				limits.push({
-					targetId: process.id, bornAt: process.bornAt, requestsPerS: limit.requestsPerS, ageMs: Math.round(now - limit.at),
+					targetId: process.id, bornAt: process.bornAt,
+					requestsPerS: limit.requestsPerS, rejectionsPerS: limit.rejectionsPerS, ageMs: Math.round(now - limit.at),
 				});
 			}
 		}
@@ -111,11 +118,9 @@
 }
 
 /** Records what a response stated; returns the kinds of statements that changed. */
-export function recordStatement(statements: ProcessStatements, {requestsPerS, isLeaving, pauseMs, at}: TargetReport): StatementKind[] {
-	const changed: StatementKind[] = [];
-	if (recordNamedLimit(statements, {requestsPerS, at})) {
-		changed.push(statementKind.limit);
-	}
+export function recordStatement(statements: ProcessStatements, report: TargetReport): StatementKind[] {
+	const {isLeaving, pauseMs, at} = report;
+	const changed = recordNamedLimits(statements, report);
 
 	if (isLeaving && recordLeaving(statements, at)) {
 		changed.push(statementKind.leaving);
@@ -129,15 +134,27 @@
 	return changed;
 }
 
-/** Records the limit that a response at time `at` named, or that it named none; returns true if that changes the known limit. */
-export function recordNamedLimit(statements: ProcessStatements, {requestsPerS, at}: {readonly requestsPerS?: number; readonly at: number}): boolean {
+/** Records the limits that a response at time `at` named, or that it named none; returns the kinds that change. */
+export function recordNamedLimits(statements: ProcessStatements, {requestsPerS, rejectionsPerS, at}: Omit<NamedLimit, 'limitedAt'>): StatementKind[] {
 	const known = statements.limit;
 	if (known !== undefined && at <= known.at) {
-		return false;
+		return [];
 	}
 
-	statements.limit = {at, requestsPerS, limitedAt: requestsPerS === undefined ? known?.limitedAt ?? Number.NEGATIVE_INFINITY : at};
-	return known?.requestsPerS !== requestsPerS;
+	const isNamed = requestsPerS !== undefined || rejectionsPerS !== undefined;
+	statements.limit = {
+		at, requestsPerS, rejectionsPerS, limitedAt: isNamed ? at : known?.limitedAt ?? Number.NEGATIVE_INFINITY,
+	};
+	const changed: StatementKind[] = [];
+	if (known?.requestsPerS !== requestsPerS) {
+		changed.push(statementKind.limit);
+	}
+
+	if (known?.rejectionsPerS !== rejectionsPerS) {
+		changed.push(statementKind.brittle);
+	}
+
+	return changed;
 }
 
 /** Records that a process stated at time `at` that it leaves; returns false if that is known. */
@@ -149,3 +166,8 @@
 	statements.leavingSince = at;
 	return true;
 }
+
+/** True if the target's latest response stated that it falls over when it rejects too many requests. */
+export function isBrittle({statements: {limit}}: {readonly statements: ProcessStatements}): boolean {
+	return limit?.rejectionsPerS !== undefined;
+}
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -5,7 +5,7 @@
  */
 import {
 	effectKind, eventKind, sendOutcome, type CallPeerEffect, type Effect, type Event, type FactChange, type PastChange, type PeerMessage,
-	type PlatformHistory, type Route, type SendEffect, type SendOutcome, type TargetReport,
+	type PlatformHistory, type Route, type SendEffect, type SendOutcome, type Tables, type TargetReport,
 } from '../index.js';
 import {
 	createRandom, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
@@ -36,6 +36,17 @@
 	readonly callLoss?: number;
 	/** Name of the engines, without their number; it decides their pool (`createTargetRecord`). */
 	readonly engineName?: string;
+	readonly tables?: Tables;
+	/** Room of the engines; without it, they run all requests at once. */
+	readonly engineRoom?: EngineRoom;
+};
+
+/** Room of an engine that rejects the requests that find none. */
+export type EngineRoom = {
+	/** Number of requests that run at the same time. */
+	readonly slots: number;
+	/** Shortest duration of a run and its random addition, in milliseconds. */
+	readonly runMs: {readonly min: number; readonly extra: number};
 };
 
 /** How an instance is cut off from all engines. */
@@ -72,6 +83,8 @@
 	readonly startedAt: number;
 	endedAt: number;
 	removedAt: number;
+	/** Times of the rejections of the last second. */
+	rejectedAt: number[];
 };
 
 type Run = {
@@ -82,8 +95,10 @@
 	readonly engine: Engine;
 	readonly prompt: readonly string[];
 	readonly fingerprint: string;
-	readonly beginsAt: number;
-	readonly endsAt: number;
+	beginsAt: number;
+	endsAt: number;
+	/** Time at which the engine started to work on the request; `undefined` while it waits for a slot. */
+	startedAt?: number;
 	hasBegun: boolean;
 };
 
@@ -159,6 +174,17 @@
 	readonly engineLimits = new Map<string, number>();
 	/** Times at which processes of instances first passed on a response that named a limit, by instance and engine. */
 	readonly limitHeardAt = new Map<string, number>();
+	/** Number of requests that engines with limited room let wait for a slot. */
+	queueLimit = Number.POSITIVE_INFINITY;
+	/** Rejections in a second that engines survive, as they state in their responses; `undefined` while they state none. */
+	rejectionLimit?: number;
+	/** True while engines with more rejections in a second than they state fall over. */
+	canFall = false;
+	/** Times at which engines fell over. */
+	readonly falls: number[] = [];
+	rejectionCount = 0;
+	/** Completed runs: their ends, and the time for which they took a slot, in milliseconds. */
+	readonly completions: Array<{readonly at: number; readonly slotMs: number}> = [];
 	/** Prompt part that crashes each engine that begins to respond to it. */
 	crashingPart?: string;
 	/** Requests that crash each engine that begins to run them. */
@@ -182,7 +208,7 @@
 	constructor(options: FleetOptions) {
 		this.#options = options;
 		this.random = createRandom(options.seed);
-		this.#history.push(createTablesChange(1, createTables()));
+		this.#history.push(createTablesChange(1, options.tables ?? createTables()));
 		for (let index = 0; index < options.engineCount; index++) {
 			this.addEngine();
 		}
@@ -300,12 +326,12 @@
 		const number = this.#nextEngineNumber++;
 		const engine = {
 			id: `${this.#options.engineName ?? 'engine'}-${number}`, address: `10.0.0.${number}:80`, zone: zones[number % zones.length]!, isRunning: true,
-			softwareVersion: this.softwareVersion, startedAt: this.now, endedAt: Number.POSITIVE_INFINITY, removedAt: Number.POSITIVE_INFINITY,
+			softwareVersion: this.softwareVersion, startedAt: this.now, endedAt: Number.POSITIVE_INFINITY, removedAt: Number.POSITIVE_INFINITY, rejectedAt: [],
 		};
 		this.#engines.set(engine.id, engine);
 		this.#allEngines.push(engine);
 		this.#history.push(createTargetChange(this.#history.length + 1, createTargetRecord(engine.id, {
-			address: engine.address, zone: engine.zone, softwareVersion: this.softwareVersion,
+			address: engine.address, zone: engine.zone, softwareVersion: this.softwareVersion, slots: this.#options.engineRoom?.slots ?? 96,
 		})));
 	}
 
@@ -377,7 +403,47 @@
 		}
 	}
 
+	/** Starts to work on waiting requests for which a slot is free. */
+	#startWaitingRuns(): void {
+		const {engineRoom} = this.#options;
+		const busySlots = new Map<Engine, number>();
+		for (const {engine} of this.#runs.filter(({startedAt}) => startedAt !== undefined)) {
+			busySlots.set(engine, (busySlots.get(engine) ?? 0) + 1);
+		}
+
+		for (const run of this.#runs) {
+			const busy = busySlots.get(run.engine) ?? 0;
+			if (engineRoom !== undefined && run.startedAt === undefined && busy < engineRoom.slots) {
+				busySlots.set(run.engine, busy + 1);
+				run.startedAt = this.now;
+				run.beginsAt = this.now + engineRoom.runMs.min + (this.random() * engineRoom.runMs.extra);
+				run.endsAt = run.beginsAt;
+			}
+		}
+	}
+
+	/** Rejects a request for want of room; an engine that rejects too many falls over. */
+	#reject({node, gateway, send: {openId, sendId}, engine}: Run): void {
+		this.rejectionCount++;
+		engine.rejectedAt = [...engine.rejectedAt.filter(at => this.now - at < 1000), this.now];
+		if (this.canFall && engine.rejectedAt.length > this.rejectionLimit!) {
+			this.falls.push(this.now);
+			this.#crash(engine);
+			this.#handle({node, gateway}, {
+				kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.lost, detail: 'simulated',
+			});
+			return;
+		}
+
+		const load = this.#runs.filter(other => other.engine === engine).length;
+		this.#handle({node, gateway}, {
+			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.rejected, detail: 'simulated',
+			targetReport: {load, rejectionsPerS: this.rejectionLimit, at: this.now},
+		});
+	}
+
 	#advanceRuns(): void {
+		this.#startWaitingRuns();
 		for (const run of this.#runs) {
 			if (!this.#runs.includes(run)) {
 				continue;
@@ -420,12 +486,18 @@
 			this.limitHeardAt.set(key, Math.max(this.now, node.pausedUntil));
 		}
 
-		return {load: this.#runs.filter(other => other.engine === engine).length, requestsPerS, at: this.now};
+		return {
+			load: this.#runs.filter(other => other.engine === engine).length, requestsPerS, rejectionsPerS: this.rejectionLimit, at: this.now,
+		};
 	}
 
 	#endRun(run: Run, outcome: typeof sendOutcome[keyof typeof sendOutcome]): void {
 		this.#runs = this.#runs.filter(other => other !== run);
 		const {openId, sendId} = run.send;
+		if (outcome === sendOutcome.complete && run.startedAt !== undefined) {
+			this.completions.push({at: this.now, slotMs: this.now - run.startedAt});
+		}
+
 		this.#handle(run, {
 			kind: eventKind.sendEnded, openId, sendId, outcome, detail: 'simulated', ...(this.#isResumable(run) && {lastEventId: '1'}),
 		});
@@ -670,9 +742,12 @@
 		const engine = this.#engines.get(send.targetId);
 		const {promptParts, fingerprint} = gateway.state.openRequests.get(send.openId)!;
 		const prompt = promptParts.map(({id}) => id);
-		const beginsAt = this.now + beginMs.min + (this.random() * beginMs.extra);
+		const {engineRoom} = this.#options;
+		// An engine with limited room draws the times when a slot is free.
+		const beginsAt = engineRoom === undefined ? this.now + beginMs.min + (this.random() * beginMs.extra) : Number.POSITIVE_INFINITY;
 		const run: Run = {
 			node, gateway, send, engine: engine!, prompt, fingerprint, beginsAt, endsAt: beginsAt + endMs.min + (this.random() * endMs.extra), hasBegun: false,
+			...(engineRoom === undefined && {startedAt: this.now}),
 		};
 		const cut = findCut(node, send.targetId);
 		if (cut === cutMode.silent) {
@@ -695,11 +770,16 @@
 			request.arrivalCount++;
 		}
 
+		const load = this.#runs.filter(other => other.engine === engine).length;
 		this.arrivals.push({
 			at: this.now, engineId: engine.id, prompt, fingerprint, sender: node.address, senderRunningSince: node.runningSince,
-			load: this.#runs.filter(other => other.engine === engine).length, meanLoad: this.#runs.length / this.listEngineIds().length,
+			load, meanLoad: this.#runs.length / this.listEngineIds().length,
 		});
-		this.#runs.push(run);
+		if (engineRoom !== undefined && load >= engineRoom.slots + this.queueLimit) {
+			this.#reject(run);
+		} else {
+			this.#runs.push(run);
+		}
 	}
 
 	#callPeer(node: Node, {address, message}: CallPeerEffect): void {
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -91,7 +91,7 @@
 	directoryAgeMs: createOptionalCheck(isNumber),
 	loads: createListCheck(createObjectCheck({targetId: isString, load: isNumber, ageMs: isNumber})),
 	limits: createOptionalCheck(createListCheck(createObjectCheck({
-		targetId: isString, bornAt: isNumber, requestsPerS: createOptionalCheck(isNumber), ageMs: isNumber,
+		targetId: isString, bornAt: isNumber, requestsPerS: createOptionalCheck(isNumber), rejectionsPerS: createOptionalCheck(isNumber), ageMs: isNumber,
 	}))),
 	leaving: createOptionalCheck(createListCheck(createObjectCheck({targetId: isString, bornAt: isNumber, ageMs: isNumber}))),
 	readings: createListCheck(createObjectCheck({
