--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -33,7 +33,9 @@
 } from './state.js';
 import {verdict, type Verdict} from './target-health.js';
 import {pathState} from './target-paths.js';
-import {recordStatement, statementKind, type TargetReport} from './target-statements.js';
+import {
+	isBrittle, recordStatement, statementKind, type TargetReport,
+} from './target-statements.js';
 import {recordTargetStatement, type Target} from './target-state.js';
 
 /** Time by which the failure is sent before the caller's deadline, in milliseconds. */
@@ -79,6 +81,7 @@
 		triedTargetIds: new Set(),
 		hasResponseStarted: false,
 		hasHeldFailure: false,
+		wasRejectedBrittle: false,
 	};
 	state.openRequests.set(request.openId, request);
 	if (request.isRelayed) {
@@ -206,6 +209,11 @@
 				break;
 			}
 
+			case statementKind.brittle: {
+				recordLog(step, 'target-brittle', {target: id, rejectionsPerS: report.rejectionsPerS ?? 'none'});
+				break;
+			}
+
 			case statementKind.leaving: {
 				recordLog(step, 'target-leaving', {target: id, source: 'response'});
 				break;
@@ -415,6 +423,9 @@
 	recordPathEvidence(step, send, event);
 	recordSendFailure(step, send, event.outcome);
 	recordRuns(request, send, event);
+	if (event.outcome === sendOutcome.rejected) {
+		recordRejection(step, request, send);
+	}
 
 	switch (event.outcome) {
 		case sendOutcome.complete: {
@@ -473,6 +484,14 @@
 	}
 }
 
+/** Records that a target rejected the request; a peer counts the rejections of what it relays. */
+function recordRejection({now}: Step, request: OpenRequest, {target, isRelayed}: CurrentSend): void {
+	if (!isRelayed) {
+		target.rejections.record(now);
+		request.wasRejectedBrittle ||= isBrittle(target);
+	}
+}
+
 /** Counts the runs of a send that ended, in place of the one that a current send counts as. A peer that has not told its runs may have used all that it was allowed. */
 function recordRuns(request: OpenRequest, {isRelayed, runLimit}: CurrentSend, {outcome, runCount}: SendEndedEvent): void {
 	const assumedCount = notRunOutcomes.has(outcome) ? 0 : runLimit;
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -131,6 +131,8 @@
 	retryObstacle?: RetryObstacle;
 	/** True if a target's error response is held for the caller. */
 	hasHeldFailure: boolean;
+	/** True if a brittle target rejected the request. */
+	wasRejectedBrittle: boolean;
 	lastEventId?: string;
 	/** Identifier of the last event that the caller has, if it takes up a stream. */
 	readonly takesUpAfterEventId?: string;
