The relay of tests silences links for single callers, also one way

A link could be cut for the connections of one process only; now any state can be set for it. The new state lets what callers send pass and holds back what the other side sends, until the link is up again. The test of cuts for one process uses the new method; its checks are as before.

--- a/packages/load/src/lib/tcp-relay.ts
+++ b/packages/load/src/lib/tcp-relay.ts
@@ -16,11 +16,16 @@
 	cut: 'cut',
 	/** Connections stay open, but no data passes; it is delivered once the link is up again. */
 	silent: 'silent',
+	/** As `silent`, for what the upstream port sends only: what callers send arrives there. */
+	oneWay: 'one-way',
 } as const;
 export type LinkState = typeof linkState[keyof typeof linkState];
 
-/** Decides by the port of a caller whether the link is cut for it. */
-export type CallerFilter = (port: number) => Promise<boolean>;
+/** Selects the state of the link for one caller, by its port. */
+export type StateSelector = (port: number) => Promise<LinkState>;
+
+/** A relayed connection; it has no upstream socket until the state for its caller is selected. */
+type RelayedConnection = {readonly caller: Socket; upstream?: Socket; state: LinkState};
 
 /** Relays TCP connections to one port on loopback, the upstream port. */
 export class TcpRelay {
@@ -35,9 +40,8 @@
 	readonly #upstreamPort: number;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
-	/** Sockets of the callers. */
-	readonly #callers = new Set<Socket>();
-	#isCutFor: CallerFilter | undefined;
+	readonly #connections = new Set<RelayedConnection>();
+	#selectState: StateSelector | undefined;
 
 	readonly #closesWithUpstream: boolean;
 
@@ -68,19 +72,18 @@
 			return;
 		}
 
-		for (const socket of this.#sockets) {
-			if (state === linkState.silent) {
-				socket.pause();
-			} else {
-				socket.resume();
-			}
+		for (const connection of this.#connections) {
+			this.#updateFlow(connection);
 		}
 	}
 
-	/** Cuts the link for some callers only, or for none with `undefined`. */
-	async setCutFor(isCutFor: CallerFilter | undefined): Promise<void> {
-		this.#isCutFor = isCutFor;
-		await Promise.all([...this.#callers].map(async socket => this.#cutIfChosen(socket)));
+	/** Sets the state for each caller while the link itself is up, or the same for all with `undefined`. */
+	async setStateFor(selectState: StateSelector | undefined): Promise<void> {
+		this.#selectState = selectState;
+		await Promise.all([...this.#connections].map(async connection => {
+			await this.#updateState(connection);
+			this.#updateFlow(connection);
+		}));
 	}
 
 	async close(): Promise<void> {
@@ -90,27 +93,50 @@
 		});
 	}
 
-	async #cutIfChosen(socket: Socket): Promise<void> {
-		const {remotePort} = socket;
-		if (remotePort !== undefined && await this.#isCutFor?.(remotePort) === true) {
-			socket.resetAndDestroy();
+	/** Selects the state for the caller of a connection, and resets the connection if it is cut. */
+	async #updateState(connection: RelayedConnection): Promise<void> {
+		const {remotePort} = connection.caller;
+		const selectState = this.#selectState;
+		const state = remotePort === undefined ? undefined : await selectState?.(remotePort);
+		if (selectState !== this.#selectState) {
+			// The states have changed meanwhile.
+			await this.#updateState(connection);
+			return;
+		}
+
+		connection.state = state ?? linkState.up;
+		if (state === linkState.cut) {
+			connection.caller.resetAndDestroy();
 		}
 	}
 
+	/** Pauses or resumes both sides of a connection. */
+	#updateFlow({caller, upstream, state: callerState}: RelayedConnection): void {
+		if (upstream === undefined) {
+			// Nothing reads the caller's data yet.
+			return;
+		}
+
+		const state = this.#state === linkState.up ? callerState : this.#state;
+		setPaused(caller, state === linkState.silent);
+		setPaused(upstream, state === linkState.silent || state === linkState.oneWay);
+	}
+
 	async #accept(socket: Socket): Promise<void> {
 		socket.on('error', () => {
 			// The socket is closed, and so is its counterpart.
 		});
-		await this.#cutIfChosen(socket);
+		const connection: RelayedConnection = {caller: socket, state: linkState.up};
+		this.#connections.add(connection);
+		socket.once('close', () => {
+			this.#connections.delete(connection);
+		});
+		await this.#updateState(connection);
 		if (this.#state === linkState.cut || socket.destroyed) {
 			socket.destroy();
 			return;
 		}
 
-		this.#callers.add(socket);
-		socket.once('close', () => {
-			this.#callers.delete(socket);
-		});
 		this.connectionCount++;
 		const upstream = connect({port: this.#upstreamPort, host: loopbackHost});
 		this.#pipe(socket, upstream, byteCount => {
@@ -119,6 +145,8 @@
 		this.#pipe(upstream, socket, byteCount => {
 			this.bytesOut += byteCount;
 		});
+		connection.upstream = upstream;
+		this.#updateFlow(connection);
 	}
 
 	#pipe(from: Socket, to: Socket, onBytes: (byteCount: number) => void): void {
@@ -152,9 +180,6 @@
 				to.destroySoon();
 			}
 		});
-		if (this.#state === linkState.silent) {
-			from.pause();
-		}
 	}
 
 	/** Listens no longer if the upstream port refuses connections. */
@@ -184,3 +209,11 @@
 		}
 	}
 }
+
+function setPaused(socket: Socket, isPaused: boolean): void {
+	if (isPaused) {
+		socket.pause();
+	} else {
+		socket.resume();
+	}
+}
--- a/packages/load/src/test/tcp-relay_test.ts
+++ b/packages/load/src/test/tcp-relay_test.ts
@@ -5,6 +5,9 @@
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
 import {request} from 'undici';
 import {createServer as createHttpServer} from 'node:http';
@@ -153,20 +156,20 @@
 
 	try {
 		const kept = await open();
-		await relay.setCutFor(async () => false);
+		await relay.setStateFor(async () => linkState.up);
 		const allowed = await open();
 		assert.ok(!kept.destroyed && !allowed.destroyed);
 		const closed = new Promise(resolve => {
 			kept.once('close', resolve);
 		});
-		await relay.setCutFor(async port => {
+		await relay.setStateFor(async port => {
 			const ports = await listLocalPorts(process.pid);
-			return ports.has(port);
+			return ports.has(port) ? linkState.cut : linkState.up;
 		});
 		await closed;
 		const refused = await open();
 		assert.ok(refused.destroyed && refused.bytesRead === 0);
-		await relay.setCutFor(undefined);
+		await relay.setStateFor(undefined);
 		const restored = await open();
 		assert.equal(restored.bytesRead, 5);
 		restored.destroy();
@@ -176,6 +179,68 @@
 	}
 });
 
+void test('a relay silences the link for one caller, both ways or only towards it, and delivers what it held back', async () => {
+	const received: string[] = [];
+	const server = createServer(socket => {
+		socket.on('data', data => {
+			received.push(String(data));
+			socket.write(`echo of ${String(data)}`);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const relay = new TcpRelay((server.address() as AddressInfo).port);
+	await relay.listen();
+	const open = async () => {
+		const socket = connect({port: Number(relay.address.split(':')[1]), host: '127.0.0.1'});
+		await once(socket, 'connect');
+		return socket;
+	};
+
+	const sockets: Socket[] = [];
+	try {
+		const kept = await open();
+		sockets.push(kept, await open());
+		const {localPort} = kept;
+		for (const [state, arrives] of [[linkState.silent, false], [linkState.oneWay, true]] as const) {
+			const answers: string[] = [];
+			kept.on('data', data => {
+				answers.push(String(data));
+			});
+			received.length = 0;
+			await relay.setStateFor(async port => port === localPort ? state : linkState.up);
+			kept.write(state);
+			sockets[1]!.write('other');
+			await once(sockets[1]!, 'data');
+			await delay(50);
+			assert.deepEqual([received.includes(state), answers], [arrives, []]);
+			const answer = once(kept, 'data');
+			await relay.setStateFor(undefined);
+			await answer;
+			assert.deepEqual([received.includes(state), answers], [true, [`echo of ${state}`]]);
+			kept.removeAllListeners('data');
+		}
+
+		await relay.setStateFor(async () => linkState.silent);
+		const silenced = await open();
+		sockets.push(silenced);
+		silenced.write('new');
+		await delay(50);
+		assert.ok(!received.includes('new'));
+		const answer = once(silenced, 'data');
+		await relay.setStateFor(undefined);
+		assert.deepEqual(await answer, [Buffer.from('echo of new')]);
+	} finally {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		await relay.close();
+		server.close();
+	}
+});
+
 // Guards against soaks in which a worker that was killed looks as if it still listened.
 void test('a relay that closes with its upstream refuses connections before it passes on the end that the process left', async () => {
 	const sockets: Socket[] = [];
