A timer that fires early does not hide a silence that is reported again; a function name follows the style

The new test of target-client_test failed twice in eight runs: the timer of a silence fired less than 1 ms early, so that the silence did not count when it was asked for again.

--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -306,7 +306,7 @@
 }
 
 /** Asks for the silences again that were reported while it was not known whether their whole pool is silent. */
-export function reportDeferredSilences(step: Step): void {
+export function requestDeferredSilences(step: Step): void {
 	for (const request of step.state.openRequests.values()) {
 		const {currentSend, settleUntil = Number.NEGATIVE_INFINITY} = request;
 		if (currentSend?.hasDeferredSilence && step.now >= settleUntil && !isDecisionPending(step, request)) {
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -13,7 +13,7 @@
 import {
 	advanceQueuedRequests, applyAnswerContinued, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applyHoldFailed,
 	applySendEnded, applySendOpened,
-	endTimedOutRequests, reportDeferredSilences, retrySilentSends,
+	endTimedOutRequests, requestDeferredSilences, retrySilentSends,
 } from './reduce-requests.js';
 import {applyHistoryRead, updateHistoryRead} from './reduce-history.js';
 import {applyTargetProbed, checkPathsForPeer, updatePaths} from './reduce-paths.js';
@@ -42,7 +42,7 @@
 	} else {
 		applyTargetProbed(step, event);
 		retrySilentSends(step);
-		reportDeferredSilences(step);
+		requestDeferredSilences(step);
 		advanceQueuedRequests(step);
 	}
 }
@@ -145,7 +145,7 @@
 			updateHistoryRead(step);
 			updatePaths(step);
 			retrySilentSends(step);
-			reportDeferredSilences(step);
+			requestDeferredSilences(step);
 			updateQuarantine(step);
 			advanceQueuedRequests(step);
 			endTimedOutRequests(step);
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -26,6 +26,8 @@
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
 const connectTimeoutMs = 300;
+/** Time by which a timer may fire too early, in milliseconds. */
+const timerMarginMs = 1;
 /** Largest event of a stream, with the comments before it, in bytes. */
 const maxEventBytes = 1024 * 1024;
 /** Largest number of parts of a buffered response, and of an event with the comments before it: each part costs time, however small it is. */
@@ -220,7 +222,7 @@
 	/** Reports that there has been no progress within the timeout, unless there was some meanwhile. */
 	reportSilence(): void {
 		const timeoutMs = this.#silenceTimeoutMs;
-		if (!this.#hasEnded && timeoutMs > 0 && this.#silenceTimer !== undefined && this.#options.readClock() - this.#progressAt >= timeoutMs) {
+		if (!this.#hasEnded && timeoutMs > 0 && this.#silenceTimer !== undefined && this.#options.readClock() - this.#progressAt >= timeoutMs - timerMarginMs) {
 			this.#emitSilence();
 		}
 	}
