--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -135,6 +135,8 @@
 /** Applies an update; returns whether the directory contains all changes up to `confirmedAt` now. */
 export function applyDirectoryUpdate(step: Step, update: DirectoryUpdate, confirmedAt: number, source: string): boolean {
 	const {state, now} = step;
+	const isGapless = source === platformSource && update.since > 0 && update.since <= state.directory.revision;
+	const mayHideVersions = !isGapless && mayHideTargets(state, update, now);
 	const {
 		changes, renewals, ignored, endedEpoch, hasGap,
 	} = applyUpdate(state.directory, update, {confirmedAt, now}, {
@@ -153,10 +155,28 @@
 	}
 
 	applyTargetRenewals(state.targets, renewals, now);
-	applyChanges(step, changes, source);
+	// What the platform wrote one after another held one after another.
+	for (const batch of isGapless ? changes.map(change => [change]) : [changes]) {
+		applyChanges(step, batch, source);
+	}
+
+	if (mayHideVersions && changes.some(({subject}) => subject !== tablesSubject)) {
+		recordLog(step, 'versions-interrupted', {source, revision: state.directory.revision});
+		state.versionHistory.recordInterruption(now);
+		state.nextVersionQueryAt = now;
+		state.versionQueryCount = 0;
+	}
+
 	return !hasGap;
 }
 
+/** True if targets may have joined and left since the directory was last confirmed that the update does not contain. */
+function mayHideTargets({directory, timing}: State, {changes}: DirectoryUpdate, now: number): boolean {
+	const {confirmedAt, facts} = directory;
+	return confirmedAt !== undefined
+		&& (now - confirmedAt > timing.extraWatchersAgeMs || changes.some(({subject, fact}) => fact === undefined && !facts.has(subject)));
+}
+
 function applyChanges(step: Step, changes: readonly FactChange[], source: string): void {
 	const {state, now} = step;
 	if (changes.length === 0) {
--- a/packages/dispatch/src/lib/version-history.ts
+++ b/packages/dispatch/src/lib/version-history.ts
@@ -62,6 +62,13 @@
 		dropOldStates(history, now);
 	}
 
+	/** Records that states before `now` may be missing. */
+	recordInterruption(now: number): void {
+		for (const history of this.#byPool.values()) {
+			history.knownSince = now;
+		}
+	}
+
 	/** Lists every state of the pool that may have held since `since`; `undefined` if what is known does not reach back that far. */
 	listCounts(poolName: string, since: number): readonly VersionCounts[] | undefined {
 		const history = this.#byPool.get(poolName);
