--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/reduce-fleet.ts
@@ -391,7 +391,7 @@
 	applyPeerDirectory(step, message, messageCreatedAt);
 	// Pools have to be known first.
 	if (message.versions !== undefined && directoryAgeMs !== undefined && isMember(state.members, message.from)) {
-		state.versionHistory.applyShared(message.versions, directoryAgeMs, now);
+		state.versionHistory.applyShared(message.versions, directoryAgeMs, now, state.timing.extraWatchersAgeMs);
 	}
 }
 
--- a/packages/dispatch/src/lib/version-history.ts
+++ b/packages/dispatch/src/lib/version-history.ts
@@ -116,13 +116,14 @@
 	 * Applies what a peer or the platform knows of pools that are known here too: the states of
 	 * both may have held. Ages count back from `now`, which is no earlier than the message, so
 	 * that states appear to have ended late, and to be known since late; `slackMs` is the time
-	 * by which the sender may have learned of the first state too late.
+	 * by which the sender may have learned of the first state too late. It may not know states after that
+	 * time either, so what it knows has to reach up to `maxGapMs` before what is known here.
 	 */
-	applyShared(shared: readonly SharedPoolVersions[], slackMs: number, now: number): void {
+	applyShared(shared: readonly SharedPoolVersions[], slackMs: number, now: number, maxGapMs = Number.POSITIVE_INFINITY): void {
 		for (const {pool, knownMs, states} of shared) {
 			const history = this.#byPool.get(pool);
 			const knownSince = now - Math.max(0, knownMs - slackMs);
-			if (history === undefined || knownSince >= history.knownSince) {
+			if (history === undefined || knownSince >= history.knownSince || history.knownSince - (now - slackMs) > maxGapMs) {
 				continue;
 			}
 
--- a/packages/dispatch/src/test/take_up_gaps_test.ts
+++ b/packages/dispatch/src/test/take_up_gaps_test.ts
@@ -75,3 +75,27 @@
 	takeUp(gateway, []);
 	assert.deepEqual(gateway.listSends(), []);
 });
+
+// Guards against ORDER (issue 52): a peer that is behind tells a history that ends before the receiver's own begins.
+test('a stream is not bound by the history of a peer that was behind when this instance started', () => {
+	const peer = new GatewayFixture('gateway-9');
+	peer.applyChanges(1, [createTablesChange(1, createTables()), createTargetChange(1, createTargetRecord('engine-1'))], 0);
+	peer.advance(calmMs);
+	peer.applyChanges(1, []);
+	// The peer reads nothing from here on, while the second version joins and leaves.
+	peer.advance(5000);
+	const gateway = new GatewayFixture();
+	gateway.canRefresh = false;
+	gateway.now = peer.now;
+	gateway.applyChanges(3, [createTablesChange(1, createTables()), createTargetChange(1, createTargetRecord('engine-1'))], 0);
+	const call = gateway.takePeerCall();
+	peer.now = gateway.now;
+	const answer = peer.handle({kind: eventKind.peerCalled, callId: 1, message: {...call.message, versionsKnownMs: 0}})
+		.find(effect => effect.kind === effectKind.answerPeer)!;
+	gateway.handle({
+		kind: eventKind.peerAnswered, address: call.address, message: answer.message, requestedAt: gateway.now,
+	});
+	gateway.advance(25);
+	takeUp(gateway, []);
+	assert.deepEqual(gateway.listSends(), []);
+});
