--- a/packages/dispatch/src/lib/reduce-take-ups.ts
+++ b/packages/dispatch/src/lib/reduce-take-ups.ts
@@ -30,6 +30,8 @@
 /** Smallest retry delay for streams that cannot be taken up, in milliseconds: what is in service has to change first. */
 const minRetryAfterMs = 1000;
 
+/** Shortest time between the starts of two reads of the platform, in milliseconds: all instances may have take-ups at the same time, and share its rate. */
+const refreshIntervalMs = 50;
 /** Time between two calls for a missing part of the directory, in milliseconds, and number of peers that are called at a time. */
 const updateCallIntervalMs = 150;
 const updatePeerCount = 2;
@@ -129,14 +131,15 @@
 	return softwareVersion === undefined ? undefined : {softwareVersion, source: versionSource.window};
 }
 
-/** Reads the platform once, unless such a read is in progress. */
-function requestRefresh({state, effects}: Step): void {
-	if (state.isRefreshing) {
+/** Reads the platform once, unless such a read is in progress or began a moment ago. */
+function requestRefresh({state, now, effects}: Step): void {
+	if (state.isRefreshing || now < state.nextRefreshAt) {
 		return;
 	}
 
 	const {epoch, revision} = state.directory;
 	state.isRefreshing = true;
+	state.nextRefreshAt = now + refreshIntervalMs;
 	effects.push({kind: effectKind.refreshDirectory, position: {epoch, revision}});
 }
 
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -245,6 +245,8 @@
 	readonly begunStreams: BegunStreams;
 	/** True while a read of the platform that was started for take-ups is in progress. */
 	isRefreshing: boolean;
+	/** Time from which the next such read may start. */
+	nextRefreshAt: number;
 	/** Start of the last of these reads that succeeded: everything that was written before is known. */
 	provedAt: number;
 	retryBudgets: Map<string, RetryBudget>;
@@ -303,6 +305,7 @@
 		nextUpdateCallAt: 0,
 		begunStreams: new BegunStreams(),
 		isRefreshing: false,
+		nextRefreshAt: 0,
 		provedAt: Number.NEGATIVE_INFINITY,
 		retryBudgets: new Map(),
 		nextSendId: 1,
--- a/packages/dispatch/src/test/take_up_proof_test.ts
+++ b/packages/dispatch/src/test/take_up_proof_test.ts
@@ -17,6 +17,8 @@
 
 /** Time for which instances run before versions change: longer than streams can be taken up, in milliseconds. */
 const calmMs = 16_000;
+/** Time after which a read may follow another one, in milliseconds. */
+const refreshIntervalMs = 50;
 
 /** Plays a new version that joins while an instance is paused or cut off; its streams begin elsewhere and are taken up at that instance. */
 function playOutOfStep(gatewayCount: number, {
@@ -140,6 +142,8 @@
 	const gateway = createGateway();
 	takeUpAt(gateway);
 	failRefresh(gateway);
+	assert.equal(countRefreshes(gateway), 1, 'not at once');
+	gateway.advance(refreshIntervalMs);
 	assert.equal(countRefreshes(gateway), 2, 'the read is repeated');
 	failRefresh(gateway);
 	assert.deepEqual(listReasons(gateway), ['503 version-unknown']);
@@ -152,6 +156,34 @@
 	assert.equal(gateway.state.openRequests.size, 0);
 });
 
+// Guards against a platform that turns all instances away because each of them reads it for each take-up (review of issue 52).
+test('take-ups that arrive one after another share reads of the platform', () => {
+	const gateway = createGateway();
+	let readCount = 0;
+	let boundCount = 0;
+	for (let index = 0; index < 40; index++) {
+		takeUpAt(gateway);
+		readCount += countRefreshes(gateway);
+		if (countRefreshes(gateway) > 0) {
+			answerRefresh(gateway, gateway.now);
+		}
+
+		boundCount += listLogs(gateway, 'take-up-bound').length;
+		gateway.effects = [];
+		gateway.advance(25);
+		readCount += countRefreshes(gateway);
+		if (countRefreshes(gateway) > 0) {
+			answerRefresh(gateway, gateway.now);
+		}
+
+		boundCount += listLogs(gateway, 'take-up-bound').length;
+		gateway.effects = [];
+	}
+
+	assert.ok(readCount <= 1 + (1000 / refreshIntervalMs), `${readCount} reads in a second`);
+	assert.ok(boundCount >= 38, `${boundCount} of 40 take-ups are bound`);
+});
+
 test('a take-up that waits ends like other requests: its caller leaves, or the process stops', () => {
 	const gateway = createGateway();
 	const openId = takeUpAt(gateway);
