--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/reduce-requests.ts
@@ -188,6 +188,11 @@
 	}
 }
 
+/** True if the response of a target was lost at the peer that relays the request, which says nothing about the peer's path to the pool. */
+function isLostBehindPeer({currentSend, hasResponseStarted}: OpenRequest, {outcome, runCount = 0}: SendEndedEvent): boolean {
+	return currentSend!.isRelayed && (outcome === sendOutcome.lost || outcome === sendOutcome.interrupted) && (hasResponseStarted || runCount > 0);
+}
+
 /** Records what the target states about itself; without a report, its response was not read. */
 function recordTargetReport(step: Step, {currentSend}: OpenRequest, report: TargetReport | undefined): void {
 	if (report === undefined) {
@@ -413,7 +418,9 @@
 		return;
 	}
 
-	recordResponse(step, request, respondingOutcomes.has(event.outcome));
+	if (!isLostBehindPeer(request, event)) {
+		recordResponse(step, request, respondingOutcomes.has(event.outcome));
+	}
 
 	recordTargetReport(step, request, event.targetReport);
 	const send = request.currentSend!;
--- a/packages/dispatch/src/lib/relay-peers.ts
+++ b/packages/dispatch/src/lib/relay-peers.ts
@@ -87,20 +87,27 @@
 		return latest;
 	}
 
-	/** Chooses the peer that relays a request, of those that the pool has served after `since`: the one with fewest requests of this instance, rather in this zone. */
+	/** Chooses the peer that relays a request, of those that the pool has served after `since`: the one with fewest requests of this instance, rather in this zone and not ejected. */
 	choose({pool, since, zone, triedIds}: RelayRequest, now: number): Target | undefined {
-		let best: {readonly target: Target; readonly cost: number} | undefined;
+		const candidates: Target[] = [];
 		for (const {target, servedAt} of this.#byId.values()) {
 			const lastServedAt = servedAt.get(pool) ?? Number.NEGATIVE_INFINITY;
-			const isCandidate = now - lastServedAt <= serviceMaxAgeMs && lastServedAt > since
-				&& !triedIds.has(target.record.id) && isUsable(target.health, now);
-			const cost = target.inFlight + (target.record.zone === zone ? 0 : otherZonePenalty);
-			if (isCandidate && (best === undefined || cost < best.cost)) {
-				best = {target, cost};
+			if (now - lastServedAt <= serviceMaxAgeMs && lastServedAt > since && !triedIds.has(target.record.id)) {
+				candidates.push(target);
 			}
 		}
 
-		return best?.target;
+		// An ejected peer is still better than a path that is lost.
+		const usable = candidates.filter(({health}) => isUsable(health, now));
+		const computeCost = ({inFlight, record}: Target) => inFlight + (record.zone === zone ? 0 : otherZonePenalty);
+		let best: Target | undefined;
+		for (const target of usable.length > 0 ? usable : candidates) {
+			if (best === undefined || computeCost(target) < computeCost(best)) {
+				best = target;
+			}
+		}
+
+		return best;
 	}
 
 	/** Forgets peers that have not reported for a time. */
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -218,6 +218,32 @@
 	assert.equal(send.responseStartTimeoutMs, 0);
 });
 
+// Guards against callers of an instance without a path who are sent into it again because targets of the only peer lose responses (RECOVER, soak seeds 9902 and 9928).
+test('requests go over the only peer although targets that it reaches lose responses', () => {
+	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
+	gateway.receiveRequest(repeatableRoute);
+	for (let count = 0; count < 3; count++) {
+		const {openId, sendId} = gateway.takeLastSend({opens: false});
+		gateway.handle({
+			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.connectionRefused, detail: 'test',
+		});
+	}
+
+	gateway.advance(50);
+	const message = {...new GatewayFixture('gateway-2').createPeerAnswer(), services: [{pool: 'desk', ageMs: 0}]};
+	gateway.handle({kind: eventKind.peerCalled, callId: 1, message});
+	gateway.advance(25);
+	gateway.effects = [];
+	for (let count = 0; count < 6; count++) {
+		gateway.receiveRequest(onceRoute);
+		const {openId, sendId, isRelayed} = gateway.takeLastSend();
+		assert.ok(isRelayed, `request ${count}`);
+		gateway.handle({
+			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.lost, detail: 'peer: answer-lost', runCount: 1,
+		});
+	}
+});
+
 // Guards against an instance that takes its own pause for a lost path: connection attempts time out while it does not run (soak, seed 9113).
 test('connection attempts that time out over a pause of the instance do not make its path suspect (freeze)', () => {
 	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
