--- a/packages/gateway/src/lib/event-splitter.ts
+++ b/packages/gateway/src/lib/event-splitter.ts
@@ -8,15 +8,15 @@
 
 const lineFeed = 10;
 const carriageReturn = 13;
-/** Status line of HTTP, which no line of an event looks like. */
-const statusLinePattern = /^HTTP\/\d\.\d \d{3}/m;
+/** The line of an event with its identifier, or a status line of HTTP, which no line of an event looks like. */
+const markPattern = /^(?:id: ?([^\r\n]*)|HTTP\/\d\.\d \d{3})/gm;
 
 export class EventSplitter {
 	/** Identifier of the last complete event. */
 	lastEventId?: string;
 	/** Identifier of the first complete event. */
 	firstEventId?: string;
-	/** Why the bytes are not the events of one response; `undefined` if nothing shows it. */
+	/** Why the bytes after the events returned so far are not events of the same response; `undefined` if nothing shows it. */
 	fault?: string;
 	#partialEvent = new ByteCollector();
 
@@ -42,24 +42,22 @@
 		}
 
 		const completeEvents = bytes.subarray(0, end);
-		this.#readIds(completeEvents);
-		return completeEvents;
+		return completeEvents.subarray(0, this.#readIds(completeEvents));
 	}
 
-	#readIds(events: Uint8Array): void {
-		const text = Buffer.from(events).toString('latin1');
-		if (statusLinePattern.test(text)) {
-			this.fault ??= `head of another response after event ${this.lastEventId}`;
-		}
-
-		for (const [, eventId] of text.matchAll(/^id: ?([^\r\n]*)/gm)) {
-			this.firstEventId ??= eventId;
-			if (Number(eventId) <= Number(this.lastEventId)) {
-				this.fault ??= `event ${eventId} after event ${this.lastEventId}`;
+	/** Reads the identifiers of events; returns the length of those before the first that belongs to another run or response. */
+	#readIds(events: Uint8Array): number {
+		for (const {0: line, 1: eventId, index} of Buffer.from(events).toString('latin1').matchAll(markPattern)) {
+			if (eventId === undefined || Number(eventId) <= Number(this.lastEventId)) {
+				this.fault = `${line} after event ${this.lastEventId}`;
+				return findLastBoundary(events.subarray(0, index), 0);
 			}
 
+			this.firstEventId ??= eventId;
 			this.lastEventId = eventId;
 		}
+
+		return events.length;
 	}
 }
 
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -430,6 +430,10 @@
 				const {lastEventId} = splitter;
 				const events = splitter.push(part);
 				if (splitter.fault !== undefined) {
+					if (events.length > 0) {
+						this.#relayEvents(response, body, {splitter, events});
+					}
+
 					this.#abort(this.#failureOutcome, splitter.fault);
 					return;
 				}
