--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/send-request.ts
@@ -87,7 +87,7 @@
 
 /**
  * Finds the time until which a request that has not been sent, or a stream that has begun, waits for the decision whether
- * a pool that is silent has lost its path, so that it is not written into a hole; `undefined` if it need not wait.
+ * a pool that is silent has lost its path, so that it is not sent over a lost path; `undefined` if it need not wait.
  */
 export function findDecisionWaitEnd({state, now}: Step, request: OpenRequest): number | undefined {
 	const {
--- a/packages/dispatch/src/test/lost_paths_test.ts
+++ b/packages/dispatch/src/test/lost_paths_test.ts
@@ -197,8 +197,8 @@
 	assert.deepEqual(gateway.listRefusalStatuses(), []);
 });
 
-// Guards against requests that run on more targets than their route allows, because a peer used up the sends that are left (BUDGET).
-test('a request that a peer relays is not sent again because it is silent, and the peer may run it as often as the route leaves', () => {
+/** Creates a gateway whose path to a pool of three targets is lost; one peer reaches the pool, and relays the request that found it. */
+function createGatewayWithoutPath(): GatewayFixture {
 	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
 	gateway.receiveRequest(repeatableRoute);
 	for (let count = 0; count < 3; count++) {
@@ -212,6 +212,12 @@
 	const message = {...new GatewayFixture('gateway-2').createPeerAnswer(), services: [{pool: 'desk', ageMs: 0}]};
 	gateway.handle({kind: eventKind.peerCalled, callId: 1, message});
 	gateway.advance(25);
+	return gateway;
+}
+
+// Guards against requests that run on more targets than their route allows, because a peer used up the sends that are left (BUDGET).
+test('a request that a peer relays is not sent again because it is silent, and the peer may run it as often as the route leaves', () => {
+	const gateway = createGatewayWithoutPath();
 	const send = gateway.takeLastSend();
 	assert.ok(send.isRelayed);
 	assert.equal(send.runLimit, repeatableRoute.targetLimit);
@@ -220,19 +226,7 @@
 
 // Guards against callers of an instance without a path who are sent into it again because targets of the only peer lose responses (RECOVER, soak seeds 9902 and 9928).
 test('requests go over the only peer although targets that it reaches lose responses', () => {
-	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2', 'desk-3']);
-	gateway.receiveRequest(repeatableRoute);
-	for (let count = 0; count < 3; count++) {
-		const {openId, sendId} = gateway.takeLastSend({opens: false});
-		gateway.handle({
-			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.connectionRefused, detail: 'test',
-		});
-	}
-
-	gateway.advance(50);
-	const message = {...new GatewayFixture('gateway-2').createPeerAnswer(), services: [{pool: 'desk', ageMs: 0}]};
-	gateway.handle({kind: eventKind.peerCalled, callId: 1, message});
-	gateway.advance(25);
+	const gateway = createGatewayWithoutPath();
 	gateway.effects = [];
 	for (let count = 0; count < 6; count++) {
 		gateway.receiveRequest(onceRoute);
--- a/packages/dispatch/src/test/silent_pools_test.ts
+++ b/packages/dispatch/src/test/silent_pools_test.ts
@@ -342,7 +342,7 @@
 	});
 }
 
-// Guards against resumable streams that end broken when all connections of an instance are reset: their resumes went into the same hole (RECOVER).
+// Guards against resumable streams that end broken when all connections of an instance are reset: their resumes went over the same lost path (RECOVER).
 test('streams that break off together are not resumed until it is known why, and then at targets or over a peer', () => {
 	for (const isAnswering of [true, false]) {
 		const pool = new SilentPool(deskIds);
