Dispatch modules are divided by subject

They are now grouped into requests, targets, paths, streams, versions, members, directory and quarantine; events, effects, the state and the reducer stay at the top. The kinds of failures that instances report have a module of their own, so that target state, peer messages and failure reports no longer import each other in a circle. No behavior changes.

--- a/packages/dispatch/src/lib/directory.ts
+++ b/packages/dispatch/src/lib/directory/directory.ts
@@ -14,7 +14,7 @@
 import {
 	findRetention, isRetainedOver, type RestoreTiming, type RetainedFact,
 } from './restored-facts.js';
-import {createRouteIndex, type RouteIndex} from './route-index.js';
+import {createRouteIndex, type RouteIndex} from '../requests/route-index.js';
 import {
 	factKind, type Account, type Fact, type FactChange, type Pool, type Tables, type TargetProcess,
 } from './directory-facts.js';
--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -1,10 +1,10 @@
 /**
  * Effects: every output of the reducer, as data.
  */
-import type {DirectoryPosition} from './directory-position.js';
-import type {PeerMessage} from './peer-message.js';
-import type {StreamMessage} from './stream-message.js';
-import type {Failure} from './failure.js';
+import type {DirectoryPosition} from './directory/directory-position.js';
+import type {PeerMessage} from './members/peer-message.js';
+import type {StreamMessage} from './streams/stream-message.js';
+import type {Failure} from './requests/failure.js';
 
 export const effectKind = {
 	send: 'send',
--- a/packages/dispatch/src/lib/event.ts
+++ b/packages/dispatch/src/lib/event.ts
@@ -2,11 +2,11 @@
  * Events: every input of the reducer. Times are monotonic milliseconds of this
  * process.
  */
-import type {DirectoryUpdate} from './directory.js';
-import type {PlatformHistory} from './past-versions.js';
-import type {PeerMessage} from './peer-message.js';
-import type {StreamMessage} from './stream-message.js';
-import type {TargetReport} from './target-statements.js';
+import type {DirectoryUpdate} from './directory/directory.js';
+import type {PlatformHistory} from './versions/past-versions.js';
+import type {PeerMessage} from './members/peer-message.js';
+import type {StreamMessage} from './streams/stream-message.js';
+import type {TargetReport} from './targets/target-statements.js';
 
 export const eventKind = {
 	requestArrived: 'request-arrived',
--- a/packages/dispatch/src/lib/members.ts
+++ b/packages/dispatch/src/lib/members/members.ts
@@ -5,7 +5,7 @@
  * margins cover a few missing members, which make them looser (`computeFleetView`).
  */
 import {mixHashes} from '@sequoiatally/core';
-import {computeRankHash, type FleetView} from './target-limits.js';
+import {computeRankHash, type FleetView} from '../targets/target-limits.js';
 import type {MemberEntry, PeerMessage} from './peer-message.js';
 
 /** Time without a report after which a member is removed from the list, in milliseconds. */
--- a/packages/dispatch/src/lib/peer-message.ts
+++ b/packages/dispatch/src/lib/members/peer-message.ts
@@ -2,9 +2,9 @@
  * Messages between instances: known members, target loads and statements, prompt cache entries,
  * failures of targets, pools that can be reached, what may crash targets, and directory updates. Ages are relative to the creation of the message.
  */
-import type {DirectoryUpdate} from './directory.js';
-import type {Tables} from './directory-facts.js';
-import type {FailureKind} from './failure-reports.js';
+import type {DirectoryUpdate} from '../directory/directory.js';
+import type {Tables} from '../directory/directory-facts.js';
+import type {FailureKind} from '../targets/failure-kind.js';
 
 export type MemberEntry = {
 	/** Name of the instance. */
--- a/packages/dispatch/src/lib/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/members/reduce-fleet.ts
@@ -4,26 +4,26 @@
  */
 import {
 	applyNewerTables, applyUpdate, describeTablesFor, describeUpdate, expireRetainedFacts, recordEpochBegin, tablesSubject, type DirectoryUpdate,
-} from './directory.js';
-import {isEarlier, isSamePosition} from './directory-position.js';
-import {factKind, type FactChange} from './directory-facts.js';
-import {effectKind, logLevel} from './effect.js';
+} from '../directory/directory.js';
+import {isEarlier, isSamePosition} from '../directory/directory-position.js';
+import {factKind, type FactChange} from '../directory/directory-facts.js';
+import {effectKind, logLevel} from '../effect.js';
 import type {
 	DirectoryLostEvent, DirectoryReadEvent, PeerAnsweredEvent, PeerCalledEvent, PeerFailedEvent,
-} from './event.js';
+} from '../event.js';
 import {
 	applyMembers, choosePeers, computeInstanceCount, describeMembers, isMember, removeUnreachableMember, listWatchers, expireMembers, type Watchers,
 } from './members.js';
-import {ejectIfFaulty} from './end-request.js';
+import {ejectIfFaulty} from '../requests/end-request.js';
 import type {PeerMessage, SharedService} from './peer-message.js';
-import {recordLog, type State, type Step} from './state.js';
-import {computeNeededHistoryMs, scheduleHistoryRead} from './reduce-history.js';
-import {updatePoolVersions} from './reduce-versions.js';
-import {pathState} from './target-paths.js';
+import {recordLog, type State, type Step} from '../state.js';
+import {computeNeededHistoryMs, scheduleHistoryRead} from '../versions/reduce-history.js';
+import {updatePoolVersions} from '../versions/reduce-versions.js';
+import {pathState} from '../paths/target-paths.js';
 import {
 	applyLeavingTargets, applyLoads, applyNamedLimits, applyTargetChanges, applyTargetRenewals, describeLoads, expireLapsedTargets,
 	listReceivingIds, updateTargets,
-} from './target-state.js';
+} from '../targets/target-state.js';
 
 /**
  * How an instance calls its peers: the time between two calls in milliseconds, the
--- a/packages/dispatch/src/lib/reduce-paths.ts
+++ b/packages/dispatch/src/lib/paths/reduce-paths.ts
@@ -2,17 +2,17 @@
  * Applies what sends, checks and probes show about the paths of this instance to the targets, and
  * decides when requests are relayed by a peer.
  */
-import {effectKind, logLevel} from './effect.js';
-import {probeResult, type TargetProbedEvent} from './event.js';
-import {takeQueriedAddresses} from './members.js';
-import {callPeers, hasPausedSince} from './reduce-fleet.js';
+import {effectKind, logLevel} from '../effect.js';
+import {probeResult, type TargetProbedEvent} from '../event.js';
+import {takeQueriedAddresses} from '../members/members.js';
+import {callPeers, hasPausedSince} from '../members/reduce-fleet.js';
 import type {PendingSend} from './path-silence.js';
-import type {PeerMessage} from './peer-message.js';
+import type {PeerMessage} from '../members/peer-message.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step,
-} from './state.js';
+} from '../state.js';
 import {pathState, TargetPath, type PathState} from './target-paths.js';
-import {listReceivingIds, type Target} from './target-state.js';
+import {listReceivingIds, type Target} from '../targets/target-state.js';
 
 /** Time between two rounds of questions to peers while a path is suspect, which doubles with each round without an answer, and while one is lost, in milliseconds. */
 const suspectQueryIntervalMs = 150;
--- a/packages/dispatch/src/lib/relay-peers.ts
+++ b/packages/dispatch/src/lib/paths/relay-peers.ts
@@ -2,9 +2,9 @@
  * Peers that can relay requests to targets for this instance while it has no path to them.
  * A peer counts for a pool if it reported recently that targets of the pool respond to it.
  */
-import {isUsable} from './target-health.js';
-import {createTarget, type Target} from './target-state.js';
-import type {MemberEntry, SharedService} from './peer-message.js';
+import {isUsable} from '../targets/target-health.js';
+import {createTarget, type Target} from '../targets/target-state.js';
+import type {MemberEntry, SharedService} from '../members/peer-message.js';
 
 /** Time after a peer was last served by a pool in which it counts as able to reach it, in milliseconds. */
 const serviceMaxAgeMs = 3000;
--- a/packages/dispatch/src/lib/crash-quarantine.ts
+++ b/packages/dispatch/src/lib/quarantine/crash-quarantine.ts
@@ -13,11 +13,11 @@
  * and a crash that several instances report counts once.
  */
 import {hashText} from '@sequoiatally/core';
-import {evictOldest} from './evict-oldest.js';
-import type {SharedSuspect} from './peer-message.js';
-import {SlidingWindow} from './sliding-window.js';
-import {countHigherRanked, type FleetView} from './target-limits.js';
-import type {ProcessId} from './target-statements.js';
+import {evictOldest} from '../evict-oldest.js';
+import type {SharedSuspect} from '../members/peer-message.js';
+import {SlidingWindow} from '../sliding-window.js';
+import {countHigherRanked, type FleetView} from '../targets/target-limits.js';
+import type {ProcessId} from '../targets/target-statements.js';
 
 /**
  * Number of crashes without a response after which a suspect is quarantined, if hardly any
--- a/packages/dispatch/src/lib/reduce-quarantine.ts
+++ b/packages/dispatch/src/lib/quarantine/reduce-quarantine.ts
@@ -3,18 +3,18 @@
  * not tell a crash from a broken connection, so the target's address is checked first: a
  * process that crashed no longer listens.
  */
-import {logLevel, effectKind} from './effect.js';
-import {recordNoProcess} from './end-request.js';
-import type {TargetCheckedEvent} from './event.js';
-import {createFailure, failureReason, type Failure} from './failure.js';
-import {listSharedParts} from './prompt.js';
+import {logLevel, effectKind} from '../effect.js';
+import {recordNoProcess} from '../requests/end-request.js';
+import type {TargetCheckedEvent} from '../event.js';
+import {createFailure, failureReason, type Failure} from '../requests/failure.js';
+import {listSharedParts} from '../targets/prompt.js';
 import {createRequestSuspectId, parseRequestSuspectId, type Quarantine} from './crash-quarantine.js';
-import {hasPausedSince} from './reduce-fleet.js';
-import {findPath, recordReached, recordUnreached} from './reduce-paths.js';
+import {hasPausedSince} from '../members/reduce-fleet.js';
+import {findPath, recordReached, recordUnreached} from '../paths/reduce-paths.js';
 import {
 	findFleetView, recordLog, type CrashCheck, type CurrentSend, type OpenRequest, type Step,
-} from './state.js';
-import {isUsable} from './target-health.js';
+} from '../state.js';
+import {isUsable} from '../targets/target-health.js';
 
 /** Smallest retry delay that is sent to callers of quarantined requests, and the one for requests that are not tried again, in milliseconds. */
 const minRetryAfterMs = 1000;
--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -6,21 +6,21 @@
 import {
 	eventKind, type Event, type FleetEvent, type TargetEvidenceEvent,
 } from './event.js';
-import {applyStreamPeerAnswered, applyStreamPeerCalled, exchangeStreams} from './reduce-begun-streams.js';
-import {advanceDrain, startDrain, startStop} from './reduce-drain.js';
+import {applyStreamPeerAnswered, applyStreamPeerCalled, exchangeStreams} from './streams/reduce-begun-streams.js';
+import {advanceDrain, startDrain, startStop} from './requests/reduce-drain.js';
 import {
 	applyDirectoryLost, applyDirectoryRead, applyPeerAnswered, applyPeerCalled, applyPeerFailed, updateFleet,
-} from './reduce-fleet.js';
+} from './members/reduce-fleet.js';
 import {
 	advanceQueuedRequests, applyAnswerContinued, applyAnswerSilent, applyAnswerStarted, applyArrival, applyCallerLeft, applyHoldFailed,
 	applySendEnded, applySendOpened,
 	endTimedOutRequests, requestDeferredSilences, retrySilentSends,
-} from './reduce-requests.js';
-import {applyHistoryRead, updateHistoryRead} from './reduce-history.js';
-import {applyTargetProbed, checkPathsForPeer, updatePaths} from './reduce-paths.js';
-import {applyTargetChecked, updateQuarantine} from './reduce-quarantine.js';
-import {applyEndCheck} from './reduce-stream-ends.js';
-import {advanceTakeUps, applyDirectoryRefreshed} from './reduce-take-ups.js';
+} from './requests/reduce-requests.js';
+import {applyHistoryRead, updateHistoryRead} from './versions/reduce-history.js';
+import {applyTargetProbed, checkPathsForPeer, updatePaths} from './paths/reduce-paths.js';
+import {applyTargetChecked, updateQuarantine} from './quarantine/reduce-quarantine.js';
+import {applyEndCheck} from './streams/reduce-stream-ends.js';
+import {advanceTakeUps, applyDirectoryRefreshed} from './streams/reduce-take-ups.js';
 import {recordLog, type State, type Step} from './state.js';
 
 /** Applies one event: changes `state` in place and returns the effects in the order in which they have to run. */
--- a/packages/dispatch/src/lib/end-request.ts
+++ b/packages/dispatch/src/lib/requests/end-request.ts
@@ -4,18 +4,18 @@
  * guarantees no more than is known.
  */
 import {hashText} from '@sequoiatally/core';
-import {effectKind} from './effect.js';
+import {effectKind} from '../effect.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {computeDirectoryAge, drawRetryAfterMs} from './resolve-request.js';
-import {failureKind, type FailureKind} from './failure-reports.js';
-import {listSharedParts} from './prompt.js';
+import {failureKind, type FailureKind} from '../targets/failure-kind.js';
+import {listSharedParts} from '../targets/prompt.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type RetryObstacle, type Step,
-} from './state.js';
+} from '../state.js';
 import {
 	computeFailureRatio, recordVerdict, verdict, type Verdict,
-} from './target-health.js';
-import {recordSendEnd, type Target} from './target-state.js';
+} from '../targets/target-health.js';
+import {recordSendEnd, type Target} from '../targets/target-state.js';
 
 /** Creates a failure that guarantees that the request has not run, unless an earlier send may have run. */
 export function createNotRunFailure(step: Step, {possibleRunCount}: OpenRequest, reason: Failure['reason']): Failure {
--- a/packages/dispatch/src/lib/reduce-drain.ts
+++ b/packages/dispatch/src/lib/requests/reduce-drain.ts
@@ -3,18 +3,18 @@
  * which ends the requests that are still open with what is known about them.
  */
 import {err, ok, type Result} from 'neverthrow';
-import type {Route} from './directory-facts.js';
-import {effectKind, logLevel} from './effect.js';
+import type {Route} from '../directory/directory-facts.js';
+import {effectKind, logLevel} from '../effect.js';
 import {cancelCurrentSend, endWithFailure, mayHaveRun} from './end-request.js';
-import type {DrainRequestedEvent} from './event.js';
+import type {DrainRequestedEvent} from '../event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
-import {choosePeers} from './members.js';
-import {callPeers} from './reduce-fleet.js';
+import {choosePeers} from '../members/members.js';
+import {callPeers} from '../members/reduce-fleet.js';
 import type {ResolvedRequest} from './resolve-request.js';
 import {isRetryable} from './send-request.js';
 import {
 	recordLog, type OpenRequest, type State, type Step,
-} from './state.js';
+} from '../state.js';
 
 /** Time after the start of the drain in which new requests are accepted that usually end in time, in milliseconds; later, only those that are sure to. */
 const drainAcceptDurationMs = 2600;
--- a/packages/dispatch/src/lib/reduce-requests.ts
+++ b/packages/dispatch/src/lib/requests/reduce-requests.ts
@@ -2,7 +2,7 @@
  * Handles the events of a request from its arrival to its end.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {effectKind, logLevel} from './effect.js';
+import {effectKind, logLevel} from '../effect.js';
 import {
 	cancelCurrentSend, createNotRunFailure, endCurrentSend, endWithFailure, finishRequest, finishWithFailure, mayHaveRun, recordTimedOutSend, recordFailure,
 } from './end-request.js';
@@ -10,33 +10,33 @@
 	sendOutcome, type AnswerContinuedEvent, type AnswerSilentEvent, type AnswerStartedEvent, type CallerLeftEvent, type HoldFailedEvent,
 	type RequestArrivedEvent,
 	type SendEndedEvent, type SendOpenedEvent, type SendOutcome,
-} from './event.js';
+} from '../event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
-import {failureKind, type FailureKind} from './failure-reports.js';
-import {isMember} from './members.js';
+import {failureKind, type FailureKind} from '../targets/failure-kind.js';
+import {isMember} from '../members/members.js';
 import {
 	chooseRelayPeer, findPathState, isPathProbablyLost, recordAnswered, recordLostSend, recordReached, recordServed, recordUnreached, relayedRequestLimit,
-} from './reduce-paths.js';
-import {findPromptKey} from './prompt.js';
+} from '../paths/reduce-paths.js';
+import {findPromptKey} from '../targets/prompt.js';
 import {admitInDrain} from './reduce-drain.js';
-import {recordBegunStream} from './reduce-begun-streams.js';
-import {checkForCrash, recordResponseBegun} from './reduce-quarantine.js';
-import {startEndCheck} from './reduce-stream-ends.js';
+import {recordBegunStream} from '../streams/reduce-begun-streams.js';
+import {checkForCrash, recordResponseBegun} from '../quarantine/reduce-quarantine.js';
+import {startEndCheck} from '../streams/reduce-stream-ends.js';
 import {computeDirectoryAge, resolveRequest} from './resolve-request.js';
-import {startTakeUp} from './reduce-take-ups.js';
-import {bindVersion, resolveStream} from './reduce-versions.js';
+import {startTakeUp} from '../streams/reduce-take-ups.js';
+import {bindVersion, resolveStream} from '../versions/reduce-versions.js';
 import {
 	hasOtherTarget, mayRetry, retryOrFail, sendOrQueue, tryQueueForPath, trySend, trySettle,
 } from './send-request.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step,
-} from './state.js';
-import {verdict, type Verdict} from './target-health.js';
-import {pathState} from './target-paths.js';
+} from '../state.js';
+import {verdict, type Verdict} from '../targets/target-health.js';
+import {pathState} from '../paths/target-paths.js';
 import {
 	isBrittle, recordStatement, statementKind, type TargetReport,
-} from './target-statements.js';
-import {recordTargetStatement, type Target} from './target-state.js';
+} from '../targets/target-statements.js';
+import {recordTargetStatement, type Target} from '../targets/target-state.js';
 
 /** Time by which the failure is sent before the caller's deadline, in milliseconds. */
 const deadlineMarginMs = 5;
--- a/packages/dispatch/src/lib/resolve-request.ts
+++ b/packages/dispatch/src/lib/requests/resolve-request.ts
@@ -5,12 +5,12 @@
  */
 import {hashText} from '@sequoiatally/core';
 import {err, ok, type Result} from 'neverthrow';
-import type {Account, Route, Split} from './directory-facts.js';
-import type {RequestArrivedEvent} from './event.js';
+import type {Account, Route, Split} from '../directory/directory-facts.js';
+import type {RequestArrivedEvent} from '../event.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
-import {findPromptKey} from './prompt.js';
+import {findPromptKey} from '../targets/prompt.js';
 import {findRoute} from './route-index.js';
-import type {OpenRequest, Step} from './state.js';
+import type {OpenRequest, Step} from '../state.js';
 
 /** Smallest retry delay that is sent to callers, and the largest random addition, which spreads their retries, in milliseconds. */
 const minRetryAfterMs = 50;
--- a/packages/dispatch/src/lib/retry-budget.ts
+++ b/packages/dispatch/src/lib/requests/retry-budget.ts
@@ -3,7 +3,7 @@
  * each instance retries at most a fixed ratio of its own first sends, and the
  * fixed allowance is divided by the number of instances that may exist.
  */
-import {SlidingWindow} from './sliding-window.js';
+import {SlidingWindow} from '../sliding-window.js';
 
 /** Fraction of the allowed ratio in use; the margin covers that targets count first sends and retries on arrival, slightly later. */
 const usedRatioFraction = 0.8;
--- a/packages/dispatch/src/lib/route-index.ts
+++ b/packages/dispatch/src/lib/requests/route-index.ts
@@ -3,7 +3,7 @@
  * the longest prefix of the path. A lookup takes one step for each slash of the
  * path, independent of the number of routes.
  */
-import type {Route} from './directory-facts.js';
+import type {Route} from '../directory/directory-facts.js';
 
 export type RouteIndex = ReadonlyMap<string, ReadonlyMap<string, Route>>;
 
--- a/packages/dispatch/src/lib/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -3,26 +3,26 @@
  * is retryable; any other request is sent again only after proof that it did
  * not run.
  */
-import {chooseCopySource} from './copy-source.js';
-import {routeKind, type Route} from './directory-facts.js';
-import {effectKind} from './effect.js';
+import {chooseCopySource} from '../targets/copy-source.js';
+import {routeKind, type Route} from '../directory/directory-facts.js';
+import {effectKind} from '../effect.js';
 import {createNotRunFailure, finishWithFailure} from './end-request.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
-import {computeInstanceCount} from './members.js';
+import {computeInstanceCount} from '../members/members.js';
 import {
 	choosePlacement, findLimitEnd, type Placement, type PlacementView,
-} from './placement.js';
-import {countSharedTokens, findPromptKey} from './prompt.js';
-import {chooseRelayPeer, findPath, isPathProbablyLost} from './reduce-paths.js';
-import {countUncheckedLosses, findQuarantineFailure, listSuspectIds} from './reduce-quarantine.js';
+} from '../targets/placement.js';
+import {countSharedTokens, findPromptKey} from '../targets/prompt.js';
+import {chooseRelayPeer, findPath, isPathProbablyLost} from '../paths/reduce-paths.js';
+import {countUncheckedLosses, findQuarantineFailure, listSuspectIds} from '../quarantine/reduce-quarantine.js';
 import {
 	choosePool, computeDirectoryAge, drawRetryAfterMs, resolveRequest,
 } from './resolve-request.js';
 import {
 	findRetryBudget, findFleetView, recordLog, retryObstacle, type OpenRequest, type RetryObstacle, type Step,
-} from './state.js';
-import {findRequiredVersion} from './reduce-versions.js';
-import {recordSend, type Target} from './target-state.js';
+} from '../state.js';
+import {findRequiredVersion} from '../versions/reduce-versions.js';
+import {recordSend, type Target} from '../targets/target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
 const queueTimeoutFraction = 0.125;
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -2,26 +2,26 @@
  * The state of one gateway. The reducer owns the state and changes it in place.
  * Each part is typed by its own module; only this module combines them.
  */
-import {computeRankHash, type ColdBounds, type FleetView} from './target-limits.js';
-import {createDirectory, type DirectoryState} from './directory.js';
-import {type Route} from './directory-facts.js';
+import {computeRankHash, type ColdBounds, type FleetView} from './targets/target-limits.js';
+import {createDirectory, type DirectoryState} from './directory/directory.js';
+import {type Route} from './directory/directory-facts.js';
 import {effectKind, logLevel, type Effect} from './effect.js';
 import {
 	computeFleetView, createMemberState, type MemberState, type SelfInfo,
-} from './members.js';
+} from './members/members.js';
 import type {PromptPart, ResponseForm} from './event.js';
-import {BegunStreams} from './begun-streams.js';
-import {CacheHolders} from './cache-holders.js';
-import {FailureReports} from './failure-reports.js';
-import {CrashQuarantine, type LostRequest} from './crash-quarantine.js';
-import {PromptDemand} from './prompt-demand.js';
-import {RelayPeers} from './relay-peers.js';
-import {RouteDurations} from './route-durations.js';
-import {RetryBudget, type RetryBounds} from './retry-budget.js';
-import {computeSyncTiming, type SyncTiming} from './sync-timing.js';
-import type {TargetPath} from './target-paths.js';
-import {createTargetState, type Target, type TargetState} from './target-state.js';
-import {VersionHistory, type VersionCounts} from './version-history.js';
+import {BegunStreams} from './streams/begun-streams.js';
+import {CacheHolders} from './targets/cache-holders.js';
+import {FailureReports} from './targets/failure-reports.js';
+import {CrashQuarantine, type LostRequest} from './quarantine/crash-quarantine.js';
+import {PromptDemand} from './targets/prompt-demand.js';
+import {RelayPeers} from './paths/relay-peers.js';
+import {RouteDurations} from './requests/route-durations.js';
+import {RetryBudget, type RetryBounds} from './requests/retry-budget.js';
+import {computeSyncTiming, type SyncTiming} from './members/sync-timing.js';
+import type {TargetPath} from './paths/target-paths.js';
+import {createTargetState, type Target, type TargetState} from './targets/target-state.js';
+import {VersionHistory, type VersionCounts} from './versions/version-history.js';
 
 /** Bounds that apply to the whole fleet, from the settings. */
 export type FleetBounds = {
--- a/packages/dispatch/src/lib/begun-streams.ts
+++ b/packages/dispatch/src/lib/streams/begun-streams.ts
@@ -4,7 +4,7 @@
  * longer and which keeps the streams of different accounts apart.
  */
 import {hashText} from '@sequoiatally/core';
-import {evictOldest} from './evict-oldest.js';
+import {evictOldest} from '../evict-oldest.js';
 
 /** A stream and its software version in a message. */
 export type SharedStream = readonly [key: string, softwareVersion: string];
--- a/packages/dispatch/src/lib/reduce-begun-streams.ts
+++ b/packages/dispatch/src/lib/streams/reduce-begun-streams.ts
@@ -9,13 +9,13 @@
  */
 import {hashText} from '@sequoiatally/core';
 import {computeStreamKey, type SharedStream} from './begun-streams.js';
-import {hasResumableStreams} from './directory-facts.js';
-import {effectKind} from './effect.js';
-import type {StreamPeerAnsweredEvent, StreamPeerCalledEvent} from './event.js';
-import {isMember} from './members.js';
-import {listFirstRanked} from './ranking.js';
-import {computeNeededHistoryMs} from './reduce-history.js';
-import {recordLog, type OpenRequest, type Step} from './state.js';
+import {hasResumableStreams} from '../directory/directory-facts.js';
+import {effectKind} from '../effect.js';
+import type {StreamPeerAnsweredEvent, StreamPeerCalledEvent} from '../event.js';
+import {isMember} from '../members/members.js';
+import {listFirstRanked} from '../targets/ranking.js';
+import {computeNeededHistoryMs} from '../versions/reduce-history.js';
+import {recordLog, type OpenRequest, type Step} from '../state.js';
 import type {StreamMessage} from './stream-message.js';
 
 /** Number of peers that are told of a stream, and that are asked for it: more, since lists of members differ. */
--- a/packages/dispatch/src/lib/reduce-stream-ends.ts
+++ b/packages/dispatch/src/lib/streams/reduce-stream-ends.ts
@@ -5,17 +5,17 @@
  * process was paused and may have missed its restart. Until then the stream is neither finished
  * nor cut. A resume, where the route allows one, finds out meanwhile whether the stream goes on.
  */
-import {effectKind, logLevel} from './effect.js';
-import {finishWithFailure, recordNoProcess, recordUnansweredCheck} from './end-request.js';
-import type {TargetCheckedEvent} from './event.js';
-import {createFailure, failureReason} from './failure.js';
-import {hasPausedForRestart, hasPausedSince, tickGapMs} from './reduce-fleet.js';
-import {isPathProbablyLost} from './reduce-paths.js';
-import {retryOrFail} from './send-request.js';
+import {effectKind, logLevel} from '../effect.js';
+import {finishWithFailure, recordNoProcess, recordUnansweredCheck} from '../requests/end-request.js';
+import type {TargetCheckedEvent} from '../event.js';
+import {createFailure, failureReason} from '../requests/failure.js';
+import {hasPausedForRestart, hasPausedSince, tickGapMs} from '../members/reduce-fleet.js';
+import {isPathProbablyLost} from '../paths/reduce-paths.js';
+import {retryOrFail} from '../requests/send-request.js';
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step, type UnprovedEnd,
-} from './state.js';
-import {isLeaving, type Target} from './target-state.js';
+} from '../state.js';
+import {isLeaving, type Target} from '../targets/target-state.js';
 
 /** Holds the end of a stream until it is known whether its target still runs. */
 export function startEndCheck(step: Step, request: OpenRequest, {target, sendId}: CurrentSend): void {
--- a/packages/dispatch/src/lib/reduce-take-ups.ts
+++ b/packages/dispatch/src/lib/streams/reduce-take-ups.ts
@@ -9,18 +9,18 @@
  * proves that it knows every version with which the stream may have begun.
  */
 import {computeStreamKey} from './begun-streams.js';
-import {effectKind} from './effect.js';
-import type {DirectoryRefreshedEvent, RequestArrivedEvent} from './event.js';
-import {createFailure, failureReason, type FailureReason} from './failure.js';
-import {endWithFailure} from './end-request.js';
-import {choosePeers} from './members.js';
-import {applyDirectoryUpdate, callPeers, platformSource} from './reduce-fleet.js';
-import {computeStreamWindowMs} from './reduce-history.js';
-import {computeDirectoryAge, drawRetryAfterMs} from './resolve-request.js';
-import {sendOrQueue} from './send-request.js';
-import {recordLog, type OpenRequest, type Step} from './state.js';
-import {findCertainVersion} from './stream-version.js';
-import type {VersionCounts} from './version-history.js';
+import {effectKind} from '../effect.js';
+import type {DirectoryRefreshedEvent, RequestArrivedEvent} from '../event.js';
+import {createFailure, failureReason, type FailureReason} from '../requests/failure.js';
+import {endWithFailure} from '../requests/end-request.js';
+import {choosePeers} from '../members/members.js';
+import {applyDirectoryUpdate, callPeers, platformSource} from '../members/reduce-fleet.js';
+import {computeStreamWindowMs} from '../versions/reduce-history.js';
+import {computeDirectoryAge, drawRetryAfterMs} from '../requests/resolve-request.js';
+import {sendOrQueue} from '../requests/send-request.js';
+import {recordLog, type OpenRequest, type Step} from '../state.js';
+import {findCertainVersion} from '../versions/stream-version.js';
+import type {VersionCounts} from '../versions/version-history.js';
 
 /** Longest time for which a take-up waits for its version, in milliseconds, and as a fraction of the time that its caller waits. */
 const maxWaitMs = 1000;
--- a/packages/dispatch/src/lib/stream-message.ts
+++ b/packages/dispatch/src/lib/streams/stream-message.ts
@@ -2,7 +2,7 @@
  * Messages between instances about streams that callers may take up.
  */
 import type {SharedStream} from './begun-streams.js';
-import type {MemberEntry} from './peer-message.js';
+import type {MemberEntry} from '../members/peer-message.js';
 
 export type StreamMessage = {
 	readonly from: Pick<MemberEntry, 'id' | 'incarnation'>;
--- a/packages/dispatch/src/lib/cache-holders.ts
+++ b/packages/dispatch/src/lib/targets/cache-holders.ts
@@ -7,9 +7,9 @@
  * The entries are hints: if a holder has evicted a part meanwhile, nothing is
  * copied and the target reads the part itself.
  */
-import type {PromptPart} from './event.js';
-import {evictOldest} from './evict-oldest.js';
-import type {SharedCacheEntry} from './peer-message.js';
+import type {PromptPart} from '../event.js';
+import {evictOldest} from '../evict-oldest.js';
+import type {SharedCacheEntry} from '../members/peer-message.js';
 import {listSharedParts} from './prompt.js';
 import type {Target} from './target-state.js';
 
--- a/packages/dispatch/src/lib/copy-source.ts
+++ b/packages/dispatch/src/lib/targets/copy-source.ts
@@ -5,7 +5,7 @@
  * earlier prompts, names the cache holder of its longest cached prefix.
  */
 import {hashText} from '@sequoiatally/core';
-import type {PromptPart} from './event.js';
+import type {PromptPart} from '../event.js';
 import type {CacheHolders} from './cache-holders.js';
 import {listSharedParts} from './prompt.js';
 import {findFirstRanked} from './ranking.js';
--- a/packages/dispatch/src/lib/failure-reports.ts
+++ b/packages/dispatch/src/lib/targets/failure-reports.ts
@@ -6,19 +6,12 @@
  * Lost responses are not reported: an engine that loses a few still holds its prompts,
  * and to read these elsewhere costs more than the responses.
  */
-import {evictOldest} from './evict-oldest.js';
-import type {SharedFailure} from './peer-message.js';
+import {failureKind, type FailureKind} from './failure-kind.js';
+import {evictOldest} from '../evict-oldest.js';
+import type {SharedFailure} from '../members/peer-message.js';
 import {eject} from './target-health.js';
 import type {Target, TargetState} from './target-state.js';
 
-export const failureKind = {
-	/** The target responded with an error. */
-	errorResponse: 'error-response',
-	/** No process listens on the target's address, or another one. */
-	noProcess: 'no-process',
-} as const;
-export type FailureKind = typeof failureKind[keyof typeof failureKind];
-
 /** Time for which failures are counted and passed on, in milliseconds. */
 const windowMs = 3000;
 /** Smallest number of error responses, and multiple of the mean of the pool's other targets, above which a target counts as faulty. */
--- a/packages/dispatch/src/lib/placement.ts
+++ b/packages/dispatch/src/lib/targets/placement.ts
@@ -8,7 +8,7 @@
 import {
 	computeColdShare, computeWarmShare, type ColdBounds, type FleetView,
 } from './target-limits.js';
-import type {Pool} from './directory-facts.js';
+import type {Pool} from '../directory/directory-facts.js';
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked, listFirstRanked} from './ranking.js';
 import {isAwaitingTrial, isUsable, verdict} from './target-health.js';
--- a/packages/dispatch/src/lib/prompt-demand.ts
+++ b/packages/dispatch/src/lib/targets/prompt-demand.ts
@@ -6,9 +6,9 @@
  *
  * A prefix counts only if a peer receives requests with it too: those of one caller often come to one instance.
  */
-import {evictOldest} from './evict-oldest.js';
-import type {SharedDemand} from './peer-message.js';
-import {SlidingWindow} from './sliding-window.js';
+import {evictOldest} from '../evict-oldest.js';
+import type {SharedDemand} from '../members/peer-message.js';
+import {SlidingWindow} from '../sliding-window.js';
 
 /** Time over which requests are counted, and for which estimates of peers are used, in milliseconds. */
 const windowMs = 2000;
--- a/packages/dispatch/src/lib/prompt.ts
+++ b/packages/dispatch/src/lib/targets/prompt.ts
@@ -1,7 +1,7 @@
 /**
  * Functions for the parts of a prompt that requests share.
  */
-import type {PromptPart} from './event.js';
+import type {PromptPart} from '../event.js';
 
 /** Lists the parts that other requests may share, in prompt order; the last of several parts belongs to the request alone. */
 export function listSharedParts(parts: readonly PromptPart[]): readonly PromptPart[] {
--- a/packages/dispatch/src/lib/target-room.ts
+++ b/packages/dispatch/src/lib/targets/target-room.ts
@@ -9,7 +9,7 @@
  * rejected at once no longer counts, so that a calm pool is not limited by the shares.
  */
 import {computeRejectionShare, computeSlotShare, type FleetView} from './target-limits.js';
-import {SlidingWindow} from './sliding-window.js';
+import {SlidingWindow} from '../sliding-window.js';
 import type {Target} from './target-state.js';
 
 /** Window in which rejections are counted, in milliseconds: a second at the target, and the time by which they can arrive closer together there. */
--- a/packages/dispatch/src/lib/target-state.ts
+++ b/packages/dispatch/src/lib/targets/target-state.ts
@@ -5,9 +5,9 @@
 import {
 	computeNamedLimitShare, computeRankHash, namedLimitWindowMs, type FleetView,
 } from './target-limits.js';
-import {factKind, type FactChange, type TargetRecord} from './directory-facts.js';
-import type {SharedLeavingTarget, SharedTargetLimit, SharedTargetLoad} from './peer-message.js';
-import {SlidingWindow} from './sliding-window.js';
+import {factKind, type FactChange, type TargetRecord} from '../directory/directory-facts.js';
+import type {SharedLeavingTarget, SharedTargetLimit, SharedTargetLoad} from '../members/peer-message.js';
+import {SlidingWindow} from '../sliding-window.js';
 import {createRejectionWindows} from './target-room.js';
 import {createHealth, type TargetHealth} from './target-health.js';
 import {
--- a/packages/dispatch/src/lib/target-statements.ts
+++ b/packages/dispatch/src/lib/targets/target-statements.ts
@@ -7,8 +7,8 @@
  * Statements are kept apart from registrations: the platform may still describe a target
  * as it was before, and a registration may disappear and return while the process runs.
  */
-import {evictOldest} from './evict-oldest.js';
-import type {SharedLeavingTarget, SharedTargetLimit} from './peer-message.js';
+import {evictOldest} from '../evict-oldest.js';
+import type {SharedLeavingTarget, SharedTargetLimit} from '../members/peer-message.js';
 
 /** What a target states about itself in a response. */
 export type TargetStatement = {
--- a/packages/dispatch/src/lib/past-versions.ts
+++ b/packages/dispatch/src/lib/versions/past-versions.ts
@@ -6,9 +6,9 @@
  */
 import {
 	factKind, type Fact, type FactChange, type TargetRecord,
-} from './directory-facts.js';
-import type {SharedPoolVersions} from './peer-message.js';
-import {parseTargetSubject} from './target-state.js';
+} from '../directory/directory-facts.js';
+import type {SharedPoolVersions} from '../members/peer-message.js';
+import {parseTargetSubject} from '../targets/target-state.js';
 import {createCountsKey} from './version-history.js';
 
 /** A change in the platform's history. */
--- a/packages/dispatch/src/lib/reduce-history.ts
+++ b/packages/dispatch/src/lib/versions/reduce-history.ts
@@ -4,13 +4,13 @@
  * killed at once, none did.
  */
 import {mixHashes} from '@sequoiatally/core';
-import {hasResumableStreams, type Route} from './directory-facts.js';
-import {effectKind, logLevel} from './effect.js';
-import type {HistoryReadEvent} from './event.js';
+import {hasResumableStreams, type Route} from '../directory/directory-facts.js';
+import {effectKind, logLevel} from '../effect.js';
+import type {HistoryReadEvent} from '../event.js';
 import {listPastVersions} from './past-versions.js';
 import {
 	recordLog, type FleetBounds, type State, type Step,
-} from './state.js';
+} from '../state.js';
 import {historyWindowMs} from './version-history.js';
 
 /** Time after the first read of the directory until the history is read, before an addition that differs between instances, in milliseconds: peers have answered by then. */
--- a/packages/dispatch/src/lib/reduce-versions.ts
+++ b/packages/dispatch/src/lib/versions/reduce-versions.ts
@@ -2,10 +2,10 @@
  * Keeps each resumable stream at the software version that began it, inside one response. How
  * the version is found when a caller takes up a stream that was cut: `reduce-take-ups.ts`.
  */
-import {hasResumableStreams} from './directory-facts.js';
-import type {RequestArrivedEvent} from './event.js';
-import {choosePool, type ResolvedRequest} from './resolve-request.js';
-import type {OpenRequest, Step} from './state.js';
+import {hasResumableStreams} from '../directory/directory-facts.js';
+import type {RequestArrivedEvent} from '../event.js';
+import {choosePool, type ResolvedRequest} from '../requests/resolve-request.js';
+import type {OpenRequest, Step} from '../state.js';
 import {chooseVersion, countVersions, isSameCounts} from './stream-version.js';
 import type {VersionCounts} from './version-history.js';
 
--- a/packages/dispatch/src/lib/stream-version.ts
+++ b/packages/dispatch/src/lib/versions/stream-version.ts
@@ -5,7 +5,7 @@
  * instance can name it again, also one that has started since.
  */
 import {hashText} from '@sequoiatally/core';
-import type {Target} from './target-state.js';
+import type {Target} from '../targets/target-state.js';
 import type {VersionCounts} from './version-history.js';
 
 /** Hash seed that makes the choice of a version independent of the choices of pool and target. */
--- a/packages/dispatch/src/lib/version-history.ts
+++ b/packages/dispatch/src/lib/versions/version-history.ts
@@ -6,8 +6,8 @@
  * Only the last time at which a state may have held is kept: a stream that is taken up has
  * begun at any time since a bound.
  */
-import {evictOldest} from './evict-oldest.js';
-import type {SharedPoolVersions} from './peer-message.js';
+import {evictOldest} from '../evict-oldest.js';
+import type {SharedPoolVersions} from '../members/peer-message.js';
 
 /** Number of targets by software version, of those in a pool that new requests may go to. */
 export type VersionCounts = ReadonlyMap<string, number>;
--- a/packages/dispatch/src/test/begun_streams_test.ts
+++ b/packages/dispatch/src/test/begun_streams_test.ts
@@ -7,7 +7,7 @@
 import {
 	effectKind, eventKind, type CallStreamPeerEffect, type StreamMessage,
 } from '../index.js';
-import {BegunStreams, computeStreamKey} from '../lib/begun-streams.js';
+import {BegunStreams, computeStreamKey} from '../lib/streams/begun-streams.js';
 import {GatewayFixture, resumableRoute as route} from './gateway-fixture.js';
 import {SimulatedFleet} from './simulated-fleet.js';
 import {
--- a/packages/dispatch/src/test/copy_source_test.ts
+++ b/packages/dispatch/src/test/copy_source_test.ts
@@ -7,9 +7,9 @@
 import {
 	eventKind, factKind, sendOutcome, type SendEffect,
 } from '../index.js';
-import {CacheHolders} from '../lib/cache-holders.js';
-import {recordVerdict, verdict} from '../lib/target-health.js';
-import {applyTargetChanges, createTargetState} from '../lib/target-state.js';
+import {CacheHolders} from '../lib/targets/cache-holders.js';
+import {recordVerdict, verdict} from '../lib/targets/target-health.js';
+import {applyTargetChanges, createTargetState} from '../lib/targets/target-state.js';
 import {
 	createRoute, createTargetChange, createTargetRecord, GatewayFixture,
 } from './gateway-fixture.js';
--- a/packages/dispatch/src/test/crash_quarantine_test.ts
+++ b/packages/dispatch/src/test/crash_quarantine_test.ts
@@ -4,8 +4,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {effectKind, eventKind, sendOutcome} from '../index.js';
-import type {FleetView} from '../lib/target-limits.js';
-import {CrashQuarantine, createRequestSuspectId} from '../lib/crash-quarantine.js';
+import type {FleetView} from '../lib/targets/target-limits.js';
+import {CrashQuarantine, createRequestSuspectId} from '../lib/quarantine/crash-quarantine.js';
 import {
 	createRoute, createTargetChange, createTargetRecord, GatewayFixture, onceRoute, repeatableRoute,
 } from './gateway-fixture.js';
--- a/packages/dispatch/src/test/failure_reports_test.ts
+++ b/packages/dispatch/src/test/failure_reports_test.ts
@@ -4,8 +4,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {eventKind, sendOutcome, type SendEffect} from '../index.js';
-import {failureKind} from '../lib/failure-reports.js';
-import {isUsable} from '../lib/target-health.js';
+import {failureKind} from '../lib/targets/failure-kind.js';
+import {isUsable} from '../lib/targets/target-health.js';
 import {advanceFleet, createFleet} from './fleet-fixture.js';
 import {
 	createTargetChange, createTargetRecord, type GatewayFixture, GatewayFixture as Gateway, onceRoute, repeatableRoute,
--- a/packages/dispatch/src/test/fleet_test.ts
+++ b/packages/dispatch/src/test/fleet_test.ts
@@ -6,9 +6,9 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {effectKind, eventKind} from '../index.js';
-import {computeColdShare, computeRankHash, type FleetView} from '../lib/target-limits.js';
-import {computeFleetView} from '../lib/members.js';
-import {RetryBudget} from '../lib/retry-budget.js';
+import {computeColdShare, computeRankHash, type FleetView} from '../lib/targets/target-limits.js';
+import {computeFleetView} from '../lib/members/members.js';
+import {RetryBudget} from '../lib/requests/retry-budget.js';
 import {createFleet, advanceFleet, takePeerCalls} from './fleet-fixture.js';
 import {
 	createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture,
--- a/packages/dispatch/src/test/placement_test.ts
+++ b/packages/dispatch/src/test/placement_test.ts
@@ -4,10 +4,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {eventKind, sendOutcome} from '../index.js';
-import {PoolLoad} from '../lib/pool-load.js';
+import {PoolLoad} from '../lib/targets/pool-load.js';
 import {
 	createHealth, isUsable, recordVerdict, verdict,
-} from '../lib/target-health.js';
+} from '../lib/targets/target-health.js';
 import {
 	createRoute, createTargetChange, createTargetRecord, GatewayFixture, onceRoute, repeatableRoute,
 } from './gateway-fixture.js';
--- a/packages/dispatch/src/test/prompt_demand_test.ts
+++ b/packages/dispatch/src/test/prompt_demand_test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {effectKind, type LogEffect} from '../index.js';
-import {PromptDemand} from '../lib/prompt-demand.js';
+import {PromptDemand} from '../lib/targets/prompt-demand.js';
 import {createRoute, GatewayFixture} from './gateway-fixture.js';
 import {SimulatedFleet, type Arrival} from './simulated-fleet.js';
 
--- a/packages/dispatch/src/test/route_durations_test.ts
+++ b/packages/dispatch/src/test/route_durations_test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {eventKind, sendOutcome, type Route} from '../index.js';
-import {RouteDurations} from '../lib/route-durations.js';
+import {RouteDurations} from '../lib/requests/route-durations.js';
 import {
 	createRoute, createTables, GatewayFixture, onceRoute,
 } from './gateway-fixture.js';
--- a/packages/dispatch/src/test/stream_version_test.ts
+++ b/packages/dispatch/src/test/stream_version_test.ts
@@ -3,8 +3,8 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {chooseVersion, findCertainVersion} from '../lib/stream-version.js';
-import type {VersionCounts} from '../lib/version-history.js';
+import {chooseVersion, findCertainVersion} from '../lib/versions/stream-version.js';
+import type {VersionCounts} from '../lib/versions/version-history.js';
 import {createRandom} from './gateway-fixture.js';
 
 const streamCount = 20_000;
--- a/packages/dispatch/src/test/stream_versions_test.ts
+++ b/packages/dispatch/src/test/stream_versions_test.ts
@@ -7,9 +7,9 @@
 import {
 	effectKind, eventKind, sendOutcome, type FactChange, type RefuseEffect, type SendEffect,
 } from '../index.js';
-import {chooseVersion} from '../lib/stream-version.js';
-import {verdict} from '../lib/target-health.js';
-import {TargetPath} from '../lib/target-paths.js';
+import {chooseVersion} from '../lib/versions/stream-version.js';
+import {verdict} from '../lib/targets/target-health.js';
+import {TargetPath} from '../lib/paths/target-paths.js';
 import {
 	createRoute, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture, repeatableRoute, resumableRoute,
 } from './gateway-fixture.js';
--- a/packages/dispatch/src/test/take_up_gaps_test.ts
+++ b/packages/dispatch/src/test/take_up_gaps_test.ts
@@ -7,7 +7,7 @@
 import {
 	effectKind, eventKind, type FactChange, type LogEffect,
 } from '../index.js';
-import {chooseVersion} from '../lib/stream-version.js';
+import {chooseVersion} from '../lib/versions/stream-version.js';
 import {
 	createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture, resumableRoute as route,
 } from './gateway-fixture.js';
--- a/packages/dispatch/src/test/target_limits_test.ts
+++ b/packages/dispatch/src/test/target_limits_test.ts
@@ -8,7 +8,7 @@
 import {
 	createRoute, createTables, createTargetChange, createTargetRecord, GatewayFixture, onceRoute,
 } from './gateway-fixture.js';
-import {computeNamedLimitShare} from '../lib/target-limits.js';
+import {computeNamedLimitShare} from '../lib/targets/target-limits.js';
 import {SimulatedFleet} from './simulated-fleet.js';
 
 /** Time after which all instances have to keep to a limit, in milliseconds. */
--- a/packages/dispatch/src/test/version_changes_test.ts
+++ b/packages/dispatch/src/test/version_changes_test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {eventKind, type Route} from '../index.js';
-import {chooseVersion} from '../lib/stream-version.js';
+import {chooseVersion} from '../lib/versions/stream-version.js';
 import {resumableRoute} from './gateway-fixture.js';
 import {SimulatedFleet, type SimulatedRequest} from './simulated-fleet.js';
 
