--- a/packages/dispatch/src/lib/members/peer-message.ts
+++ b/packages/dispatch/src/lib/members/peer-message.ts
@@ -95,6 +95,19 @@
 	readonly requests: number;
 };
 
+/** Requests of client accounts to a contended pool: those of the sender, or the sum over several instances. */
+export type SharedAccountLoads = {
+	readonly pool: string;
+	/** Number of instances whose requests these are; 1 if they are the sender's. */
+	readonly instances: number;
+	/** Requests that targets of the pool completed, in each second. */
+	readonly completionsPerS: number;
+	/** Requests of all accounts. */
+	readonly requestsPerS: number;
+	/** The accounts with the most requests. */
+	readonly accounts: ReadonlyArray<{readonly name: string; readonly requestsPerS: number}>;
+};
+
 /** A pool that the sender reaches. */
 export type SharedService = {
 	readonly pool: string;
@@ -141,6 +154,8 @@
 	readonly failures?: readonly SharedFailure[];
 	/** Prompt prefixes that the sender receives often; absent if there are none. */
 	readonly demands?: readonly SharedDemand[];
+	/** Requests of client accounts to pools that are contended at the sender; absent if there are none. */
+	readonly accountLoads?: readonly SharedAccountLoads[];
 	/** Prompt parts that may crash targets; absent if there are none. */
 	readonly suspects?: readonly SharedSuspect[];
 	/** Pools that the sender reached recently, without those to which it has no path now; absent from builds that do not relay. */
