Peer messages with the requests of client accounts are validated

accountLoads is optional, so that instances of the previous build can be mixed with new ones; a message with figures that cannot be added up is refused as a whole.

--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -110,6 +110,13 @@
 		begunAgeMs: createOptionalCheck(isNumber),
 	}))),
 	demands: createOptionalCheck(createListCheck(createObjectCheck({prefix: isString, requests: isNumber}))),
+	accountLoads: createOptionalCheck(createListCheck(createObjectCheck({
+		pool: isString,
+		instances: isNumber,
+		completionsPerS: isNumber,
+		requestsPerS: isNumber,
+		accounts: createListCheck(createObjectCheck({name: isString, requestsPerS: isNumber})),
+	}))),
 	services: createOptionalCheck(createListCheck(createObjectCheck({pool: isString, ageMs: isNumber}))),
 	unreachedPools: createOptionalCheck(createListCheck(isString)),
 	versionsKnownMs: createOptionalCheck(isNumber),
--- a/packages/gateway/src/test/parse-peer-message_test.ts
+++ b/packages/gateway/src/test/parse-peer-message_test.ts
@@ -73,6 +73,28 @@
 	}
 });
 
+// Guards against figures of accounts that cannot be added up: they would decide about every later request.
+test('a message with the requests of accounts is accepted as it is sent, and one with unreadable figures is not', () => {
+	const load = {
+		pool: 'engines', instances: 2, completionsPerS: 12.5, requestsPerS: 20, accounts: [{name: 'crews', requestsPerS: 15}],
+	};
+	assert.ok(parsePeerMessage(JSON.stringify({...call, accountLoads: [load]})).isOk());
+	assert.ok(parsePeerMessage(JSON.stringify({...call, accountLoads: []})).isOk());
+	const changes = [
+		{pool: 1},
+		{instances: 'all'},
+		{completionsPerS: null},
+		{requestsPerS: undefined},
+		{accounts: undefined},
+		{accounts: [{name: 'crews'}]},
+		{accounts: [{name: 1, requestsPerS: 2}]},
+		{accounts: ['crews']},
+	];
+	for (const change of changes) {
+		assert.ok(parsePeerMessage(JSON.stringify({...call, accountLoads: [{...load, ...change}]})).isErr(), JSON.stringify(change));
+	}
+});
+
 test('a message with software versions is accepted as it is sent, and one with unreadable versions is not', () => {
 	const state = {counts: [['v1', 2], ['v2', 1]], endedMs: 20};
 	const pool = {pool: 'engines', knownMs: 4000, states: [state, {counts: [['v1', 3]]}]};
