Requests of accounts beyond their fair share are held back while a pool is contended

Change: on arrival, a request beyond the share of its account is held back in the queue of the instance, sent if contention ends, and refused at the end of its queue time with 503, account-share and a Retry-After at which the share has room. The same fingerprint before that time gets no other chance. Peers exchange accountLoads while a pool is contended. Log line held-back, metric contended_pools. Contention ends a second after the last pressure, or at once below half of the slots.

--- a/packages/dispatch/src/lib/members/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/members/reduce-fleet.ts
@@ -15,6 +15,7 @@
 	applyMembers, choosePeers, computeInstanceCount, describeMembers, isMember, removeUnreachableMember, listWatchers, expireMembers, type Watchers,
 } from './members.js';
 import {ejectIfFaulty} from '../requests/end-request.js';
+import {describeAccountLoads} from '../requests/reduce-account-share.js';
 import type {PeerMessage, SharedService} from './peer-message.js';
 import {recordLog, type State, type Step} from '../state.js';
 import {computeNeededHistoryMs, scheduleHistoryRead} from '../versions/reduce-history.js';
@@ -244,14 +245,16 @@
 	return {versionsKnownMs: Math.floor(state.versionHistory.computeKnownMs(now))};
 }
 
-function createMessage({state, now}: Step, {
+function createMessage(step: Step, {
 	update, tables, versions, versionsKnownMs,
 }: Supplement): PeerMessage {
+	const {state, now} = step;
 	const {
 		self, directory, members, drainStartedAt, lapseGraceUntil, platformReadableSince,
 	} = state;
 	const suspects = state.quarantine.describe(now);
 	const demands = state.promptDemand.describe(computeInstanceCount(members), now);
+	const accountLoads = describeAccountLoads(step);
 	const limits = state.targets.statements.describeLimits(now);
 	const leaving = state.targets.statements.describeLeaving(now);
 	const services = describeServices(state, now);
@@ -273,6 +276,7 @@
 		...(unreachedPools.length > 0 && {unreachedPools}),
 		...(suspects.length > 0 && {suspects}),
 		...(demands.length > 0 && {demands}),
+		...(accountLoads.length > 0 && {accountLoads}),
 		...(versionsKnownMs !== undefined && {versionsKnownMs}),
 		...(versions !== undefined && versions.length > 0 && {versions}),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
@@ -423,6 +427,7 @@
 	}
 
 	state.promptDemand.applyShared(message.demands ?? [], messageCreatedAt);
+	state.accountShare.applyShared(message.from.id, message.accountLoads ?? [], messageCreatedAt);
 	state.cacheHolders.applyEntries(message.readings, state.targets.byId, messageCreatedAt);
 	for (const target of state.failureReports.applyShared(message.failures ?? [], state.targets, messageCreatedAt, now)) {
 		ejectIfFaulty(step, target);
--- a/packages/dispatch/src/lib/requests/failure.ts
+++ b/packages/dispatch/src/lib/requests/failure.ts
@@ -29,6 +29,8 @@
 	versionGone: 'version-gone',
 	/** All targets name a limit, and this instance has used its share. */
 	targetsLimited: 'targets-limited',
+	/** The account exceeds its fair share of a pool that is contended, and the request was not sent. */
+	accountShare: 'account-share',
 	/** The request has prompt parts that crashed several targets, and was not sent. */
 	promptQuarantined: 'prompt-quarantined',
 	/** The request itself crashed several targets, and was not sent. */
@@ -65,6 +67,7 @@
 	[failureReason.versionUnknown]: 503,
 	[failureReason.versionGone]: 503,
 	[failureReason.targetsLimited]: 503,
+	[failureReason.accountShare]: 503,
 	[failureReason.promptQuarantined]: 503,
 	[failureReason.requestQuarantined]: 503,
 	[failureReason.notRun]: 503,
--- a/packages/dispatch/src/lib/requests/reduce-requests.ts
+++ b/packages/dispatch/src/lib/requests/reduce-requests.ts
@@ -18,6 +18,7 @@
 	chooseRelayPeer, findPathState, isPathProbablyLost, recordAnswered, recordLostSend, recordReached, recordServed, recordUnreached, relayedRequestLimit,
 } from '../paths/reduce-paths.js';
 import {findPromptKey} from '../targets/prompt.js';
+import {admitToShare, createQueueFailure, recordCompletion} from './reduce-account-share.js';
 import {admitInDrain} from './reduce-drain.js';
 import {recordBegunStream} from '../streams/reduce-begun-streams.js';
 import {checkForCrash, recordResponseBegun} from '../quarantine/reduce-quarantine.js';
@@ -89,6 +90,7 @@
 	}
 
 	recordDemand(step, request);
+	admitToShare(step, request);
 	if (isTakeUp) {
 		startTakeUp(step, request, event);
 	} else {
@@ -441,6 +443,7 @@
 			}
 
 			step.state.routeDurations.record(request.route.name, step.now - request.arrivedAt, step.now);
+			recordCompletion(step, request);
 			finishRequest(step, request, 'answered', event.detail);
 			break;
 		}
@@ -537,7 +540,7 @@
 
 		const isOver = !trySend(step, request) && step.now >= request.queuedUntil!;
 		if (isOver && !(request.hasResponseStarted && tryQueueForPath(step, request))) {
-			finishWithFailure(step, request, createNotRunFailure(step, request, failureReason.noTarget));
+			finishWithFailure(step, request, createQueueFailure(step, request));
 		}
 	}
 }
--- a/packages/dispatch/src/lib/requests/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -9,6 +9,7 @@
 import {createNotRunFailure, finishWithFailure} from './end-request.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import {computeInstanceCount} from '../members/members.js';
+import {isHeldBack} from './reduce-account-share.js';
 import {
 	choosePlacement, findLimitEnd, type Placement, type PlacementView,
 } from '../targets/placement.js';
@@ -61,6 +62,10 @@
 		return true;
 	}
 
+	if (isHeldBack(step, request)) {
+		return false;
+	}
+
 	const relayPeer = chooseRelayPeer(step, request);
 	if (relayPeer !== undefined) {
 		removeFromQueue(step, request);
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -11,6 +11,7 @@
 } from './members/members.js';
 import type {PromptPart, ResponseForm} from './event.js';
 import {BegunStreams} from './streams/begun-streams.js';
+import {AccountShare} from './requests/account-share.js';
 import {CacheHolders} from './targets/cache-holders.js';
 import {FailureReports} from './targets/failure-reports.js';
 import {CrashQuarantine, type LostRequest} from './quarantine/crash-quarantine.js';
@@ -140,6 +141,8 @@
 	settleUntil?: number;
 	/** Time at which the request is refused if no target may receive it by then; set while it is queued. */
 	queuedUntil?: number;
+	/** Time at which the share of the account has room for the request again; set while the request is held back. */
+	shareReturnAt?: number;
 	/** Set if the request takes up a stream whose software version has to be found. */
 	takeUp?: TakeUp;
 };
@@ -217,6 +220,7 @@
 	readonly quarantine: CrashQuarantine;
 	readonly routeDurations: RouteDurations;
 	readonly promptDemand: PromptDemand;
+	readonly accountShare: AccountShare;
 	/** Checks in progress by target. */
 	crashChecks: Map<string, CrashCheck>;
 	/** Targets that are checked because a stream ended there with its connection. */
@@ -290,6 +294,7 @@
 		quarantine: new CrashQuarantine(),
 		routeDurations: new RouteDurations(),
 		promptDemand: new PromptDemand(),
+		accountShare: new AccountShare(),
 		crashChecks: new Map(),
 		endChecks: new Set(),
 		hasUnreportedCrash: false,
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -170,6 +170,7 @@
 			['lost_paths', () => [...this.state.paths.values()].filter(({lostSince}) => lostSince !== undefined).length],
 			['relayed_requests', () => this.state.relayedOpenIds.size],
 			['quarantined_prompts', () => this.state.quarantine.size],
+			['contended_pools', () => this.state.accountShare.countContended(readMonotonicMs())],
 			['target_connections_opened', () => pool.openedCount],
 			['body_bytes', () => bufferBudget.bodyBytes],
 			['body_bytes_limit', () => bufferBudget.bodyBytesLimit],
