--- a/packages/gateway/src/lib/response-body.ts
+++ b/packages/gateway/src/lib/response-body.ts
@@ -8,9 +8,11 @@
  *
  * A body that only the end of its connection ends is not complete if the connection was
  * reset. Node.js reports a reset as an end if it is read together with the last data; then
- * the system knows no other side of the connection any more.
+ * the system knows no other side of the connection any more. Nor is it complete if the
+ * connection ended before the request was written to it: the sender cannot have read the
+ * request, and nothing shows that it sent all of its response.
  */
-import type {IncomingMessage} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import {responseForm, type ResponseForm} from '@sequoiatally/dispatch';
 import {isInChunks} from '@sequoiatally/runtime';
 
@@ -29,6 +31,8 @@
 	#isClosed = false;
 	/** True if the connection whose end is that of the body was reset. */
 	#wasReset = false;
+	/** True if that connection ended before the request was written to it. */
+	#endedInRequest = false;
 
 	constructor(response: IncomingMessage, listener: BodyListener) {
 		this.#response = response;
@@ -44,6 +48,7 @@
 			// The reader may be paused when the connection ends, and the socket be gone when it goes on.
 			socket.prependOnceListener('end', () => {
 				this.#wasReset = socket.remoteAddress === undefined;
+				this.#endedInRequest = findRequest(response)?.writableFinished === false;
 			});
 		}
 
@@ -82,6 +87,8 @@
 			this.#fail('connection closed in the middle of the response');
 		} else if (this.#wasReset) {
 			this.#fail('connection reset at the end of the response');
+		} else if (this.#endedInRequest) {
+			this.#fail('connection ended while the request was being written');
 		} else if (declaredBytes !== undefined && declaredBytes !== this.#receivedBytes && hasBody(this.#response)) {
 			this.#fail(`${this.#receivedBytes} of ${declaredBytes} declared bytes were read`);
 		} else if (!this.#isClosed) {
@@ -119,8 +126,12 @@
 
 /** Returns false for responses whose declared length is that of another response's body. */
 export function hasBody(response: IncomingMessage): boolean {
-	const {req: request} = response as IncomingMessage & {readonly req?: {readonly method?: string}};
-	return request?.method !== 'HEAD' && isBodyAllowed(response);
+	return findRequest(response)?.method !== 'HEAD' && isBodyAllowed(response);
+}
+
+/** Finds the request that was answered; Node.js sets it, but its types do not name it. */
+function findRequest(response: IncomingMessage): ClientRequest | undefined {
+	return (response as IncomingMessage & {readonly req?: ClientRequest}).req;
 }
 
 function isBodyAllowed({statusCode}: IncomingMessage): boolean {
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -36,8 +36,9 @@
 /** Largest number of interim responses (status 1xx) before a response. */
 const maxInterimResponses = 8;
 
-/** Smallest status that HTTP defines; Node.js reads smaller ones, but refuses to write them. */
+/** Statuses that HTTP allows; Node.js also reads smaller and larger ones. */
 const minStatus = 100;
+const maxStatus = 599;
 
 /** Statuses that tell a caller that its request has not run; without the target's proof, the response is not forwarded but counts as lost. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
@@ -305,7 +306,14 @@
 			return;
 		}
 
-		if (responseHead.kind === responseKind.stray || statusCode < minStatus) {
+		if (statusCode < minStatus || statusCode > maxStatus) {
+			// Nothing that such a response states can be relied on, not even that the request has not run.
+			this.#targetReport = undefined;
+			this.#abort(this.#failureOutcome, `response with the invalid status ${statusCode}`);
+			return;
+		}
+
+		if (responseHead.kind === responseKind.stray) {
 			this.#abort(this.#failureOutcome, `response with status ${statusCode} does not match the request`);
 			return;
 		}
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -234,7 +234,7 @@
 	}
 
 	/** Waits for the end of the last send. */
-	async waitForEnd(): Promise<Pick<SendEndedEvent, 'outcome' | 'detail' | 'runCount'>> {
+	async waitForEnd(): Promise<Pick<SendEndedEvent, 'outcome' | 'detail' | 'runCount' | 'targetReport'>> {
 		for (;;) {
 			const event = this.events.find(({kind}) => kind === eventKind.sendEnded);
 			if (event?.kind === eventKind.sendEnded) {
--- a/packages/gateway/src/test/response-end_test.ts
+++ b/packages/gateway/src/test/response-end_test.ts
@@ -154,3 +154,21 @@
 		await fixture.close();
 	}
 });
+
+// Guards against bytes that are no valid response of HTTP and reach a caller as one; such a response proves nothing, not even that the request has not run.
+test('a response whose status is not a number from 100 to 599 loses the request', async () => {
+	for (const status of ['000', '099', '600', '999', '1000', '2x0', '']) {
+		for (const isStream of [false, true]) {
+			fixture.nextOpenId = 1;
+			await fixture.startTarget((socket, requestId) => {
+				socket.write(`HTTP/1.1 ${status} Odd\r\nid: ${requestId}\r\nlimit: 3\r\ncontent-length: 6\r\n\r\nanswer`);
+			});
+			const caller = fixture.startSend({isStream});
+			const {outcome, targetReport} = await fixture.waitForEnd();
+			assert.equal(outcome, sendOutcome.lost, status);
+			assert.equal(targetReport, undefined, status);
+			assert.equal(caller.deliveryCount, 0, status);
+			await fixture.close();
+		}
+	}
+});
