The demand for a prompt is estimated from the requests of many instances (LIMIT)

Cause: an instance estimated the demand for a prefix from its own requests, and told peers only of a prefix that it had received twice in two seconds. One of 100 instances receives even a hot one less often, so no target shared its load until reports showed it, too late. Change: instances tell each other which prefixes they received, and estimate from the sum over the peers that they have heard from; estimates of peers count by the size of their sample. Both fields are optional, so that the build before reads and sends its own form.

--- a/packages/dispatch/src/lib/members/peer-message.ts
+++ b/packages/dispatch/src/lib/members/peer-message.ts
@@ -93,6 +93,18 @@
 	readonly prefix: string;
 	/** Estimated number of such requests that the whole fleet has in progress. */
 	readonly requests: number;
+	/** Number of instances whose requests the estimate follows from; absent from builds that estimate from their own requests alone. */
+	readonly instances?: number;
+};
+
+/** Requests with a prompt prefix that the sender itself received from callers lately. */
+export type SharedArrivals = {
+	/** Identifier of the last part of the prefix. */
+	readonly prefix: string;
+	/** Number of requests in the last two seconds. */
+	readonly count: number;
+	/** Usual time from the arrival of such a request to the end of its response, in milliseconds. */
+	readonly durationMs: number;
 };
 
 /** A pool that the sender reaches. */
@@ -141,6 +153,8 @@
 	readonly failures?: readonly SharedFailure[];
 	/** Prompt prefixes that the sender receives often; absent if there are none. */
 	readonly demands?: readonly SharedDemand[];
+	/** Prompt prefixes that the sender received itself; absent from builds that do not tell, and shortly after the sender's start. */
+	readonly arrivals?: readonly SharedArrivals[];
 	/** Prompt parts that may crash targets; absent if there are none. */
 	readonly suspects?: readonly SharedSuspect[];
 	/** Pools that the sender reached recently, without those to which it has no path now; absent from builds that do not relay. */
--- a/packages/dispatch/src/lib/members/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/members/reduce-fleet.ts
@@ -252,6 +252,7 @@
 	} = state;
 	const suspects = state.quarantine.describe(now);
 	const demands = state.promptDemand.describe(computeInstanceCount(members), now);
+	const arrivals = state.promptDemand.describeArrivals(now);
 	const limits = state.targets.statements.describeLimits(now);
 	const leaving = state.targets.statements.describeLeaving(now);
 	const services = describeServices(state, now);
@@ -273,6 +274,7 @@
 		...(unreachedPools.length > 0 && {unreachedPools}),
 		...(suspects.length > 0 && {suspects}),
 		...(demands.length > 0 && {demands}),
+		...(arrivals !== undefined && {arrivals}),
 		...(versionsKnownMs !== undefined && {versionsKnownMs}),
 		...(versions !== undefined && versions.length > 0 && {versions}),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
@@ -423,6 +425,10 @@
 	}
 
 	state.promptDemand.applyShared(message.demands ?? [], messageCreatedAt);
+	if (message.arrivals !== undefined) {
+		state.promptDemand.applyArrivals(message.from.incarnation, message.arrivals, messageCreatedAt);
+	}
+
 	state.cacheHolders.applyEntries(message.readings, state.targets.byId, messageCreatedAt);
 	for (const target of state.failureReports.applyShared(message.failures ?? [], state.targets, messageCreatedAt, now)) {
 		ejectIfFaulty(step, target);
--- a/packages/dispatch/src/test/prompt_demand_test.ts
+++ b/packages/dispatch/src/test/prompt_demand_test.ts
@@ -17,22 +17,39 @@
 const windowMs = 5000;
 const settlingMs = 5000;
 
-test('the demand for a prompt follows from the own requests and from the estimates of peers', () => {
+test('the demand for a prompt follows from the requests that this instance and its peers received', () => {
 	const demand = new PromptDemand();
 	for (let now = 0; now < 4000; now += 250) {
 		demand.record('hot', 500, now);
 	}
 
 	assert.equal(demand.estimate('hot', fleetSize, 4000), 0, 'no peer receives the prompt');
-	demand.applyShared([{prefix: 'hot', requests: 20}], 4000);
-	// Four requests a second at each of ten instances, half a second each: 20 in progress, less the first of the window.
-	const estimate = demand.estimate('hot', fleetSize, 4000);
-	assert.ok(estimate > 15 && estimate <= 20, String(estimate));
-	assert.deepEqual(demand.describe(fleetSize, 4000).map(({prefix}) => prefix), ['hot']);
-	assert.equal(demand.estimate('hot', fleetSize, 10_000), 0, 'the reports are outdated');
+	demand.applyArrivals('peer-1', [{prefix: 'hot', count: 8, durationMs: 500}], 4500);
+	demand.applyArrivals('peer-2', [], 4500);
+	// 12 of 13 requests in two seconds at three of ten instances, half a second each.
+	const estimate = demand.estimate('hot', fleetSize, 4500);
+	assert.equal(estimate, 10);
+	assert.deepEqual(demand.describe(fleetSize, 4500).map(({prefix, instances}) => [prefix, instances]), [['hot', 3]]);
+	assert.equal(demand.estimate('hot', fleetSize, 10_000), 0, 'the samples are outdated');
 	assert.deepEqual(demand.describe(fleetSize, 10_000), []);
 });
 
+// Guards against LIMIT in a large fleet, where no instance receives even a hot prompt twice in the time that counts.
+test('requests that each come to another instance add up, and a larger sample counts more than a smaller one', () => {
+	const demand = new PromptDemand();
+	demand.record('other', 500, 0);
+	for (let peer = 0; peer < 39; peer++) {
+		demand.applyArrivals(`peer-${peer}`, peer < 13 ? [{prefix: 'hot', count: 1, durationMs: 900}] : [], 1500);
+	}
+
+	// 12 of 13 requests in two seconds at 40 of 100 instances, 0.9 s each.
+	assert.equal(Math.round(demand.estimate('hot', 100, 1500) * 10) / 10, 13.5);
+	demand.applyShared([{prefix: 'hot', requests: 40, instances: 10}], 1500);
+	assert.equal(Math.round(demand.estimate('hot', 100, 1500) * 10) / 10, 18.8);
+	demand.applyArrivals('peer-0', [], 1600);
+	assert.ok(demand.estimate('hot', 100, 2000) < 18.8, 'a later message of a peer replaces its sample');
+});
+
 // Guards against prompts of one caller that lose their cached parts: a caller's requests come to one instance.
 test('a prompt that only this instance receives has no demand beyond it', () => {
 	const demand = new PromptDemand();
@@ -102,7 +119,7 @@
 }
 
 // Guards against LIMIT: many instances, each with few requests, send a prompt to one target until its report reaches them.
-for (const [gatewayCount, engineCount, requestsPerS] of [[7, 13, 64], [58, 63, 335]] as const) {
+for (const [gatewayCount, engineCount, requestsPerS] of [[7, 13, 64], [58, 63, 335], [100, 63, 203]] as const) {
 	test(`a hot prompt at ${gatewayCount} instances stays within the load limit of its targets once its demand is known`, () => {
 		for (const seed of [1, 2, 3]) {
 			const fleet = new SimulatedFleet({gatewayCount, engineCount, seed});
