Requests carry the rank of the tables to their targets

Callers saw urgent requests wait behind less urgent ones at busy engines: the tables state a priority for routes and client accounts, but the gateway did not decode it, so engines served all requests as if it were 5.

The rank of an account precedes that of the route. Peers accept tables with and without ranks.

The effect on latency has not been measured.

--- a/packages/dispatch/src/lib/directory/directory-facts.ts
+++ b/packages/dispatch/src/lib/directory/directory-facts.ts
@@ -36,6 +36,8 @@
 	readonly isPublic: boolean;
 	/** True if requests list the parts of their prompts. */
 	readonly hasPrompts: boolean;
+	/** Urgency of the route's requests, a whole number; 0 is the most urgent. Absent if the tables state none. */
+	readonly rank?: number;
 };
 
 /** True if callers may take up the route's streams after they were cut. */
@@ -55,6 +57,8 @@
 	readonly name: string;
 	/** SHA-256 of each key, in hexadecimal. */
 	readonly keyDigests: readonly string[];
+	/** Urgency of the account's requests, in place of that of their routes; absent if the tables state none. */
+	readonly rank?: number;
 };
 
 /** Limits on the size of requests and on idle caller connections. */
--- a/packages/dispatch/src/lib/effect.ts
+++ b/packages/dispatch/src/lib/effect.ts
@@ -46,6 +46,8 @@
 	/** Number of targets on which the request may have begun, with this one. */
 	readonly runCount: number;
 	readonly account?: string;
+	/** Urgency of the request, a whole number; 0 is the most urgent. `undefined` if the configuration tables state none. */
+	readonly rank?: number;
 	readonly isStream: boolean;
 	/** True if the send has to use a new connection or one that was in use a moment ago. */
 	readonly needsFreshConnection: boolean;
--- a/packages/dispatch/src/lib/requests/reduce-requests.ts
+++ b/packages/dispatch/src/lib/requests/reduce-requests.ts
@@ -31,6 +31,7 @@
 import {
 	recordLog, type CurrentSend, type OpenRequest, type Step,
 } from '../state.js';
+import {findRank} from './urgency.js';
 import {verdict, type Verdict} from '../targets/target-health.js';
 import {pathState} from '../paths/target-paths.js';
 import {
@@ -69,6 +70,7 @@
 		deadlineAt: now + Math.min(event.timeoutMs ?? route.timeLimitMs, route.timeLimitMs) - deadlineMarginMs,
 		route,
 		account: account?.name,
+		rank: findRank({route, account}),
 		poolName,
 		streamId,
 		boundVersion,
--- a/packages/dispatch/src/lib/requests/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -21,6 +21,7 @@
 import {
 	findRetryBudget, findFleetView, recordLog, retryObstacle, type OpenRequest, type RetryObstacle, type Step,
 } from '../state.js';
+import {findRank} from './urgency.js';
 import {findRequiredVersion} from '../versions/reduce-versions.js';
 import {recordSend, type Target} from '../targets/target-state.js';
 
@@ -224,6 +225,7 @@
 	const wasAllowed = route.splits.some(({pool}) => pool === request.poolName);
 	request.route = route;
 	request.account = account?.name;
+	request.rank = findRank(resolved.value);
 	request.tablesVersion = tables.version;
 	if (!wasAllowed) {
 		request.poolName = choosePool(route.splits, request);
@@ -265,6 +267,7 @@
 		isRelayed,
 		softwareVersion: isRelayed ? requiredVersion : target.record.softwareVersion,
 		account: request.account,
+		rank: request.rank,
 		isStream: route.kind === routeKind.stream,
 		needsFreshConnection: !isRetryable(route),
 		resumeAfterEventId: request.lastEventId,
@@ -277,7 +280,7 @@
 		runCount: request.possibleRunCount,
 	});
 	recordLog(step, 'sent', {
-		requestId: request.requestId, fingerprint: request.fingerprint, route: route.name, account: request.account, target: target.record.id, relay: isRelayed ? 'by peer' : (request.isRelayed ? 'for peer' : undefined),
+		requestId: request.requestId, fingerprint: request.fingerprint, route: route.name, account: request.account, rank: request.rank, target: target.record.id, relay: isRelayed ? 'by peer' : (request.isRelayed ? 'for peer' : undefined),
 		send: request.sendCount, leftMs: Math.round(request.deadlineAt - now), tables: request.tablesVersion,
 		directoryAgeMs: computeDirectoryAge(step), inFlight: target.inFlight,
 		load: Math.round(load * 10) / 10,
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -102,6 +102,8 @@
 	deadlineAt: number;
 	route: Route;
 	account?: string;
+	/** Urgency of the request; 0 is the most urgent. `undefined` if the configuration tables state none. */
+	rank?: number;
 	poolName: string;
 	/** Identifier of the request that began the stream: this one, unless its caller takes up another one's. */
 	readonly streamId: string;
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -49,9 +49,12 @@
 		targetLimit: isNumber,
 		isPublic: isBoolean,
 		hasPrompts: isBoolean,
+		rank: createOptionalCheck(isNumber),
 	})),
 	pools: createListCheck(createObjectCheck({name: isString, coldRatePerS: isNumber, probePath: createOptionalCheck(isString)})),
-	accounts: createOptionalCheck(createListCheck(createObjectCheck({name: isString, keyDigests: createListCheck(isString)}))),
+	accounts: createOptionalCheck(createListCheck(createObjectCheck({
+		name: isString, keyDigests: createListCheck(isString), rank: createOptionalCheck(isNumber),
+	}))),
 	limits: createObjectCheck({headBytes: isNumber, bodyBytes: isNumber, idleTimeoutMs: isNumber}),
 });
 
--- a/packages/gateway/src/test/parse-peer-message_test.ts
+++ b/packages/gateway/src/test/parse-peer-message_test.ts
@@ -62,6 +62,18 @@
 	}
 });
 
+// Guards against tables of instances of the previous build, which state no rank, being refused during a rollout.
+test('tables are accepted with and without ranks, and not with one that is no number', () => {
+	const createMessage = (rank?: unknown) => JSON.stringify({
+		...call, tables: {...tables, routes: [{...tables.routes[0], rank}], accounts: [{...tables.accounts[0], rank}]},
+	});
+	assert.ok(parsePeerMessage(createMessage()).isOk());
+	const parsed = parsePeerMessage(createMessage(2))._unsafeUnwrap();
+	assert.equal(parsed.tables?.routes[0]?.rank, 2);
+	assert.equal(parsed.tables?.accounts?.[0]?.rank, 2);
+	assert.ok(parsePeerMessage(createMessage('0')).isErr());
+});
+
 test('text that is not JSON is refused', () => {
 	assert.ok(parsePeerMessage('{"from"').isErr());
 });
