Waiting requests are sent by rank, latest useful start and arrival

Callers of urgent routes waited in an instance behind less urgent ones, since queued requests were tried in order of arrival, and a request that arrived between two ticks took the slot for which others waited.

Queued requests are tried by rank, then by the latest start that meets the latency target (otherwise the deadline), then by arrival. A new request first lets those of its pool be sent that precede it, up to the first that no target may receive.

Ruled out: the usual duration of the route as the basis of the latest start for latency targets, since it contains the whole stream and the time in the queue; times from the send are recorded for this.

Result: two tests with the reducer fail with the previous order and pass now. 106 tests of requests, drains, target limits, placement, silent pools, relays and statements pass. Effect on latency not measured.

--- a/packages/dispatch/src/lib/requests/reduce-requests.ts
+++ b/packages/dispatch/src/lib/requests/reduce-requests.ts
@@ -32,6 +32,7 @@
 	recordLog, type CurrentSend, type OpenRequest, type Step,
 } from '../state.js';
 import {findRank} from './urgency.js';
+import {listInWaitingOrder} from './waiting-order.js';
 import {verdict, type Verdict} from '../targets/target-health.js';
 import {pathState} from '../paths/target-paths.js';
 import {
@@ -144,6 +145,10 @@
 		return;
 	}
 
+	if (!request.hasResponseStarted) {
+		step.state.sendDurations.toStart.record(request.route.name, step.now - request.currentSend!.sentAt, step.now);
+	}
+
 	request.hasResponseStarted = true;
 	bindVersion(request, softwareVersion);
 	recordBegunStream(step, request);
@@ -426,6 +431,7 @@
 
 	recordTargetReport(step, request, event.targetReport);
 	const send = request.currentSend!;
+	recordSendDurations(step, request, event.outcome);
 	request.lastEventId = event.lastEventId ?? request.lastEventId;
 	request.lastSend!.form = event.form;
 	endCurrentSend(step, request, verdictByOutcome[event.outcome], event.detail);
@@ -493,6 +499,20 @@
 	}
 }
 
+/** Records how long a complete response took; the start of a stream is recorded when it begins. */
+function recordSendDurations({state, now}: Step, {route, currentSend, hasResponseStarted, sendCount}: OpenRequest, outcome: SendOutcome): void {
+	// A resumed stream takes as long as what is left of it.
+	if (outcome !== sendOutcome.complete || sendCount > 1) {
+		return;
+	}
+
+	const tookMs = now - currentSend!.sentAt;
+	state.sendDurations.toEnd.record(route.name, tookMs, now);
+	if (!hasResponseStarted) {
+		state.sendDurations.toStart.record(route.name, tookMs, now);
+	}
+}
+
 /** Records that a target rejected the request; a peer counts the rejections of what it relays. */
 function recordRejection({now}: Step, request: OpenRequest, {target, isRelayed}: CurrentSend): void {
 	if (!isRelayed) {
@@ -531,13 +551,14 @@
 
 /** Sends queued requests for which a target is available now, and refuses requests that were queued too long. */
 export function advanceQueuedRequests(step: Step): void {
-	for (const request of step.state.queuedRequests) {
-		if (step.now >= request.deadlineAt) {
+	const {state, now} = step;
+	for (const request of listInWaitingOrder(state.queuedRequests, state.sendDurations, now)) {
+		if (now >= request.deadlineAt) {
 			// Ends with its deadline.
 			continue;
 		}
 
-		const isOver = !trySend(step, request) && step.now >= request.queuedUntil!;
+		const isOver = !trySend(step, request) && now >= request.queuedUntil!;
 		if (isOver && !(request.hasResponseStarted && tryQueueForPath(step, request))) {
 			finishWithFailure(step, request, createNotRunFailure(step, request, failureReason.noTarget));
 		}
--- a/packages/dispatch/src/lib/requests/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -23,6 +23,7 @@
 } from '../state.js';
 import {findRank} from './urgency.js';
 import {findRequiredVersion} from '../versions/reduce-versions.js';
+import {listInWaitingOrder} from './waiting-order.js';
 import {recordSend, type Target} from '../targets/target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
@@ -132,8 +133,27 @@
 	state.queuedRequests.delete(request);
 }
 
+/**
+ * Sends the requests of the pool that wait and precede the new one in the waiting order, up to the first that no target may
+ * receive, so that a new request does not overtake them when a slot has just become free.
+ */
+function advancePreceding(step: Step, request: OpenRequest): void {
+	const {state, now} = step;
+	if (state.queuedRequests.size === 0) {
+		return;
+	}
+
+	const waiting = [...state.queuedRequests].filter(({poolName, deadlineAt}) => poolName === request.poolName && now < deadlineAt);
+	for (const other of listInWaitingOrder([...waiting, request], state.sendDurations, now)) {
+		if (other === request || !trySend(step, other)) {
+			return;
+		}
+	}
+}
+
 /** Sends the request, or queues it for a short time until a target is available; refuses it at once if the limits of all targets last longer. */
 export function sendOrQueue(step: Step, request: OpenRequest): void {
+	advancePreceding(step, request);
 	if (trySend(step, request)) {
 		return;
 	}
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -18,6 +18,7 @@
 import {RelayPeers} from './paths/relay-peers.js';
 import {RouteDurations} from './requests/route-durations.js';
 import {RetryBudget, type RetryBounds} from './requests/retry-budget.js';
+import type {SendDurations} from './requests/waiting-order.js';
 import {computeSyncTiming, type SyncTiming} from './members/sync-timing.js';
 import type {TargetPath} from './paths/target-paths.js';
 import {createTargetState, type Target, type TargetState} from './targets/target-state.js';
@@ -218,6 +219,8 @@
 	readonly failureReports: FailureReports;
 	readonly quarantine: CrashQuarantine;
 	readonly routeDurations: RouteDurations;
+	/** Times from the send of a request to the start and to the end of its response. */
+	readonly sendDurations: SendDurations;
 	readonly promptDemand: PromptDemand;
 	/** Checks in progress by target. */
 	crashChecks: Map<string, CrashCheck>;
@@ -291,6 +294,7 @@
 		failureReports: new FailureReports(),
 		quarantine: new CrashQuarantine(),
 		routeDurations: new RouteDurations(),
+		sendDurations: {toStart: new RouteDurations(), toEnd: new RouteDurations()},
 		promptDemand: new PromptDemand(),
 		crashChecks: new Map(),
 		endChecks: new Set(),
