--- a/packages/dispatch/src/lib/requests/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -21,7 +21,9 @@
 import {
 	findRetryBudget, findFleetView, recordLog, retryObstacle, type OpenRequest, type RetryObstacle, type Step,
 } from '../state.js';
+import {findRank} from './urgency.js';
 import {findRequiredVersion} from '../versions/reduce-versions.js';
+import {listInWaitingOrder} from './waiting-order.js';
 import {recordSend, type Target} from '../targets/target-state.js';
 
 /** Fraction of the latency target for which a request is queued before it is refused. */
@@ -131,8 +133,27 @@
 	state.queuedRequests.delete(request);
 }
 
+/**
+ * Sends the requests of the pool that wait and precede the new one in the waiting order, up to the first that no target may
+ * receive, so that a new request does not overtake them when a slot has just become free.
+ */
+function advancePreceding(step: Step, request: OpenRequest): void {
+	const {state, now} = step;
+	if (state.queuedRequests.size === 0) {
+		return;
+	}
+
+	const waiting = [...state.queuedRequests].filter(({poolName, deadlineAt}) => poolName === request.poolName && now < deadlineAt);
+	for (const other of listInWaitingOrder([...waiting, request], state.sendDurations, now)) {
+		if (other === request || !trySend(step, other)) {
+			return;
+		}
+	}
+}
+
 /** Sends the request, or queues it for a short time until a target is available; refuses it at once if the limits of all targets last longer. */
 export function sendOrQueue(step: Step, request: OpenRequest): void {
+	advancePreceding(step, request);
 	if (trySend(step, request)) {
 		return;
 	}
@@ -224,6 +245,7 @@
 	const wasAllowed = route.splits.some(({pool}) => pool === request.poolName);
 	request.route = route;
 	request.account = account?.name;
+	request.rank = findRank(resolved.value);
 	request.tablesVersion = tables.version;
 	if (!wasAllowed) {
 		request.poolName = choosePool(route.splits, request);
@@ -265,6 +287,7 @@
 		isRelayed,
 		softwareVersion: isRelayed ? requiredVersion : target.record.softwareVersion,
 		account: request.account,
+		rank: request.rank,
 		isStream: route.kind === routeKind.stream,
 		needsFreshConnection: !isRetryable(route),
 		resumeAfterEventId: request.lastEventId,
@@ -277,7 +300,7 @@
 		runCount: request.possibleRunCount,
 	});
 	recordLog(step, 'sent', {
-		requestId: request.requestId, fingerprint: request.fingerprint, route: route.name, account: request.account, target: target.record.id, relay: isRelayed ? 'by peer' : (request.isRelayed ? 'for peer' : undefined),
+		requestId: request.requestId, fingerprint: request.fingerprint, route: route.name, account: request.account, rank: request.rank, target: target.record.id, relay: isRelayed ? 'by peer' : (request.isRelayed ? 'for peer' : undefined),
 		send: request.sendCount, leftMs: Math.round(request.deadlineAt - now), tables: request.tablesVersion,
 		directoryAgeMs: computeDirectoryAge(step), inFlight: target.inFlight,
 		load: Math.round(load * 10) / 10,
