Load statements carry running and waiting requests, slots and slowness

Targets of new deployments state a fourth figure in their load header, how long work takes on their machine at this moment, and admission needs the first three apart. Only the sum of the first two was decoded.

No decision reads the new figures yet.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -15,7 +15,7 @@
 export * from './lib/reducer.js';
 export * from './lib/state.js';
 export type * from './lib/streams/stream-message.js';
-export type {TargetReport, TargetStatement} from './lib/targets/target-statements.js';
+export type {TargetLoad, TargetReport, TargetStatement} from './lib/targets/target-statements.js';
 export type {SelfInfo} from './lib/members/members.js';
 export {targetSubjectPrefix} from './lib/targets/target-state.js';
 export * from './lib/members/sync-timing.js';
--- a/packages/dispatch/src/lib/members/peer-message.ts
+++ b/packages/dispatch/src/lib/members/peer-message.ts
@@ -23,6 +23,8 @@
 	readonly targetId: string;
 	/** Number of requests that the target ran or queued. */
 	readonly load: number;
+	/** Number of requests that the target can run at the same time; `undefined` if it has not stated it. */
+	readonly slots?: number;
 	readonly ageMs: number;
 };
 
--- a/packages/dispatch/src/lib/targets/target-statements.ts
+++ b/packages/dispatch/src/lib/targets/target-statements.ts
@@ -10,10 +10,22 @@
 import {evictOldest} from '../evict-oldest.js';
 import type {SharedLeavingTarget, SharedTargetLimit} from '../members/peer-message.js';
 
+/** What a target states about its load. */
+export type TargetLoad = {
+	/** Number of requests that the target runs. */
+	readonly running: number;
+	/** Number of requests that wait at the target. */
+	readonly waiting: number;
+	/** Number of requests that the target can run at the same time; `undefined` if it does not state it. */
+	readonly slots?: number;
+	/** How long work takes on the target's machine at this moment, as a multiple of the usual time; `undefined` if the target does not state it. */
+	readonly slowness?: number;
+};
+
 /** What a target states about itself in a response. */
 export type TargetStatement = {
-	/** Number of requests that the target runs or queues; `undefined` if it does not report them. */
-	readonly load?: number;
+	/** `undefined` if the target does not report its load. */
+	readonly load?: TargetLoad;
 	/** Number of requests a second that the target takes from all instances together; `undefined` if it sets no limit. */
 	readonly requestsPerS?: number;
 	/** Number of requests a second that the target survives rejecting, from all instances together; `undefined` if it states none. */
--- a/packages/dispatch/src/test/brittle_targets_test.ts
+++ b/packages/dispatch/src/test/brittle_targets_test.ts
@@ -132,7 +132,7 @@
 	const told = new Set<string>();
 	while (told.size < desks.length) {
 		gateway.receiveRequest(onceRoute);
-		told.add(endLastSend(gateway, sendOutcome.complete, {load: 0, rejectionsPerS}));
+		told.add(endLastSend(gateway, sendOutcome.complete, {load: {running: 0, waiting: 0}, rejectionsPerS}));
 		gateway.advance(100);
 	}
 
@@ -148,7 +148,7 @@
 	const delays = new Set<number>();
 	for (let count = 0; count < 5; count++) {
 		gateway.receiveRequest(onceRoute);
-		endLastSend(gateway, sendOutcome.rejected, {load: 2, rejectionsPerS: 100});
+		endLastSend(gateway, sendOutcome.rejected, {load: {running: 2, waiting: 0}, rejectionsPerS: 100});
 		const refusal = gateway.effects.find(effect => effect.kind === effectKind.refuse);
 		assert.equal(gateway.listSends().length, 0);
 		assert.equal(refusal?.failure.status, 503);
@@ -161,7 +161,7 @@
 test('a request that a brittle target rejects goes to another one that has free slots', () => {
 	const gateway = createBrittleGateway(100, 8);
 	gateway.receiveRequest(onceRoute);
-	const first = endLastSend(gateway, sendOutcome.rejected, {load: 8, rejectionsPerS: 100});
+	const first = endLastSend(gateway, sendOutcome.rejected, {load: {running: 8, waiting: 0}, rejectionsPerS: 100});
 	assert.notEqual(gateway.takeLastSend().targetId, first);
 });
 
@@ -172,7 +172,7 @@
 		target.reportedLoad = {at: gateway.now, load: 200, othersLoad: 200};
 	}
 
-	const first = endLastSend(gateway, sendOutcome.rejected, {load: 200});
+	const first = endLastSend(gateway, sendOutcome.rejected, {load: {running: 200, waiting: 0}});
 	assert.notEqual(gateway.takeLastSend().targetId, first);
 });
 
@@ -183,7 +183,7 @@
 		for (let count = 0; count < 12; count++) {
 			gateway.receiveRequest(onceRoute);
 			if (gateway.listSends().length > 0) {
-				reached.push(endLastSend(gateway, sendOutcome.rejected, {load: 1000, rejectionsPerS: 1}));
+				reached.push(endLastSend(gateway, sendOutcome.rejected, {load: {running: 1000, waiting: 0}, rejectionsPerS: 1}));
 				gateway.advance(20);
 			}
 		}
--- a/packages/dispatch/src/test/load_cap_test.ts
+++ b/packages/dispatch/src/test/load_cap_test.ts
@@ -71,7 +71,7 @@
 			} else if (request.startsAt <= at) {
 				request.startsAt = Number.POSITIVE_INFINITY;
 				gateway.handle({
-					kind: eventKind.answerStarted, openId, sendId, targetReport: {load: inFlight.get(targetId), at: gateway.now},
+					kind: eventKind.answerStarted, openId, sendId, targetReport: {load: {running: inFlight.get(targetId)!, waiting: 0}, at: gateway.now},
 				});
 			}
 		}
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -461,7 +461,7 @@
 		const load = this.#runs.filter(other => other.engine === engine).length;
 		this.#handle({node, gateway}, {
 			kind: eventKind.sendEnded, openId, sendId, outcome: sendOutcome.rejected, detail: 'simulated',
-			targetReport: {load, rejectionsPerS: this.rejectionLimit, at: this.now},
+			targetReport: {load: {running: load, waiting: 0}, rejectionsPerS: this.rejectionLimit, at: this.now},
 		});
 	}
 
@@ -510,7 +510,7 @@
 		}
 
 		return {
-			load: this.#runs.filter(other => other.engine === engine).length, requestsPerS, rejectionsPerS: this.rejectionLimit, at: this.now,
+			load: {running: this.#runs.filter(other => other.engine === engine).length, waiting: 0}, requestsPerS, rejectionsPerS: this.rejectionLimit, at: this.now,
 		};
 	}
 
--- a/packages/dispatch/src/test/target_statements_test.ts
+++ b/packages/dispatch/src/test/target_statements_test.ts
@@ -91,7 +91,7 @@
 	}
 
 	endSend(gateway, sends[0]!, sendOutcome.complete, {isLeaving: true});
-	endSend(gateway, sends[1]!, sendOutcome.complete, {load: 1});
+	endSend(gateway, sends[1]!, sendOutcome.complete, {load: {running: 1, waiting: 0}});
 	assert.ok(!listReachedTargets(gateway).has('desk-1'));
 });
 
