Requests on a connection are parsed in turn; connections are bounded by the descriptors

Callers saw: beside 900 connections of 3,000 pipelined requests an ordinary request got no response, and the process ended at its heap limit; unfinished heads and idle connections took more descriptors than the platform grants.

Cause: Node.js parses all requests of a block of up to 64 KB in one call, more than 2,000 of them, and the gateway held each until its turn. All blocks that are ready are parsed before the next poll, and Node.js accepts about one connection per poll. Nothing bounded the connections.

Ruled out: to close a connection with too many requests while they are parsed (the parser goes on with the block, so each such connection still costs the whole block); to pause the socket (the HTTP server resumes it when a request is complete); a stream of our own between socket and parser (costs more, and the server loses the socket's methods).

Change: RequestTurns takes the place of the listener that passes a connection's bytes to the parser, and passes them one request at a time. One connection takes its turn per poll. The log events `read-ahead-dropped` and `connection-evicted` are counted as metrics.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -4,7 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {
@@ -14,9 +14,10 @@
 	BodyCollector, type BufferBudget, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {CallerExchange, createFailureBody} from './caller-exchange.js';
-import {ConnectionCloser} from './connection-closer.js';
+import {closeForSending, ConnectionCloser} from './connection-closer.js';
 import type {Result} from 'neverthrow';
 import type {CallerProtocol, HeadFault} from './protocol.js';
+import {LimitedServer, type ServerLimits} from './limited-server.js';
 import {listenOn} from './listen.js';
 import {createFailureOutcomeHeaders, parseOrigin} from './relay-headers.js';
 import {computeFingerprint} from './request-fingerprint.js';
@@ -43,6 +44,8 @@
 	readonly protocol: CallerProtocol;
 	/** Memory for the bytes that all exchanges hold. */
 	readonly bufferBudget: BufferBudget;
+	/** Bounds for connections and for what is read ahead on them. */
+	readonly limits: ServerLimits;
 	readonly emit: (event: Event) => void;
 	/** Checks what the head alone decides; returns the time after which an incomplete body gives way to others, in milliseconds. */
 	readonly checkHead: (head: RequestHead, relayedFrom: RelayOrigin | undefined) => Result<number, Failure>;
@@ -68,6 +71,7 @@
 	/** Exchanges whose response is not complete, by `openId`. */
 	readonly openExchanges = new Map<number, CallerExchange>();
 	readonly #options: CallerServerOptions;
+	readonly #limitedServer: LimitedServer;
 	readonly #server: Server;
 	readonly #connectionCloser: ConnectionCloser;
 	#maxHeadBytes = absoluteMaxHeadBytes;
@@ -85,11 +89,19 @@
 
 	constructor(options: CallerServerOptions) {
 		this.#options = options;
-		this.#server = createServer({
-			maxHeaderSize: absoluteMaxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: 60_000, noDelay: true,
-		}, (request, response) => {
-			this.#handleInTurn(request, response);
+		this.#limitedServer = new LimitedServer({
+			name: 'callers',
+			server: {
+				maxHeaderSize: absoluteMaxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: 60_000, noDelay: true,
+			},
+			limits: options.limits,
+			handle: (request, response) => {
+				this.#handleInTurn(request, response);
+			},
+			close: closeForSending,
+			log: options.log,
 		});
+		this.#server = this.#limitedServer.server;
 		this.#connectionCloser = new ConnectionCloser(this.#server);
 		this.#server.on('clientError', (error: Error & {code?: string}, socket) => {
 			if (error.code !== 'ECONNRESET') {
@@ -98,7 +110,7 @@
 
 			if (socket.writable && error.code !== 'ECONNRESET') {
 				socket.write(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-				this.#connectionCloser.close(socket as Socket);
+				closeForSending(socket as Socket);
 			} else {
 				socket.destroy();
 			}
@@ -114,6 +126,15 @@
 		this.#handleRequest(request, response, parseOrigin(request.headers));
 	}
 
+	get connectionCount(): number {
+		return this.#limitedServer.connectionCount;
+	}
+
+	/** Size of the requests that callers have sent ahead of their turn, in bytes. */
+	get readAheadBytes(): number {
+		return this.#limitedServer.readAheadBytes;
+	}
+
 	/** Number of requests that were received in part. */
 	get incomingCount(): number {
 		return this.#incoming.size;
--- a/packages/gateway/src/lib/connection-closer.ts
+++ b/packages/gateway/src/lib/connection-closer.ts
@@ -30,11 +30,6 @@
 		});
 	}
 
-	/** Closes one connection. */
-	close(socket: Socket): void {
-		closeForSending(socket);
-	}
-
 	/**
 	 * Stops to listen and closes all connections; returns true when their clients have closed them too,
 	 * or have had the time for it. To be called again until then.
@@ -54,7 +49,8 @@
 	}
 }
 
-function closeForSending(socket: Socket): void {
+/** Closes a connection for sending; what arrives until its client closes it as well, or for a limited time, is ignored. */
+export function closeForSending(socket: Socket): void {
 	if (socket.writableEnded) {
 		return;
 	}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -3,7 +3,6 @@
  * processes all events one after another on a single thread.
  */
 import {randomUUID} from 'node:crypto';
-import {createServer} from 'node:http';
 import process from 'node:process';
 import {
 	checkHead, createFailure, createState, effectKind, eventKind, failureReason, isReady, reduce,
@@ -15,13 +14,16 @@
 	BoundedLog, BufferBudget, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {CallerServer} from './caller-server.js';
+import {closeForSending} from './connection-closer.js';
 import {ConnectionPool} from './connection-pool.js';
 import {GatewayMetrics} from './gateway-metrics.js';
+import {LimitedServer} from './limited-server.js';
 import {listenOn} from './listen.js';
 import {PeerTransport} from './peer-transport.js';
 import {
 	DirectoryListener, type CallerProtocol, type DirectorySource, type TargetProtocol,
 } from './protocol.js';
+import {computeServerShares, type ServerShares} from './server-shares.js';
 import {TargetClient} from './target-client.js';
 import {TargetProber} from './target-prober.js';
 
@@ -41,6 +43,8 @@
 	readonly seedAddresses: readonly string[];
 	/** Memory that the process may use; the platform ends a process that uses more. */
 	readonly memoryBytes: number;
+	/** Descriptors that the process may open. */
+	readonly maxDescriptors: number;
 	readonly bounds: FleetBounds;
 };
 
@@ -112,6 +116,7 @@
 	readonly #prober: TargetProber;
 	readonly #peers: PeerTransport;
 	readonly #metrics: GatewayMetrics;
+	readonly #serverShares: ServerShares;
 	#tablesVersion = 0;
 	#isDraining = false;
 	#onDrained?: () => void;
@@ -126,6 +131,7 @@
 		this.state = createState({
 			id: settings.instanceId, incarnation, address: `${host}:${port}`, zone: settings.zone,
 		}, settings.bounds, settings.seedAddresses, Math.random);
+		this.#serverShares = computeServerShares(settings.maxDescriptors, settings.memoryBytes);
 		const emit = (event: Event) => {
 			this.handle(event);
 		};
@@ -143,12 +149,12 @@
 		this.#callers = new CallerServer({
 			protocol: protocols.callers,
 			bufferBudget,
+			limits: this.#serverShares.callers,
 			random: Math.random,
 			checkHead: (head, relayedFrom) => checkHead(this.state, {...head, relayedFrom}, readMonotonicMs()),
 			emit,
 			log: (event, fields) => {
-				this.#metrics.count(event);
-				this.log.write('info', {event, ...fields});
+				this.#writeServerLog(event, fields);
 			},
 		});
 		this.#targets = new TargetClient({
@@ -174,6 +180,10 @@
 			['body_bytes', () => bufferBudget.bodyBytes],
 			['body_bytes_limit', () => bufferBudget.bodyBytesLimit],
 			['response_bytes', () => bufferBudget.responseBytes],
+			['caller_connections', () => this.#callers.connectionCount],
+			['caller_connections_limit', () => this.#serverShares.callers.connections],
+			['read_ahead_bytes', () => this.#callers.readAheadBytes],
+			['read_ahead_bytes_limit', () => this.#serverShares.callers.bytes],
 			['log_lines_dropped', () => this.log.droppedTotal],
 		]);
 		this.#peers = new PeerTransport({
@@ -183,21 +193,33 @@
 				this.#callers.handleRelayed(request, response);
 			},
 			renderMetrics: async () => this.#metrics.render(),
+			log: (event, fields) => {
+				this.#writeServerLog(event, fields);
+			},
 		}, lifecycle);
 	}
 
 	/** Starts to listen and to read the directory. `onDrained` is called when a drain is complete. */
 	async start(onDrained: () => void): Promise<void> {
 		this.#onDrained = onDrained;
-		const readyServer = createServer((_request, response) => {
-			response.writeHead(isReady(this.state) ? 200 : 503, {'Content-Length': '0'});
-			response.end();
+		const {server: readyServer} = new LimitedServer({
+			name: 'ready',
+			server: {},
+			limits: this.#serverShares.status,
+			handle: (_request, response) => {
+				response.writeHead(isReady(this.state) ? 200 : 503, {'Content-Length': '0'});
+				response.end();
+			},
+			close: closeForSending,
+			log: (event, fields) => {
+				this.#writeServerLog(event, fields);
+			},
 		});
 		this.#protocols.directory.start(new EventEmittingListener(this), this.#lifecycle);
 		await Promise.all([
 			listenOn(readyServer, this.#settings.readyAddress, this.#lifecycle),
 			this.#callers.listen(this.#settings.callerAddress, this.#lifecycle),
-			this.#peers.listen(this.#settings.peerAddress, this.#lifecycle),
+			this.#peers.listen(this.#settings.peerAddress, this.#serverShares.peers, this.#lifecycle),
 		]);
 		await this.#serveMetrics();
 		this.#lifecycle.ownInterval('tick', tickIntervalMs, () => {
@@ -242,7 +264,7 @@
 		}
 
 		try {
-			await this.#peers.listen(metricsAddress, this.#lifecycle);
+			await this.#peers.listen(metricsAddress, this.#serverShares.status, this.#lifecycle);
 		} catch (error) {
 			this.log.write('warn', {event: 'metrics-not-served', port: metricsAddress.port, detail: describeError(error)});
 		}
@@ -293,6 +315,11 @@
 		});
 	}
 
+	#writeServerLog(event: string, fields: Readonly<Record<string, unknown>>): void {
+		this.#metrics.count(event);
+		this.log.write('info', {event, ...fields});
+	}
+
 	#writeLog({level, event, fields}: LogEffect): void {
 		this.#metrics.count(event);
 		if (typeof fields.tookMs === 'number') {
--- /dev/null
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -0,0 +1,76 @@
+/**
+ * Creates HTTP servers that hold a bounded number of connections and a bounded number of bytes that have been read
+ * ahead, whatever their callers send.
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+import {RequestTurns, type RequestTurnsLimits} from './request-turns.js';
+
+export type ServerLimits = RequestTurnsLimits & {
+	/** Most connections that are open at a time. */
+	readonly connections: number;
+};
+
+export type LimitedServerOptions = {
+	/** Name of the server in the log. */
+	readonly name: string;
+	readonly server: ServerOptions;
+	readonly limits: ServerLimits;
+	readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+	/** Closes a connection so that what was sent on it arrives. */
+	readonly close: (socket: Socket) => void;
+	/** Writes a log line. */
+	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+};
+
+export class LimitedServer {
+	readonly server: Server;
+	readonly #options: LimitedServerOptions;
+	readonly #turns: RequestTurns;
+
+	constructor(options: LimitedServerOptions) {
+		const {
+			name, server, limits, handle, close, log,
+		} = options;
+		this.#options = options;
+		// A request without host is refused here, since the HTTP server would answer each of them without an event.
+		this.server = createServer({...server, requireHostHeader: false}, (request, response) => {
+			if (request.headers.host === undefined && request.httpVersion === '1.1') {
+				response.writeHead(400, ['Connection', 'close', 'Content-Length', '0']).end();
+			} else {
+				handle(request, response);
+			}
+		});
+		this.#turns = new RequestTurns(this.server, {
+			limits, close, onDropped(droppedBytes) {
+				log('read-ahead-dropped', {server: name, droppedBytes, limitBytes: limits.bytes});
+			},
+		});
+		this.server.on('connection', socket => {
+			this.#limitConnections(socket);
+		});
+	}
+
+	get connectionCount(): number {
+		return this.#turns.connectionCount;
+	}
+
+	/** Size of the bytes that were read ahead on all connections. */
+	get readAheadBytes(): number {
+		return this.#turns.waitingBytes;
+	}
+
+	/** Closes the most dispensable connection if there are too many. */
+	#limitConnections(newest: Socket): void {
+		const {name, limits, log} = this.#options;
+		if (this.#turns.connectionCount <= limits.connections) {
+			return;
+		}
+
+		const dispensable = this.#turns.findDispensable(newest);
+		(dispensable ?? newest).destroy();
+		log('connection-evicted', {server: name, limit: limits.connections, isNewest: dispensable === undefined});
+	}
+}
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {deflateSync, inflateSync} from 'node:zlib';
 import {
-	Agent, createServer, request as startRequest, type IncomingMessage, type ServerResponse,
+	Agent, request as startRequest, type IncomingMessage, type ServerResponse,
 } from 'node:http';
 import {
 	eventKind, type CallPeerEffect, type CallStreamPeerEffect, type Event, type PeerMessage, type StreamMessage,
@@ -14,6 +14,8 @@
 	describeError, parseAddress, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {err, type Result} from 'neverthrow';
+import {closeForSending} from './connection-closer.js';
+import {LimitedServer, type ServerLimits} from './limited-server.js';
 import {listenOn} from './listen.js';
 import {parsePeerMessage, parseStreamMessage} from './parse-peer-message.js';
 import {readResponse} from './read-response.js';
@@ -41,6 +43,8 @@
 	readonly handleRelayed: (request: IncomingMessage, response: ServerResponse) => void;
 	/** Renders the metrics page. */
 	readonly renderMetrics: () => Promise<string>;
+	/** Writes a log line. */
+	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
 
 export class PeerTransport {
@@ -59,14 +63,21 @@
 		});
 	}
 
-	async listen(address: SocketAddress, lifecycle: LifecycleManager): Promise<void> {
-		const server = createServer({keepAliveTimeout: 10_000, maxHeaderSize: maxHeadBytes, noDelay: true}, (request, response) => {
-			if (isRelayRequest(request.headers)) {
-				this.#options.handleRelayed(request, response);
-				return;
-			}
-
-			void this.#handleRequest(request, response);
+	async listen(address: SocketAddress, limits: ServerLimits, lifecycle: LifecycleManager): Promise<void> {
+		const {server} = new LimitedServer({
+			name: 'peers',
+			server: {keepAliveTimeout: 10_000, maxHeaderSize: maxHeadBytes, noDelay: true},
+			limits,
+			handle: (request, response) => {
+				if (isRelayRequest(request.headers)) {
+					this.#options.handleRelayed(request, response);
+					return;
+				}
+
+				void this.#handleRequest(request, response);
+			},
+			close: closeForSending,
+			log: this.#options.log,
 		});
 		await listenOn(server, address, lifecycle);
 	}
--- /dev/null
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -0,0 +1,349 @@
+/**
+ * Passes the bytes of a server's connections to the HTTP parser one request at a time. The parser reads all requests
+ * of a block of up to 64 KB in one call, which can be more than 2000, and each of them takes memory until its turn. Here, the bytes
+ * behind a request wait, unparsed, until its response has been sent, and one connection with waiting bytes
+ * takes its turn between two polls for input, so that other connections are served meanwhile.
+ *
+ * A connection whose caller does not pipeline passes its bytes on unchanged. One that has read far enough ahead is not read
+ * any further. If all connections together hold too much, those that hold the most lose the requests that wait, which have not run, and
+ * close after the response that is due.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** Most blocks of waiting bytes of one connection; they are joined beyond it, since small blocks take more memory than their bytes. */
+const maxWaitingBlocks = 16;
+/** Most parts that one connection passes to the parser between two polls for input: a body may consist of empty lines. */
+const maxPartsPerTurn = 256;
+/** Bytes at the start of a block in which an empty line may end that began in the block before. */
+const maxSplitLineEndBytes = 3;
+const lineFeed = 10;
+const carriageReturn = 13;
+/** Bytes that end a request's head: an empty line. The parser also accepts the second form. */
+const headEnds = [Buffer.from('\n\r\n'), Buffer.from('\n\n')] as const;
+
+export type RequestTurnsLimits = {
+	/** Size of the waiting bytes of a connection from which it is not read any further. */
+	readonly bytesPerConnection: number;
+	/** Largest size of the waiting bytes of all connections. */
+	readonly bytes: number;
+};
+
+export type RequestTurnsOptions = {
+	readonly limits: RequestTurnsLimits;
+	/** Closes a connection so that what was sent on it arrives. */
+	readonly close: (socket: Socket) => void;
+	/** Called when a connection loses the requests that wait. */
+	readonly onDropped: (droppedBytes: number) => void;
+};
+
+type Connection = {
+	readonly socket: Socket;
+	/** Passes bytes to the parser. */
+	readonly parse: (bytes: Uint8Array) => void;
+	/** The latest request and its response. */
+	request?: IncomingMessage;
+	response?: ServerResponse;
+	/** Bytes of the body of the latest request that have not been passed on; `undefined` if it declares no length. */
+	bodyBytesLeft?: number;
+	/** The response whose end starts the next turn. */
+	awaitedResponse?: ServerResponse;
+	waitingBlocks: Uint8Array[];
+	waitingBytes: number;
+	/** True if it is not read any further because of its waiting bytes. */
+	isHeldBack: boolean;
+	/** True if the requests that waited have been dropped. */
+	isDropped: boolean;
+};
+
+export class RequestTurns {
+	/** Size of the waiting bytes of all connections. */
+	waitingBytes = 0;
+	readonly #options: RequestTurnsOptions;
+	/** In the order of their latest requests; those without any in order of arrival. */
+	readonly #connections = new Map<Socket, Connection>();
+	/** Connections that have waiting bytes. */
+	readonly #waiting = new Set<Connection>();
+	/** Connections that take their turn next, in order. */
+	readonly #scheduled = new Set<Connection>();
+
+	constructor(server: Server, options: RequestTurnsOptions) {
+		this.#options = options;
+		server.on('connection', socket => {
+			this.#addConnection(socket);
+		});
+		server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+			this.#startRequest(request, response);
+		});
+		server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+			// The HTTP server would answer without an event.
+			this.#startRequest(request, response);
+			response.writeHead(417).end();
+		});
+	}
+
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
+	/** Finds the connection, except `newest`, whose end costs the least: the one that has been idle or unfinished for the longest time, otherwise the one whose caller has not read a complete response for the longest time. */
+	findDispensable(newest: Socket): Socket | undefined {
+		let unread: Socket | undefined;
+		for (const [socket, {request, response}] of this.#connections) {
+			if (socket === newest || socket.destroyed) {
+				continue;
+			}
+
+			if (response === undefined || response.closed || !request!.complete) {
+				return socket;
+			}
+
+			if (unread === undefined && response.writableEnded) {
+				unread = socket;
+			}
+		}
+
+		return unread;
+	}
+
+	#startRequest(request: IncomingMessage, response: ServerResponse): void {
+		const connection = this.#connections.get(request.socket);
+		if (connection !== undefined) {
+			const declaredLength = request.headers['content-length'];
+			this.#connections.delete(request.socket);
+			this.#connections.set(request.socket, connection);
+			connection.request = request;
+			connection.response = response;
+			connection.bodyBytesLeft = declaredLength === undefined ? undefined : Number(declaredLength);
+		}
+	}
+
+	/** Takes the place of the listener with which the HTTP server passes bytes to its parser. */
+	#addConnection(socket: Socket): void {
+		const [parse] = socket.listeners('data') as Array<(bytes: Uint8Array) => void>;
+		if (parse === undefined) {
+			return;
+		}
+
+		const connection: Connection = {
+			socket, parse, waitingBlocks: [], waitingBytes: 0, isHeldBack: false, isDropped: false,
+		};
+		this.#connections.set(socket, connection);
+		socket.removeListener('data', parse);
+		socket.on('data', (bytes: Uint8Array) => {
+			this.#handleBytes(connection, bytes);
+		});
+		socket.on('resume', () => {
+			this.#handleResume(connection);
+		});
+		socket.once('close', () => {
+			this.#connections.delete(socket);
+			this.#scheduled.delete(connection);
+			this.#clearWaiting(connection);
+		});
+	}
+
+	#handleBytes(connection: Connection, bytes: Uint8Array): void {
+		if (connection.waitingBytes > 0 || isBusy(connection)) {
+			this.#hold(connection, bytes);
+		} else {
+			this.#pass(connection, bytes);
+		}
+	}
+
+	/** Pauses a connection again that the HTTP server resumed, or continues with the bytes that waited for it. */
+	#handleResume(connection: Connection): void {
+		if (connection.isHeldBack) {
+			connection.socket.pause();
+		}
+
+		this.#waitForTurn(connection);
+	}
+
+	/** Passes bytes to the parser up to the end of the next request, and holds the rest. */
+	#pass(connection: Connection, bytes: Uint8Array): void {
+		const {socket} = connection;
+		let offset = 0;
+		for (let partCount = 1; offset < bytes.length && !isClosing(socket); partCount++) {
+			const {request: previous} = connection;
+			const end = findPartEnd(connection, bytes, offset);
+			connection.parse(offset === 0 && end === bytes.length ? bytes : bytes.subarray(offset, end));
+			if (connection.request === previous && connection.bodyBytesLeft !== undefined) {
+				connection.bodyBytesLeft -= end - offset;
+			}
+
+			offset = end;
+			if (offset < bytes.length && (isBusy(connection) || socket.isPaused() || partCount >= maxPartsPerTurn)) {
+				this.#hold(connection, bytes.subarray(offset));
+				return;
+			}
+		}
+	}
+
+	#hold(connection: Connection, bytes: Uint8Array): void {
+		const {socket, waitingBlocks, isDropped} = connection;
+		if (isDropped || isClosing(socket)) {
+			return;
+		}
+
+		// A part of a block keeps all of it in memory.
+		waitingBlocks.push(bytes.length * 2 < bytes.buffer.byteLength ? Buffer.from(bytes) : bytes);
+		if (waitingBlocks.length > maxWaitingBlocks) {
+			connection.waitingBlocks = [Buffer.concat(waitingBlocks)];
+		}
+
+		connection.waitingBytes += bytes.length;
+		this.waitingBytes += bytes.length;
+		this.#waiting.add(connection);
+		if (connection.waitingBytes >= this.#options.limits.bytesPerConnection) {
+			connection.isHeldBack = true;
+			socket.pause();
+		}
+
+		this.#waitForTurn(connection);
+		while (this.waitingBytes > this.#options.limits.bytes) {
+			this.#drop(this.#findLargest());
+		}
+	}
+
+	/** Schedules the next turn of a connection with waiting bytes when the response that is due has been sent. */
+	#waitForTurn(connection: Connection): void {
+		const {response, socket, isHeldBack} = connection;
+		if (connection.waitingBytes === 0) {
+			return;
+		}
+
+		if (!isBusy(connection)) {
+			// The HTTP server resumes a connection that it has paused.
+			if (isHeldBack || !socket.isPaused()) {
+				this.#schedule(connection);
+			}
+		} else if (connection.awaitedResponse !== response) {
+			connection.awaitedResponse = response;
+			response!.once('close', () => {
+				this.#schedule(connection);
+			});
+		}
+	}
+
+	#schedule(connection: Connection): void {
+		if (connection.socket.destroyed || this.#scheduled.has(connection)) {
+			return;
+		}
+
+		this.#scheduled.add(connection);
+		if (this.#scheduled.size === 1) {
+			this.#startTurns();
+		}
+	}
+
+	#startTurns(): void {
+		setImmediate(() => {
+			// One at a time: Node.js accepts about one connection per poll, so that others wait for as many polls as there are connections before them.
+			const [connection] = this.#scheduled;
+			if (connection !== undefined) {
+				this.#scheduled.delete(connection);
+				this.#takeTurn(connection);
+			}
+
+			if (this.#scheduled.size > 0) {
+				this.#startTurns();
+			}
+		});
+	}
+
+	#takeTurn(connection: Connection): void {
+		const {socket, waitingBlocks} = connection;
+		if (connection.isDropped) {
+			this.#options.close(socket);
+			return;
+		}
+
+		this.#clearWaiting(connection);
+		if (connection.isHeldBack) {
+			connection.isHeldBack = false;
+			socket.resume();
+		}
+
+		for (const block of waitingBlocks) {
+			this.#handleBytes(connection, block);
+		}
+	}
+
+	#clearWaiting(connection: Connection): void {
+		this.waitingBytes -= connection.waitingBytes;
+		connection.waitingBytes = 0;
+		connection.waitingBlocks = [];
+		this.#waiting.delete(connection);
+	}
+
+	#findLargest(): Connection {
+		let largest: Connection | undefined;
+		for (const connection of this.#waiting) {
+			if (largest === undefined || connection.waitingBytes > largest.waitingBytes) {
+				largest = connection;
+			}
+		}
+
+		return largest!;
+	}
+
+	/** Drops the requests that wait on a connection; it closes after the response that is due. */
+	#drop(connection: Connection): void {
+		const {response, waitingBytes} = connection;
+		this.#clearWaiting(connection);
+		connection.isDropped = true;
+		connection.isHeldBack = true;
+		connection.socket.pause();
+		if (response === undefined || !isBusy(connection)) {
+			this.#schedule(connection);
+		} else if (!response.headersSent) {
+			response.shouldKeepAlive = false;
+		}
+
+		this.#options.onDropped(waitingBytes);
+	}
+}
+
+/** Returns true if a request has been read whose response has not been sent completely. */
+function isBusy({request, response}: Connection): boolean {
+	return response !== undefined && !response.closed && request!.complete;
+}
+
+/** Returns true if the connection is closed for responses; what still arrives is ignored. */
+function isClosing(socket: Socket): boolean {
+	return socket.destroyed || socket.writableEnded;
+}
+
+/**
+ * Finds the end of the part of `bytes` from `offset` on that the parser gets next. It contains the end of at most one head,
+ * chunked body or body with a length.
+ */
+function findPartEnd({request, bodyBytesLeft}: Connection, bytes: Uint8Array, offset: number): number {
+	if (request !== undefined && !request.complete && bodyBytesLeft !== undefined && bodyBytesLeft > 0) {
+		return Math.min(bytes.length, offset + bodyBytesLeft);
+	}
+
+	const firstLineEnd = findLineEndAt(bytes, offset);
+	let end = firstLineEnd ?? bytes.length;
+	for (const headEnd of headEnds) {
+		const index = Buffer.from(bytes.buffer, bytes.byteOffset + offset, end - offset).indexOf(headEnd);
+		end = index === -1 ? end : offset + index + headEnd.length;
+	}
+
+	return end;
+}
+
+/** Finds the end of a line end at the start of a block, which may belong to an empty line that is divided between two blocks. */
+function findLineEndAt(bytes: Uint8Array, offset: number): number | undefined {
+	if (offset >= maxSplitLineEndBytes) {
+		return undefined;
+	}
+
+	if (bytes[offset] === lineFeed) {
+		return offset + 1;
+	}
+
+	return bytes[offset] === carriageReturn && bytes[offset + 1] === lineFeed ? offset + 2 : undefined;
+}
--- a/packages/gateway/src/test/caller-server-fixture.ts
+++ b/packages/gateway/src/test/caller-server-fixture.ts
@@ -8,10 +8,14 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Failure, RequestHead} from '@sequoiatally/dispatch';
 import {ok, type Result} from 'neverthrow';
+import type {ServerLimits} from '../lib/limited-server.js';
 import {CallerProtocol, type HeadFault} from '../lib/protocol.js';
 
 const waitMs = 3000;
 
+/** Limits of a server in tests that do not reach them. */
+export const testLimits: ServerLimits = {connections: 1000, bytesPerConnection: 64 * 1024, bytes: 8 * 1024 * 1024};
+
 export class PlainProtocol extends CallerProtocol {
 	override readHead({url = ''}: IncomingMessage): Result<RequestHead, HeadFault> {
 		return ok({
--- a/packages/gateway/src/test/caller-server_test.ts
+++ b/packages/gateway/src/test/caller-server_test.ts
@@ -17,7 +17,9 @@
 import {BufferBudget, createLogger, LifecycleManager} from '@sequoiatally/runtime';
 import {err, ok, type Result} from 'neverthrow';
 import {CallerServer} from '../lib/caller-server.js';
-import {findFreePort, PlainProtocol, waitUntil} from './caller-server-fixture.js';
+import {
+	findFreePort, PlainProtocol, waitUntil, testLimits,
+} from './caller-server-fixture.js';
 
 const memoryBytes = 200 * 1024 * 1024;
 /** Large bodies of which four take more than the memory for bodies. */
@@ -32,6 +34,7 @@
 const server = new CallerServer({
 	protocol: new PlainProtocol(),
 	bufferBudget,
+	limits: testLimits,
 	checkHead({path}) {
 		return path === '/keyed' ? err(createFailure(failureReason.keyUnknown)) : ok(path === '/short' ? shortLimitMs : 60_000);
 	},
--- a/packages/gateway/src/test/peer-transport_test.ts
+++ b/packages/gateway/src/test/peer-transport_test.ts
@@ -14,6 +14,7 @@
 } from '@sequoiatally/dispatch';
 import {createLogger, LifecycleManager, readMonotonicMs} from '@sequoiatally/runtime';
 import {PeerTransport} from '../lib/peer-transport.js';
+import {testLimits} from './caller-server-fixture.js';
 
 const message: PeerMessage = {
 	from: {
@@ -62,6 +63,9 @@
 			assert.fail('nothing is relayed');
 		},
 		renderMetrics: async () => '',
+		log() {
+			// Not checked here.
+		},
 	}, lifecycle);
 }
 
@@ -151,7 +155,7 @@
 	const {port} = server.address() as AddressInfo;
 	server.close();
 	await once(server, 'close');
-	await transport.listen({host, port}, lifecycle);
+	await transport.listen({host, port}, testLimits, lifecycle);
 	const streamMessage = {from: {id: 'peer', incarnation: 'i'}, streams: [], askedKeys: ['1a-2b']};
 	const call = transport.callStreamPeer({kind: effectKind.callStreamPeer, address: `${host}:${port}`, message: streamMessage});
 	await delay(50);
--- a/packages/gateway/src/test/pipelined-requests_test.ts
+++ b/packages/gateway/src/test/pipelined-requests_test.ts
@@ -13,7 +13,9 @@
 import {BufferBudget, createLogger, LifecycleManager} from '@sequoiatally/runtime';
 import {ok} from 'neverthrow';
 import {CallerServer} from '../lib/caller-server.js';
-import {findFreePort, PlainProtocol, waitUntil} from './caller-server-fixture.js';
+import {
+	findFreePort, PlainProtocol, waitUntil, testLimits,
+} from './caller-server-fixture.js';
 
 const lifecycle = new LifecycleManager(createLogger('test', 'error'));
 const port = await findFreePort();
@@ -22,6 +24,7 @@
 const server = new CallerServer({
 	protocol: new PlainProtocol(),
 	bufferBudget,
+	limits: testLimits,
 	checkHead: () => ok(60_000),
 	emit(event) {
 		events.push(event);
