--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -219,7 +219,7 @@
 		await Promise.all([
 			listenOn(readyServer, this.#settings.readyAddress, this.#lifecycle),
 			this.#callers.listen(this.#settings.callerAddress, this.#lifecycle),
-			this.#peers.listen(this.#settings.peerAddress, this.#serverShares.peers, this.#lifecycle),
+			this.#peers.listen(this.#settings.peerAddress, {name: 'peers', limits: this.#serverShares.peers}, this.#lifecycle),
 		]);
 		await this.#serveMetrics();
 		this.#lifecycle.ownInterval('tick', tickIntervalMs, () => {
@@ -264,7 +264,7 @@
 		}
 
 		try {
-			await this.#peers.listen(metricsAddress, this.#serverShares.status, this.#lifecycle);
+			await this.#peers.listen(metricsAddress, {name: 'metrics', limits: this.#serverShares.status}, this.#lifecycle);
 		} catch (error) {
 			this.log.write('warn', {event: 'metrics-not-served', port: metricsAddress.port, detail: describeError(error)});
 		}
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -47,6 +47,12 @@
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
 
+export type PeerServerOptions = {
+	/** Name of the server in the log. */
+	readonly name: string;
+	readonly limits: ServerLimits;
+};
+
 export class PeerTransport {
 	readonly #options: PeerTransportOptions;
 	readonly #agent = new Agent({keepAlive: true, maxSockets: 2, maxFreeSockets: 1});
@@ -63,9 +69,9 @@
 		});
 	}
 
-	async listen(address: SocketAddress, limits: ServerLimits, lifecycle: LifecycleManager): Promise<void> {
+	async listen(address: SocketAddress, {name, limits}: PeerServerOptions, lifecycle: LifecycleManager): Promise<void> {
 		const {server} = new LimitedServer({
-			name: 'peers',
+			name,
 			server: {keepAliveTimeout: 10_000, maxHeaderSize: maxHeadBytes, noDelay: true},
 			limits,
 			handle: (request, response) => {
--- a/packages/gateway/src/test/peer-transport_test.ts
+++ b/packages/gateway/src/test/peer-transport_test.ts
@@ -155,7 +155,7 @@
 	const {port} = server.address() as AddressInfo;
 	server.close();
 	await once(server, 'close');
-	await transport.listen({host, port}, testLimits, lifecycle);
+	await transport.listen({host, port}, {name: 'test', limits: testLimits}, lifecycle);
 	const streamMessage = {from: {id: 'peer', incarnation: 'i'}, streams: [], askedKeys: ['1a-2b']};
 	const call = transport.callStreamPeer({kind: effectKind.callStreamPeer, address: `${host}:${port}`, message: streamMessage});
 	await delay(50);
