Messages to the peer address are bounded together

Seen: 150 messages of 7 MB that never end at the peer address took 781 MB. Cause: each message was bounded (8 MB), not all of them, and each part of a message was kept as its own buffer. Ruled out: a limit for the time of a message alone, since 150 of them arrive within a second. Change: MessageReader bounds the messages that are being read to 16 MB; those that were begun first are given up (`peer-message-dropped`).

--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -17,6 +17,7 @@
 import {closeForSending} from './connection-closer.js';
 import {LimitedServer, type ServerLimits} from './limited-server.js';
 import {listenOn} from './listen.js';
+import {MessageReader, PeerMessageError} from './message-reader.js';
 import {parsePeerMessage, parseStreamMessage} from './parse-peer-message.js';
 import {readResponse} from './read-response.js';
 import {isRelayRequest} from './relay-headers.js';
@@ -32,6 +33,8 @@
 const compressionThresholdBytes = 1500;
 /** Largest message that is read, compressed or not. */
 const maxMessageBytes = 8 * 1024 * 1024;
+/** Largest size of all messages that peers are sending; one of them can have the largest size. */
+const maxIncomingBytes = 16 * 1024 * 1024;
 
 type Message = PeerMessage | StreamMessage;
 type Parse<T extends Message> = (text: string) => Result<T, string>;
@@ -59,10 +62,14 @@
 	/** Separate connections, so that short messages about streams do not wait for larger ones. */
 	readonly #streamAgent = new Agent({keepAlive: true, maxSockets: 2, maxFreeSockets: 1});
 	readonly #pendingCalls = new Map<number, ServerResponse>();
+	readonly #reader: MessageReader;
 	#nextCallId = 1;
 
 	constructor(options: PeerTransportOptions, lifecycle: LifecycleManager) {
 		this.#options = options;
+		this.#reader = new MessageReader({bytesPerMessage: maxMessageBytes, bytes: maxIncomingBytes}, bytes => {
+			options.log('peer-message-dropped', {bytes, limitBytes: maxIncomingBytes});
+		});
 		lifecycle.own('peer connections', () => {
 			this.#agent.destroy();
 			this.#streamAgent.destroy();
@@ -152,7 +159,7 @@
 			}
 
 			const callId = this.#nextCallId++;
-			const body = await readBody(request);
+			const body = await this.#reader.read(request);
 			const event = request.url === peerPath
 				? parseBody(request, body, parsePeerMessage).map<Event>(message => ({kind: eventKind.peerCalled, callId, message}))
 				: parseBody(request, body, parseStreamMessage).map<Event>(message => ({kind: eventKind.streamPeerCalled, callId, message}));
@@ -174,21 +181,6 @@
 	}
 }
 
-async function readBody(message: IncomingMessage): Promise<Uint8Array> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	for await (const chunk of message as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size > maxMessageBytes) {
-			throw new PeerMessageError('the message is too large');
-		}
-
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks);
-}
-
 /** Decodes the body of a message; fails with a description of what is wrong. */
 function parseBody<T extends Message>({headers}: IncomingMessage, body: Uint8Array, parse: Parse<T>): Result<T, string> {
 	try {
@@ -204,8 +196,3 @@
 	const body = Buffer.from(JSON.stringify(message));
 	return body.length > compressionThresholdBytes ? {body: deflateSync(body, {level: 1}), encoding: 'deflate'} : {body, encoding: 'identity'};
 }
-
-/** A message that is too large or does not have the form that instances send. */
-export class PeerMessageError extends Error {
-	override readonly name = 'PeerMessageError';
-}
