--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {deflateSync, inflateSync} from 'node:zlib';
 import {
-	Agent, createServer, request as startRequest, type IncomingMessage, type ServerResponse,
+	Agent, request as startRequest, type IncomingMessage, type ServerResponse,
 } from 'node:http';
 import {
 	eventKind, type CallPeerEffect, type CallStreamPeerEffect, type Event, type PeerMessage, type StreamMessage,
@@ -14,7 +14,10 @@
 	describeError, parseAddress, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {err, type Result} from 'neverthrow';
+import {closeForSending} from './connection-closer.js';
+import {LimitedServer, type ServerLimits} from './limited-server.js';
 import {listenOn} from './listen.js';
+import {MessageReader, PeerMessageError} from './message-reader.js';
 import {parsePeerMessage, parseStreamMessage} from './parse-peer-message.js';
 import {readResponse} from './read-response.js';
 import {isRelayRequest} from './relay-headers.js';
@@ -30,6 +33,8 @@
 const compressionThresholdBytes = 1500;
 /** Largest message that is read, compressed or not. */
 const maxMessageBytes = 8 * 1024 * 1024;
+/** Largest size of all messages that peers are sending; one of them can have the largest size. */
+const maxIncomingBytes = 16 * 1024 * 1024;
 
 type Message = PeerMessage | StreamMessage;
 type Parse<T extends Message> = (text: string) => Result<T, string>;
@@ -41,6 +46,14 @@
 	readonly handleRelayed: (request: IncomingMessage, response: ServerResponse) => void;
 	/** Renders the metrics page. */
 	readonly renderMetrics: () => Promise<string>;
+	/** Writes a log line. */
+	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+};
+
+export type PeerServerOptions = {
+	/** Name of the server in the log. */
+	readonly name: string;
+	readonly limits: ServerLimits;
 };
 
 export class PeerTransport {
@@ -49,24 +62,35 @@
 	/** Separate connections, so that short messages about streams do not wait for larger ones. */
 	readonly #streamAgent = new Agent({keepAlive: true, maxSockets: 2, maxFreeSockets: 1});
 	readonly #pendingCalls = new Map<number, ServerResponse>();
+	readonly #reader: MessageReader;
 	#nextCallId = 1;
 
 	constructor(options: PeerTransportOptions, lifecycle: LifecycleManager) {
 		this.#options = options;
+		this.#reader = new MessageReader({bytesPerMessage: maxMessageBytes, bytes: maxIncomingBytes}, bytes => {
+			options.log('peer-message-dropped', {bytes, limitBytes: maxIncomingBytes});
+		});
 		lifecycle.own('peer connections', () => {
 			this.#agent.destroy();
 			this.#streamAgent.destroy();
 		});
 	}
 
-	async listen(address: SocketAddress, lifecycle: LifecycleManager): Promise<void> {
-		const server = createServer({keepAliveTimeout: 10_000, maxHeaderSize: maxHeadBytes, noDelay: true}, (request, response) => {
-			if (isRelayRequest(request.headers)) {
-				this.#options.handleRelayed(request, response);
-				return;
-			}
-
-			void this.#handleRequest(request, response);
+	async listen(address: SocketAddress, {name, limits}: PeerServerOptions, lifecycle: LifecycleManager): Promise<void> {
+		const {server} = new LimitedServer({
+			name,
+			server: {keepAliveTimeout: 10_000, maxHeaderSize: maxHeadBytes, noDelay: true},
+			limits,
+			handle: (request, response) => {
+				if (isRelayRequest(request.headers)) {
+					this.#options.handleRelayed(request, response);
+					return;
+				}
+
+				void this.#handleRequest(request, response);
+			},
+			close: closeForSending,
+			log: this.#options.log,
 		});
 		await listenOn(server, address, lifecycle);
 	}
@@ -135,7 +159,7 @@
 			}
 
 			const callId = this.#nextCallId++;
-			const body = await readBody(request);
+			const body = await this.#reader.read(request);
 			const event = request.url === peerPath
 				? parseBody(request, body, parsePeerMessage).map<Event>(message => ({kind: eventKind.peerCalled, callId, message}))
 				: parseBody(request, body, parseStreamMessage).map<Event>(message => ({kind: eventKind.streamPeerCalled, callId, message}));
@@ -157,21 +181,6 @@
 	}
 }
 
-async function readBody(message: IncomingMessage): Promise<Uint8Array> {
-	const chunks: Uint8Array[] = [];
-	let size = 0;
-	for await (const chunk of message as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size > maxMessageBytes) {
-			throw new PeerMessageError('the message is too large');
-		}
-
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks);
-}
-
 /** Decodes the body of a message; fails with a description of what is wrong. */
 function parseBody<T extends Message>({headers}: IncomingMessage, body: Uint8Array, parse: Parse<T>): Result<T, string> {
 	try {
@@ -187,8 +196,3 @@
 	const body = Buffer.from(JSON.stringify(message));
 	return body.length > compressionThresholdBytes ? {body: deflateSync(body, {level: 1}), encoding: 'deflate'} : {body, encoding: 'identity'};
 }
-
-/** A message that is too large or does not have the form that instances send. */
-export class PeerMessageError extends Error {
-	override readonly name = 'PeerMessageError';
-}
