--- a/packages/dispatch/src/lib/members/peer-message.ts
+++ b/packages/dispatch/src/lib/members/peer-message.ts
@@ -23,6 +23,8 @@
 	readonly targetId: string;
 	/** Number of requests that the target ran or queued. */
 	readonly load: number;
+	/** Number of requests that the target can run at the same time; `undefined` if it has not stated it. */
+	readonly slots?: number;
 	readonly ageMs: number;
 };
 
@@ -93,6 +95,18 @@
 	readonly prefix: string;
 	/** Estimated number of such requests that the whole fleet has in progress. */
 	readonly requests: number;
+	/** Number of instances whose requests the estimate follows from; absent from builds that estimate from their own requests alone. */
+	readonly instances?: number;
+};
+
+/** Requests with a prompt prefix that the sender itself received from callers lately. */
+export type SharedArrivals = {
+	/** Identifier of the last part of the prefix. */
+	readonly prefix: string;
+	/** Number of requests in the last two seconds. */
+	readonly count: number;
+	/** Usual time from the arrival of such a request to the end of its response, in milliseconds. */
+	readonly durationMs: number;
 };
 
 /** Requests of client accounts to a contended pool: those of the sender, or the sum over several instances. */
@@ -156,6 +170,8 @@
 	readonly demands?: readonly SharedDemand[];
 	/** Requests of client accounts to pools that are contended at the sender; absent if there are none. */
 	readonly accountLoads?: readonly SharedAccountLoads[];
+	/** Prompt prefixes that the sender received itself; absent from builds that do not tell, and shortly after the sender's start. */
+	readonly arrivals?: readonly SharedArrivals[];
 	/** Prompt parts that may crash targets; absent if there are none. */
 	readonly suspects?: readonly SharedSuspect[];
 	/** Pools that the sender reached recently, without those to which it has no path now; absent from builds that do not relay. */
--- a/packages/dispatch/src/lib/members/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/members/reduce-fleet.ts
@@ -255,6 +255,7 @@
 	const suspects = state.quarantine.describe(now);
 	const demands = state.promptDemand.describe(computeInstanceCount(members), now);
 	const accountLoads = describeAccountLoads(step);
+	const arrivals = state.promptDemand.describeArrivals(now);
 	const limits = state.targets.statements.describeLimits(now);
 	const leaving = state.targets.statements.describeLeaving(now);
 	const services = describeServices(state, now);
@@ -277,6 +278,7 @@
 		...(suspects.length > 0 && {suspects}),
 		...(demands.length > 0 && {demands}),
 		...(accountLoads.length > 0 && {accountLoads}),
+		...(arrivals !== undefined && {arrivals}),
 		...(versionsKnownMs !== undefined && {versionsKnownMs}),
 		...(versions !== undefined && versions.length > 0 && {versions}),
 		wantsUpdate: !state.isWatching || state.directoryLostAt !== undefined || directory.tables === undefined,
@@ -428,6 +430,10 @@
 
 	state.promptDemand.applyShared(message.demands ?? [], messageCreatedAt);
 	state.accountShare.applyShared(message.from.id, message.accountLoads ?? [], messageCreatedAt);
+	if (message.arrivals !== undefined) {
+		state.promptDemand.applyArrivals(message.from.incarnation, message.arrivals, messageCreatedAt);
+	}
+
 	state.cacheHolders.applyEntries(message.readings, state.targets.byId, messageCreatedAt);
 	for (const target of state.failureReports.applyShared(message.failures ?? [], state.targets, messageCreatedAt, now)) {
 		ejectIfFaulty(step, target);
--- a/packages/dispatch/src/lib/requests/account-share.ts
+++ b/packages/dispatch/src/lib/requests/account-share.ts
@@ -31,6 +31,8 @@
 const accountLimit = 512;
 const peerLimit = 1024;
 const heldBackLimit = 1024;
+/** Time for which what is known about the load of a pool is used again, in milliseconds: requests that are held back ask for it at each tick. */
+const pressureLifetimeMs = 50;
 /** Number of pools in one message, and of accounts of each pool, those with the most requests. */
 const poolsPerMessage = 3;
 const accountsPerPool = 24;
@@ -77,6 +79,7 @@
 
 export class AccountShare {
 	readonly #byPool = new Map<string, PoolRecord>();
+	readonly #pressures = new Map<string, {readonly pressure: PoolPressure; readonly at: number}>();
 	/** Times until which requests are held back without another decision, by fingerprint. */
 	readonly #heldBackUntil = new Map<string, number>();
 	/** Time of the first request, at which the first window begins. */
@@ -101,6 +104,20 @@
 		this.#touch(poolName).completions.record(now);
 	}
 
+	/** Finds what is known about the load of a pool, which `compute` finds out if that was too long ago. */
+	findPressure(poolName: string, compute: () => PoolPressure, now: number): PoolPressure {
+		const known = this.#pressures.get(poolName);
+		if (known !== undefined && now - known.at < pressureLifetimeMs) {
+			return known.pressure;
+		}
+
+		const pressure = compute();
+		this.#pressures.delete(poolName);
+		this.#pressures.set(poolName, {pressure, at: now});
+		evictOldest(this.#pressures, poolLimit);
+		return pressure;
+	}
+
 	/** Updates from its pressure whether the pool is contended; returns whether it is. */
 	updateContention(poolName: string, pressure: PoolPressure, now: number): boolean {
 		const record = this.#touch(poolName);
--- a/packages/dispatch/src/lib/requests/reduce-account-share.ts
+++ b/packages/dispatch/src/lib/requests/reduce-account-share.ts
@@ -73,8 +73,12 @@
 	return accountShare.describe(contended, now);
 }
 
-/** Finds what is known about the load of a pool. */
-function findPressure({state, now}: Step, poolName: string): PoolPressure {
+/** Finds what is known about the load of a pool, as of a short time ago. */
+function findPressure(step: Step, poolName: string): PoolPressure {
+	return step.state.accountShare.findPressure(poolName, () => computePressure(step, poolName), step.now);
+}
+
+function computePressure({state, now}: Step, poolName: string): PoolPressure {
 	const targets = (state.targets.byPool.get(poolName) ?? []).filter(({isGone}) => !isGone);
 	return {
 		load: new PoolLoad(targets, [], now).mean * targets.length,
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -49,9 +49,12 @@
 		targetLimit: isNumber,
 		isPublic: isBoolean,
 		hasPrompts: isBoolean,
+		rank: createOptionalCheck(isNumber),
 	})),
 	pools: createListCheck(createObjectCheck({name: isString, coldRatePerS: isNumber, probePath: createOptionalCheck(isString)})),
-	accounts: createOptionalCheck(createListCheck(createObjectCheck({name: isString, keyDigests: createListCheck(isString)}))),
+	accounts: createOptionalCheck(createListCheck(createObjectCheck({
+		name: isString, keyDigests: createListCheck(isString), rank: createOptionalCheck(isNumber),
+	}))),
 	limits: createObjectCheck({headBytes: isNumber, bodyBytes: isNumber, idleTimeoutMs: isNumber}),
 });
 
@@ -91,7 +94,9 @@
 	tablesVersion: createOptionalCheck(isNumber),
 	tables: createOptionalCheck(isTables),
 	directoryAgeMs: createOptionalCheck(isNumber),
-	loads: createListCheck(createObjectCheck({targetId: isString, load: isNumber, ageMs: isNumber})),
+	loads: createListCheck(createObjectCheck({
+		targetId: isString, load: isNumber, slots: createOptionalCheck(isNumber), ageMs: isNumber,
+	})),
 	limits: createOptionalCheck(createListCheck(createObjectCheck({
 		targetId: isString, bornAt: isNumber, requestsPerS: createOptionalCheck(isNumber), rejectionsPerS: createOptionalCheck(isNumber), ageMs: isNumber,
 	}))),
@@ -109,7 +114,6 @@
 		})),
 		begunAgeMs: createOptionalCheck(isNumber),
 	}))),
-	demands: createOptionalCheck(createListCheck(createObjectCheck({prefix: isString, requests: isNumber}))),
 	accountLoads: createOptionalCheck(createListCheck(createObjectCheck({
 		pool: isString,
 		instances: isNumber,
@@ -117,6 +121,8 @@
 		requestsPerS: isNumber,
 		accounts: createListCheck(createObjectCheck({name: isString, requestsPerS: isNumber})),
 	}))),
+	demands: createOptionalCheck(createListCheck(createObjectCheck({prefix: isString, requests: isNumber, instances: createOptionalCheck(isNumber)}))),
+	arrivals: createOptionalCheck(createListCheck(createObjectCheck({prefix: isString, count: isNumber, durationMs: isNumber}))),
 	services: createOptionalCheck(createListCheck(createObjectCheck({pool: isString, ageMs: isNumber}))),
 	unreachedPools: createOptionalCheck(createListCheck(isString)),
 	versionsKnownMs: createOptionalCheck(isNumber),
