--- a/packages/dispatch/src/lib/requests/account-share.ts
+++ b/packages/dispatch/src/lib/requests/account-share.ts
@@ -31,8 +31,6 @@
 const accountLimit = 512;
 const peerLimit = 1024;
 const heldBackLimit = 1024;
-/** Time for which what is known about the load of a pool is used again, in milliseconds: requests that are held back ask for it at each tick. */
-const pressureLifetimeMs = 50;
 /** Number of pools in one message, and of accounts of each pool, those with the most requests. */
 const poolsPerMessage = 3;
 const accountsPerPool = 24;
@@ -104,10 +102,10 @@
 		this.#touch(poolName).completions.record(now);
 	}
 
-	/** Finds what is known about the load of a pool, which `compute` finds out if that was too long ago. */
+	/** Finds what is known about the load of a pool, which `compute` finds out once for all requests that are held back in a tick. */
 	findPressure(poolName: string, compute: () => PoolPressure, now: number): PoolPressure {
 		const known = this.#pressures.get(poolName);
-		if (known !== undefined && now - known.at < pressureLifetimeMs) {
+		if (known !== undefined && known.at === now) {
 			return known.pressure;
 		}
 
--- a/packages/dispatch/src/lib/requests/reduce-account-share.ts
+++ b/packages/dispatch/src/lib/requests/reduce-account-share.ts
@@ -43,9 +43,11 @@
 
 /** True while a request exceeds the share of its account, and its pool is contended. */
 export function isHeldBack(step: Step, request: OpenRequest): boolean {
-	const {poolName} = request;
-	if (request.shareReturnAt !== undefined && !step.state.accountShare.updateContention(poolName, findPressure(step, poolName), step.now)) {
-		request.shareReturnAt = undefined;
+	const {state: {accountShare}, now} = step;
+	const {poolName, shareReturnAt} = request;
+	if (shareReturnAt !== undefined) {
+		const pressure = accountShare.findPressure(poolName, () => findPressure(step, poolName), now);
+		request.shareReturnAt = accountShare.updateContention(poolName, pressure, now) ? shareReturnAt : undefined;
 	}
 
 	return request.shareReturnAt !== undefined;
@@ -73,12 +75,8 @@
 	return accountShare.describe(contended, now);
 }
 
-/** Finds what is known about the load of a pool, as of a short time ago. */
-function findPressure(step: Step, poolName: string): PoolPressure {
-	return step.state.accountShare.findPressure(poolName, () => computePressure(step, poolName), step.now);
-}
-
-function computePressure({state, now}: Step, poolName: string): PoolPressure {
+/** Finds what is known about the load of a pool. */
+function findPressure({state, now}: Step, poolName: string): PoolPressure {
 	const targets = (state.targets.byPool.get(poolName) ?? []).filter(({isGone}) => !isGone);
 	return {
 		load: new PoolLoad(targets, [], now).mean * targets.length,
