--- a/packages/dispatch/src/lib/requests/account-share.ts
+++ b/packages/dispatch/src/lib/requests/account-share.ts
@@ -105,7 +105,7 @@
 	/** Finds what is known about the load of a pool, which `compute` finds out once for all requests that are held back in a tick. */
 	findPressure(poolName: string, compute: () => PoolPressure, now: number): PoolPressure {
 		const known = this.#pressures.get(poolName);
-		if (known !== undefined && known.at === now) {
+		if (known?.at === now) {
 			return known.pressure;
 		}
 
