--- a/packages/dispatch/src/test/freeze_test.ts
+++ b/packages/dispatch/src/test/freeze_test.ts
@@ -65,7 +65,8 @@
 });
 
 test('no decision reads a clock or a global random source, so that a step of the system clock has no effect (clock step)', async () => {
-	const names = (await readdir(sources, {recursive: true})).filter(name => name.endsWith('.ts'));
+	const entries = await readdir(sources, {recursive: true});
+	const names = entries.filter(name => name.endsWith('.ts'));
 	assert.ok(names.includes('reducer.ts') && names.includes('requests/send-request.ts'));
 	for (const name of names) {
 		const text = await readFile(new URL(name, sources), 'utf8');
--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -510,7 +510,10 @@
 		}
 
 		return {
-			load: {running: this.#runs.filter(other => other.engine === engine).length, waiting: 0}, requestsPerS, rejectionsPerS: this.rejectionLimit, at: this.now,
+			load: {running: this.#runs.filter(other => other.engine === engine).length, waiting: 0},
+			requestsPerS,
+			rejectionsPerS: this.rejectionLimit,
+			at: this.now,
 		};
 	}
 
