--- a/packages/dispatch/src/lib/requests/reduce-account-share.ts
+++ b/packages/dispatch/src/lib/requests/reduce-account-share.ts
@@ -8,15 +8,22 @@
 import {createFailure, failureReason, type Failure} from './failure.js';
 import type {SharedAccountLoads} from '../members/peer-message.js';
 import {drawRetryAfterMs} from './resolve-request.js';
-import {recordLog, type OpenRequest, type Step} from '../state.js';
+import {
+	recordLog, type OpenRequest, type State, type Step,
+} from '../state.js';
 import {PoolLoad} from '../targets/pool-load.js';
 
-/** Records an arrival in the figures of its pool, if the configuration tables state client accounts, and decides whether the request is held back. */
+/** True if the settings ask for fair shares and the configuration tables state client accounts. */
+function hasShares({bounds, directory}: State): boolean {
+	return bounds.hasFairShares === true && directory.tables?.accounts !== undefined;
+}
+
+/** Records an arrival in the figures of its pool, if accounts have fair shares, and decides whether the request is held back. */
 export function admitToShare(step: Step, request: OpenRequest): void {
 	const {state, now} = step;
 	const {poolName, account, fingerprint, isRelayed, takesUpAfterEventId} = request;
 	// The peer that received a relayed request has decided about it, and a stream that its caller takes up has begun already.
-	if (state.directory.tables?.accounts === undefined || isRelayed || takesUpAfterEventId !== undefined) {
+	if (!hasShares(state) || isRelayed || takesUpAfterEventId !== undefined) {
 		return;
 	}
 
@@ -63,7 +70,7 @@
 
 /** Counts a completed request in the throughput of its pool. */
 export function recordCompletion({state, now}: Step, {poolName, isRelayed}: OpenRequest): void {
-	if (state.directory.tables?.accounts !== undefined && !isRelayed) {
+	if (hasShares(state) && !isRelayed) {
 		state.accountShare.recordCompletion(poolName, now);
 	}
 }
--- a/packages/dispatch/src/lib/state.ts
+++ b/packages/dispatch/src/lib/state.ts
@@ -35,6 +35,8 @@
 	readonly registrationExpiryMs: number;
 	/** Longest time from the start of the drain until the requests that are still open are ended, in milliseconds. */
 	readonly drainLimitMs: number;
+	/** True if client accounts have fair shares of contended pools. */
+	readonly hasFairShares?: boolean;
 };
 
 /** A send in progress. */
--- a/packages/dispatch/src/test/account-share_test.ts
+++ b/packages/dispatch/src/test/account-share_test.ts
@@ -14,7 +14,7 @@
 	createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture, onceRoute,
 } from './gateway-fixture.js';
 import {
-	computeServedFraction, hotAccounts, largeAccounts, playSharedPool, settlingMs, type SharedPoolPlay, type SharedPoolResult,
+	computeServedFraction, hotAccounts, largeAccounts, runSharedPool, settlingMs, type SharedPoolPlay, type SharedPoolResult,
 } from './shared-pool-plays.js';
 
 const pressed = {
@@ -232,8 +232,8 @@
 for (const [gatewayCount, hotCount] of [[7, 'one'], [7, 'two'], [70, 'one'], [195, 'one']] as const) {
 	test(`accounts within their share are served at ${gatewayCount} instances as often with ${hotCount} hot as without`, t => {
 		const play = {...usualPlay, gatewayCount};
-		const usual = playSharedPool({...play, prepare: removeLimit});
-		const limited = playSharedPool({...play, hotAccounts: hotAccounts[hotCount]});
+		const usual = runSharedPool({...play, prepare: removeLimit});
+		const limited = runSharedPool({...play, hotAccounts: hotAccounts[hotCount]});
 		const report = `without hot accounts: ${describeResult(usual)}; limited: ${describeResult(limited)}`;
 		t.diagnostic(report);
 		assert.ok(computeOrdinaryFraction(limited) >= computeOrdinaryFraction(usual) - chance, report);
@@ -244,8 +244,8 @@
 // Guards against limits that harm: without totals, an instance has only its own figures.
 test('without totals of peers no account is served less often than without the limit', t => {
 	const play = {...usualPlay, hotAccounts: hotAccounts.one};
-	const unlimited = playSharedPool({...play, prepare: removeLimit});
-	const alone = playSharedPool({...play, prepare: removeTotals});
+	const unlimited = runSharedPool({...play, prepare: removeLimit});
+	const alone = runSharedPool({...play, prepare: removeTotals});
 	const report = `unlimited: ${describeResult(unlimited)}; without totals: ${describeResult(alone)}`;
 	t.diagnostic(report);
 	assert.ok(computeOrdinaryFraction(alone) >= computeOrdinaryFraction(unlimited) - chance, report);
@@ -255,7 +255,7 @@
 // Guards against limits on an account that is merely large: nothing is limited while all are served.
 test('an account with half of the demand is never limited while the pool has room', () => {
 	for (const seed of [1, 2, 3]) {
-		const {limitedCount, servedByAccount} = playSharedPool({
+		const {limitedCount, servedByAccount} = runSharedPool({
 			...usualPlay, seed, usualLoad: 0.4, hotAccounts: new Map([[0, 4]]),
 		});
 		assert.equal(limitedCount, 0);
@@ -267,8 +267,8 @@
 test('an account whose callers repeat refused requests at once gets no more than one whose callers do not', t => {
 	const play = {...usualPlay, hotAccounts: hotAccounts.one};
 	const [hot] = [...hotAccounts.one.keys()];
-	const patient = playSharedPool(play);
-	const repeating = playSharedPool({...play, repeatsAtOnce: true});
+	const patient = runSharedPool(play);
+	const repeating = runSharedPool({...play, repeatsAtOnce: true});
 	const report = `hot account ${patient.servedRateByAccount[hot!]} a second, with repeats ${repeating.servedRateByAccount[hot!]}; ${describeResult(repeating)}`;
 	t.diagnostic(report);
 	assert.ok(repeating.servedRateByAccount[hot!]! <= patient.servedRateByAccount[hot!]! * 1.2, report);
@@ -278,7 +278,7 @@
 // Guards against an instance that limits nothing, or the wrong accounts, since it has started only now.
 test('an instance that starts while the pool is contended limits as the others do', t => {
 	let startedAt = Number.POSITIVE_INFINITY;
-	const result = playSharedPool({
+	const result = runSharedPool({
 		...usualPlay, hotAccounts: hotAccounts.one, onStep(fleet, sinceMs) {
 			if (sinceMs >= settlingMs + 3500 && startedAt === Number.POSITIVE_INFINITY) {
 				startedAt = fleet.now + 500;
--- a/packages/dispatch/src/test/gateway-fixture.ts
+++ b/packages/dispatch/src/test/gateway-fixture.ts
@@ -93,7 +93,7 @@
 		}, {
 			retry: {ratio: 0.2, allowance: 52, spanMs: retryWindowMs},
 			cold: {overshoot: 1.5, slack: 5},
-			drainLimitMs: 7500, changeLimitMs, registrationExpiryMs: 4800,
+			drainLimitMs: 7500, changeLimitMs, registrationExpiryMs: 4800, hasFairShares: true,
 		}, [], createRandom(seed));
 	}
 
--- a/packages/dispatch/src/test/shared-pool-plays.ts
+++ b/packages/dispatch/src/test/shared-pool-plays.ts
@@ -48,7 +48,7 @@
 };
 
 /** Plays the usual demand, and after a while that of the hot accounts. */
-export function playSharedPool({
+export function runSharedPool({
 	gatewayCount, engineCount, slots, seed, usualLoad, hotAccounts = new Map(), prepare, onStep, repeatsAtOnce = false,
 }: SharedPoolPlay): SharedPoolResult {
 	const accounts = usualWeights.map((_, index) => ({name: `account-${index}`, keyDigests: [`digest-${index}`]}));
