--- a/packages/dispatch/src/test/shared-pool-plays.ts
+++ b/packages/dispatch/src/test/shared-pool-plays.ts
@@ -73,6 +73,7 @@
 	const startedAt = fleet.now;
 	fleet.advance(settlingMs + playMs, () => {
 		for (const {gateway} of fleet.nodes) {
+			gateway.setFairShares();
 			if (!prepared.has(gateway)) {
 				prepared.add(gateway);
 				prepare?.(gateway);
