--- a/packages/dispatch/src/lib/targets/placement.ts
+++ b/packages/dispatch/src/lib/targets/placement.ts
@@ -135,7 +135,7 @@
 	const loadLimit = computeLoadLimit(load.mean, prefix);
 	const belowLimit = candidates.filter(target => load.estimate(target) + 1 <= loadLimit);
 	const warm = belowLimit.filter(({coldUntil}) => coldUntil <= now);
-	const sharerCount = Math.ceil(prefix.demand / (prefixRoomFraction * Math.max(1, loadLimit - load.mean)));
+	const sharerCount = computeSharerCount(prefix, loadLimit - load.mean, brittleness);
 	const sharers = sharerCount > 1 ? listFirstRanked(fitting, keyHash, sharerCount) : [preferred];
 	// A cold target is slow and has nothing to reuse, so it receives only requests that exceed the limits of warm targets.
 	const target = findFirstRanked(warm.filter(other => sharers.includes(other)), hashText(requestId))
@@ -179,6 +179,12 @@
 	return connectable.some(({record}) => !triedTargetIds.has(record.id)) ? connectable : targets;
 }
 
+/** Computes among how many targets the requests of a prefix are divided, with `room` requests between the mean load and the load limit. */
+function computeSharerCount({demand}: PromptPrefix, room: number, brittleness: PoolBrittleness): number {
+	// The slots of brittle targets are divided among the instances already, and each rejection there costs the others.
+	return brittleness.isStated ? 1 : Math.ceil(demand / (prefixRoomFraction * Math.max(1, room)));
+}
+
 /** Computes the largest number of requests that a target may hold, including the new request. */
 function computeLoadLimit(meanLoad: number, {tokenCount}: PromptPrefix): number {
 	const {multiple, floor} = tokenCount >= longPromptMinTokens ? longPromptLoadLimit : shortPromptLoadLimit;
--- a/packages/dispatch/src/lib/targets/prompt-demand.ts
+++ b/packages/dispatch/src/lib/targets/prompt-demand.ts
@@ -16,8 +16,8 @@
 const windowMs = 2000;
 /** Part of the first window after which an instance estimates, in milliseconds. */
 const minWindowMs = 1000;
-/** Number of requests in the sample from which a demand is estimated: two or three come together by chance, and dividing their prompt costs its reuse. */
-const minSampleCount = 4;
+/** Number of requests in the sample from which a demand is estimated: fewer come together by chance, and dividing their prompt costs its reuse. */
+const minSampleCount = 8;
 /** Number of prefixes that are tracked, and of those that were received lately; the least recently used one is evicted first. */
 const prefixLimit = 2048;
 const recentLimit = 256;
--- a/packages/dispatch/src/lib/targets/target-room.ts
+++ b/packages/dispatch/src/lib/targets/target-room.ts
@@ -49,6 +49,11 @@
 		this.#isFull = Number.isFinite(this.#rejectionsPerS) && targets.some(({rejections}) => rejections.count(now) > 0);
 	}
 
+	/** True if a target of the pool states that it is brittle. */
+	get isStated(): boolean {
+		return Number.isFinite(this.#rejectionsPerS);
+	}
+
 	/** Finds how many rejections a second a target survives; `undefined` if it is not brittle. */
 	findLimit({statements: {limit}}: Target): number | undefined {
 		if (limit?.rejectionsPerS !== undefined) {
