--- a/packages/dispatch/src/lib/members/peer-message.ts
+++ b/packages/dispatch/src/lib/members/peer-message.ts
@@ -23,8 +23,6 @@
 	readonly targetId: string;
 	/** Number of requests that the target ran or queued. */
 	readonly load: number;
-	/** Number of requests that the target can run at the same time; `undefined` if it has not stated it. */
-	readonly slots?: number;
 	readonly ageMs: number;
 };
 
@@ -166,7 +164,7 @@
 	readonly readings: readonly SharedCacheEntry[];
 	/** Recent failed sends to targets. */
 	readonly failures?: readonly SharedFailure[];
-	/** Prompt prefixes that the sender receives often; absent if there are none. */
+	/** Prompt prefixes with the largest demands that the sender estimates; absent if there are none. */
 	readonly demands?: readonly SharedDemand[];
 	/** Requests of client accounts to pools that are contended at the sender; absent if there are none. */
 	readonly accountLoads?: readonly SharedAccountLoads[];
--- a/packages/dispatch/src/lib/targets/target-state.ts
+++ b/packages/dispatch/src/lib/targets/target-state.ts
@@ -11,7 +11,7 @@
 import {createRejectionWindows} from './target-room.js';
 import {createHealth, type TargetHealth} from './target-health.js';
 import {
-	recordLeaving, recordNamedLimits, recordStatement, TargetStatements, type ProcessStatements, type StatementKind, type TargetLoad, type TargetReport,
+	recordLeaving, recordNamedLimits, recordStatement, TargetStatements, type ProcessStatements, type StatementKind, type TargetReport,
 } from './target-statements.js';
 
 /** Time by which sends can arrive closer together at the target than they were sent, in milliseconds. */
@@ -26,10 +26,6 @@
 	readonly load: number;
 	/** Number of requests from other instances that the target ran or queued. */
 	readonly othersLoad: number;
-	/** What the target itself stated to this instance; `undefined` if a peer passed the report on. */
-	readonly stated?: TargetLoad;
-	/** Number of requests that the target can run at the same time, as last stated. */
-	readonly slots?: number;
 };
 
 export type Target = {
@@ -245,14 +241,9 @@
 	target.inFlight--;
 }
 
-type LoadReport = Pick<ReportedLoad, 'load' | 'slots' | 'stated'>;
-
 /** Records a load report that the target made at time `at`; the report includes the requests in flight from this instance. */
-export function recordReportedLoad(target: Target, {load, slots, stated}: LoadReport, at: number): void {
-	target.reportedLoad = {
-		at, load, othersLoad: Math.max(0, load - target.inFlight),
-		...(stated !== undefined && {stated}), ...(slots !== undefined && {slots}),
-	};
+export function recordReportedLoad(target: Target, load: number, at: number): void {
+	target.reportedLoad = {at, load, othersLoad: Math.max(0, load - target.inFlight)};
 }
 
 /** Computes how many requests this instance may send to the target in `namedLimitWindowMs`; infinite if the target names no limit. */
@@ -282,10 +273,7 @@
 	const loads: SharedTargetLoad[] = [];
 	for (const [targetId, {reportedLoad}] of byId) {
 		if (reportedLoad !== undefined && now - reportedLoad.at <= sharedLoadMaxAgeMs) {
-			const {load, slots, at} = reportedLoad;
-			loads.push({
-				targetId, load, ageMs: Math.round(now - at), ...(slots !== undefined && {slots}),
-			});
+			loads.push({targetId, load: reportedLoad.load, ageMs: Math.round(now - reportedLoad.at)});
 		}
 	}
 
@@ -297,13 +285,11 @@
  * ages are subtracted from `messageCreatedAt`.
  */
 export function applyLoads({byId}: TargetState, loads: readonly SharedTargetLoad[], messageCreatedAt: number): void {
-	for (const {
-		targetId, load, slots, ageMs,
-	} of loads) {
+	for (const {targetId, load, ageMs} of loads) {
 		const target = byId.get(targetId);
 		const at = messageCreatedAt - ageMs;
 		if (target !== undefined && at > (target.reportedLoad?.at ?? Number.NEGATIVE_INFINITY)) {
-			recordReportedLoad(target, {load, slots}, at);
+			recordReportedLoad(target, load, at);
 		}
 	}
 }
@@ -341,8 +327,8 @@
 /** Records what a response of the target stated; returns the kinds of statements that changed. */
 export function recordTargetStatement(target: Target, report: TargetReport, now: number): StatementKind[] {
 	if (report.load !== undefined) {
-		const {running, waiting, slots} = report.load;
-		recordReportedLoad(target, {load: running + waiting, slots, stated: report.load}, now);
+		const {running, waiting} = report.load;
+		recordReportedLoad(target, running + waiting, now);
 	}
 
 	const changed = recordStatement(target.statements, report);
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -94,9 +94,7 @@
 	tablesVersion: createOptionalCheck(isNumber),
 	tables: createOptionalCheck(isTables),
 	directoryAgeMs: createOptionalCheck(isNumber),
-	loads: createListCheck(createObjectCheck({
-		targetId: isString, load: isNumber, slots: createOptionalCheck(isNumber), ageMs: isNumber,
-	})),
+	loads: createListCheck(createObjectCheck({targetId: isString, load: isNumber, ageMs: isNumber})),
 	limits: createOptionalCheck(createListCheck(createObjectCheck({
 		targetId: isString, bornAt: isNumber, requestsPerS: createOptionalCheck(isNumber), rejectionsPerS: createOptionalCheck(isNumber), ageMs: isNumber,
 	}))),
