An arrival no longer sorts all requests that wait

Each arrival listed and sorted all requests of its pool that waited, also when no target was free: 1,000 arrivals at a full pool estimated 501,500 durations, and a tick with 1,001 waiting requests made 1,001 placements.

A new request overtakes others only if it can be sent, so those that precede it are looked for only then. A tick finds out once for each pool and required software version that no target is free for requests that were not sent before, until the next send.

--- a/packages/dispatch/src/lib/requests/reduce-requests.ts
+++ b/packages/dispatch/src/lib/requests/reduce-requests.ts
@@ -555,13 +555,15 @@
 /** Sends queued requests for which a target is available now, and refuses requests that were queued too long. */
 export function advanceQueuedRequests(step: Step): void {
 	const {state, now} = step;
+	// One placement shows for all first sends to a pool that no target is free.
+	const fullPools = new Set<string>();
 	for (const request of listInWaitingOrder(state.queuedRequests, state.sendDurations, now)) {
 		if (now >= request.deadlineAt) {
 			// Ends with its deadline.
 			continue;
 		}
 
-		const isOver = !trySend(step, request) && now >= request.queuedUntil!;
+		const isOver = !trySend(step, request, {fullPools}) && now >= request.queuedUntil!;
 		if (isOver && !(request.hasResponseStarted && tryQueueForPath(step, request))) {
 			finishWithFailure(step, request, createQueueFailure(step, request));
 		}
--- a/packages/dispatch/src/lib/requests/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -41,12 +41,22 @@
 /** Time that has to remain until the deadline for a retry to be useful, in milliseconds. */
 const minRetryTimeMs = 30;
 
+/** Where a request is sent. */
+type SendChoice = Placement & {readonly isRelayed: boolean};
+
+type SendOptions = {
+	/** True if the waiting requests that precede the request are sent before it. */
+	readonly isNew?: boolean;
+	/** Pools without a target for first sends, as this step has found out; sends make it out of date. */
+	readonly fullPools?: Set<string>;
+};
+
 /**
  * Sends the request if a target may receive it now, and refuses it if the
  * configuration tables no longer allow it or its prompt is quarantined. Returns false if the request is
  * neither sent nor refused.
  */
-export function trySend(step: Step, request: OpenRequest): boolean {
+export function trySend(step: Step, request: OpenRequest, {isNew = false, fullPools}: SendOptions = {}): boolean {
 	if (!refreshResolution(step, request)) {
 		return true;
 	}
@@ -57,39 +67,68 @@
 		return true;
 	}
 
-	const isLost = isPathProbablyLost(step, request.poolName);
 	// Once a relayed request may have run here, its origin cannot send it to another peer.
-	if (isLost && request.isRelayed && request.possibleRunCount === 0) {
+	if (request.isRelayed && request.possibleRunCount === 0 && isPathProbablyLost(step, request.poolName)) {
 		finishWithFailure(step, request, createNotRunFailure(step, request, failureReason.noTarget));
 		return true;
 	}
 
-	if (isHeldBack(step, request)) {
+	let choice = chooseSend(step, request, fullPools);
+	if (choice !== undefined && isNew && advancePreceding(step, request)) {
+		choice = chooseSend(step, request);
+	}
+
+	if (choice === undefined) {
 		return false;
 	}
 
+	removeFromQueue(step, request);
+	startSend(step, request, choice);
+	fullPools?.clear();
+	return true;
+}
+
+/** Chooses where the request is sent now; `undefined` if it is held back, or waits for a decision about its path, or no target may receive it. */
+function chooseSend(step: Step, request: OpenRequest, fullPools?: Set<string>): SendChoice | undefined {
+	if (isHeldBack(step, request)) {
+		return undefined;
+	}
+
 	const relayPeer = chooseRelayPeer(step, request);
 	if (relayPeer !== undefined) {
-		removeFromQueue(step, request);
-		startSend(step, request, {target: relayPeer, load: relayPeer.inFlight, meanLoad: 0}, true);
-		return true;
+		return {
+			target: relayPeer, load: relayPeer.inFlight, meanLoad: 0, isRelayed: true,
+		};
 	}
 
 	if (findDecisionWaitEnd(step, request) !== undefined) {
-		return false;
+		return undefined;
 	}
 
 	request.settleUntil = undefined;
 
 	// Another target would probably not be reached either.
-	const placement = !isLost || request.sendCount === 0 ? findPlacement(step, request, request.triedTargetIds) : undefined;
-	if (placement === undefined) {
-		return false;
+	if (request.sendCount > 0 && isPathProbablyLost(step, request.poolName)) {
+		return undefined;
 	}
 
-	removeFromQueue(step, request);
-	startSend(step, request, placement, false);
-	return true;
+	const placementKey = fullPools === undefined ? undefined : describePlacementKey(step, request);
+	if (placementKey !== undefined && fullPools!.has(placementKey)) {
+		return undefined;
+	}
+
+	const placement = findPlacement(step, request, request.triedTargetIds);
+	if (placement === undefined && placementKey !== undefined) {
+		fullPools!.add(placementKey);
+	}
+
+	return placement === undefined ? undefined : {...placement, isRelayed: false};
+}
+
+/** Describes what decides whether any target may receive a request; `undefined` if earlier sends of the request do so too. */
+function describePlacementKey(step: Step, request: OpenRequest): string | undefined {
+	const {poolName, triedTargetIds, wasRejectedBrittle} = request;
+	return triedTargetIds.size > 0 || wasRejectedBrittle ? undefined : JSON.stringify([poolName, findRequiredVersion(step, request)]);
 }
 
 /**
@@ -140,26 +179,27 @@
 
 /**
  * Sends the requests of the pool that wait and precede the new one in the waiting order, up to the first that no target may
- * receive, so that a new request does not overtake them when a slot has just become free.
+ * receive, so that a new request does not overtake them when a slot has just become free. Returns true if one was sent.
+ * Only a new request that can be sent itself overtakes others, so that the many that arrive while no target is free cost no look at those that wait.
  */
-function advancePreceding(step: Step, request: OpenRequest): void {
+function advancePreceding(step: Step, request: OpenRequest): boolean {
 	const {state, now} = step;
-	if (state.queuedRequests.size === 0) {
-		return;
-	}
-
 	const waiting = [...state.queuedRequests].filter(({poolName, deadlineAt}) => poolName === request.poolName && now < deadlineAt);
-	for (const other of listInWaitingOrder([...waiting, request], state.sendDurations, now)) {
+	let hasSent = false;
+	for (const other of waiting.length === 0 ? [] : listInWaitingOrder([...waiting, request], state.sendDurations, now)) {
 		if (other === request || !trySend(step, other)) {
-			return;
+			break;
 		}
+
+		hasSent = true;
 	}
+
+	return hasSent;
 }
 
 /** Sends the request, or queues it for a short time until a target is available; refuses it at once if the limits of all targets last longer. */
 export function sendOrQueue(step: Step, request: OpenRequest): void {
-	advancePreceding(step, request);
-	if (trySend(step, request)) {
+	if (trySend(step, request, {isNew: true})) {
 		return;
 	}
 
@@ -260,8 +300,8 @@
 }
 
 function startSend(step: Step, request: OpenRequest, {
-	target, load, meanLoad, preferredSkipReason, sharerCount,
-}: Placement, isRelayed: boolean): void {
+	target, load, meanLoad, preferredSkipReason, sharerCount, isRelayed,
+}: SendChoice): void {
 	const {state, now} = step;
 	const {route} = request;
 	recordInBudget(step, request);
@@ -397,7 +437,7 @@
 		return false;
 	}
 
-	startSend(step, request, placement, false);
+	startSend(step, request, {...placement, isRelayed: false});
 	return true;
 }
 
