Requests that are held back keep no waiting ones from a free slot

With fair shares, a new request was sent ahead of a waiting one of higher urgency if a request that was held back preceded both: the search for requests to send before a new one ended at the first that was not sent. It passes over requests that are held back now.

Held-back requests of an account get no bound of their own, since they are bounded already: by the queue time (test) and by the connections of callers.

--- a/packages/dispatch/src/lib/requests/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -180,11 +180,12 @@
 /**
  * Sends the requests of the pool that wait and precede the new one in the waiting order, up to the first that no target may
  * receive, so that a new request does not overtake them when a slot has just become free. Returns true if one was sent.
+ * Requests that are held back keep no others waiting.
  * Only a new request that can be sent itself overtakes others, so that the many that arrive while no target is free cost no look at those that wait.
  */
 function advancePreceding(step: Step, request: OpenRequest): boolean {
 	const {state, now} = step;
-	const waiting = [...state.queuedRequests].filter(({poolName, deadlineAt}) => poolName === request.poolName && now < deadlineAt);
+	const waiting = [...state.queuedRequests].filter(other => other.poolName === request.poolName && now < other.deadlineAt && !isHeldBack(step, other));
 	let hasSent = false;
 	for (const other of waiting.length === 0 ? [] : listInWaitingOrder([...waiting, request], state.sendDurations, now)) {
 		if (other === request || !trySend(step, other)) {
--- a/packages/dispatch/src/test/account-share_test.ts
+++ b/packages/dispatch/src/test/account-share_test.ts
@@ -5,13 +5,13 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	effectKind, eventKind, sendOutcome, type RefuseEffect,
+	effectKind, eventKind, sendOutcome, type RefuseEffect, type Route,
 } from '../index.js';
 import {
 	AccountShare, computeFairShare, computeReturnMs, computeSentFraction,
 } from '../lib/requests/account-share.js';
 import {
-	createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture, onceRoute,
+	createRoute, createTables, createTablesChange, createTargetChange, createTargetRecord, GatewayFixture, onceRoute,
 } from './gateway-fixture.js';
 import {
 	computeServedFraction, hotAccounts, largeAccounts, runSharedPool, settlingMs, type SharedPoolPlay, type SharedPoolResult,
@@ -173,6 +173,46 @@
 	assert.equal(findRefusal(gateway), undefined);
 });
 
+// Guards against an urgent account beyond its share that keeps others from a slot: what waits behind its request is overtaken by new ones.
+test('a waiting request goes ahead of a new one although a request that is held back precedes both', () => {
+	const [urgent, usual, batch] = [0, 1, 2].map(rank => createRoute({
+		name: `rank-${rank}`, prefix: `/rank-${rank}/`, rank, latencyTargetMs: 16_000, timeLimitMs: 30_000,
+	})) as [Route, Route, Route];
+	const ruth = {keyDigest: 'digest-r'};
+	const accounts = [{name: 'amina', keyDigests: ['digest-a']}, {name: 'ruth', keyDigests: ['digest-r']}];
+	const gateway = new GatewayFixture().setFairShares().loadDirectory([], createTables(1, {routes: [urgent, usual, batch], accounts}));
+	gateway.applyChanges(2, [createTargetChange(2, createTargetRecord('engine-1', {coldMs: 5000, slots: 1}))]);
+	gateway.receiveRequest(batch, ruth);
+	assert.equal(gateway.listSends().length, 1);
+	const waitingId = gateway.receiveRequest(usual, ruth);
+	assert.equal(gateway.listSends().length, 0, 'the target may receive no more');
+	gateway.state.accountShare.applyShared('gateway-9', [{
+		pool: 'engines', instances: 70, completionsPerS: 100, requestsPerS: 10_000, accounts: [{name: 'amina', requestsPerS: 9990}, {name: 'ruth', requestsPerS: 10}],
+	}], gateway.now);
+	Object.assign(gateway.state, {random: () => 0.99});
+	const heldBackId = gateway.receiveRequest(urgent);
+	gateway.now += 1151;
+	gateway.receiveRequest(batch, ruth);
+	assert.deepEqual(gateway.listSends().map(({openId}) => openId), [waitingId]);
+	assert.ok(gateway.state.openRequests.get(heldBackId)?.shareReturnAt !== undefined, 'it is still held back');
+});
+
+// Guards against requests of one account that pile up while they are held back; how many can arrive is limited by the connections of callers.
+test('all requests that are held back end with their queue time', () => {
+	const gateway = createContendedGateway();
+	const openCount = gateway.state.openRequests.size;
+	for (let count = 0; count < 1000; count++) {
+		gateway.receiveRequest(onceRoute);
+	}
+
+	assert.equal(gateway.state.queuedRequests.size, 1000);
+	gateway.effects = [];
+	gateway.advance(onceRoute.latencyTargetMs / 8);
+	assert.equal(gateway.state.queuedRequests.size, 0);
+	assert.equal(gateway.state.openRequests.size, openCount);
+	assert.ok(gateway.listRefusalStatuses().every(status => status === 503));
+});
+
 // Guards against limits in deployments whose tables state no accounts.
 test('without client accounts in the tables nothing is counted or limited', () => {
 	const gateway = new GatewayFixture().setFairShares();
