With fair shares, an arrival does not list all requests that wait

Each arrival copied all waiting requests to find out whether one for its pool is not held back: 1,000 arrivals at a full pool looked at 500,500. The search ends at the first such request now.

--- a/packages/dispatch/src/lib/requests/reduce-account-share.ts
+++ b/packages/dispatch/src/lib/requests/reduce-account-share.ts
@@ -83,13 +83,28 @@
 }
 
 /** Finds what is known about the load of a pool. */
-function findPressure({state, now}: Step, poolName: string): PoolPressure {
+function findPressure(step: Step, poolName: string): PoolPressure {
+	const {state, now} = step;
 	const targets = (state.targets.byPool.get(poolName) ?? []).filter(({isGone}) => !isGone);
 	return {
 		load: new PoolLoad(targets, [], now).mean * targets.length,
 		slots: targets.reduce((sum, {record}) => sum + record.slots, 0),
 		hasRejected: targets.some(({rejections}) => rejections.count(now) > 0),
-		hasWaiting: [...state.queuedRequests].some(other => other.poolName === poolName && other.shareReturnAt === undefined
-			&& other.sendCount === 0 && now >= (state.paths.get(poolName)?.silenceDecisionAt ?? 0)),
+		hasWaiting: hasWaiting(step, poolName),
 	};
 }
+
+/** True if a request for the pool waits that is not held back. */
+function hasWaiting({state, now}: Step, poolName: string): boolean {
+	if (now < (state.paths.get(poolName)?.silenceDecisionAt ?? 0)) {
+		return false;
+	}
+
+	for (const other of state.queuedRequests) {
+		if (other.poolName === poolName && other.shareReturnAt === undefined && other.sendCount === 0) {
+			return true;
+		}
+	}
+
+	return false;
+}
--- a/packages/dispatch/src/test/waiting_cost_test.ts
+++ b/packages/dispatch/src/test/waiting_cost_test.ts
@@ -26,11 +26,22 @@
 	name: 'desk', prefix: '/desk/', latencyTargetMs: 2000, splits: [{pool: 'desk', weight: 1}],
 });
 
-type Work = {placements: number; means: number};
+type Work = {placements: number; means: number; visits: number};
 
-/** Counts how often the targets of a pool are listed, which each placement does once, and how often a duration is estimated. */
+/** Counts how often the targets of a pool are listed, which each placement does once, how often a duration is estimated, and how many waiting requests are looked at. */
 function countWork({state}: GatewayFixture): Work {
-	const work = {placements: 0, means: 0};
+	const work = {placements: 0, means: 0, visits: 0};
+	const {queuedRequests} = state;
+	const listQueued = queuedRequests.values.bind(queuedRequests);
+	Object.assign(queuedRequests, {
+		* [Symbol.iterator]() {
+			for (const request of listQueued()) {
+				work.visits++;
+				yield request;
+			}
+		},
+	});
+
 	const {byPool} = state.targets;
 	const findTargets = byPool.get.bind(byPool);
 	byPool.get = name => {
@@ -69,10 +80,23 @@
 	}
 
 	assert.equal(gateway.state.queuedRequests.size, floodSize + 1);
-	assert.equal(work.means, 0);
+	assert.deepEqual([work.means, work.visits], [0, 0]);
 	assert.ok(work.placements <= 3 * floodSize, `${work.placements} placements`);
 });
 
+// Guards against arrivals that look at all waiting requests to find out whether a pool is contended.
+test('with fair shares, an arrival costs the same however many requests wait without a free target', () => {
+	const gateway = createFullGateway().setFairShares();
+	const work = countWork(gateway);
+	for (let index = 0; index < floodSize; index++) {
+		gateway.receiveRequest(index % 2 === 0 ? route : urgentRoute);
+	}
+
+	assert.equal(gateway.state.queuedRequests.size, floodSize + 1);
+	assert.equal(work.means, 0);
+	assert.ok(work.visits <= 3 * floodSize, `${work.visits} visits`);
+});
+
 // Guards against a tick that looks for a target for each of the requests that wait for the same full pool.
 test('a tick looks once for a target for all waiting requests of a full pool', () => {
 	const gateway = createFullGateway();
