Instances regain the ranks that the previous build drops from the tables

An instance that received the tables from an instance of the previous build had them without ranks until their next version, since tables of the same version were never replaced. It takes those with more ranks of the same version now, and never those with fewer.

Messages state the number of ranks (tablesRanks). A response contains the tables if the caller states fewer ranks for the same version. The previous build states no number and gets none, and no response leads to a further call, so that two builds do not send tables back and forth.

--- a/packages/dispatch/src/lib/directory/directory.ts
+++ b/packages/dispatch/src/lib/directory/directory.ts
@@ -319,9 +319,10 @@
 	(isReplaced || !isSame ? applied.changes : applied.renewals).push(change);
 }
 
-/** Puts tables in force if they are newer than the known ones, and returns whether they are. */
+/** Puts tables in force if they are newer than the known ones, or of the same version with more ranks; returns whether they are. */
 export function applyNewerTables(directory: DirectoryState, tables: Tables): boolean {
-	if (directory.tables !== undefined && tables.version <= directory.tables.version) {
+	const {tables: known} = directory;
+	if (known !== undefined && tables.version <= known.version && !(tables.version === known.version && countRanks(tables) > countRanks(known))) {
 		return false;
 	}
 
@@ -335,14 +336,22 @@
 		}
 	}
 
-	const known = directory.facts.get(tablesSubject);
-	if (known !== undefined) {
-		directory.facts.set(tablesSubject, {...known, fact: {kind: factKind.tables, tables}});
+	const knownFact = directory.facts.get(tablesSubject);
+	if (knownFact !== undefined) {
+		directory.facts.set(tablesSubject, {...knownFact, fact: {kind: factKind.tables, tables}});
 	}
 
 	return true;
 }
 
+/**
+ * Counts the routes and client accounts that state a rank. Builds that know no ranks drop them from the tables that they read
+ * and pass on, so that of two tables of the same version, the one with more ranks is complete.
+ */
+export function countRanks({routes, accounts = []}: Tables): number {
+	return [...routes, ...accounts].filter(({rank}) => rank !== undefined).length;
+}
+
 /** Puts a change in force in place of the fact before; returns the change as it is reported. */
 function putInForce(directory: DirectoryState, {subject, revision, fact}: FactChange, before: Fact | undefined): FactChange {
 	if (fact?.kind === factKind.zoneClosed) {
@@ -392,3 +401,9 @@
 
 	return isEarlier(peer, {epoch: directory.epoch, revision: known.revision}) ? undefined : directory.tables;
 }
+
+/** Describes the tables for a peer that has those of the same version with fewer ranks; one that does not state how many would drop them again. */
+export function describeTablesWithRanks({tables}: DirectoryState, peer: {readonly tablesVersion?: number; readonly tablesRanks?: number}): Tables | undefined {
+	const {tablesVersion, tablesRanks = Number.POSITIVE_INFINITY} = peer;
+	return tables !== undefined && tables.version === tablesVersion && tablesRanks < countRanks(tables) ? tables : undefined;
+}
--- a/packages/dispatch/src/lib/members/peer-message.ts
+++ b/packages/dispatch/src/lib/members/peer-message.ts
@@ -150,7 +150,12 @@
 	readonly revision: number;
 	/** Version of the sender's configuration tables; absent if it has none. */
 	readonly tablesVersion?: number;
-	/** Configuration tables that are newer than the receiver's and that it cannot read from the platform, which has lost them. */
+	/** Number of routes and client accounts with a rank in these tables; absent from builds that know no ranks. */
+	readonly tablesRanks?: number;
+	/**
+	 * Configuration tables that are newer than the receiver's and that it cannot read from the platform, which has lost them;
+	 * or those of the receiver's version, with ranks that it lacks.
+	 */
 	readonly tables?: Tables;
 	/** Time since the sender's directory was last known to be current, in milliseconds; `undefined` if it never was. */
 	readonly directoryAgeMs?: number;
--- a/packages/dispatch/src/lib/members/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/members/reduce-fleet.ts
@@ -3,7 +3,8 @@
  * platform and from each other, and maintain the member list.
  */
 import {
-	applyNewerTables, applyUpdate, describeTablesFor, describeUpdate, expireRetainedFacts, recordEpochBegin, tablesSubject, type DirectoryUpdate,
+	applyNewerTables, applyUpdate, countRanks, describeTablesFor, describeTablesWithRanks, describeUpdate, expireRetainedFacts, recordEpochBegin, tablesSubject,
+	type DirectoryUpdate,
 } from '../directory/directory.js';
 import {isEarlier, isSamePosition} from '../directory/directory-position.js';
 import {factKind, type FactChange} from '../directory/directory-facts.js';
@@ -266,6 +267,7 @@
 		epoch: directory.epoch,
 		revision: directory.revision,
 		tablesVersion: directory.tables?.version,
+		tablesRanks: directory.tables === undefined ? undefined : countRanks(directory.tables),
 		tables,
 		directoryAgeMs: Number.isFinite(directory.confirmedAt) ? Math.round(now - directory.confirmedAt!) : undefined,
 		loads: describeLoads(state.targets, now),
@@ -319,9 +321,12 @@
 /** Responds to a peer's call, with the changes that the peer requests and does not know yet. */
 export function applyPeerCalled(step: Step, {callId, message}: PeerCalledEvent): void {
 	applyPeerMessage(step, message, findCallCreatedAt(step));
-	const {state: {versionHistory}, now} = step;
+	const {state: {directory, versionHistory}, now} = step;
+	const supplement = describeSupplement(step, message);
+	// Stated in responses only, so that no peer that keeps fewer ranks causes more calls.
+	const tables = supplement.tables ?? describeTablesWithRanks(directory, message);
 	const versions = message.versionsKnownMs === undefined ? undefined : versionHistory.describe(now, message.versionsKnownMs);
-	step.effects.push({kind: effectKind.answerPeer, callId, message: createMessage(step, {...describeSupplement(step, message), versions})});
+	step.effects.push({kind: effectKind.answerPeer, callId, message: createMessage(step, {...supplement, tables, versions})});
 }
 
 /** Describes what the sender of a message requests or cannot read from the platform. */
--- a/packages/gateway/src/lib/parse-peer-message.ts
+++ b/packages/gateway/src/lib/parse-peer-message.ts
@@ -92,6 +92,7 @@
 	epoch: createOptionalCheck(isNumber),
 	revision: isNumber,
 	tablesVersion: createOptionalCheck(isNumber),
+	tablesRanks: createOptionalCheck(isNumber),
 	tables: createOptionalCheck(isTables),
 	directoryAgeMs: createOptionalCheck(isNumber),
 	loads: createListCheck(createObjectCheck({targetId: isString, load: isNumber, ageMs: isNumber})),
--- a/packages/gateway/src/test/parse-peer-message_test.ts
+++ b/packages/gateway/src/test/parse-peer-message_test.ts
@@ -72,6 +72,8 @@
 	assert.equal(parsed.tables?.routes[0]?.rank, 2);
 	assert.equal(parsed.tables?.accounts?.[0]?.rank, 2);
 	assert.ok(parsePeerMessage(createMessage('0')).isErr());
+	assert.equal(parsePeerMessage(JSON.stringify({...call, tablesRanks: 3}))._unsafeUnwrap().tablesRanks, 3);
+	assert.ok(parsePeerMessage(JSON.stringify({...call, tablesRanks: '3'})).isErr());
 });
 
 test('text that is not JSON is refused', () => {
