--- a/packages/gateway/src/test/request-turns_test.ts
+++ b/packages/gateway/src/test/request-turns_test.ts
@@ -178,6 +178,29 @@
 	assert.deepEqual(logged, []);
 });
 
+// Guards against a block of up to 64 KB in the buffer of each socket that is held back, which no limit counts.
+test('a connection that is held back holds no bytes but those that are counted', async () => {
+	const {open, limited} = await startServer({bytesPerConnection: 1000});
+	const sockets: Socket[] = [];
+	limited.server.on('connection', socket => {
+		sockets.push(socket);
+	});
+	const greedy = await open();
+	greedy.write(usualRequest.repeat(40_000));
+	await waitUntil('the connection is held back', () => limited.readAheadBytes >= 1000);
+	for (let count = 2; count <= 6; count++) {
+		const other = await open();
+		other.write(usualRequest);
+		await waitUntil('another request arrives meanwhile', () => received.length === count);
+	}
+
+	assert.equal(sockets[0]!.readableLength, 0);
+	assert.equal(sockets[0]!.bytesRead, usualRequest.length + limited.readAheadBytes);
+	const answers = collectText(greedy);
+	received[0]!.response.end();
+	await waitUntil('the connection goes on', () => answers.text.includes('HTTP/1.1 200') && received.length === 7);
+});
+
 // Guards against a request that is cut although it has been sent to a target, and against one that runs after its caller was told otherwise.
 test('a connection that loses the requests that wait answers the one that is due, runs no other one, and closes', async () => {
 	const {open, limited} = await startServer({bytes: 10_000});
