A connection that is held back is not read any further at once

Cause: after pause(), Node.js still reads one block into the buffer of the socket, before the stream stops its handle; the stream also starts another read in the tick after a block. Ruled out: stopping the handle in the same tick as the block (the tick after it starts the handle again; 31 MB as before), and counting the block (dropping requests does not free it). Change: the handle is stopped in a microtask after that tick, and started again with the connection's turn. As before, a caller that has sent too far ahead and leaves is noticed at the next write.

--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -155,7 +155,7 @@
 	/** Pauses a connection again that the HTTP server resumed, or continues with the bytes that waited for it. */
 	#handleResume(connection: Connection): void {
 		if (connection.isHeldBack) {
-			connection.socket.pause();
+			stopReading(connection.socket);
 		}
 
 		this.#waitForTurn(connection);
@@ -198,7 +198,7 @@
 		this.#waiting.add(connection);
 		if (connection.waitingBytes >= this.#options.limits.bytesPerConnection) {
 			connection.isHeldBack = true;
-			socket.pause();
+			stopReading(socket);
 		}
 
 		this.#waitForTurn(connection);
@@ -263,7 +263,7 @@
 		this.#clearWaiting(connection);
 		if (connection.isHeldBack) {
 			connection.isHeldBack = false;
-			socket.resume();
+			continueReading(socket);
 		}
 
 		for (const block of waitingBlocks) {
@@ -295,7 +295,7 @@
 		this.#clearWaiting(connection);
 		connection.isDropped = true;
 		connection.isHeldBack = true;
-		connection.socket.pause();
+		stopReading(connection.socket);
 		if (response === undefined || !isBusy(connection)) {
 			this.#schedule(connection);
 		} else if (!response.headersSent) {
@@ -306,6 +306,39 @@
 	}
 }
 
+/** The part of a socket that reads from the system; Node.js sets it, but its types do not name it. */
+type ReadingHandle = {reading: boolean; readonly readStart: () => void; readonly readStop: () => void};
+
+function findReadingHandle(socket: Socket): ReadingHandle | undefined {
+	return (socket as Socket & {readonly _handle?: ReadingHandle})._handle ?? undefined;
+}
+
+/**
+ * Pauses a socket without another read: after `pause` alone, Node.js still reads a block of up to 64 KB into the buffer of the socket, which
+ * no limit counts.
+ */
+function stopReading(socket: Socket): void {
+	socket.pause();
+	// The stream starts another read in the tick after a block, which comes before this.
+	queueMicrotask(() => {
+		const handle = findReadingHandle(socket);
+		if (socket.isPaused() && handle?.reading) {
+			handle.reading = false;
+			handle.readStop();
+		}
+	});
+}
+
+/** Resumes a socket after `stopReading`. */
+function continueReading(socket: Socket): void {
+	socket.resume();
+	const handle = findReadingHandle(socket);
+	if (handle?.reading === false) {
+		handle.reading = true;
+		handle.readStart();
+	}
+}
+
 /** Returns true if a request has been read whose response has not been sent completely. */
 function isBusy({request, response}: Connection): boolean {
 	return response !== undefined && !response.closed && request!.complete;
