--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -263,7 +263,7 @@
 		this.#clearWaiting(connection);
 		if (connection.isHeldBack) {
 			connection.isHeldBack = false;
-			continueReading(socket);
+			startReading(socket);
 		}
 
 		for (const block of waitingBlocks) {
@@ -330,7 +330,7 @@
 }
 
 /** Resumes a socket after `stopReading`. */
-function continueReading(socket: Socket): void {
+function startReading(socket: Socket): void {
 	socket.resume();
 	const handle = findReadingHandle(socket);
 	if (handle?.reading === false) {
