Test: heads that end with a line feed alone are judged as the HTTP parser judges them

Two tests of pipelined requests failed on x86-64 with Node.js 20.20.2, whose parser refuses a head that ends with CR LF LF; other releases take it. The requests of these tests end with an empty line now, and a test of its own requires that such a head is received together with the request behind it, or refused with all that follows.

--- a/packages/gateway/src/test/request-turns_test.ts
+++ b/packages/gateway/src/test/request-turns_test.ts
@@ -24,7 +24,7 @@
 	usualRequest,
 	'POST /length HTTP/1.1\r\nHost: a\r\nContent-Length: 38\r\n\r\nGET /no HTTP/1.1\r\n\r\n\n\nGET /no HTTP/1.\n',
 	'POST /chunks HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n6\r\na\r\n\r\nb\r\n4\r\n\n\n\r\n\r\n0\r\nTrailer: a\r\n\r\n',
-	'\r\n\r\nGET /late HTTP/1.1\r\nHost: a\r\n\n',
+	'\r\n\r\nGET /late HTTP/1.1\r\nHost: a\r\n\r\n',
 	'POST /empty HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n',
 	usualRequest,
 ];
@@ -128,6 +128,19 @@
 	assert.deepEqual(counts, new Map([['/usual ', bytes.length * 2], ...expected.slice(1, -1).map(text => [text, bytes.length] as const)]));
 });
 
+// Guards against a different division of requests than that of the HTTP parser, which takes such an end in some releases of Node.js 20 and refuses it in others.
+test('a head that ends with a line feed alone is received with the request behind it, or refused with all that follows', async () => {
+	const {open} = await startServer({}, async (request, response) => {
+		await receive(request, response);
+		response.end();
+	});
+	const socket = await open();
+	const answers = collectText(socket);
+	socket.write(`GET /late HTTP/1.1\r\nHost: a\r\n\n${usualRequest}`);
+	await waitUntil('all is answered or refused', () => answers.isEnded || answers.text.split('HTTP/1.1 200').length === 3);
+	assert.deepEqual(received.map(({url}) => url), answers.isEnded ? [] : ['/late', '/usual']);
+});
+
 test('pipelined requests are received whole and in order if each byte arrives alone', async () => {
 	const {open} = await startServer({}, async (request, response) => {
 		await receive(request, response);
