--- a/packages/load/src/lib/tcp-relay.ts
+++ b/packages/load/src/lib/tcp-relay.ts
@@ -44,10 +44,15 @@
 	#selectState: StateSelector | undefined;
 
 	readonly #closesWithUpstream: boolean;
+	readonly #hasBackpressure: boolean;
 
-	/** `closesWithUpstream`: as soon as the upstream port refuses connections, the relay does so too, before it passes on the ends that the process left. */
-	constructor(upstreamPort: number, {closesWithUpstream = false} = {}) {
+	/**
+	 * `closesWithUpstream`: as soon as the upstream port refuses connections, the relay does so too, before it passes on the ends that the process left.
+	 * `hasBackpressure`: one side is not read while the other side takes no more, so that an upload which nobody reads remains unfinished.
+	 */
+	constructor(upstreamPort: number, {closesWithUpstream = false, hasBackpressure = false} = {}) {
 		this.#closesWithUpstream = closesWithUpstream;
+		this.#hasBackpressure = hasBackpressure;
 		this.#upstreamPort = upstreamPort;
 		this.#server = createServer(async socket => this.#accept(socket));
 	}
@@ -139,23 +144,30 @@
 
 		this.connectionCount++;
 		const upstream = connect({port: this.#upstreamPort, host: loopbackHost});
+		connection.upstream = upstream;
+		const handleDrain = () => {
+			this.#updateFlow(connection);
+		};
+
 		this.#pipe(socket, upstream, byteCount => {
 			this.bytesIn += byteCount;
-		});
+		}, handleDrain);
 		this.#pipe(upstream, socket, byteCount => {
 			this.bytesOut += byteCount;
-		});
-		connection.upstream = upstream;
+		}, handleDrain);
 		this.#updateFlow(connection);
 	}
 
-	#pipe(from: Socket, to: Socket, onBytes: (byteCount: number) => void): void {
+	#pipe(from: Socket, to: Socket, onBytes: (byteCount: number) => void, handleDrain: () => void): void {
 		this.#sockets.add(from);
 		from.setNoDelay(true);
 		from.on('data', chunk => {
 			onBytes(chunk.length);
-			to.write(chunk);
+			if (!to.write(chunk) && this.#hasBackpressure) {
+				from.pause();
+			}
 		});
+		to.on('drain', handleDrain);
 		let isReset = false;
 		from.on('end', async () => {
 			// Node.js reports a reset as an end if it is read together with the last data; the system knows no other side then.
