A late response of a peer no longer brings a removed target back (DRAIN)

Cause: an instance that starts calls a peer and reads the platform at the same time. If the platform's answer, which no longer contains a target, overtakes the peer's older response, the target was unknown, so that its registration from the response was taken as new. The instance then described it to others as the content of its later revision; those that were behind went on to that revision and kept the target until a complete update removed it.

Change: facts of an update that is older than the directory are ignored if the directory does not contain their subject, since it is complete at its revision.

--- a/packages/dispatch/src/lib/directory/directory.ts
+++ b/packages/dispatch/src/lib/directory/directory.ts
@@ -129,7 +129,8 @@
 	if (epoch > directory.epoch) {
 		beginEpoch({directory, applied}, update, timing, now);
 	} else {
-		for (const change of isComplete ? [...update.changes, ...listMissingSubjects(directory, update)] : update.changes) {
+		const changes = listCurrentChanges(directory, update);
+		for (const change of isComplete ? [...changes, ...listMissingSubjects(directory, update)] : changes) {
 			applyChange(directory, change, applied);
 		}
 	}
@@ -153,6 +154,18 @@
 	return applied;
 }
 
+/**
+ * Lists the changes of an update without the facts that were removed since. A directory that was read as a whole, or that dropped tombstones,
+ * does not know all removals from before, but it contains all that was left at its revision. Otherwise the older response of a peer would bring a
+ * removed target back.
+ */
+function listCurrentChanges({facts, revision}: DirectoryState, update: DirectoryUpdate): readonly StoredChange[] {
+	return update.revision >= revision
+		? update.changes
+		: update.changes.filter(({subject, fact, revision: changedAt}) =>
+			fact === undefined || subject === tablesSubject || changedAt > revision || facts.get(subject)?.fact !== undefined);
+}
+
 /** Applies a change of the current epoch, unless a later one of its subject is known. */
 function applyChange(directory: DirectoryState, change: StoredChange, applied: AppliedUpdate): void {
 	const {subject, fact} = change;
--- a/packages/dispatch/src/test/directory_test.ts
+++ b/packages/dispatch/src/test/directory_test.ts
@@ -144,6 +144,19 @@
 	assert.deepEqual(describeUpdate(restarted.state.directory, {epoch: 0, revision: 3}).changes.map(({subject}) => subject), ['target/desk-3'], 'later changes are passed on alone');
 });
 
+// Guards against a removed target that the late response of a peer brings back, and that all instances behind it then keep (DRAIN: hanbit-buildfarm-grown, trouble-2).
+test('an instance that read the whole directory ignores the older response of a peer with a target that was removed since', () => {
+	const follower = new GatewayFixture('gateway-1').loadDirectory(['desk-1', 'desk-2']);
+	const restarted = new GatewayFixture('gateway-2');
+	const response = describeUpdate(follower.state.directory, restarted.state.directory);
+	// The target is removed at revision 2, and the platform is read at revision 3 before the response arrives.
+	restarted.applyChanges(3, [createTablesChange(1, createTables()), createTargetChange(1, createTargetRecord('desk-2'))], 0);
+	restarted.handle({kind: 'directory-read', update: response, confirmedAt: restarted.now});
+	assert.deepEqual([...restarted.state.targets.byId.keys()], ['desk-2']);
+	follower.handle({kind: 'directory-read', update: describeUpdate(restarted.state.directory, follower.state.directory), confirmedAt: follower.now});
+	assert.equal(follower.state.targets.byId.get('desk-1')?.isGone ?? true, true);
+});
+
 test('registrations that expired during an outage of the platform are kept for a grace period, in which they can be renewed', () => {
 	const gateway = new GatewayFixture().loadDirectory(['desk-1', 'desk-2']);
 	gateway.handle({kind: 'directory-lost', detail: 'test'});
@@ -301,7 +314,7 @@
 
 test('an instance has exactly the content of the revision that it states, whatever it received from the platform or peers and whoever restarts', () => {
 	const step = fc.record({
-		action: fc.constantFrom('write', 'remove', 'watch', 'read-all', 'exchange', 'exchange', 'restart'),
+		action: fc.constantFrom('write', 'remove', 'watch', 'read-all', 'exchange', 'exchange', 'respond', 'respond', 'receive', 'receive', 'restart'),
 		instance: fc.integer({min: 0, max: 3}),
 		other: fc.integer({min: 0, max: 3}),
 		id: fc.integer({min: 0, max: 4}),
@@ -310,6 +323,8 @@
 		const platform = new RecordedPlatform();
 		platform.write('x', false);
 		const directories = Array.from({length: 4}, () => createDirectory());
+		/** Responses on their way to each instance. */
+		const pending = directories.map((): DirectoryUpdate[] => []);
 		for (const {action, instance, other, id} of steps) {
 			const directory = directories[instance]!;
 			switch (action) {
@@ -330,8 +345,23 @@
 					break;
 				}
 
+				case 'respond': {
+					pending[instance]!.push(describeUpdate(directories[other]!, directory));
+					break;
+				}
+
+				case 'receive': {
+					const update = pending[instance]!.pop();
+					if (update !== undefined) {
+						applyUpdate(directory, update, {confirmedAt: 0, now: 0}, restoreTiming);
+					}
+
+					break;
+				}
+
 				case 'restart': {
 					directories[instance] = createDirectory();
+					pending[instance] = [];
 					break;
 				}
 			}
