Large responses wait at their targets while the memory for responses is used

Ordinary responses that would fit one after another were given up, too: of 100 responses of 1 MB at once, some ended as "exceed the memory" or "exceeds the size limit" (large-responses_test). Cause: all responses were read at once, up to 430 of 1 MB, and those that exceeded the limit of about 32 MB were given up. Their bytes stay in memory until garbage collection. Counting the capacity of blocks instead of the bytes that arrived pauses small responses in small parts, since the first block takes 64 KB; a test guards against it, and fails with that form. Slow ones go on and hold up no others. Small responses and streams are never paused. While a response is paused, its send does not count as silent. Not shown: that the silence test fails if the timer of a paused response goes on.

--- a/packages/gateway/src/test/large-responses_test.ts
+++ b/packages/gateway/src/test/large-responses_test.ts
@@ -7,7 +7,9 @@
 import {afterEach, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {eventKind, sendOutcome} from '@sequoiatally/dispatch';
-import {createResponse, ExchangeFixture} from './exchange-fixture.js';
+import {
+	createChunkedHead, createResponse, ExchangeFixture, writeChunk,
+} from './exchange-fixture.js';
 
 const mebibyte = 1024 * 1024;
 const fixture = new ExchangeFixture();
@@ -76,11 +78,11 @@
 	assert.deepEqual([...new Set(outcomes.values())], [`${sendOutcome.complete}: status 200`]);
 });
 
-// Guards against another send of a request whose response waits here and not at its target.
-test('a large response that waits for memory is not reported as silent', async () => {
+/** Starts a target and fills the memory: 28 of 37.5 MB are held, and four responses are being read; the following requests are answered by `respond`. */
+async function startBusyTarget(respond: (socket: Socket, requestId: string) => Promise<void>): Promise<void> {
 	const heldBytes = 14 * mebibyte;
 	const partBytes = 100_000;
-	const partCount = 30;
+	const partCount = 22;
 	await fixture.startTarget(async (socket, requestId) => {
 		if (Number(requestId) <= 2) {
 			socket.write(createResponse(requestId, 'x'.repeat(heldBytes)));
@@ -91,7 +93,7 @@
 				await delay(20);
 			}
 		} else {
-			socket.write(createResponse(requestId, 'x'.repeat(mebibyte)));
+			await respond(socket, requestId);
 		}
 	});
 	fixture.nextOpenId = 1;
@@ -105,8 +107,45 @@
 	}
 
 	await delay(40);
+}
+
+// Guards against another send of a request whose response waits here and not at its target.
+test('a large response that waits for memory is not reported as silent', async () => {
+	await startBusyTarget(async (socket, requestId) => {
+		socket.write(createResponse(requestId, 'x'.repeat(mebibyte)));
+	});
 	fixture.startSend({responseStartTimeoutMs: 150});
 	const outcomes = await waitForEnds(5);
 	assert.deepEqual([...new Set(outcomes.values())], [`${sendOutcome.complete}: status 200`]);
 	assert.deepEqual(fixture.events.filter(({kind}) => kind === eventKind.answerSilent), []);
 });
+
+// Guards against small responses that wait for large ones, in particular those in small parts, whose blocks take more than their bytes.
+test('small responses do not wait where large ones do', async () => {
+	await startBusyTarget(async (socket, requestId) => {
+		if (requestId === '7') {
+			socket.write(createResponse(requestId, 'x'.repeat(mebibyte)));
+		} else {
+			socket.write(requestId === '8' ? createChunkedHead(requestId) : createHead(requestId, 4000));
+			for (let index = 0; index < 4; index++) {
+				if (requestId === '8') {
+					writeChunk(socket, 'x'.repeat(1000));
+				} else {
+					socket.write('x'.repeat(1000));
+				}
+
+				await delay(5);
+			}
+
+			socket.write(requestId === '8' ? '0\r\n\r\n' : '');
+		}
+	});
+	const large = fixture.startSend();
+	const small = [fixture.startSend(), fixture.startSend()];
+	const outcomes = await waitForEnds(2);
+	assert.deepEqual(new Set(outcomes.keys()), new Set([8, 9]), 'the small ones end first');
+	assert.deepEqual(small.map(({received}) => received.length), [4000, 4000]);
+	assert.equal(large.received, '');
+	await waitForEnds(7);
+	assert.equal(large.received.length, mebibyte);
+});
