--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -165,9 +165,6 @@
 			bufferBudget,
 			emit,
 			readClock: readMonotonicMs,
-			onResponsesPaused: fields => {
-				this.#writeServerLog('responses-paused', {...fields, responseBytesLimit: bufferBudget.responseBytesLimit});
-			},
 		});
 		this.#metrics = new GatewayMetrics([
 			['open_requests', () => this.state.openRequests.size],
@@ -184,8 +181,6 @@
 			['body_bytes', () => bufferBudget.bodyBytes],
 			['body_bytes_limit', () => bufferBudget.bodyBytesLimit],
 			['response_bytes', () => bufferBudget.responseBytes],
-			['response_bytes_limit', () => bufferBudget.responseBytesLimit],
-			['responses_paused', () => this.#targets.pausedResponses],
 			['caller_connections', () => this.#callers.connectionCount],
 			['caller_connections_limit', () => this.#serverShares.callers.connections],
 			['read_ahead_bytes', () => this.#callers.readAheadBytes],
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -22,9 +22,6 @@
 import {
 	findDeclaredLength, findForm, hasBody, isSelfDelimited, ResponseBody, type BodyListener,
 } from './response-body.js';
-import {
-	maxUnpacedBytes, PacedResponse, pacingIntervalMs, ResponsePacing, type ResponseMemoryUse,
-} from './response-pacing.js';
 import {TargetActivity} from './target-activity.js';
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
@@ -36,8 +33,6 @@
 /** Largest number of parts of a buffered response, and of an event with the comments before it: each part costs time, however small it is. */
 const maxBodyParts = 65_536;
 const maxEventParts = 8192;
-/** Shortest time between two reports that responses wait, in milliseconds. */
-const pauseReportIntervalMs = 1000;
 /** Largest number of interim responses (status 1xx) before a response. */
 const maxInterimResponses = 8;
 
@@ -59,26 +54,15 @@
 	readonly bufferBudget: BufferBudget;
 	readonly emit: (event: Event) => void;
 	readonly readClock: () => number;
-	/** Called, at most once in a while, when responses wait until others have released their memory. */
-	readonly onResponsesPaused?: (fields: {readonly paused: number; readonly responseBytes: number}) => void;
 };
 
 export class TargetClient {
 	readonly #options: TargetClientOptions;
 	readonly #activity = new TargetActivity();
 	readonly #activeExchanges = new Map<number, TargetExchange>();
-	readonly #pacing: ResponsePacing;
-	#pacingTimer?: NodeJS.Timeout;
-	#pauseReportedAt = -Infinity;
 
 	constructor(options: TargetClientOptions) {
 		this.#options = options;
-		this.#pacing = new ResponsePacing(options.bufferBudget.responseBytesLimit);
-	}
-
-	/** Number of responses that are paused until others have released their memory. */
-	get pausedResponses(): number {
-		return this.#pacing.pausedCount;
 	}
 
 	/** Starts a send; its end is emitted as an event. */
@@ -86,10 +70,6 @@
 		const exchange = new TargetExchange(send, caller, {
 			...this.#options,
 			activity: this.#activity,
-			pacing: this.#pacing,
-			addPaced: response => {
-				this.#addPaced(response);
-			},
 			onEnd: () => {
 				this.#activeExchanges.delete(send.sendId);
 			},
@@ -113,43 +93,10 @@
 	reportSilence(sendId: number): void {
 		this.#activeExchanges.get(sendId)?.reportSilence();
 	}
-
-	#addPaced(response: PacedResponse): void {
-		const {readClock, onResponsesPaused} = this.#options;
-		const now = readClock();
-		this.#pacing.add(response, now, this.#memoryUse);
-		if (this.#pacing.pausedCount === 0) {
-			return;
-		}
-
-		this.#pacingTimer ??= setInterval(() => {
-			this.#updatePacing();
-		}, pacingIntervalMs);
-		if (now - this.#pauseReportedAt >= pauseReportIntervalMs) {
-			this.#pauseReportedAt = now;
-			onResponsesPaused?.({paused: this.#pacing.pausedCount, responseBytes: this.#options.bufferBudget.responseBytes});
-		}
-	}
-
-	#updatePacing(): void {
-		this.#pacing.update(this.#options.readClock(), this.#memoryUse);
-		if (this.#pacing.pausedCount === 0) {
-			clearInterval(this.#pacingTimer);
-			this.#pacingTimer = undefined;
-		}
-	}
-
-	get #memoryUse(): ResponseMemoryUse {
-		const {responseBytes, evictedResponseBytes} = this.#options.bufferBudget;
-		return {heldBytes: responseBytes, evictedBytes: evictedResponseBytes};
-	}
 }
 
 type TargetExchangeOptions = TargetClientOptions & {
 	readonly activity: TargetActivity;
-	readonly pacing: ResponsePacing;
-	/** Adds a large response to those that are read as memory permits. */
-	readonly addPaced: (response: PacedResponse) => void;
 	readonly onEnd: () => void;
 };
 
@@ -163,8 +110,6 @@
 	#request?: ClientRequest;
 	#response?: IncomingMessage;
 	#body?: ResponseBody;
-	/** The response, if it is large and read as memory permits. */
-	#paced?: PacedResponse;
 	#connectTimer?: NodeJS.Timeout;
 	#silenceTimer?: NodeJS.Timeout;
 	#hasConnected: boolean;
@@ -436,57 +381,17 @@
 
 		const collector = new BodyCollector();
 		let partCount = 0;
-		let receivedBytes = 0;
-		const body = this.#readBody(response, {
+		this.#readBody(response, {
 			onData: part => {
 				collector.add(part);
-				receivedBytes += part.length;
 				if (++partCount > maxBodyParts || !this.#buffer.trySet(collector.capacity)) {
 					this.#abort(this.#failureOutcome, 'response exceeds the size limit');
-					return;
-				}
-
-				if (receivedBytes > maxUnpacedBytes) {
-					this.#startPacing(body, response);
 				}
-
-				this.#paced?.recordBytes(receivedBytes, this.#options.readClock());
 			},
-			onComplete: () => {
-				this.#stopPacing();
+			onComplete() {
 				onComplete(collector.takeBlocks());
 			},
 		});
-		if ((findDeclaredLength(response) ?? 0) > maxUnpacedBytes && hasBody(response)) {
-			this.#startPacing(body, response);
-		}
-	}
-
-	/** Lets a large response wait until others have released their memory. */
-	#startPacing(body: ResponseBody, response: IncomingMessage): void {
-		if (this.#paced !== undefined || this.#hasEnded) {
-			return;
-		}
-
-		this.#paced = new PacedResponse(findDeclaredLength(response), this.#options.readClock(), isPaused => {
-			// While the response is paused, the target cannot send, so it does not count as silent.
-			if (isPaused) {
-				body.pause();
-				clearInterval(this.#silenceTimer);
-				this.#silenceTimer = undefined;
-			} else {
-				body.resume();
-				this.#progressAt = this.#options.readClock();
-				this.#startSilenceTimer();
-			}
-		});
-		this.#options.addPaced(this.#paced);
-	}
-
-	#stopPacing(): void {
-		if (this.#paced !== undefined) {
-			this.#options.pacing.remove(this.#paced);
-		}
 	}
 
 	#handleBufferedResponse(response: IncomingMessage, {kind}: ResponseHead, body: readonly Uint8Array[]): void {
@@ -684,7 +589,6 @@
 
 	#markEnded(): void {
 		this.#hasEnded = true;
-		this.#stopPacing();
 		this.#body?.close();
 		clearTimeout(this.#connectTimer);
 		clearInterval(this.#silenceTimer);
--- a/packages/runtime/src/lib/buffer-budget.ts
+++ b/packages/runtime/src/lib/buffer-budget.ts
@@ -30,20 +30,18 @@
 export class BufferBudget {
 	/** Largest number of bytes of all bodies. */
 	readonly bodyBytesLimit: number;
-	/** Largest number of bytes of all responses. */
-	readonly responseBytesLimit: number;
+	readonly #maxBytes: number;
 	readonly #onBodiesFull: (isFull: boolean) => void;
 	readonly #accounts = new Set<BufferAccount>();
 	/** Bodies that give way to others. */
 	readonly #lateBodies = new Set<BodyAccount>();
 	#usedBytes = 0;
-	#evictedBytes = 0;
 	#bodyBytes = 0;
 	#areBodiesFull = false;
 
 	/** `memoryBytes` is the memory that the process may use for everything; `onBodiesFull` is called when a body is rejected for the first time, and when there is room again. */
 	constructor(memoryBytes: number, onBodiesFull: (isFull: boolean) => void = () => undefined) {
-		this.responseBytesLimit = memoryBytes * memoryShare;
+		this.#maxBytes = memoryBytes * memoryShare;
 		this.bodyBytesLimit = Math.floor(Math.max(memoryBytes * minBodyShare, (memoryBytes * (1 - memoryShare)) - runtimeBytes));
 		this.#onBodiesFull = onBodiesFull;
 	}
@@ -53,11 +51,6 @@
 		return this.#bodyBytes;
 	}
 
-	/** Number of bytes of all responses so far that were given up for others. */
-	get evictedResponseBytes(): number {
-		return this.#evictedBytes;
-	}
-
 	/** Number of bytes that responses hold. */
 	get responseBytes(): number {
 		return this.#usedBytes;
@@ -90,7 +83,6 @@
 			}
 
 			this.#accounts.delete(largest);
-			this.#evictedBytes += largest.bytes;
 			largest.evict();
 		}
 
@@ -134,7 +126,7 @@
 	}
 
 	#isFull(delta: number): boolean {
-		return delta > 0 && this.#usedBytes + delta > this.responseBytesLimit;
+		return delta > 0 && this.#usedBytes + delta > this.#maxBytes;
 	}
 
 	#findLargest(): BufferAccount | undefined {
