Servers close connections in one way, and share one log function

Each of the three servers passed the same function to close a connection, and the gateway wrapped its log method three times. The requests' turns call the function themselves, and the gateway creates one log function. A comment said that the HTTP parser accepts a head that ends with a line feed alone; some releases of Node.js 20 refuse it.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -98,7 +98,6 @@
 			handle: (request, response) => {
 				this.#handleInTurn(request, response);
 			},
-			close: closeForSending,
 			log: options.log,
 		});
 		this.#server = this.#limitedServer.server;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -3,6 +3,7 @@
  * processes all events one after another on a single thread.
  */
 import {randomUUID} from 'node:crypto';
+import type {Server} from 'node:http';
 import process from 'node:process';
 import {
 	checkHead, createFailure, createState, effectKind, eventKind, failureReason, isReady, reduce,
@@ -14,7 +15,6 @@
 	BoundedLog, BufferBudget, describeError, EventQueue, readMonotonicMs, readWallMs, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {CallerServer} from './caller-server.js';
-import {closeForSending} from './connection-closer.js';
 import {ConnectionPool} from './connection-pool.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {LimitedServer} from './limited-server.js';
@@ -117,6 +117,7 @@
 	readonly #peers: PeerTransport;
 	readonly #metrics: GatewayMetrics;
 	readonly #serverShares: ServerShares;
+	readonly #readyServer: Server;
 	#tablesVersion = 0;
 	#isDraining = false;
 	#onDrained?: () => void;
@@ -136,6 +137,11 @@
 			this.handle(event);
 		};
 
+		const log = (event: string, fields: Readonly<Record<string, unknown>>) => {
+			this.#metrics.count(event);
+			this.log.write('info', {event, ...fields});
+		};
+
 		const bufferBudget = new BufferBudget(settings.memoryBytes, isFull => {
 			const event = isFull ? 'memory-full' : 'memory-free';
 			this.#metrics.count(event);
@@ -153,9 +159,7 @@
 			random: Math.random,
 			checkHead: (head, relayedFrom) => checkHead(this.state, {...head, relayedFrom}, readMonotonicMs()),
 			emit,
-			log: (event, fields) => {
-				this.#writeServerLog(event, fields);
-			},
+			log,
 		});
 		this.#targets = new TargetClient({
 			pool,
@@ -194,16 +198,9 @@
 				this.#callers.handleRelayed(request, response);
 			},
 			renderMetrics: async () => this.#metrics.render(),
-			log: (event, fields) => {
-				this.#writeServerLog(event, fields);
-			},
+			log,
 		}, lifecycle);
-	}
-
-	/** Starts to listen and to read the directory. `onDrained` is called when a drain is complete. */
-	async start(onDrained: () => void): Promise<void> {
-		this.#onDrained = onDrained;
-		const {server: readyServer} = new LimitedServer({
+		this.#readyServer = new LimitedServer({
 			name: 'ready',
 			server: {},
 			limits: this.#serverShares.status,
@@ -211,14 +208,16 @@
 				response.writeHead(isReady(this.state) ? 200 : 503, {'Content-Length': '0'});
 				response.end();
 			},
-			close: closeForSending,
-			log: (event, fields) => {
-				this.#writeServerLog(event, fields);
-			},
-		});
+			log,
+		}).server;
+	}
+
+	/** Starts to listen and to read the directory. `onDrained` is called when a drain is complete. */
+	async start(onDrained: () => void): Promise<void> {
+		this.#onDrained = onDrained;
 		this.#protocols.directory.start(new EventEmittingListener(this), this.#lifecycle);
 		await Promise.all([
-			listenOn(readyServer, this.#settings.readyAddress, this.#lifecycle),
+			listenOn(this.#readyServer, this.#settings.readyAddress, this.#lifecycle),
 			this.#callers.listen(this.#settings.callerAddress, this.#lifecycle),
 			this.#peers.listen(this.#settings.peerAddress, {name: 'peers', limits: this.#serverShares.peers}, this.#lifecycle),
 		]);
@@ -316,11 +315,6 @@
 		});
 	}
 
-	#writeServerLog(event: string, fields: Readonly<Record<string, unknown>>): void {
-		this.#metrics.count(event);
-		this.log.write('info', {event, ...fields});
-	}
-
 	#writeLog({level, event, fields}: LogEffect): void {
 		this.#metrics.count(event);
 		if (typeof fields.tookMs === 'number') {
--- a/packages/gateway/src/lib/limited-server.ts
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -19,8 +19,6 @@
 	readonly server: ServerOptions;
 	readonly limits: ServerLimits;
 	readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
-	/** Closes a connection so that what was sent on it arrives. */
-	readonly close: (socket: Socket) => void;
 	/** Writes a log line. */
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
@@ -32,7 +30,7 @@
 
 	constructor(options: LimitedServerOptions) {
 		const {
-			name, server, limits, handle, close, log,
+			name, server, limits, handle, log,
 		} = options;
 		this.#options = options;
 		// A request without host is refused here, since the HTTP server would answer each of them without an event.
@@ -44,7 +42,7 @@
 			}
 		});
 		this.#turns = new RequestTurns(this.server, {
-			limits, close, onDropped(droppedBytes) {
+			limits, onDropped(droppedBytes) {
 				log('read-ahead-dropped', {server: name, droppedBytes, limitBytes: limits.bytes});
 			},
 		});
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -14,7 +14,6 @@
 	describeError, parseAddress, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {err, type Result} from 'neverthrow';
-import {closeForSending} from './connection-closer.js';
 import {LimitedServer, type ServerLimits} from './limited-server.js';
 import {listenOn} from './listen.js';
 import {MessageReader, PeerMessageError} from './message-reader.js';
@@ -89,7 +88,6 @@
 
 				void this.#handleRequest(request, response);
 			},
-			close: closeForSending,
 			log: this.#options.log,
 		});
 		await listenOn(server, address, lifecycle);
--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -11,6 +11,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {closeForSending} from './connection-closer.js';
 
 /** Most blocks of waiting bytes of one connection; they are joined beyond it, since small blocks take more memory than their bytes. */
 const maxWaitingBlocks = 16;
@@ -20,7 +21,7 @@
 const maxSplitLineEndBytes = 3;
 const lineFeed = 10;
 const carriageReturn = 13;
-/** Bytes that end a request's head: an empty line. The parser also accepts the second form. */
+/** Bytes that end a request's head: an empty line. The parser of some releases of Node.js 20 accepts the second form too. */
 const headEnds = [Buffer.from('\n\r\n'), Buffer.from('\n\n')] as const;
 
 export type RequestTurnsLimits = {
@@ -32,8 +33,6 @@
 
 export type RequestTurnsOptions = {
 	readonly limits: RequestTurnsLimits;
-	/** Closes a connection so that what was sent on it arrives. */
-	readonly close: (socket: Socket) => void;
 	/** Called when a connection loses the requests that wait. */
 	readonly onDropped: (droppedBytes: number) => void;
 };
@@ -256,7 +255,7 @@
 	#takeTurn(connection: Connection): void {
 		const {socket, waitingBlocks} = connection;
 		if (connection.isDropped) {
-			this.#options.close(socket);
+			closeForSending(socket);
 			return;
 		}
 
--- a/packages/gateway/src/test/request-turns_test.ts
+++ b/packages/gateway/src/test/request-turns_test.ts
@@ -9,7 +9,6 @@
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {closeForSending} from '../lib/connection-closer.js';
 import {LimitedServer, type ServerLimits} from '../lib/limited-server.js';
 import {computeServerShares} from '../lib/server-shares.js';
 import {testLimits, waitUntil} from './caller-server-fixture.js';
@@ -59,7 +58,6 @@
 		handle(request, response) {
 			void handle(request, response);
 		},
-		close: closeForSending,
 		log(event) {
 			logged.push(event);
 		},
