The ranks of the tables are counted once, when the tables are put in force

Each message to a peer counted them anew over all routes, some 1,500 in the largest tables. The condition for newer tables is divided, and the head of route-durations names its second use.

--- a/packages/dispatch/src/lib/directory/directory.ts
+++ b/packages/dispatch/src/lib/directory/directory.ts
@@ -66,6 +66,8 @@
 	 */
 	unknownRemovalsUntil: number;
 	tables?: Tables;
+	/** Number of routes and client accounts of the tables that state a rank. */
+	rankCount: number;
 	routes: RouteIndex;
 	accountByDigest: Map<string, Account>;
 	poolByName: Map<string, Pool>;
@@ -79,6 +81,7 @@
 		facts: new Map(),
 		retained: new Map(),
 		unknownRemovalsUntil: 0,
+		rankCount: 0,
 		routes: createRouteIndex([]),
 		accountByDigest: new Map(),
 		poolByName: new Map(),
@@ -334,12 +337,14 @@
 
 /** Puts tables in force if they are newer than the known ones, or of the same version with more ranks; returns whether they are. */
 export function applyNewerTables(directory: DirectoryState, tables: Tables): boolean {
-	const {tables: known} = directory;
-	if (known !== undefined && tables.version <= known.version && !(tables.version === known.version && countRanks(tables) > countRanks(known))) {
+	const {version = Number.NEGATIVE_INFINITY} = directory.tables ?? {};
+	const rankCount = countRanks(tables);
+	if (tables.version < version || (tables.version === version && rankCount <= directory.rankCount)) {
 		return false;
 	}
 
 	directory.tables = tables;
+	directory.rankCount = rankCount;
 	directory.routes = createRouteIndex(tables.routes);
 	directory.poolByName = new Map(tables.pools.map(pool => [pool.name, pool]));
 	directory.accountByDigest = new Map();
@@ -349,9 +354,9 @@
 		}
 	}
 
-	const knownFact = directory.facts.get(tablesSubject);
-	if (knownFact !== undefined) {
-		directory.facts.set(tablesSubject, {...knownFact, fact: {kind: factKind.tables, tables}});
+	const known = directory.facts.get(tablesSubject);
+	if (known !== undefined) {
+		directory.facts.set(tablesSubject, {...known, fact: {kind: factKind.tables, tables}});
 	}
 
 	return true;
@@ -361,7 +366,7 @@
  * Counts the routes and client accounts that state a rank. Builds that know no ranks drop them from the tables that they read
  * and pass on, so that of two tables of the same version, the one with more ranks is complete.
  */
-export function countRanks({routes, accounts = []}: Tables): number {
+function countRanks({routes, accounts = []}: Tables): number {
 	return [...routes, ...accounts].filter(({rank}) => rank !== undefined).length;
 }
 
@@ -416,7 +421,9 @@
 }
 
 /** Describes the tables for a peer that has those of the same version with fewer ranks; one that does not state how many would drop them again. */
-export function describeTablesWithRanks({tables}: DirectoryState, peer: {readonly tablesVersion?: number; readonly tablesRanks?: number}): Tables | undefined {
-	const {tablesVersion, tablesRanks = Number.POSITIVE_INFINITY} = peer;
-	return tables !== undefined && tables.version === tablesVersion && tablesRanks < countRanks(tables) ? tables : undefined;
+export function describeTablesWithRanks(
+	{tables, rankCount}: DirectoryState,
+	{tablesVersion, tablesRanks = Number.POSITIVE_INFINITY}: {readonly tablesVersion?: number; readonly tablesRanks?: number},
+): Tables | undefined {
+	return tables !== undefined && tables.version === tablesVersion && tablesRanks < rankCount ? tables : undefined;
 }
--- a/packages/dispatch/src/lib/members/reduce-fleet.ts
+++ b/packages/dispatch/src/lib/members/reduce-fleet.ts
@@ -3,7 +3,7 @@
  * platform and from each other, and maintain the member list.
  */
 import {
-	applyNewerTables, applyUpdate, countRanks, describeTablesFor, describeTablesWithRanks, describeUpdate, expireRetainedFacts, recordEpochBegin, tablesSubject,
+	applyNewerTables, applyUpdate, describeTablesFor, describeTablesWithRanks, describeUpdate, expireRetainedFacts, recordEpochBegin, tablesSubject,
 	type DirectoryUpdate,
 } from '../directory/directory.js';
 import {isEarlier, isSamePosition} from '../directory/directory-position.js';
@@ -267,7 +267,7 @@
 		epoch: directory.epoch,
 		revision: directory.revision,
 		tablesVersion: directory.tables?.version,
-		tablesRanks: directory.tables === undefined ? undefined : countRanks(directory.tables),
+		tablesRanks: directory.tables === undefined ? undefined : directory.rankCount,
 		tables,
 		directoryAgeMs: Number.isFinite(directory.confirmedAt) ? Math.round(now - directory.confirmedAt!) : undefined,
 		loads: describeLoads(state.targets, now),
--- a/packages/dispatch/src/lib/requests/route-durations.ts
+++ b/packages/dispatch/src/lib/requests/route-durations.ts
@@ -1,7 +1,7 @@
 /**
- * How long requests of each route have taken lately, from their arrival to the end of
- * their response. An instance that is about to end uses it to tell which requests can
- * still end in time.
+ * How long requests of each route have taken lately, between two moments that the user of the
+ * class chooses. An instance that is about to end tells from it which requests can still end in
+ * time, and the waiting order tells from it when a request has to be sent.
  */
 
 /** Time for which durations count, in milliseconds: between this and twice as long. */
--- a/packages/dispatch/src/lib/requests/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -180,8 +180,8 @@
 /**
  * Sends the requests of the pool that wait and precede the new one in the waiting order, up to the first that no target may
  * receive, so that a new request does not overtake them when a slot has just become free. Returns true if one was sent.
- * Requests that are held back keep no others waiting.
- * Only a new request that can be sent itself overtakes others, so that the many that arrive while no target is free cost no look at those that wait.
+ * Requests that are held back keep no others waiting. To be called only if the new request can be sent itself: while no target is free, many may
+ * arrive and many wait.
  */
 function advancePreceding(step: Step, request: OpenRequest): boolean {
 	const {state, now} = step;
