--- a/packages/dispatch/src/lib/requests/account-share.ts
+++ b/packages/dispatch/src/lib/requests/account-share.ts
@@ -50,7 +50,7 @@
 };
 
 /** True if a pool has less capacity than it is asked for now, as far as this instance knows. */
-export function isUnderPressure({load, slots, hasRejected, hasWaiting}: PoolPressure): boolean {
+function isUnderPressure({load, slots, hasRejected, hasWaiting}: PoolPressure): boolean {
 	return load > slots || hasRejected || hasWaiting;
 }
 
@@ -67,6 +67,8 @@
 type PoolRecord = {
 	/** Time at which the pool was last under pressure. */
 	pressedAt: number;
+	/** What was last found out about its load, and the time of that. */
+	pressure?: {readonly known: PoolPressure; readonly at: number};
 	readonly requests: SlidingWindow;
 	readonly completions: SlidingWindow;
 	readonly requestsByAccount: Map<string, SlidingWindow>;
@@ -77,7 +79,6 @@
 
 export class AccountShare {
 	readonly #byPool = new Map<string, PoolRecord>();
-	readonly #pressures = new Map<string, {readonly pressure: PoolPressure; readonly at: number}>();
 	/** Times until which requests are held back without another decision, by fingerprint. */
 	readonly #heldBackUntil = new Map<string, number>();
 	/** Time of the first request, at which the first window begins. */
@@ -104,16 +105,12 @@
 
 	/** Finds what is known about the load of a pool, which `compute` finds out once for all requests that are held back in a tick. */
 	findPressure(poolName: string, compute: () => PoolPressure, now: number): PoolPressure {
-		const known = this.#pressures.get(poolName);
-		if (known?.at === now) {
-			return known.pressure;
+		const record = this.#touch(poolName);
+		if (record.pressure?.at !== now) {
+			record.pressure = {known: compute(), at: now};
 		}
 
-		const pressure = compute();
-		this.#pressures.delete(poolName);
-		this.#pressures.set(poolName, {pressure, at: now});
-		evictOldest(this.#pressures, poolLimit);
-		return pressure;
+		return record.pressure.known;
 	}
 
 	/** Updates from its pressure whether the pool is contended; returns whether it is. */
