Prompt demand: received prefixes and estimates of peers are kept apart

One record served both, so that each prefix that only peers had estimated held an empty window, and what an instance had received stood in two maps.

--- a/packages/dispatch/src/lib/targets/prompt-demand.ts
+++ b/packages/dispatch/src/lib/targets/prompt-demand.ts
@@ -18,34 +18,33 @@
 const minWindowMs = 1000;
 /** Number of requests in the sample from which a demand is estimated: fewer come together by chance, and dividing their prompt costs its reuse. */
 const minSampleCount = 8;
-/** Number of prefixes that are tracked, and of those that were received lately; the least recently used one is evicted first. */
-const prefixLimit = 2048;
-const recentLimit = 256;
+/** Number of prefixes that peers estimate, and of those that were received lately; the least recently used one is evicted first. */
+const estimatedLimit = 2048;
+const receivedLimit = 256;
 /** Number of peers whose samples are kept, the latest ones. */
 const peerLimit = 256;
 /** Number of estimates of peers that are kept for a prefix, the latest ones. */
-const reportsPerPrefix = 8;
+const estimatesPerPrefix = 8;
 /** Number of estimates in one message, those of the largest demands, and of prefixes that the sender received itself. */
 const prefixesPerMessage = 8;
 const arrivalsPerMessage = 16;
 /** Time for which the sum over the samples is used again, in milliseconds. */
 const sumLifetimeMs = 200;
 
-type PrefixDemand = {
-	readonly window: SlidingWindow;
-	/** Usual time from the arrival of a request to the end of its response, in milliseconds. */
-	durationMs: number;
-	/** Estimates of peers, the latest last; `instances` is the number of instances in their samples. */
-	reports: ReadonlyArray<{readonly requests: number; readonly instances: number; readonly at: number}>;
-};
+/** The requests with a prefix that this instance received; `durationMs` is the usual time from their arrival to the end of their response, in milliseconds. */
+type ReceivedPrefix = {readonly window: SlidingWindow; durationMs: number};
+
+/** The estimate of a peer; `instances` is the number of instances in its sample. */
+type PeerEstimate = {readonly requests: number; readonly instances: number; readonly at: number};
 
 /** The requests with a prefix in the samples of this instance and its peers. */
 type PrefixSum = {count: number; receiverCount: number; durationMs: number};
 
 export class PromptDemand {
-	readonly #byPrefix = new Map<string, PrefixDemand>();
 	/** The prefixes that this instance received lately. */
-	readonly #recent = new Map<string, PrefixDemand>();
+	readonly #received = new Map<string, ReceivedPrefix>();
+	/** What peers estimate, by prefix, the latest last. */
+	readonly #estimates = new Map<string, readonly PeerEstimate[]>();
 	/** What peers received lately, by the process of the peer. */
 	readonly #samples = new Map<string, {readonly arrivals: readonly SharedArrivals[]; readonly at: number}>();
 	#sums: {readonly byPrefix: ReadonlyMap<string, PrefixSum>; readonly instanceCount: number; readonly at: number} | undefined;
@@ -55,17 +54,17 @@
 	/** Records that a request with the prefix arrived, of a kind that takes `durationMs`. */
 	record(key: string, durationMs: number, now: number): void {
 		this.#startedAt = Math.min(this.#startedAt, now);
-		const demand = this.#touch(key);
-		demand.window.record(now);
-		demand.durationMs = durationMs;
-		this.#recent.delete(key);
-		this.#recent.set(key, demand);
-		evictOldest(this.#recent, recentLimit);
+		const received = this.#received.get(key) ?? {window: new SlidingWindow(windowMs), durationMs};
+		received.window.record(now);
+		received.durationMs = durationMs;
+		this.#received.delete(key);
+		this.#received.set(key, received);
+		evictOldest(this.#received, receivedLimit);
 	}
 
 	/** Estimates the number of requests with the prefix that all instances have in progress; 0 if only one instance receives them. */
 	estimate(key: string, fleetSize: number, now: number): number {
-		const estimates = (this.#byPrefix.get(key)?.reports ?? []).filter(({at}) => now - at <= windowMs);
+		const estimates = (this.#estimates.get(key) ?? []).filter(({at}) => now - at <= windowMs);
 		const {byPrefix, instanceCount} = this.#sumSamples(now);
 		const sum = byPrefix.get(key);
 		// A few instances may have received none by chance, so that their sample does not contradict a larger one of a peer.
@@ -104,10 +103,10 @@
 		}
 
 		const arrivals: SharedArrivals[] = [];
-		for (const [prefix, {window, durationMs}] of this.#recent) {
+		for (const [prefix, {window, durationMs}] of this.#received) {
 			const count = window.count(now);
 			if (count === 0) {
-				this.#recent.delete(prefix);
+				this.#received.delete(prefix);
 			} else {
 				arrivals.push({prefix, count, durationMs: Math.round(durationMs)});
 			}
@@ -119,8 +118,10 @@
 	/** Applies the estimates of a peer's message, which was created after `messageCreatedAt`. */
 	applyShared(demands: readonly SharedDemand[], messageCreatedAt: number): void {
 		for (const {prefix, requests, instances = 1} of demands.slice(0, prefixesPerMessage)) {
-			const demand = this.#touch(prefix);
-			demand.reports = [...demand.reports, {requests, instances: Math.max(1, instances), at: messageCreatedAt}].slice(-reportsPerPrefix);
+			const estimates = this.#estimates.get(prefix) ?? [];
+			this.#estimates.delete(prefix);
+			this.#estimates.set(prefix, [...estimates, {requests, instances: Math.max(1, instances), at: messageCreatedAt}].slice(-estimatesPerPrefix));
+			evictOldest(this.#estimates, estimatedLimit);
 		}
 	}
 
@@ -162,14 +163,6 @@
 		this.#sums = {byPrefix, instanceCount, at: now};
 		return this.#sums;
 	}
-
-	#touch(key: string): PrefixDemand {
-		const demand = this.#byPrefix.get(key) ?? {window: new SlidingWindow(windowMs), durationMs: 0, reports: []};
-		this.#byPrefix.delete(key);
-		this.#byPrefix.set(key, demand);
-		evictOldest(this.#byPrefix, prefixLimit);
-		return demand;
-	}
 }
 
 /** Computes the number of requests in progress in the whole fleet from those that `instanceCount` instances received in the window. */
