--- a/packages/dispatch/src/lib/targets/placement.ts
+++ b/packages/dispatch/src/lib/targets/placement.ts
@@ -12,7 +12,7 @@
 import type {Pool} from '../directory/directory-facts.js';
 import {PoolLoad} from './pool-load.js';
 import {findFirstRanked, listFirstRanked} from './ranking.js';
-import {chooseBySlots, computeScarceSlots} from './slot-claims.js';
+import {chooseBySlots, computeScarceSlots} from './scarce-slots.js';
 import {isAwaitingTrial, isUsable, verdict} from './target-health.js';
 import {PoolBrittleness} from './target-room.js';
 import {findStatedLimitsEnd, isWithinStatedLimits, type Target} from './target-state.js';
