Gateway: no request is sent for a caller that disconnected while the event loop lagged

Cause: Node.js reads a request in one poll and the end of the connection behind it in the next one. A request that is read late is sent before its caller's end is known. The same holds for sends that a response of a target triggers, and for new connections, of which Node.js accepts about one per poll.

The gateway now samples polls with its tick. If what it knows of its callers' connections may be older than 300 ms, or new connections have waited to be accepted for that long, a send waits for two polls, and is dropped if the caller's connection has ended by then. A request on a new connection to a target is checked when it is written, not when the connection attempt starts. While iterations stay below 50 ms, this state is not reached; the ordinary path gets one immediate per tick and no timer or promise per request.

Half-closed callers are handled as before: the HTTP server closes the connection of a caller when it reads its FIN, so that a FIN counts as the end.

A request that waited for its first target was not sent before either (guard only).

--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -107,6 +107,11 @@
 		return this.#response.headersSent || this.#heldStream !== undefined;
 	}
 
+	/** True if the caller can get no response any more. The `close` event of the response follows. */
+	get isDisconnected(): boolean {
+		return isDisconnected(this.request);
+	}
+
 	/** Closes the connection after the response, so that the caller opens another one for its next request. */
 	closeAfterResponse(): void {
 		if (!this.#response.headersSent) {
@@ -216,6 +221,11 @@
 	}
 }
 
+/** Returns true if the connection of a request is closed for responses: the HTTP server closes it as soon as it has read its end. */
+export function isDisconnected({socket}: IncomingMessage): boolean {
+	return socket.writableEnded || socket.destroyed;
+}
+
 /** Creates the body of a response that the gateway itself generates. */
 export function createFailureBody({reason}: Failure, requestId: string): string {
 	return JSON.stringify({error: {reason, requestId}});
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -13,7 +13,7 @@
 import {
 	BodyCollector, type BufferBudget, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
-import {CallerExchange, createFailureBody} from './caller-exchange.js';
+import {CallerExchange, createFailureBody, isDisconnected} from './caller-exchange.js';
 import {closeForSending, ConnectionCloser} from './connection-closer.js';
 import type {Result} from 'neverthrow';
 import type {CallerProtocol, HeadFault} from './protocol.js';
@@ -47,6 +47,8 @@
 	/** Bounds for connections and for what is read ahead on them. */
 	readonly limits: ServerLimits;
 	readonly emit: (event: Event) => void;
+	/** Called when a connection has been accepted. */
+	readonly onAccepted?: () => void;
 	/** Checks what the head alone decides; returns the time after which an incomplete body gives way to others, in milliseconds. */
 	readonly checkHead: (head: RequestHead, relayedFrom: RelayOrigin | undefined) => Result<number, Failure>;
 	/** Draws a number in [0, 1). */
@@ -95,6 +97,7 @@
 				maxHeaderSize: absoluteMaxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: 60_000, noDelay: true,
 			},
 			limits: options.limits,
+			onAccepted: options.onAccepted,
 			handle: (request, response) => {
 				this.#handleInTurn(request, response);
 			},
@@ -191,8 +194,7 @@
 	}
 
 	#handleNext(request: IncomingMessage, response: ServerResponse): void {
-		if (request.socket.writableEnded || request.socket.destroyed) {
-			// The connection is closed for responses.
+		if (isDisconnected(request)) {
 			request.resume();
 		} else {
 			this.#handleRequest(request, response, undefined);
--- /dev/null
+++ b/packages/gateway/src/lib/disconnect-monitor.ts
@@ -0,0 +1,96 @@
+/**
+ * Decides whether the ends of callers' connections are known up to now. Node.js reads the end of a connection only in the poll after
+ * the one in which it has read the request before it, and a new connection only after those that were opened before. In a process that is
+ * paused or short of processor time, a request can therefore be read long after its caller has disconnected.
+ *
+ * While the event loop keeps up, nothing waits. Otherwise, what would be sent to a target waits until the connections have been polled again.
+ */
+
+/**
+ * Longest time for which the ends of connections may be unknown when a request is sent, in milliseconds. With iterations of less
+ * than 50 ms it is at most 200: two intervals of the sampling timer of 25 ms, each late by an iteration, and the iteration that is sampled.
+ */
+const maxUnknownMs = 300;
+/** Time without new knowledge after which each poll is sampled instead of one per interval, in milliseconds. */
+const continuousSamplingMs = 150;
+
+export class DisconnectMonitor {
+	readonly #readClock: () => number;
+	/** Start times of the last two sampled polls. What had arrived before the older one has been read, and so has an end that was behind a request. */
+	#olderPollAt = Number.NEGATIVE_INFINITY;
+	#newerPollAt = Number.NEGATIVE_INFINITY;
+	/** Start time of the last sampled poll that accepted no connection: there was none left to be accepted. */
+	#allAcceptedAt = Number.NEGATIVE_INFINITY;
+	#acceptedCount = 0;
+	#isSampling = false;
+	#waiting: Array<() => void> = [];
+
+	constructor(readClock: () => number) {
+		this.#readClock = readClock;
+	}
+
+	/** Records that a server has accepted a connection. */
+	recordAccepted(): void {
+		this.#acceptedCount++;
+	}
+
+	/** Samples the next poll. To be called at intervals of at most 25 ms, outside of a poll. */
+	samplePoll(now: number): void {
+		if (this.#isSampling) {
+			return;
+		}
+
+		this.#isSampling = true;
+		const acceptedCount = this.#acceptedCount;
+		setImmediate(() => {
+			this.#isSampling = false;
+			this.#olderPollAt = this.#newerPollAt;
+			this.#newerPollAt = now;
+			if (acceptedCount === this.#acceptedCount) {
+				this.#allAcceptedAt = now;
+			}
+
+			const end = this.#readClock();
+			if (this.#computeUnknownMs(end) > continuousSamplingMs) {
+				this.samplePoll(end);
+			}
+		});
+	}
+
+	/** True if a caller may have disconnected too long ago without it being known. */
+	isBehind(now: number): boolean {
+		return this.#computeUnknownMs(now) > maxUnknownMs;
+	}
+
+	/** Calls `run` when two more polls have read requests and then the ends behind them, the second of which began a short time before. */
+	waitForPolls(run: () => void): void {
+		this.#waiting.push(run);
+		if (this.#waiting.length > 1) {
+			return;
+		}
+
+		// The first one runs after the poll of the present iteration.
+		setImmediate(() => {
+			const runs = this.#waiting;
+			const startedAt = this.#readClock();
+			this.#waiting = [];
+			setImmediate(() => {
+				this.#runOrWait(runs, startedAt);
+			});
+		});
+	}
+
+	#runOrWait(runs: ReadonlyArray<() => void>, startedAt: number): void {
+		for (const run of runs) {
+			if (this.#readClock() - startedAt > maxUnknownMs) {
+				this.waitForPolls(run);
+			} else {
+				run();
+			}
+		}
+	}
+
+	#computeUnknownMs(now: number): number {
+		return now - Math.min(this.#olderPollAt, this.#allAcceptedAt);
+	}
+}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -16,6 +16,7 @@
 } from '@sequoiatally/runtime';
 import {CallerServer} from './caller-server.js';
 import {ConnectionPool} from './connection-pool.js';
+import {DisconnectMonitor} from './disconnect-monitor.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {LimitedServer} from './limited-server.js';
 import {listenOn} from './listen.js';
@@ -117,6 +118,9 @@
 	readonly #peers: PeerTransport;
 	readonly #metrics: GatewayMetrics;
 	readonly #serverShares: ServerShares;
+	readonly #disconnects = new DisconnectMonitor(readMonotonicMs);
+	/** Sends that wait until it is known whether their callers are still connected, by `sendId`. */
+	readonly #waitingSends = new Map<number, SendEffect>();
 	readonly #readyServer: Server;
 	#tablesVersion = 0;
 	#isDraining = false;
@@ -157,6 +161,9 @@
 			bufferBudget,
 			limits: this.#serverShares.callers,
 			random: Math.random,
+			onAccepted: () => {
+				this.#disconnects.recordAccepted();
+			},
 			checkHead: (head, relayedFrom) => checkHead(this.state, {...head, relayedFrom}, readMonotonicMs()),
 			emit,
 			log,
@@ -167,6 +174,7 @@
 			callerProtocol: protocols.callers,
 			origin: {id: settings.instanceId, incarnation},
 			bufferBudget,
+			disconnects: this.#disconnects,
 			emit,
 			readClock: readMonotonicMs,
 		});
@@ -197,6 +205,9 @@
 			handleRelayed: (request, response) => {
 				this.#callers.handleRelayed(request, response);
 			},
+			onAccepted: () => {
+				this.#disconnects.recordAccepted();
+			},
 			renderMetrics: async () => this.#metrics.render(),
 			log,
 		}, lifecycle);
@@ -223,6 +234,7 @@
 		]);
 		await this.#serveMetrics();
 		this.#lifecycle.ownInterval('tick', tickIntervalMs, () => {
+			this.#disconnects.samplePoll(readMonotonicMs());
 			this.handle({kind: eventKind.tick});
 		});
 		const {user, system} = process.cpuUsage();
@@ -284,9 +296,28 @@
 		}
 	}
 
-	#startSend(effect: SendEffect): void {
-		const caller = this.#callers.openExchanges.get(effect.openId);
-		if (caller !== undefined) {
+	/** Starts a send, or lets it wait until it is known whether the caller is still connected. */
+	#startSend(effect: SendEffect, now: number): void {
+		if (!this.#disconnects.isBehind(now)) {
+			this.#sendForCaller(effect);
+			return;
+		}
+
+		const {sendId} = effect;
+		this.#waitingSends.set(sendId, effect);
+		this.#disconnects.waitForPolls(() => {
+			if (this.#waitingSends.delete(sendId)) {
+				this.#sendForCaller(effect);
+			}
+		});
+	}
+
+	#sendForCaller(effect: SendEffect): void {
+		const {openId} = effect;
+		const caller = this.#callers.openExchanges.get(openId);
+		if (caller?.isDisconnected) {
+			this.handle({kind: eventKind.callerLeft, openId});
+		} else if (caller !== undefined) {
 			caller.runCount = effect.runCount;
 			this.#targets.startSend(effect, caller);
 		}
@@ -377,11 +408,12 @@
 	#dispatchEffect(effect: Exclude<Effect, CheckTargetEffect | ProbeTargetEffect>): void {
 		switch (effect.kind) {
 			case effectKind.send: {
-				this.#startSend(effect);
+				this.#startSend(effect, readMonotonicMs());
 				break;
 			}
 
 			case effectKind.cancel: {
+				this.#waitingSends.delete(effect.sendId);
 				this.#targets.cancel(effect.sendId);
 				break;
 			}
--- a/packages/gateway/src/lib/limited-server.ts
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -19,6 +19,8 @@
 	readonly server: ServerOptions;
 	readonly limits: ServerLimits;
 	readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+	/** Called when a connection has been accepted. */
+	readonly onAccepted?: () => void;
 	/** Writes a log line. */
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
@@ -47,6 +49,7 @@
 			},
 		});
 		this.server.on('connection', socket => {
+			options.onAccepted?.();
 			this.#limitConnections(socket);
 		});
 	}
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -43,6 +43,8 @@
 	readonly readClock: () => number;
 	/** Handles a request of a caller that a peer relays. */
 	readonly handleRelayed: (request: IncomingMessage, response: ServerResponse) => void;
+	/** Called when a connection has been accepted. */
+	readonly onAccepted?: () => void;
 	/** Renders the metrics page. */
 	readonly renderMetrics: () => Promise<string>;
 	/** Writes a log line. */
@@ -80,6 +82,7 @@
 			name,
 			server: {keepAliveTimeout: 10_000, maxHeaderSize: maxHeadBytes, noDelay: true},
 			limits,
+			onAccepted: this.#options.onAccepted,
 			handle: (request, response) => {
 				if (isRelayRequest(request.headers)) {
 					this.#options.handleRelayed(request, response);
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -12,6 +12,7 @@
 } from '@sequoiatally/runtime';
 import {computeLength, type CallerExchange} from './caller-exchange.js';
 import type {ConnectionPool, LeasedConnection} from './connection-pool.js';
+import type {DisconnectMonitor} from './disconnect-monitor.js';
 import {EventSplitter} from './event-splitter.js';
 import {
 	responseKind, type CallerProtocol, type RawHeaders, type ResponseHead, type TargetProtocol,
@@ -52,6 +53,8 @@
 	readonly origin: Pick<RelayOrigin, 'id' | 'incarnation'>;
 	/** Memory for the bytes that all exchanges hold. */
 	readonly bufferBudget: BufferBudget;
+	/** Knows whether callers that have disconnected may not have been noticed yet. */
+	readonly disconnects: DisconnectMonitor;
 	readonly emit: (event: Event) => void;
 	readonly readClock: () => number;
 };
@@ -113,6 +116,8 @@
 	#connectTimer?: NodeJS.Timeout;
 	#silenceTimer?: NodeJS.Timeout;
 	#hasConnected: boolean;
+	/** True once a part of the request may have reached the target. */
+	#hasWritten = false;
 	#hasEnded = false;
 	#hasDeliveredEvents = false;
 	/** True if the buffered response is released when the response to the caller has been sent. */
@@ -151,7 +156,7 @@
 	start(): void {
 		const {socket} = this.#connection;
 		const {request, body} = this.#caller;
-		if (!this.#hasConnected) {
+		if (this.#connection.isNew) {
 			this.#connectTimer = setTimeout(() => {
 				// After a pause of this process, timers expire before connections are seen that opened meanwhile.
 				setImmediate(() => {
@@ -163,7 +168,7 @@
 			socket.once('connect', () => {
 				this.#hasConnected = true;
 				clearTimeout(this.#connectTimer);
-				this.#reportOpened(true);
+				this.#writeForCaller();
 			});
 		}
 
@@ -198,14 +203,9 @@
 				this.#abort(this.#failureOutcome, 'connection closed without a response');
 			}
 		});
-		for (const part of body.slice(0, -1)) {
-			this.#request.write(part);
-		}
-
-		this.#request.end(body.at(-1));
 		this.#startSilenceTimer();
 		if (this.#hasConnected) {
-			this.#reportOpened(false);
+			this.#writeRequest();
 		}
 	}
 
@@ -234,9 +234,48 @@
 	}
 
 	get #failureOutcome(): SendOutcome {
+		if (!this.#hasWritten) {
+			return sendOutcome.notSent;
+		}
+
 		return this.#caller.hasStarted ? sendOutcome.interrupted : sendOutcome.lost;
 	}
 
+	/** Writes the request on a new connection, once it is known whether the caller is still connected. */
+	#writeForCaller(): void {
+		const {disconnects, readClock} = this.#options;
+		if (!disconnects.isBehind(readClock())) {
+			this.#writeRequest();
+			return;
+		}
+
+		disconnects.waitForPolls(() => {
+			this.#progressAt = readClock();
+			this.#silenceTimer?.refresh();
+			this.#writeRequest();
+		});
+	}
+
+	#writeRequest(): void {
+		if (this.#hasEnded) {
+			return;
+		}
+
+		if (this.#caller.isDisconnected) {
+			this.#options.emit({kind: eventKind.callerLeft, openId: this.#send.openId});
+			return;
+		}
+
+		const {body} = this.#caller;
+		this.#hasWritten = true;
+		for (const part of body.slice(0, -1)) {
+			this.#request!.write(part);
+		}
+
+		this.#request!.end(body.at(-1));
+		this.#reportOpened(this.#connection.isNew);
+	}
+
 	#reportOpened(isNewConnection: boolean): void {
 		if (!this.#hasEnded) {
 			const {openId, sendId} = this.#send;
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -19,6 +19,7 @@
 } from '@sequoiatally/runtime';
 import type {BufferedResponse, CallerExchange} from '../lib/caller-exchange.js';
 import {ConnectionPool} from '../lib/connection-pool.js';
+import {DisconnectMonitor} from '../lib/disconnect-monitor.js';
 import {
 	CallerProtocol, responseKind, TargetProtocol, type HeadFault, type ResponseHead,
 } from '../lib/protocol.js';
@@ -81,6 +82,7 @@
 	/** An error response that is kept until it is known whether another target sends a better one. */
 	heldResponse?: BufferedResponse;
 	hasStarted = false;
+	isDisconnected = false;
 	received = '';
 	/** Number of responses that were delivered or finished. */
 	deliveryCount = 0;
@@ -124,6 +126,15 @@
 	}
 }
 
+/** A monitor of connections whose ends are known as long as `isLate` is false. */
+class CurrentMonitor extends DisconnectMonitor {
+	isLate = false;
+
+	override isBehind(): boolean {
+		return this.isLate;
+	}
+}
+
 export class ExchangeFixture {
 	/** Events other than those of opened connections, oldest first. */
 	events: Event[] = [];
@@ -133,6 +144,7 @@
 	readonly sockets = new Set<Socket>();
 	nextOpenId = 1;
 	client!: TargetClient;
+	disconnects = new CurrentMonitor(readMonotonicMs);
 	/** Called when the head of a response has been read, before its body is. */
 	onResponseHead?: () => void;
 	#server?: Server;
@@ -173,6 +185,7 @@
 			callerProtocol: new HeaderCallerProtocol(),
 			origin: {id: 'gateway-1', incarnation: 'i-1'},
 			bufferBudget: new BufferBudget(250 * 1024 * 1024),
+			disconnects: this.disconnects,
 			emit: event => {
 				if (event.kind === eventKind.sendOpened) {
 					opened.push(event.sendId);
