Gateway: the end of a connection that is not read any further is found before a send

What targets saw: a caller that sends more than 64 KB of requests ahead and disconnects while the first one runs had the next one sent too, and its first one again after a rejection by another target.

Cause: such a connection is held back, so that neither its FIN nor a reset is read. Now a send for a connection that has been held back for more than 100 ms waits for two polls, and the connection is read by up to as many bytes as it may hold anyway, if less than half of the limit for all connections is used. A reset is found by the missing peer of the socket, also behind unread bytes. The connection of such a caller is closed, which cancels its send.

Ruled out: to read such a connection to its end, which no memory limit allows. A FIN behind more than 128 KB remains unnoticed until a response is written to the closed connection, which resets it.

--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -4,6 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {
 	createFailure, failureReason, type RequestHead, type Failure, type RelayOrigin,
 } from '@sequoiatally/dispatch';
@@ -107,9 +108,16 @@
 		return this.#response.headersSent || this.#heldStream !== undefined;
 	}
 
-	/** True if the caller can get no response any more. The `close` event of the response follows. */
+	/** True if the caller can get no response any more. */
 	get isDisconnected(): boolean {
-		return isDisconnected(this.request);
+		const {socket} = this.request;
+		// The HTTP server closes a connection for responses when it has read its end.
+		return socket.writableEnded || socket.destroyed || isReset(socket);
+	}
+
+	/** Closes the connection of a caller that has disconnected, since its end may not have been read. The `close` event of the response follows. */
+	closeConnection(): void {
+		this.request.socket.destroy();
 	}
 
 	/** Closes the connection after the response, so that the caller opens another one for its next request. */
@@ -221,9 +229,13 @@
 	}
 }
 
-/** Returns true if the connection of a request is closed for responses: the HTTP server closes it as soon as it has read its end. */
-export function isDisconnected({socket}: IncomingMessage): boolean {
-	return socket.writableEnded || socket.destroyed;
+/** The part of a socket that knows the state of its connection; Node.js sets it, but its types do not name it. */
+type ConnectionHandle = {readonly getpeername?: (address: Record<string, unknown>) => number};
+
+/** Returns true if a connection was reset: it has no peer any more, also while what arrived before the reset has not been read. */
+function isReset(socket: Socket): boolean {
+	const {_handle: handle} = socket as Socket & {readonly _handle?: ConnectionHandle};
+	return handle?.getpeername !== undefined && handle.getpeername({}) !== 0;
 }
 
 /** Creates the body of a response that the gateway itself generates. */
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -13,7 +13,7 @@
 import {
 	BodyCollector, type BufferBudget, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
-import {CallerExchange, createFailureBody, isDisconnected} from './caller-exchange.js';
+import {CallerExchange, createFailureBody} from './caller-exchange.js';
 import {closeForSending, ConnectionCloser} from './connection-closer.js';
 import type {Result} from 'neverthrow';
 import type {CallerProtocol, HeadFault} from './protocol.js';
@@ -154,6 +154,12 @@
 		this.#server.keepAliveTimeout = idleTimeoutMs + keepAliveMarginMs;
 	}
 
+	/** Reads a caller's connection on if it has not been read for some time because of what was sent ahead; returns false if its end has been read, had there been one. */
+	tryReadOn(openId: number, now: number): boolean {
+		const exchange = this.openExchanges.get(openId);
+		return exchange !== undefined && this.#limitedServer.tryReadOn(exchange.request.socket, now);
+	}
+
 	/** Closes each connection after its next response from now on. */
 	startDraining(): void {
 		this.#isDraining = true;
@@ -194,7 +200,8 @@
 	}
 
 	#handleNext(request: IncomingMessage, response: ServerResponse): void {
-		if (isDisconnected(request)) {
+		if (request.socket.writableEnded || request.socket.destroyed) {
+			// The connection is closed for responses.
 			request.resume();
 		} else {
 			this.#handleRequest(request, response, undefined);
--- a/packages/gateway/src/lib/disconnect-monitor.ts
+++ b/packages/gateway/src/lib/disconnect-monitor.ts
@@ -1,6 +1,6 @@
 /**
  * Decides whether the ends of callers' connections are known up to now. Node.js reads the end of a connection only in the poll after
- * the one in which it has read the request before it, and a new connection only after those that were opened before. In a process that is
+ * the one in which it has read the request before it, and accepts about one connection per poll. In a process that is
  * paused or short of processor time, a request can therefore be read long after its caller has disconnected.
  *
  * While the event loop keeps up, nothing waits. Otherwise, what would be sent to a target waits until the connections have been polled again.
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -298,12 +298,13 @@
 
 	/** Starts a send, or lets it wait until it is known whether the caller is still connected. */
 	#startSend(effect: SendEffect, now: number): void {
-		if (!this.#disconnects.isBehind(now)) {
+		const {openId, sendId} = effect;
+		const isUnread = this.#callers.tryReadOn(openId, now);
+		if (!isUnread && !this.#disconnects.isBehind(now)) {
 			this.#sendForCaller(effect);
 			return;
 		}
 
-		const {sendId} = effect;
 		this.#waitingSends.set(sendId, effect);
 		this.#disconnects.waitForPolls(() => {
 			if (this.#waitingSends.delete(sendId)) {
@@ -313,10 +314,9 @@
 	}
 
 	#sendForCaller(effect: SendEffect): void {
-		const {openId} = effect;
-		const caller = this.#callers.openExchanges.get(openId);
+		const caller = this.#callers.openExchanges.get(effect.openId);
 		if (caller?.isDisconnected) {
-			this.handle({kind: eventKind.callerLeft, openId});
+			caller.closeConnection();
 		} else if (caller !== undefined) {
 			caller.runCount = effect.runCount;
 			this.#targets.startSend(effect, caller);
--- a/packages/gateway/src/lib/limited-server.ts
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -6,6 +6,7 @@
 	createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import {readMonotonicMs} from '@sequoiatally/runtime';
 import {RequestTurns, type RequestTurnsLimits} from './request-turns.js';
 
 export type ServerLimits = RequestTurnsLimits & {
@@ -44,7 +45,7 @@
 			}
 		});
 		this.#turns = new RequestTurns(this.server, {
-			limits, onDropped(droppedBytes) {
+			limits, readClock: readMonotonicMs, onDropped(droppedBytes) {
 				log('read-ahead-dropped', {server: name, droppedBytes, limitBytes: limits.bytes});
 			},
 		});
@@ -63,6 +64,11 @@
 		return this.#turns.waitingBytes;
 	}
 
+	/** Reads a connection on if it has not been read for some time; see `RequestTurns`. */
+	tryReadOn(socket: Socket, now: number): boolean {
+		return this.#turns.tryReadOn(socket, now);
+	}
+
 	/** Closes the most dispensable connection if there are too many. */
 	#limitConnections(newest: Socket): void {
 		const {name, limits, log} = this.#options;
--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -5,7 +5,7 @@
  * takes its turn between two polls for input, so that other connections are served meanwhile.
  *
  * A connection whose caller does not pipeline passes its bytes on unchanged. One that has read far enough ahead is not read
- * any further. If all connections together hold too much, those that hold the most lose the requests that wait, which have not run, and
+ * any further; the end of such a connection is read late, and `tryReadOn` looks for it. If all connections together hold too much, those that hold the most lose the requests that wait, which have not run, and
  * close after the response that is due.
  */
 import {Buffer} from 'node:buffer';
@@ -19,6 +19,11 @@
 const maxPartsPerTurn = 256;
 /** Bytes at the start of a block in which an empty line may end that began in the block before. */
 const maxSplitLineEndBytes = 3;
+/** Time for which a connection may have been held back when a request of it is sent, in milliseconds; the connection to the target can take 300 ms more. */
+const maxUnreadMs = 100;
+/** Multiple of the bytes of a connection up to which it is read on, and part of the bytes of all connections up to which it is. */
+const readOnMultiple = 2;
+const readOnFraction = 0.5;
 const lineFeed = 10;
 const carriageReturn = 13;
 /** Bytes that end a request's head: an empty line. The parser of some releases of Node.js 20 accepts the second form too. */
@@ -33,6 +38,7 @@
 
 export type RequestTurnsOptions = {
 	readonly limits: RequestTurnsLimits;
+	readonly readClock: () => number;
 	/** Called when a connection loses the requests that wait. */
 	readonly onDropped: (droppedBytes: number) => void;
 };
@@ -52,6 +58,10 @@
 	waitingBytes: number;
 	/** True if it is not read any further because of its waiting bytes. */
 	isHeldBack: boolean;
+	/** Time from which on its end may not have been read, although it has arrived. */
+	unreadSince?: number;
+	/** True while it is read beyond its limit to find its end. */
+	isReadingOn: boolean;
 	/** True if the requests that waited have been dropped. */
 	isDropped: boolean;
 };
@@ -106,6 +116,33 @@
 		return unread;
 	}
 
+	/**
+	 * Reads a connection on that has been held back for some time, for two polls and by as many bytes as it may hold anyway: its end may have arrived
+	 * meanwhile. Returns false if the connection is read. An end behind more bytes is not found.
+	 */
+	tryReadOn(socket: Socket, now: number): boolean {
+		const connection = this.#connections.get(socket);
+		if (connection?.unreadSince === undefined || now - connection.unreadSince <= maxUnreadMs) {
+			return false;
+		}
+
+		const {limits} = this.#options;
+		const {waitingBytes, isDropped, isHeldBack} = connection;
+		const hasRoom = waitingBytes < limits.bytesPerConnection * readOnMultiple
+			&& this.waitingBytes + limits.bytesPerConnection <= limits.bytes * readOnFraction;
+		if (isHeldBack && (isDropped || hasRoom)) {
+			connection.isReadingOn = true;
+			this.#startReading(connection, () => {
+				connection.isReadingOn = false;
+				if (!isClosing(socket) && (connection.isDropped || connection.waitingBytes >= limits.bytesPerConnection)) {
+					this.#holdBack(connection);
+				}
+			});
+		}
+
+		return true;
+	}
+
 	#startRequest(request: IncomingMessage, response: ServerResponse): void {
 		const connection = this.#connections.get(request.socket);
 		if (connection !== undefined) {
@@ -126,7 +163,7 @@
 		}
 
 		const connection: Connection = {
-			socket, parse, waitingBlocks: [], waitingBytes: 0, isHeldBack: false, isDropped: false,
+			socket, parse, waitingBlocks: [], waitingBytes: 0, isHeldBack: false, isReadingOn: false, isDropped: false,
 		};
 		this.#connections.set(socket, connection);
 		socket.removeListener('data', parse);
@@ -144,6 +181,10 @@
 	}
 
 	#handleBytes(connection: Connection, bytes: Uint8Array): void {
+		if (connection.isDropped) {
+			return;
+		}
+
 		if (connection.waitingBytes > 0 || isBusy(connection)) {
 			this.#hold(connection, bytes);
 		} else {
@@ -181,8 +222,8 @@
 	}
 
 	#hold(connection: Connection, bytes: Uint8Array): void {
-		const {socket, waitingBlocks, isDropped} = connection;
-		if (isDropped || isClosing(socket)) {
+		const {socket, waitingBlocks} = connection;
+		if (isClosing(socket)) {
 			return;
 		}
 
@@ -195,9 +236,8 @@
 		connection.waitingBytes += bytes.length;
 		this.waitingBytes += bytes.length;
 		this.#waiting.add(connection);
-		if (connection.waitingBytes >= this.#options.limits.bytesPerConnection) {
-			connection.isHeldBack = true;
-			stopReading(socket);
+		if (connection.waitingBytes >= this.#options.limits.bytesPerConnection * (connection.isReadingOn ? readOnMultiple : 1)) {
+			this.#holdBack(connection);
 		}
 
 		this.#waitForTurn(connection);
@@ -261,8 +301,7 @@
 
 		this.#clearWaiting(connection);
 		if (connection.isHeldBack) {
-			connection.isHeldBack = false;
-			startReading(socket);
+			this.#startReading(connection);
 		}
 
 		for (const block of waitingBlocks) {
@@ -270,6 +309,27 @@
 		}
 	}
 
+	#holdBack(connection: Connection): void {
+		connection.isHeldBack = true;
+		connection.unreadSince ??= this.#options.readClock();
+		stopReading(connection.socket);
+	}
+
+	/** Reads a connection again that was held back; calls `onRead` after two polls, of which the second has read the end behind what the first has read. */
+	#startReading(connection: Connection, onRead?: () => void): void {
+		connection.isHeldBack = false;
+		startReading(connection.socket);
+		setImmediate(() => {
+			setImmediate(() => {
+				if (!connection.isHeldBack) {
+					connection.unreadSince = undefined;
+				}
+
+				onRead?.();
+			});
+		});
+	}
+
 	#clearWaiting(connection: Connection): void {
 		this.waitingBytes -= connection.waitingBytes;
 		connection.waitingBytes = 0;
@@ -293,8 +353,7 @@
 		const {response, waitingBytes} = connection;
 		this.#clearWaiting(connection);
 		connection.isDropped = true;
-		connection.isHeldBack = true;
-		stopReading(connection.socket);
+		this.#holdBack(connection);
 		if (response === undefined || !isBusy(connection)) {
 			this.#schedule(connection);
 		} else if (!response.headersSent) {
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -262,7 +262,7 @@
 		}
 
 		if (this.#caller.isDisconnected) {
-			this.#options.emit({kind: eventKind.callerLeft, openId: this.#send.openId});
+			this.#caller.closeConnection();
 			return;
 		}
 
--- a/packages/gateway/src/test/caller-server_test.ts
+++ b/packages/gateway/src/test/caller-server_test.ts
@@ -279,3 +279,18 @@
 	request.destroy();
 	await waitUntil('the memory is released', () => bufferBudget.bodyBytes === 0);
 });
+
+// Guards against a change of what counts as disconnected: a caller that closes its connection for sending gets no response.
+test('a caller that sends a FIN behind its request counts as disconnected', async () => {
+	const socket = connect({port, host: '127.0.0.1', allowHalfOpen: true});
+	await once(socket, 'connect');
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	socket.end('GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n');
+	await once(socket, 'end');
+	await waitUntil('nothing is open', () => server.openExchanges.size === 0);
+	assert.deepEqual(events.map(({kind}) => kind), [eventKind.requestArrived, eventKind.callerLeft]);
+	assert.equal(text, '');
+});
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -83,6 +83,7 @@
 	heldResponse?: BufferedResponse;
 	hasStarted = false;
 	isDisconnected = false;
+	isClosed = false;
 	received = '';
 	/** Number of responses that were delivered or finished. */
 	deliveryCount = 0;
@@ -96,6 +97,10 @@
 		this.head = {requestId: String(openId)};
 	}
 
+	closeConnection(): void {
+		this.isClosed = true;
+	}
+
 	keepBuffer(buffer: BufferAccount): void {
 		if (!this.holdsBuffer) {
 			buffer.release();
@@ -126,10 +131,14 @@
 	}
 }
 
-/** A monitor of connections whose ends are known as long as `isLate` is false. */
-class CurrentMonitor extends DisconnectMonitor {
+/** A monitor whose state a test sets. */
+class SwitchedMonitor extends DisconnectMonitor {
 	isLate = false;
 
+	constructor() {
+		super(readMonotonicMs);
+	}
+
 	override isBehind(): boolean {
 		return this.isLate;
 	}
@@ -144,7 +153,7 @@
 	readonly sockets = new Set<Socket>();
 	nextOpenId = 1;
 	client!: TargetClient;
-	disconnects = new CurrentMonitor(readMonotonicMs);
+	readonly disconnects = new SwitchedMonitor();
 	/** Called when the head of a response has been read, before its body is. */
 	onResponseHead?: () => void;
 	#server?: Server;
@@ -219,6 +228,7 @@
 
 		this.sockets.clear();
 		this.onResponseHead = undefined;
+		this.disconnects.isLate = false;
 		this.#server?.close();
 	}
 
--- a/packages/gateway/src/test/request-turns_test.ts
+++ b/packages/gateway/src/test/request-turns_test.ts
@@ -212,6 +212,36 @@
 	await waitUntil('the connection goes on', () => answers.text.includes('HTTP/1.1 200') && received.length === 7);
 });
 
+// Guards against the end of a connection that is not read, and against memory beyond the limit: only as many bytes more are read as it may hold anyway.
+test('a connection that has been held back for some time is read on to find its end, but not without limit', async () => {
+	const bytesPerConnection = 64 * 1024;
+	const {open, limited} = await startServer({bytesPerConnection});
+	const sockets: Socket[] = [];
+	limited.server.on('connection', socket => {
+		sockets.push(socket);
+	});
+	const [leaving, greedy] = [await open(), await open()];
+	leaving.write(usualRequest.repeat(3000));
+	greedy.write(usualRequest.repeat(400_000));
+	await waitUntil('both are held back', () => limited.readAheadBytes >= bytesPerConnection * 2);
+	leaving.end();
+	await once(leaving, 'finish');
+	await delay(20);
+	const now = performance.now();
+	assert.ok(sockets.every(socket => !limited.tryReadOn(socket, now)), 'they have been held back for a short time');
+	assert.ok(sockets.every(socket => limited.tryReadOn(socket, now + 200)));
+	await once(sockets[0]!, 'close');
+	await delay(20);
+	assert.ok(limited.readAheadBytes < bytesPerConnection * 3, `${limited.readAheadBytes} bytes`);
+	for (let index = 0; index < 100; index++) {
+		assert.ok(limited.tryReadOn(sockets[1]!, now + 10_000));
+		await delay(1);
+	}
+
+	assert.ok(limited.readAheadBytes < bytesPerConnection * 3, `${limited.readAheadBytes} bytes`);
+	assert.equal(sockets[1]!.readableLength, 0);
+});
+
 // Guards against a request that is cut although it has been sent to a target, and against one that runs after its caller was told otherwise.
 test('a connection that loses the requests that wait answers the one that is due, runs no other one, and closes', async () => {
 	const {open, limited} = await startServer({bytes: 10_000});
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -12,6 +12,7 @@
 import {
 	createChunkedHead, createResponse, ExchangeFixture, waitForClose, writeChunk, writeForever,
 } from './exchange-fixture.js';
+import {waitUntil} from './caller-server-fixture.js';
 
 const fixture = new ExchangeFixture();
 
@@ -438,3 +439,40 @@
 		}
 	}
 });
+
+// Guards against a request for nobody: a pause between the attempt to connect and the connection would not be noticed.
+test('a request is written on a new connection only if its caller is still connected when it opens after a pause', async () => {
+	const arrived: string[] = [];
+	await fixture.startTarget((socket, requestId) => {
+		arrived.push(requestId);
+		socket.write(createResponse(requestId, 'answer'));
+	});
+	const leaving = fixture.startSend();
+	const staying = fixture.startSend();
+	fixture.disconnects.isLate = true;
+	leaving.isDisconnected = true;
+	await fixture.assertOutcome(sendOutcome.complete);
+	assert.equal(staying.received, 'answer');
+	assert.ok(leaving.isClosed);
+	assert.deepEqual(arrived, [staying.head.requestId]);
+	assert.deepEqual(fixture.openedSendIds, [Number(staying.head.requestId)], 'the request that was not written counts as not run');
+});
+
+// Guards against a request that has not run and counts as one that may have.
+test('a send whose connection ends before the request is written ends as not sent', async () => {
+	await fixture.startTarget(() => {
+		assert.fail('nothing arrives');
+	});
+	fixture.disconnects.waitForPolls = () => {
+		// It waits for longer than the connection is open.
+	};
+
+	fixture.disconnects.isLate = true;
+	fixture.startSend();
+	await waitUntil('the connection opens', () => fixture.sockets.size === 1);
+	for (const socket of fixture.sockets) {
+		socket.resetAndDestroy();
+	}
+
+	await fixture.assertOutcome(sendOutcome.notSent);
+});
