--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -47,6 +47,8 @@
 	/** Bounds for connections and for what is read ahead on them. */
 	readonly limits: ServerLimits;
 	readonly emit: (event: Event) => void;
+	/** Called when a connection has been accepted. */
+	readonly onAccepted?: () => void;
 	/** Checks what the head alone decides; returns the time after which an incomplete body gives way to others, in milliseconds. */
 	readonly checkHead: (head: RequestHead, relayedFrom: RelayOrigin | undefined) => Result<number, Failure>;
 	/** Draws a number in [0, 1). */
@@ -95,6 +97,7 @@
 				maxHeaderSize: absoluteMaxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: 60_000, noDelay: true,
 			},
 			limits: options.limits,
+			onAccepted: options.onAccepted,
 			handle: (request, response) => {
 				this.#handleInTurn(request, response);
 			},
@@ -151,6 +154,12 @@
 		this.#server.keepAliveTimeout = idleTimeoutMs + keepAliveMarginMs;
 	}
 
+	/** Reads a caller's connection on if it has not been read for some time because of what was sent ahead; returns false if its end has been read, had there been one. */
+	tryReadOn(openId: number, now: number): boolean {
+		const exchange = this.openExchanges.get(openId);
+		return exchange !== undefined && this.#limitedServer.tryReadOn(exchange.request.socket, now);
+	}
+
 	/** Closes each connection after its next response from now on. */
 	startDraining(): void {
 		this.#isDraining = true;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -16,6 +16,7 @@
 } from '@sequoiatally/runtime';
 import {CallerServer} from './caller-server.js';
 import {ConnectionPool} from './connection-pool.js';
+import {DisconnectMonitor} from './disconnect-monitor.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {LimitedServer} from './limited-server.js';
 import {listenOn} from './listen.js';
@@ -118,6 +119,9 @@
 	readonly #peers: PeerTransport;
 	readonly #metrics: GatewayMetrics;
 	readonly #serverShares: ServerShares;
+	readonly #disconnects = new DisconnectMonitor(readMonotonicMs);
+	/** Sends that wait until it is known whether their callers are still connected, by `sendId`. */
+	readonly #waitingSends = new Map<number, SendEffect>();
 	readonly #readyServer: Server;
 	#tablesVersion = 0;
 	#isDraining = false;
@@ -158,6 +162,9 @@
 			bufferBudget,
 			limits: this.#serverShares.callers,
 			random: Math.random,
+			onAccepted: () => {
+				this.#disconnects.recordAccepted();
+			},
 			checkHead: (head, relayedFrom) => checkHead(this.state, {...head, relayedFrom}, readMonotonicMs()),
 			emit,
 			log,
@@ -169,6 +176,7 @@
 			callerProtocol: protocols.callers,
 			origin: {id: settings.instanceId, incarnation},
 			bufferBudget,
+			disconnects: this.#disconnects,
 			emit,
 			readClock: readMonotonicMs,
 			pacing,
@@ -201,6 +209,9 @@
 			handleRelayed: (request, response) => {
 				this.#callers.handleRelayed(request, response);
 			},
+			onAccepted: () => {
+				this.#disconnects.recordAccepted();
+			},
 			renderMetrics: async () => this.#metrics.render(),
 			log,
 		}, lifecycle);
@@ -227,6 +238,7 @@
 		]);
 		await this.#serveMetrics();
 		this.#lifecycle.ownInterval('tick', tickIntervalMs, () => {
+			this.#disconnects.samplePoll(readMonotonicMs());
 			this.handle({kind: eventKind.tick});
 		});
 		const {user, system} = process.cpuUsage();
@@ -288,9 +300,28 @@
 		}
 	}
 
-	#startSend(effect: SendEffect): void {
+	/** Starts a send, or lets it wait until it is known whether the caller is still connected. */
+	#startSend(effect: SendEffect, now: number): void {
+		const {openId, sendId} = effect;
+		const isUnread = this.#callers.tryReadOn(openId, now);
+		if (!isUnread && !this.#disconnects.isBehind(now)) {
+			this.#sendForCaller(effect);
+			return;
+		}
+
+		this.#waitingSends.set(sendId, effect);
+		this.#disconnects.waitForPolls(() => {
+			if (this.#waitingSends.delete(sendId)) {
+				this.#sendForCaller(effect);
+			}
+		});
+	}
+
+	#sendForCaller(effect: SendEffect): void {
 		const caller = this.#callers.openExchanges.get(effect.openId);
-		if (caller !== undefined) {
+		if (caller?.isDisconnected) {
+			caller.closeConnection();
+		} else if (caller !== undefined) {
 			caller.runCount = effect.runCount;
 			this.#targets.startSend(effect, caller);
 		}
@@ -381,11 +412,12 @@
 	#dispatchEffect(effect: Exclude<Effect, CheckTargetEffect | ProbeTargetEffect>): void {
 		switch (effect.kind) {
 			case effectKind.send: {
-				this.#startSend(effect);
+				this.#startSend(effect, readMonotonicMs());
 				break;
 			}
 
 			case effectKind.cancel: {
+				this.#waitingSends.delete(effect.sendId);
 				this.#targets.cancel(effect.sendId);
 				break;
 			}
--- a/packages/gateway/src/lib/limited-server.ts
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -6,6 +6,7 @@
 	createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import {readMonotonicMs} from '@sequoiatally/runtime';
 import {RequestTurns, type RequestTurnsLimits} from './request-turns.js';
 
 export type ServerLimits = RequestTurnsLimits & {
@@ -19,6 +20,8 @@
 	readonly server: ServerOptions;
 	readonly limits: ServerLimits;
 	readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+	/** Called when a connection has been accepted. */
+	readonly onAccepted?: () => void;
 	/** Writes a log line. */
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
@@ -42,11 +45,12 @@
 			}
 		});
 		this.#turns = new RequestTurns(this.server, {
-			limits, onDropped(droppedBytes) {
+			limits, readClock: readMonotonicMs, onDropped(droppedBytes) {
 				log('read-ahead-dropped', {server: name, droppedBytes, limitBytes: limits.bytes});
 			},
 		});
 		this.server.on('connection', socket => {
+			options.onAccepted?.();
 			this.#limitConnections(socket);
 		});
 	}
@@ -60,6 +64,11 @@
 		return this.#turns.waitingBytes;
 	}
 
+	/** Reads a connection on if it has not been read for some time; see `RequestTurns`. */
+	tryReadOn(socket: Socket, now: number): boolean {
+		return this.#turns.tryReadOn(socket, now);
+	}
+
 	/** Closes the most dispensable connection if there are too many. */
 	#limitConnections(newest: Socket): void {
 		const {name, limits, log} = this.#options;
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -19,6 +19,7 @@
 } from '@sequoiatally/runtime';
 import type {BufferedResponse, CallerExchange} from '../lib/caller-exchange.js';
 import {ConnectionPool} from '../lib/connection-pool.js';
+import {DisconnectMonitor} from '../lib/disconnect-monitor.js';
 import {
 	CallerProtocol, responseKind, TargetProtocol, type HeadFault, type ResponseHead,
 } from '../lib/protocol.js';
@@ -82,6 +83,8 @@
 	/** An error response that is kept until it is known whether another target sends a better one. */
 	heldResponse?: BufferedResponse;
 	hasStarted = false;
+	isDisconnected = false;
+	isClosed = false;
 	received = '';
 	/** Number of responses that were delivered or finished. */
 	deliveryCount = 0;
@@ -95,6 +98,10 @@
 		this.head = {requestId: String(openId)};
 	}
 
+	closeConnection(): void {
+		this.isClosed = true;
+	}
+
 	keepBuffer(buffer: BufferAccount): void {
 		if (!this.holdsBuffer) {
 			buffer.release();
@@ -125,6 +132,19 @@
 	}
 }
 
+/** A monitor whose state a test sets. */
+class SwitchedMonitor extends DisconnectMonitor {
+	isLate = false;
+
+	constructor() {
+		super(readMonotonicMs);
+	}
+
+	override isBehind(): boolean {
+		return this.isLate;
+	}
+}
+
 export class ExchangeFixture {
 	/** Events other than those of opened connections, oldest first. */
 	events: Event[] = [];
@@ -134,6 +154,7 @@
 	readonly sockets = new Set<Socket>();
 	nextOpenId = 1;
 	client!: TargetClient;
+	readonly disconnects = new SwitchedMonitor();
 	/** Called when the head of a response has been read, before its body is. */
 	onResponseHead?: () => void;
 	#server?: Server;
@@ -174,6 +195,7 @@
 			callerProtocol: new HeaderCallerProtocol(),
 			origin: {id: 'gateway-1', incarnation: 'i-1'},
 			bufferBudget: new BufferBudget(250 * 1024 * 1024),
+			disconnects: this.disconnects,
 			emit: event => {
 				if (event.kind === eventKind.sendOpened) {
 					opened.push(event.sendId);
@@ -208,6 +230,7 @@
 
 		this.sockets.clear();
 		this.onResponseHead = undefined;
+		this.disconnects.isLate = false;
 		this.#server?.close();
 	}
 
