Answers to peers cost as much as there are changes, not as there are targets

In a profile of one watcher with 3,010 targets, renewals every 1.2 s and 40 calls of peers a second (40 ticks and two reads a second), 44% of the time goes into describeUpdate.

Cause: each call of a peer copies and filters all facts of the directory to find the few that changed since the peer's revision.

Change: the directory keeps the subjects in the order of their last change of content. Renewals leave this order as it is. Answers with the whole directory are as before.

Ruled out: the number of peers' messages.

Measured (processor time of one process beside other work; before, after): describeUpdate 0.046, 0.519, 2.13 and 11.9 ms with 310, 1,010, 3,010 and 16,380 targets, now 0.001 to 0.002 ms; a whole call with 3,010 targets 3.09 ms, now 0.33 ms.

--- a/packages/dispatch/src/lib/directory/directory.ts
+++ b/packages/dispatch/src/lib/directory/directory.ts
@@ -10,6 +10,7 @@
  * remains in force meanwhile). Configuration tables have an order of their own, their
  * version, which holds across epochs.
  */
+import {ChangeOrder} from './change-order.js';
 import {isEarlier, type DirectoryPosition} from './directory-position.js';
 import {
 	findRetention, isRetainedOver, type RestoreTiming, type RetainedFact,
@@ -57,6 +58,8 @@
 	confirmedAt?: number;
 	/** The platform's facts in the current epoch. */
 	facts: Map<string, KnownFact>;
+	/** The order in which the content of these facts changed. */
+	changeOrder: ChangeOrder;
 	/** Facts of earlier epochs that are in force instead of the platform's. */
 	retained: Map<string, RetainedFact>;
 	/**
@@ -79,6 +82,7 @@
 		epoch: 0,
 		revision: 0,
 		facts: new Map(),
+		changeOrder: new ChangeOrder(),
 		retained: new Map(),
 		unknownRemovalsUntil: 0,
 		rankCount: 0,
@@ -208,7 +212,15 @@
 
 function storeFact(directory: DirectoryState, change: StoredChange, changeRevision: number, before: KnownFact | undefined): void {
 	const removedProcess = change.fact === undefined ? change.removedProcess ?? findProcess(before) : undefined;
-	directory.facts.set(change.subject, {...change, changeRevision, ...(removedProcess !== undefined && {removedProcess})});
+	setFact(directory, {...change, changeRevision, ...(removedProcess !== undefined && {removedProcess})});
+}
+
+function setFact({facts, changeOrder}: DirectoryState, fact: KnownFact): void {
+	const isReordered = facts.get(fact.subject)?.changeRevision !== fact.changeRevision;
+	facts.set(fact.subject, fact);
+	if (isReordered) {
+		changeOrder.record(fact.subject, fact.changeRevision, facts);
+	}
 }
 
 /** Finds the process of a target that is registered, or whose registration was removed. */
@@ -234,6 +246,7 @@
 	directory.revision = 0;
 	directory.unknownRemovalsUntil = 0;
 	directory.facts = new Map();
+	directory.changeOrder = new ChangeOrder();
 	directory.retained = new Map();
 	const changes = new Map<string, StoredChange>(update.changes.map(change => [change.subject, change]));
 	for (const subject of factsBefore.keys()) {
@@ -331,7 +344,7 @@
 	const change = {subject: tablesSubject, revision, fact: inForce};
 	// At the start of an epoch nothing is stored yet, and the last change counts from there.
 	const changeRevision = isSame && directory.facts.has(tablesSubject) ? known.changeRevision : revision;
-	directory.facts.set(tablesSubject, {...change, changeRevision});
+	setFact(directory, {...change, changeRevision});
 	(isReplaced || !isSame ? applied.changes : applied.renewals).push(change);
 }
 
@@ -356,7 +369,7 @@
 
 	const known = directory.facts.get(tablesSubject);
 	if (known !== undefined) {
-		directory.facts.set(tablesSubject, {...known, fact: {kind: factKind.tables, tables}});
+		setFact(directory, {...known, fact: {kind: factKind.tables, tables}});
 	}
 
 	return true;
@@ -402,9 +415,10 @@
 export function describeUpdate(directory: DirectoryState, {epoch, revision}: DirectoryPosition): DirectoryUpdate {
 	const isSameEpoch = epoch === directory.epoch;
 	const isComplete = !isSameEpoch || revision < directory.unknownRemovalsUntil || revision === 0;
-	const changes = [...directory.facts.values()]
-		.filter(({changeRevision, fact, isMissing}) => isComplete ? fact !== undefined || (!isSameEpoch && isMissing !== true) : changeRevision > revision)
-		.map(({isMissing, ...change}) => change);
+	const facts = isComplete
+		? [...directory.facts.values()].filter(({fact, isMissing}) => fact !== undefined || (!isSameEpoch && isMissing !== true))
+		: directory.changeOrder.listSubjectsAfter(revision, directory.facts).map(subject => directory.facts.get(subject)!);
+	const changes = facts.map(({isMissing, ...change}) => change);
 	return {
 		epoch: directory.epoch, changes, revision: directory.revision, since: isComplete ? 0 : revision,
 	};
