In large deployments few instances read the platform's history after a restart of all

Seen: in virtual time, 101 instances with 1,010 targets that start at once all read the history (101 of 101, 5.6 MB and 19,400 events each, computed for routes whose streams may have begun 13 s ago), and block for its evaluation. Tables and all targets are known after 50 to 100 ms at every instance, so that this is what keeps the instances busy.

Cause: about 64 of as many instances as there are targets read it at once; the others wait 0.7 to 1.2 s for what these tell. With 1,000 targets the read and its evaluation take longer, and no instance has learned that some are reading.

Change: with more than 640 targets the others wait 5 to 5.5 s. By then peers have told them, and only watchers still read the platform.

Ruled out: 2.5 to 3 s. 59 of 101 still read, since an answer reaches all only 4 s after the start, and until then all still count as watchers.

With no early reader (chance 0.2% with ten targets for each instance) take-ups are refused some 4 s longer.

--- a/packages/dispatch/src/lib/versions/reduce-history.ts
+++ b/packages/dispatch/src/lib/versions/reduce-history.ts
@@ -21,6 +21,12 @@
 /** The same times for the other instances of a larger deployment: by then, peers can tell what the first ones have read, and all instances still read the platform. */
 const laterReadDelayMs = 700;
 const laterReadJitterMs = 500;
+/**
+ * Number of registered targets above which the other instances wait longer, and the time for which they do, in milliseconds:
+ * the history then takes longer to read than `laterReadDelayMs`, and by then only the watchers still read the platform.
+ */
+const maxTargetsForLater = 640;
+const lastReadDelayMs = 5000;
 /** Number of reads until the history is given up, and time between two, in milliseconds. */
 const readLimit = 3;
 const readRetryDelayMs = 500;
@@ -63,8 +69,10 @@
 	}
 
 	const rank = computeFraction(state.selfHash, historyReadHashSeed);
-	const isEarly = rank * state.targets.byId.size < maxTargetsForAll;
-	const [delayMs, jitterMs] = isEarly ? [readDelayMs, readJitterMs] : [laterReadDelayMs, laterReadJitterMs];
+	const targetCount = state.targets.byId.size;
+	const isEarly = rank * targetCount < maxTargetsForAll;
+	const otherDelayMs = targetCount > maxTargetsForLater ? lastReadDelayMs : laterReadDelayMs;
+	const [delayMs, jitterMs] = isEarly ? [readDelayMs, readJitterMs] : [otherDelayMs, laterReadJitterMs];
 	state.historyReadAt = now + delayMs + (jitterMs * rank);
 }
 
