Gateway: a send waits for polls at most twice

A process whose iterations all last more than 300 ms would have sent nothing: each send waited again, and its request ended at its deadline. Late is better than never there. The new test fails without the change.

--- a/packages/gateway/src/lib/disconnect-monitor.ts
+++ b/packages/gateway/src/lib/disconnect-monitor.ts
@@ -11,9 +11,13 @@
  * than 50 ms it is at most 200: two intervals of the sampling timer of 25 ms, each late by an iteration, and the iteration that is sampled.
  */
 const maxUnknownMs = 300;
+/** Number of times that a send waits for two polls: a process whose iterations all last too long sends late rather than never. */
+const maxWaits = 2;
 /** Time without new knowledge after which each poll is sampled instead of one per interval, in milliseconds. */
 const continuousSamplingMs = 150;
 
+type WaitingSend = {readonly run: () => void; readonly waitsLeft: number};
+
 export class DisconnectMonitor {
 	readonly #readClock: () => number;
 	/** Start times of the last two sampled polls. What had arrived before the older one has been read, and so has an end that was behind a request. */
@@ -23,7 +27,7 @@
 	#allAcceptedAt = Number.NEGATIVE_INFINITY;
 	#acceptedCount = 0;
 	#isSampling = false;
-	#waiting: Array<() => void> = [];
+	#waiting: WaitingSend[] = [];
 
 	constructor(readClock: () => number) {
 		this.#readClock = readClock;
@@ -62,28 +66,32 @@
 		return this.#computeUnknownMs(now) > maxUnknownMs;
 	}
 
-	/** Calls `run` when two more polls have read requests and then the ends behind them, the second of which began a short time before. */
+	/** Calls `run` when two more polls have read requests and then the ends behind them, the second of which began a short time before, if such polls come soon. */
 	waitForPolls(run: () => void): void {
-		this.#waiting.push(run);
+		this.#addWaiting({run, waitsLeft: maxWaits - 1});
+	}
+
+	#addWaiting(send: WaitingSend): void {
+		this.#waiting.push(send);
 		if (this.#waiting.length > 1) {
 			return;
 		}
 
 		// The first one runs after the poll of the present iteration.
 		setImmediate(() => {
-			const runs = this.#waiting;
+			const sends = this.#waiting;
 			const startedAt = this.#readClock();
 			this.#waiting = [];
 			setImmediate(() => {
-				this.#runOrWait(runs, startedAt);
+				this.#runOrWait(sends, startedAt);
 			});
 		});
 	}
 
-	#runOrWait(runs: ReadonlyArray<() => void>, startedAt: number): void {
-		for (const run of runs) {
-			if (this.#readClock() - startedAt > maxUnknownMs) {
-				this.waitForPolls(run);
+	#runOrWait(sends: readonly WaitingSend[], startedAt: number): void {
+		for (const {run, waitsLeft} of sends) {
+			if (waitsLeft > 0 && this.#readClock() - startedAt > maxUnknownMs) {
+				this.#addWaiting({run, waitsLeft: waitsLeft - 1});
 			} else {
 				run();
 			}
--- a/packages/gateway/src/test/disconnect-monitor_test.ts
+++ b/packages/gateway/src/test/disconnect-monitor_test.ts
@@ -83,3 +83,18 @@
 	await waitForCheck();
 	assert.deepEqual(new Set(runs.slice(2)), new Set(['c', 'd']));
 });
+
+// Guards against a process that serves nothing because all of its iterations last too long.
+test('what waits for polls runs in the end, also if all polls take too long', async () => {
+	const fixture = new Fixture();
+	let isRun = false;
+	fixture.monitor.waitForPolls(() => {
+		isRun = true;
+	});
+	for (let count = 0; count < 4; count++) {
+		fixture.now += 400;
+		await waitForCheck();
+	}
+
+	assert.ok(isRun);
+});
