Gateway: responses that wait for their turn go on although those before them receive nothing

Since, under load, streams stood still until their deadline: of 24 streams beside 14 busy processes, 14 got 6 to 12 of 16 events and were broken off after 6 s. Cause: those that wait were let go on only when a response that went on before received another part; if that ended or was slow, they waited for good. The end of an iteration is now followed by the next one as long as responses wait. The new test fails without it.

Found by stream-order_test under load, with the responses and log lines of each stream printed.

--- a/packages/gateway/src/lib/read-pacing.ts
+++ b/packages/gateway/src/lib/read-pacing.ts
@@ -21,6 +21,8 @@
 	/** Parts that this iteration had time for. */
 	#partCount = 0;
 	#isOverTime = false;
+	/** True if the end of an iteration is to be reported. */
+	#isScheduled = false;
 	/** Number of readers that go on in the next iteration. */
 	#batchSize = 1;
 	/** Readers that wait, in the order in which they go on. */
@@ -39,13 +41,8 @@
 
 	/** Counts a part that `reader` has handled, and stops the reader if this iteration has no more time for responses or others wait. */
 	recordRead(reader: PacedReader, now: number): void {
-		if (this.#startedAt === undefined) {
-			this.#startedAt = now;
-			this.#scheduleIterationEnd(() => {
-				this.#handleIterationEnd();
-			});
-		}
-
+		this.#startedAt ??= now;
+		this.#schedule();
 		if (now - this.#startedAt < maxReadMsPerIteration) {
 			this.#partCount++;
 		} else {
@@ -63,6 +60,16 @@
 		this.#stopped.delete(reader);
 	}
 
+	#schedule(): void {
+		if (!this.#isScheduled) {
+			this.#isScheduled = true;
+			this.#scheduleIterationEnd(() => {
+				this.#isScheduled = false;
+				this.#handleIterationEnd();
+			});
+		}
+	}
+
 	/** Lets as many readers go on as this iteration had time for, or twice as many as before if it had time left. */
 	#handleIterationEnd(): void {
 		this.#batchSize = this.#isOverTime ? Math.max(1, this.#partCount) : this.#batchSize * 2;
@@ -73,5 +80,10 @@
 			this.#stopped.delete(reader);
 			reader.releaseRead();
 		}
+
+		if (this.#stopped.size > 0) {
+			// Those that go on may have nothing to read for a long time, or end.
+			this.#schedule();
+		}
 	}
 }
--- a/packages/gateway/src/test/read-pacing_test.ts
+++ b/packages/gateway/src/test/read-pacing_test.ts
@@ -31,10 +31,14 @@
 			this.pacing.recordRead(reader, this.now);
 		}
 
+		this.endIteration();
+		return this.now - startedAt;
+	}
+
+	endIteration(): void {
 		const handleEnd = this.#handleEnd;
 		this.#handleEnd = undefined;
 		handleEnd?.();
-		return this.now - startedAt;
 	}
 }
 
@@ -91,6 +95,19 @@
 	assert.ok(fixture.readers.every(({partCount}) => partCount >= 10), fixture.readers.map(({partCount}) => partCount).join(', '));
 });
 
+// Guards against responses that stop for good because those that went on have nothing more to read.
+test('all responses go on although those before them receive nothing more', () => {
+	const fixture = new Fixture(50, 1);
+	fixture.runIteration();
+	assert.ok(fixture.pacing.stoppedCount > 0);
+	for (let iteration = 0; iteration < 50; iteration++) {
+		fixture.endIteration();
+	}
+
+	assert.equal(fixture.pacing.stoppedCount, 0);
+	assert.ok(fixture.readers.every(({isStopped}) => !isStopped));
+});
+
 // Guards against readers that stay in memory after their response has ended.
 test('a reader that ended is not released', () => {
 	const fixture = new Fixture(2, 50);
