--- a/packages/dispatch/src/test/large_fleet_test.ts
+++ b/packages/dispatch/src/test/large_fleet_test.ts
@@ -4,12 +4,10 @@
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {
-	computeNeededHistoryMs,
-} from '../lib/versions/reduce-history.js';
 import {
 	effectKind, eventKind, factKind, tablesSubject, type CallPeerEffect, type Effect, type Event, type Fact, type PastChange, type TargetRecord,
 } from '../index.js';
+import {computeNeededHistoryMs} from '../lib/versions/reduce-history.js';
 import {createFleet} from './fleet-fixture.js';
 import {
 	createRandom, createTables, createTargetRecord, type GatewayFixture,
@@ -22,6 +20,8 @@
 const readMs = 50;
 const historyReadMs = 1500;
 
+type Target = {record: TargetRecord; nextAt: number; renewalCount: number; readonly createdRevision: number};
+
 type Instance = {
 	readonly gateway: GatewayFixture;
 	nextReadAt: number;
@@ -41,7 +41,7 @@
 	readCount = 0;
 	readonly #byAddress = new Map<string, Instance>();
 	readonly #history: PastChange[] = [];
-	readonly #targets: Array<{record: TargetRecord; nextAt: number; renewalCount: number; readonly createdRevision: number}> = [];
+	readonly #targets: Target[] = [];
 	#scheduled: Array<{readonly at: number; readonly run: () => void}> = [];
 
 	constructor(size: number, targetCount: number, pastMs: number) {
@@ -116,7 +116,7 @@
 		}
 	}
 
-	#renew(target: {record: TargetRecord; renewalCount: number; readonly createdRevision: number}): void {
+	#renew(target: Target): void {
 		target.renewalCount++;
 		const {record, renewalCount, createdRevision} = target;
 		this.#write(`target/${record.id}`, {kind: factKind.target, target: record}, {renewalCount, createdRevision});
--- a/packages/gateway/src/lib/caller-exchange.ts
+++ b/packages/gateway/src/lib/caller-exchange.ts
@@ -4,13 +4,13 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import {
 	createFailure, failureReason, type RequestHead, type Failure, type RelayOrigin,
 } from '@sequoiatally/dispatch';
 import {BodyCollector, type BufferAccount, type BufferBudget} from '@sequoiatally/runtime';
 import type {CallerProtocol, RawHeaders} from './protocol.js';
 import {createFailureOutcomeHeaders, createSourceHeaders, type ResponseSource} from './relay-headers.js';
+import {isReset} from './socket-handle.js';
 
 /** A target's response that has been read to its end. */
 export type BufferedResponse = {
@@ -229,15 +229,6 @@
 	}
 }
 
-/** The part of a socket that knows the state of its connection; Node.js sets it, but its types do not name it. */
-type ConnectionHandle = {readonly getpeername?: (address: Record<string, unknown>) => number};
-
-/** Returns true if a connection was reset: it has no peer any more, also while what arrived before the reset has not been read. */
-function isReset(socket: Socket): boolean {
-	const {_handle: handle} = socket as Socket & {readonly _handle?: ConnectionHandle};
-	return handle?.getpeername !== undefined && handle.getpeername({}) !== 0;
-}
-
 /** Creates the body of a response that the gateway itself generates. */
 export function createFailureBody({reason}: Failure, requestId: string): string {
 	return JSON.stringify({error: {reason, requestId}});
--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -154,7 +154,7 @@
 		this.#server.keepAliveTimeout = idleTimeoutMs + keepAliveMarginMs;
 	}
 
-	/** Reads a caller's connection on if it has not been read for some time because of what was sent ahead; returns false if its end has been read, had there been one. */
+	/** Reads a caller's connection on if it has not been read for some time because of what was sent ahead; returns false if it is being read, so that its end would be known. */
 	tryReadOn(openId: number, now: number): boolean {
 		const exchange = this.openExchanges.get(openId);
 		return exchange !== undefined && this.#limitedServer.tryReadOn(exchange.request.socket, now);
--- a/packages/gateway/src/lib/disconnect-monitor.ts
+++ b/packages/gateway/src/lib/disconnect-monitor.ts
@@ -66,7 +66,7 @@
 		return this.#computeUnknownMs(now) > maxUnknownMs;
 	}
 
-	/** Calls `run` when two more polls have read requests and then the ends behind them, the second of which began a short time before, if such polls come soon. */
+	/** Calls `run` after two more polls, of which the second reads the ends behind what the first has read. If they take too long, it waits for two others, but `maxWaits` times at most. */
 	waitForPolls(run: () => void): void {
 		this.#addWaiting({run, waitsLeft: maxWaits - 1});
 	}
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -120,8 +120,8 @@
 	readonly #metrics: GatewayMetrics;
 	readonly #serverShares: ServerShares;
 	readonly #disconnects = new DisconnectMonitor(readMonotonicMs);
-	/** Sends that wait until it is known whether their callers are still connected, by `sendId`. */
-	readonly #waitingSends = new Map<number, SendEffect>();
+	/** Identifiers of the sends that wait until it is known whether their callers are still connected. */
+	readonly #waitingSends = new Set<number>();
 	readonly #readyServer: Server;
 	#tablesVersion = 0;
 	#isDraining = false;
@@ -154,6 +154,10 @@
 				event, bodyBytes: bufferBudget.bodyBytes, bodyBytesLimit: bufferBudget.bodyBytesLimit, open: this.#callers.openExchanges.size,
 			});
 		});
+		const onAccepted = () => {
+			this.#disconnects.recordAccepted();
+		};
+
 		const pool = new ConnectionPool(readMonotonicMs, lifecycle);
 		this.#pool = pool;
 		this.#prober = new TargetProber(protocols.targets, readMonotonicMs, lifecycle);
@@ -162,9 +166,7 @@
 			bufferBudget,
 			limits: this.#serverShares.callers,
 			random: Math.random,
-			onAccepted: () => {
-				this.#disconnects.recordAccepted();
-			},
+			onAccepted,
 			checkHead: (head, relayedFrom) => checkHead(this.state, {...head, relayedFrom}, readMonotonicMs()),
 			emit,
 			log,
@@ -209,9 +211,7 @@
 			handleRelayed: (request, response) => {
 				this.#callers.handleRelayed(request, response);
 			},
-			onAccepted: () => {
-				this.#disconnects.recordAccepted();
-			},
+			onAccepted,
 			renderMetrics: async () => this.#metrics.render(),
 			log,
 		}, lifecycle);
@@ -309,7 +309,7 @@
 			return;
 		}
 
-		this.#waitingSends.set(sendId, effect);
+		this.#waitingSends.add(sendId);
 		this.#disconnects.waitForPolls(() => {
 			if (this.#waitingSends.delete(sendId)) {
 				this.#sendForCaller(effect);
--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -5,13 +5,14 @@
  * takes its turn between two polls for input, so that other connections are served meanwhile.
  *
  * A connection whose caller does not pipeline passes its bytes on unchanged. One that has read far enough ahead is not read
- * any further; the end of such a connection is read late, and `tryReadOn` looks for it. If all connections together hold too much, those that hold the most lose the requests that wait, which have not run, and
- * close after the response that is due.
+ * any further; the end of such a connection is read late, and `tryReadOn` looks for it. If all connections together hold too much,
+ * those that hold the most lose the requests that wait, which have not run, and close after the response that is due.
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {closeForSending} from './connection-closer.js';
+import {startReading, stopReading} from './socket-handle.js';
 
 /** Most blocks of waiting bytes of one connection; they are joined beyond it, since small blocks take more memory than their bytes. */
 const maxWaitingBlocks = 16;
@@ -364,39 +365,6 @@
 	}
 }
 
-/** The part of a socket that reads from the system; Node.js sets it, but its types do not name it. */
-type ReadingHandle = {reading: boolean; readonly readStart: () => void; readonly readStop: () => void};
-
-function findReadingHandle(socket: Socket): ReadingHandle | undefined {
-	return (socket as Socket & {readonly _handle?: ReadingHandle})._handle ?? undefined;
-}
-
-/**
- * Pauses a socket without another read: after `pause` alone, Node.js still reads a block of up to 64 KB into the buffer of the socket, which
- * no limit counts.
- */
-function stopReading(socket: Socket): void {
-	socket.pause();
-	// The stream starts another read in the tick after a block, which comes before this.
-	queueMicrotask(() => {
-		const handle = findReadingHandle(socket);
-		if (socket.isPaused() && handle?.reading) {
-			handle.reading = false;
-			handle.readStop();
-		}
-	});
-}
-
-/** Resumes a socket after `stopReading`. */
-function startReading(socket: Socket): void {
-	socket.resume();
-	const handle = findReadingHandle(socket);
-	if (handle?.reading === false) {
-		handle.reading = true;
-		handle.readStart();
-	}
-}
-
 /** Returns true if a request has been read whose response has not been sent completely. */
 function isBusy({request, response}: Connection): boolean {
 	return response !== undefined && !response.closed && request!.complete;
--- a/packages/gateway/src/lib/response-body.ts
+++ b/packages/gateway/src/lib/response-body.ts
@@ -25,7 +25,7 @@
 	readonly onFailure: (detail: string) => void;
 };
 
-/** Divides the time for reading among all bodies; see `ReadPacing`. */
+/** What divides the time for reading among bodies. */
 export type BodyPacing = {readonly pacing: ReadPacing; readonly readClock: () => number};
 
 export class ResponseBody extends PacedReader {
@@ -43,20 +43,22 @@
 	/** True if that connection ended before the request was written to it. */
 	#endedInRequest = false;
 
-	/** Without `pacing`, the body is read as it arrives. */
-	constructor(response: IncomingMessage, listener: BodyListener, {pacing, readClock}: Partial<BodyPacing> = {}) {
+	/** Without `bodyPacing`, the body is read as it arrives. */
+	constructor(response: IncomingMessage, listener: BodyListener, bodyPacing?: BodyPacing) {
 		super();
 		this.#response = response;
 		this.#listener = listener;
-		this.#pacing = pacing;
+		this.#pacing = bodyPacing?.pacing;
 		response.on('data', (part: Uint8Array) => {
-			if (!this.#isClosed) {
-				this.#receivedBytes += part.length;
-				listener.onData(part);
+			if (this.#isClosed) {
+				return;
 			}
 
-			if (!this.#isClosed && readClock !== undefined) {
-				pacing?.recordRead(this, readClock());
+			this.#receivedBytes += part.length;
+			listener.onData(part);
+			// The listener may have ended the reader.
+			if (!this.#isClosed) {
+				bodyPacing?.pacing.recordRead(this, bodyPacing.readClock());
 			}
 		});
 		if (!isSelfDelimited(response)) {
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -244,31 +244,34 @@
 		return this.#caller.hasStarted ? sendOutcome.interrupted : sendOutcome.lost;
 	}
 
-	/** Writes the request on a new connection, once it is known whether the caller is still connected. */
+	/** Writes the request on a connection that has just opened, if the caller is still connected, once that is known. */
 	#writeForCaller(): void {
 		const {disconnects, readClock} = this.#options;
 		if (!disconnects.isBehind(readClock())) {
-			this.#writeRequest();
+			this.#tryWriteRequest();
 			return;
 		}
 
 		disconnects.waitForPolls(() => {
 			this.#progressAt = readClock();
 			this.#silenceTimer?.refresh();
-			this.#writeRequest();
+			this.#tryWriteRequest();
 		});
 	}
 
-	#writeRequest(): void {
+	#tryWriteRequest(): void {
 		if (this.#hasEnded) {
 			return;
 		}
 
 		if (this.#caller.isDisconnected) {
 			this.#caller.closeConnection();
-			return;
+		} else {
+			this.#writeRequest();
 		}
+	}
 
+	#writeRequest(): void {
 		const {body} = this.#caller;
 		this.#hasWritten = true;
 		for (const part of body.slice(0, -1)) {
--- a/packages/gateway/src/test/target-client_test.ts
+++ b/packages/gateway/src/test/target-client_test.ts
@@ -440,7 +440,7 @@
 	}
 });
 
-// Guards against a request for nobody: a pause between the attempt to connect and the connection would not be noticed.
+// Guards against a request whose caller disconnected during a pause between the attempt to connect and the connection.
 test('a request is written on a new connection only if its caller is still connected when it opens after a pause', async () => {
 	const arrived: string[] = [];
 	await fixture.startTarget((socket, requestId) => {
