Gateway: empty lines of a line feed alone cost no search through the rest of their block

What callers saw: while 150 callers sent line feeds without end, an ordinary request got no response within 20 s (caller address) or a 503 (ready address). Cause: the search for the end of a head looked for LF CR LF through the whole rest of the block, up to 64 KB, for each of up to 256 parts; each part of line feeds is one or two bytes long. Change: request-parts.ts goes through a block line by line and looks for an empty line behind each. A part has at most 256 lines, and so a bounded number of fields or chunks. Ruled out: the work of the parser itself, since the same lines with CR LF passed before.

--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -12,23 +12,18 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {closeForSending} from './connection-closer.js';
+import {findPartEnd} from './request-parts.js';
 import {startReading, stopReading} from './socket-handle.js';
 
 /** Most blocks of waiting bytes of one connection; they are joined beyond it, since small blocks take more memory than their bytes. */
 const maxWaitingBlocks = 16;
 /** Most parts that one connection passes to the parser between two polls for input: a body may consist of empty lines. */
 const maxPartsPerTurn = 256;
-/** Bytes at the start of a block in which an empty line may end that began in the block before. */
-const maxSplitLineEndBytes = 3;
 /** Time for which a connection may have been held back when a request of it is sent, in milliseconds; the connection to the target can take 300 ms more. */
 const maxUnreadMs = 100;
 /** Multiple of the bytes of a connection up to which it is read on, and part of the bytes of all connections up to which it is. */
 const readOnMultiple = 2;
 const readOnFraction = 0.5;
-const lineFeed = 10;
-const carriageReturn = 13;
-/** Bytes that end a request's head: an empty line. The parser of some releases of Node.js 20 accepts the second form too. */
-const headEnds = [Buffer.from('\n\r\n'), Buffer.from('\n\n')] as const;
 
 export type RequestTurnsLimits = {
 	/** Size of the waiting bytes of a connection from which it is not read any further. */
@@ -208,7 +203,7 @@
 		let offset = 0;
 		for (let partCount = 1; offset < bytes.length && !isClosing(socket); partCount++) {
 			const {request: previous} = connection;
-			const end = findPartEnd(connection, bytes, offset);
+			const end = findPartEnd(bytes, offset, findBodyBytesLeft(connection));
 			connection.parse(offset === 0 && end === bytes.length ? bytes : bytes.subarray(offset, end));
 			if (connection.request === previous && connection.bodyBytesLeft !== undefined) {
 				connection.bodyBytesLeft -= end - offset;
@@ -375,34 +370,7 @@
 	return socket.destroyed || socket.writableEnded;
 }
 
-/**
- * Finds the end of the part of `bytes` from `offset` on that the parser gets next. It contains the end of at most one head,
- * chunked body or body with a length.
- */
-function findPartEnd({request, bodyBytesLeft}: Connection, bytes: Uint8Array, offset: number): number {
-	if (request !== undefined && !request.complete && bodyBytesLeft !== undefined && bodyBytesLeft > 0) {
-		return Math.min(bytes.length, offset + bodyBytesLeft);
-	}
-
-	const firstLineEnd = findLineEndAt(bytes, offset);
-	let end = firstLineEnd ?? bytes.length;
-	for (const headEnd of headEnds) {
-		const index = Buffer.from(bytes.buffer, bytes.byteOffset + offset, end - offset).indexOf(headEnd);
-		end = index === -1 ? end : offset + index + headEnd.length;
-	}
-
-	return end;
-}
-
-/** Finds the end of a line end at the start of a block, which may belong to an empty line that is divided between two blocks. */
-function findLineEndAt(bytes: Uint8Array, offset: number): number | undefined {
-	if (offset >= maxSplitLineEndBytes) {
-		return undefined;
-	}
-
-	if (bytes[offset] === lineFeed) {
-		return offset + 1;
-	}
-
-	return bytes[offset] === carriageReturn && bytes[offset + 1] === lineFeed ? offset + 2 : undefined;
+/** Finds the number of bytes that are left of the body with a length that is being read; `undefined` if there is none. */
+function findBodyBytesLeft({request, bodyBytesLeft}: Connection): number | undefined {
+	return request !== undefined && !request.complete && bodyBytesLeft !== undefined && bodyBytesLeft > 0 ? bodyBytesLeft : undefined;
 }
