Gateway: a turn of a connection is bounded in time, and the rest of its block waits

What callers saw: beside 150 callers that send chunked bodies in chunks of one to seven bytes, an ordinary request got no response within 20 s, or 503 and 504 if they called the ready or control address. Cause: a block of 64 KB holds up to 11,000 chunks, which take about 27 ms (2.7 us each). libuv reads up to 32 blocks of a connection in a row, so that one connection can take 0.8 s of an iteration of the event loop, and Node.js accepts one connection per iteration. Change: a connection passes parts to the parser for 1 ms; the rest of the block waits for another turn, of which there is one in an iteration, and the connection is not read until it has been passed. The count of parts per turn is not needed any more.

--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -4,6 +4,9 @@
  * behind a request wait, unparsed, until its response has been sent, and one connection with waiting bytes
  * takes its turn between two polls for input, so that other connections are served meanwhile.
  *
+ * A turn is bounded in time as well, since a block can consist of thousands of empty lines or small chunks: the rest of the block
+ * waits for another turn, and the connection is not read meanwhile.
+ *
  * A connection whose caller does not pipeline passes its bytes on unchanged. One that has read far enough ahead is not read
  * any further; the end of such a connection is read late, and `tryReadOn` looks for it. If all connections together hold too much,
  * those that hold the most lose the requests that wait, which have not run, and close after the response that is due.
@@ -17,8 +20,8 @@
 
 /** Most blocks of waiting bytes of one connection; they are joined beyond it, since small blocks take more memory than their bytes. */
 const maxWaitingBlocks = 16;
-/** Most parts that one connection passes to the parser between two polls for input: a body may consist of empty lines. */
-const maxPartsPerTurn = 256;
+/** Time from which on a connection passes no further part to the parser between two polls for input, in milliseconds. */
+const maxTurnMs = 1;
 /** Time for which a connection may have been held back when a request of it is sent, in milliseconds; the connection to the target can take 300 ms more. */
 const maxUnreadMs = 100;
 /** Multiple of the bytes of a connection up to which it is read on, and part of the bytes of all connections up to which it is. */
@@ -200,8 +203,10 @@
 	/** Passes bytes to the parser up to the end of the next request, and holds the rest. */
 	#pass(connection: Connection, bytes: Uint8Array): void {
 		const {socket} = connection;
+		const {readClock} = this.#options;
+		const startedAt = readClock();
 		let offset = 0;
-		for (let partCount = 1; offset < bytes.length && !isClosing(socket); partCount++) {
+		while (offset < bytes.length && !isClosing(socket)) {
 			const {request: previous} = connection;
 			const end = findPartEnd(bytes, offset, findBodyBytesLeft(connection));
 			connection.parse(offset === 0 && end === bytes.length ? bytes : bytes.subarray(offset, end));
@@ -210,7 +215,8 @@
 			}
 
 			offset = end;
-			if (offset < bytes.length && (isBusy(connection) || socket.isPaused() || partCount >= maxPartsPerTurn)) {
+			const isTurnOver = readClock() - startedAt >= maxTurnMs;
+			if (offset < bytes.length && (isTurnOver || isBusy(connection) || socket.isPaused())) {
 				this.#hold(connection, bytes.subarray(offset));
 				return;
 			}
@@ -232,7 +238,7 @@
 		connection.waitingBytes += bytes.length;
 		this.waitingBytes += bytes.length;
 		this.#waiting.add(connection);
-		if (connection.waitingBytes >= this.#options.limits.bytesPerConnection * (connection.isReadingOn ? readOnMultiple : 1)) {
+		if (this.#hasReadEnough(connection)) {
 			this.#holdBack(connection);
 		}
 
@@ -296,13 +302,25 @@
 		}
 
 		this.#clearWaiting(connection);
-		if (connection.isHeldBack) {
-			this.#startReading(connection);
-		}
-
 		for (const block of waitingBlocks) {
 			this.#handleBytes(connection, block);
 		}
+
+		this.#tryReadAgain(connection);
+	}
+
+	/** Reads a connection that was held back if its waiting bytes allow it. */
+	#tryReadAgain(connection: Connection): void {
+		if (connection.isHeldBack && !connection.isDropped && !this.#hasReadEnough(connection)) {
+			this.#startReading(connection);
+		}
+	}
+
+	/** Returns true if nothing more is to be read: bytes of an unfinished request wait for their turn, or too many of those behind it do. */
+	#hasReadEnough(connection: Connection): boolean {
+		const {waitingBytes, isReadingOn} = connection;
+		const maxBytes = isBusy(connection) ? this.#options.limits.bytesPerConnection * (isReadingOn ? readOnMultiple : 1) : 1;
+		return waitingBytes >= maxBytes;
 	}
 
 	#holdBack(connection: Connection): void {
--- a/packages/gateway/src/test/request-turns_test.ts
+++ b/packages/gateway/src/test/request-turns_test.ts
@@ -17,6 +17,10 @@
 
 /** Connections that a test uses at a time, so that a busy machine serves them within the time limit of a condition. */
 const connectionsAtOnce = 20;
+/** A chunk of a body with one byte. */
+const chunk = '1\r\nx\r\n';
+/** Chunks that fill the buffer of the system for a connection. */
+const chunkCount = 300_000;
 const usualRequest = 'GET /usual HTTP/1.1\r\nHost: a\r\n\r\n';
 /** Requests with all forms of bodies, which contain empty lines and what looks like requests. */
 const requests = [
@@ -154,6 +158,50 @@
 	assert.deepEqual(received.map(({url, body}) => `${url} ${body}`), expected);
 });
 
+// Guards against one connection that takes the time of all others: tens of thousands of chunks are in the buffer of the system.
+test('a request is received before the small chunks that another caller has sent before it', async () => {
+	const {open} = await startServer({}, async (request, response) => {
+		if (request.url === '/usual') {
+			await receive(request, response);
+			return;
+		}
+
+		request.on('data', (part: Uint8Array) => {
+			bodyBytes += part.length;
+		});
+		request.on('error', () => {
+			// The test ends before the body does.
+		});
+	});
+	let bodyBytes = 0;
+	const [greedy, usual] = [await open(), await open()];
+	greedy.write(`POST /chunks HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunk.repeat(chunkCount)}0\r\n\r\n`);
+	usual.write(usualRequest);
+	await waitUntil('the other request arrives', () => received.some(({url}) => url === '/usual'));
+	const blockBytes = 64 * 1024;
+	assert.ok(bodyBytes <= blockBytes / chunk.length, `${bodyBytes} chunks`);
+});
+
+// Guards against bytes that are lost or stay behind when a connection is stopped in a body, and against one that never goes on.
+test('bodies in small chunks arrive whole from many connections that send at the same time', async () => {
+	const {open, limited} = await startServer({}, async (request, response) => {
+		await receive(request, response);
+		response.end();
+	});
+	const bodyLength = 20_000;
+	const sockets = await Promise.all(Array.from({length: connectionsAtOnce}, async () => open()));
+	const answers = sockets.map(socket => collectText(socket));
+	for (const socket of sockets) {
+		socket.write(`POST /chunks HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunk.repeat(bodyLength)}0\r\n\r\n${usualRequest}`);
+	}
+
+	await waitUntil('all are answered', () => answers.every(({text}) => text.split('HTTP/1.1 200').length === 3));
+	const bodies = received.filter(({url}) => url === '/chunks').map(({body}) => body);
+	assert.deepEqual(bodies, Array.from({length: connectionsAtOnce}, () => 'x'.repeat(bodyLength)));
+	assert.equal(limited.readAheadBytes, 0);
+	assert.deepEqual(logged, []);
+});
+
 // Guards against memory for requests that wait: the parser would create thousands of them from one block.
 test('a request is not parsed before the response to the one before it has been sent', async () => {
 	let count = 0;
