Gateway: connections whose requests are incomplete share a bounded time in an iteration of the event loop

What callers saw: with 0.227 of a core, an ordinary request beside 450 callers that send chunks of one byte waited most of its 20 s. Cause: a connection's turn is bounded, but not what all connections together take between two polls: each that is read passes up to 1 ms, and Node.js accepts one connection per poll. Change: RequestTurns uses ReadPacing, as responses do: 1 ms per server and iteration, after which connections stop after each block and go on in order. A connection with a complete request is not stopped, since the end of it has to be read while the request runs.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -137,6 +137,11 @@
 		return this.#limitedServer.readAheadBytes;
 	}
 
+	/** Number of connections whose incomplete requests wait for a later iteration of the event loop. */
+	get pacedCount(): number {
+		return this.#limitedServer.pacedCount;
+	}
+
 	/** Number of requests that were received in part. */
 	get incomingCount(): number {
 		return this.#incoming.size;
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -31,6 +31,8 @@
 
 /** Interval of the reducer's ticks, in milliseconds; the resolution of deadlines. */
 const tickIntervalMs = 25;
+/** Time for reading responses in one iteration of the event loop, in milliseconds; a process that accepts 1000 connections then needs few seconds for it. */
+const maxResponseMsPerIteration = 4;
 
 /** Validated settings of a gateway. */
 export type GatewaySettings = {
@@ -171,7 +173,7 @@
 			emit,
 			log,
 		});
-		const pacing = new ReadPacing(setImmediate);
+		const pacing = new ReadPacing(maxResponseMsPerIteration, setImmediate);
 		this.#targets = new TargetClient({
 			pool,
 			protocol: protocols.targets,
@@ -199,6 +201,7 @@
 			['body_bytes_limit', () => bufferBudget.bodyBytesLimit],
 			['response_bytes', () => bufferBudget.responseBytes],
 			['paced_responses', () => pacing.stoppedCount],
+			['paced_requests', () => this.#callers.pacedCount],
 			['caller_connections', () => this.#callers.connectionCount],
 			['caller_connections_limit', () => this.#serverShares.callers.connections],
 			['read_ahead_bytes', () => this.#callers.readAheadBytes],
--- a/packages/gateway/src/lib/limited-server.ts
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -7,8 +7,12 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {readMonotonicMs} from '@sequoiatally/runtime';
+import {ReadPacing} from './read-pacing.js';
 import {RequestTurns, type RequestTurnsLimits} from './request-turns.js';
 
+/** Time for requests that are incomplete in one iteration of the event loop, in milliseconds; a process with a fifth of a core then accepts 500 connections in a few seconds. */
+const maxReadMsPerIteration = 1;
+
 export type ServerLimits = RequestTurnsLimits & {
 	/** Most connections that are open at a time. */
 	readonly connections: number;
@@ -45,7 +49,7 @@
 			}
 		});
 		this.#turns = new RequestTurns(this.server, {
-			limits, readClock: readMonotonicMs, onDropped(droppedBytes) {
+			limits, readClock: readMonotonicMs, pacing: new ReadPacing(maxReadMsPerIteration, setImmediate), onDropped(droppedBytes) {
 				log('read-ahead-dropped', {server: name, droppedBytes, limitBytes: limits.bytes});
 			},
 		});
@@ -64,6 +68,11 @@
 		return this.#turns.waitingBytes;
 	}
 
+	/** Number of connections whose incomplete requests wait for a later iteration of the event loop. */
+	get pacedCount(): number {
+		return this.#turns.pacedCount;
+	}
+
 	/** Reads a connection on if it has not been read for some time; see `RequestTurns`. */
 	tryReadOn(socket: Socket, now: number): boolean {
 		return this.#turns.tryReadOn(socket, now);
--- a/packages/gateway/src/lib/read-pacing.ts
+++ b/packages/gateway/src/lib/read-pacing.ts
@@ -1,14 +1,12 @@
 /**
- * Bounds the part of one iteration of the event loop that goes into reading responses. The HTTP server accepts one
- * connection per iteration: hundreds of targets that send at once would make an iteration so long that new callers,
- * who may wait behind a crowd of others, are not accepted before their deadlines.
+ * Bounds the part of one iteration of the event loop that goes into reading messages: the responses of targets, or the
+ * requests that have not arrived completely on the connections of a server. The HTTP server accepts one connection per
+ * iteration: hundreds of targets or callers that send at once would make an iteration so long that new callers, who may
+ * wait behind a crowd of others, are not accepted before their deadlines.
  *
- * While there is more than fits, each response stops after each part, and they go on in the order in which they stopped.
+ * While there is more than fits, each reader stops after each part, and they go on in the order in which they stopped.
  */
 
-/** Time for responses in one iteration, in milliseconds; a process that accepts 1000 connections then needs few seconds for it. */
-const maxReadMsPerIteration = 4;
-
 export abstract class PacedReader {
 	/** Stops reading until `releaseRead`. */
 	abstract stopRead(): void;
@@ -27,10 +25,12 @@
 	#batchSize = 1;
 	/** Readers that wait, in the order in which they go on. */
 	readonly #stopped = new Set<PacedReader>();
+	readonly #maxMsPerIteration: number;
 	readonly #scheduleIterationEnd: (handleEnd: () => void) => void;
 
 	/** `scheduleIterationEnd` runs the callback when all input of this iteration has been handled. */
-	constructor(scheduleIterationEnd: (handleEnd: () => void) => void) {
+	constructor(maxMsPerIteration: number, scheduleIterationEnd: (handleEnd: () => void) => void) {
+		this.#maxMsPerIteration = maxMsPerIteration;
 		this.#scheduleIterationEnd = scheduleIterationEnd;
 	}
 
@@ -43,7 +43,7 @@
 	recordRead(reader: PacedReader, now: number): void {
 		this.#startedAt ??= now;
 		this.#schedule();
-		if (now - this.#startedAt < maxReadMsPerIteration) {
+		if (now - this.#startedAt < this.#maxMsPerIteration) {
 			this.#partCount++;
 		} else {
 			this.#isOverTime = true;
--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -5,7 +5,9 @@
  * takes its turn between two polls for input, so that other connections are served meanwhile.
  *
  * A turn is bounded in time as well, since a block can consist of thousands of empty lines or small chunks: the rest of the block
- * waits for another turn, and the connection is not read meanwhile.
+ * waits for another turn, and the connection is not read meanwhile. While all connections whose requests are incomplete
+ * send more than fits into an iteration of the event loop, they are read in turn (`ReadPacing`). The first
+ * bytes of a connection never wait, so that ordinary requests are received beside them.
  *
  * A connection whose caller does not pipeline passes its bytes on unchanged. One that has read far enough ahead is not read
  * any further; the end of such a connection is read late, and `tryReadOn` looks for it. If all connections together hold too much,
@@ -15,6 +17,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {closeForSending} from './connection-closer.js';
+import {PacedReader, type ReadPacing} from './read-pacing.js';
 import {findPartEnd} from './request-parts.js';
 import {startReading, stopReading} from './socket-handle.js';
 
@@ -38,14 +41,15 @@
 export type RequestTurnsOptions = {
 	readonly limits: RequestTurnsLimits;
 	readonly readClock: () => number;
+	/** Divides the time for requests that have not arrived completely among the connections. */
+	readonly pacing: ReadPacing;
 	/** Called when a connection loses the requests that wait. */
 	readonly onDropped: (droppedBytes: number) => void;
 };
 
-type Connection = {
-	readonly socket: Socket;
-	/** Passes bytes to the parser. */
-	readonly parse: (bytes: Uint8Array) => void;
+type ReadControl = {readonly stop: (connection: Connection) => void; readonly release: (connection: Connection) => void};
+
+class Connection extends PacedReader {
 	/** The latest request and its response. */
 	request?: IncomingMessage;
 	response?: ServerResponse;
@@ -53,22 +57,50 @@
 	bodyBytesLeft?: number;
 	/** The response whose end starts the next turn. */
 	awaitedResponse?: ServerResponse;
-	waitingBlocks: Uint8Array[];
-	waitingBytes: number;
-	/** True if it is not read any further because of its waiting bytes. */
-	isHeldBack: boolean;
+	waitingBlocks: Uint8Array[] = [];
+	waitingBytes = 0;
+	/** True if it is not read any further, because of its waiting bytes or its pacing. */
+	isHeldBack = false;
+	/** True while its pacing lets it wait for a later iteration of the event loop. */
+	isStopped = false;
 	/** Time from which on its end may not have been read, although it has arrived. */
 	unreadSince?: number;
 	/** True while it is read beyond its limit to find its end. */
-	isReadingOn: boolean;
+	isReadingOn = false;
 	/** True if the requests that waited have been dropped. */
-	isDropped: boolean;
-};
+	isDropped = false;
+	readonly #control: ReadControl;
+
+	/** `parse` passes bytes to the parser. */
+	constructor(readonly socket: Socket, readonly parse: (bytes: Uint8Array) => void, control: ReadControl) {
+		super();
+		this.#control = control;
+	}
+
+	override stopRead(): void {
+		this.isStopped = true;
+		this.#control.stop(this);
+	}
+
+	override releaseRead(): void {
+		this.isStopped = false;
+		this.#control.release(this);
+	}
+}
 
 export class RequestTurns {
 	/** Size of the waiting bytes of all connections. */
 	waitingBytes = 0;
 	readonly #options: RequestTurnsOptions;
+	readonly #readControl: ReadControl = {
+		stop: connection => {
+			this.#holdBack(connection);
+		},
+		release: connection => {
+			this.#tryReadAgain(connection);
+		},
+	};
+
 	/** In the order of their latest requests; those without any in order of arrival. */
 	readonly #connections = new Map<Socket, Connection>();
 	/** Connections that have waiting bytes. */
@@ -91,6 +123,11 @@
 		});
 	}
 
+	/** Number of connections that wait for a later iteration of the event loop because others have more to send than fits. */
+	get pacedCount(): number {
+		return this.#options.pacing.stoppedCount;
+	}
+
 	get connectionCount(): number {
 		return this.#connections.size;
 	}
@@ -161,9 +198,7 @@
 			return;
 		}
 
-		const connection: Connection = {
-			socket, parse, waitingBlocks: [], waitingBytes: 0, isHeldBack: false, isReadingOn: false, isDropped: false,
-		};
+		const connection = new Connection(socket, parse, this.#readControl);
 		this.#connections.set(socket, connection);
 		socket.removeListener('data', parse);
 		socket.on('data', (bytes: Uint8Array) => {
@@ -175,6 +210,7 @@
 		socket.once('close', () => {
 			this.#connections.delete(socket);
 			this.#scheduled.delete(connection);
+			this.#options.pacing.removeReader(connection);
 			this.#clearWaiting(connection);
 		});
 	}
@@ -186,8 +222,14 @@
 
 		if (connection.waitingBytes > 0 || isBusy(connection)) {
 			this.#hold(connection, bytes);
-		} else {
-			this.#pass(connection, bytes);
+			return;
+		}
+
+		this.#pass(connection, bytes);
+		// While a complete request waits for its response, the end of its connection has to be read.
+		if (connection.waitingBytes === 0 && !isBusy(connection)) {
+			const {pacing, readClock} = this.#options;
+			pacing.recordRead(connection, readClock());
 		}
 	}
 
@@ -309,9 +351,10 @@
 		this.#tryReadAgain(connection);
 	}
 
-	/** Reads a connection that was held back if its waiting bytes allow it. */
+	/** Reads a connection again that was held back, unless its waiting bytes or its pacing hold it back. */
 	#tryReadAgain(connection: Connection): void {
-		if (connection.isHeldBack && !connection.isDropped && !this.#hasReadEnough(connection)) {
+		const {isHeldBack, isStopped, isDropped} = connection;
+		if (isHeldBack && !isStopped && !isDropped && !this.#hasReadEnough(connection)) {
 			this.#startReading(connection);
 		}
 	}
--- a/packages/gateway/src/test/exchange-fixture.ts
+++ b/packages/gateway/src/test/exchange-fixture.ts
@@ -206,7 +206,7 @@
 				this.#onEvent?.();
 			},
 			readClock: readMonotonicMs,
-			pacing: new ReadPacing(setImmediate),
+			pacing: new ReadPacing(4, setImmediate),
 		});
 	}
 
--- a/packages/gateway/src/test/read-pacing_test.ts
+++ b/packages/gateway/src/test/read-pacing_test.ts
@@ -5,6 +5,9 @@
 import {test} from 'node:test';
 import {PacedReader, ReadPacing} from '../lib/read-pacing.js';
 
+/** Time for reading in one iteration, in milliseconds. */
+const maxMsPerIteration = 4;
+
 /** Readers whose targets always have more to send; each part takes `partMs`. */
 class Fixture {
 	now = 0;
@@ -15,7 +18,7 @@
 
 	constructor(readerCount: number, partMs: number) {
 		this.#partMs = partMs;
-		this.pacing = new ReadPacing(handleEnd => {
+		this.pacing = new ReadPacing(maxMsPerIteration, handleEnd => {
 			assert.equal(this.#handleEnd, undefined, 'the end of an iteration is scheduled once');
 			this.#handleEnd = handleEnd;
 		});
