Gateway: empty lines without end are refused like a head that is too large

What callers saw: nothing; a connection that sends empty lines was read and ignored for ever, and kept its place among the connections. Cause: the parser counts only the names and values of a head against its limit, and skips empty lines before a request. All servers now refuse what is no request in the same way; the ready and control addresses closed such connections at once, which resets them. `unreadable-request` names the server. A request behind 100 empty lines is received.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -14,7 +14,7 @@
 	BodyCollector, type BufferBudget, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {CallerExchange, createFailureBody} from './caller-exchange.js';
-import {closeForSending, ConnectionCloser} from './connection-closer.js';
+import {ConnectionCloser} from './connection-closer.js';
 import type {Result} from 'neverthrow';
 import type {CallerProtocol, HeadFault} from './protocol.js';
 import {LimitedServer, type ServerLimits} from './limited-server.js';
@@ -105,18 +105,6 @@
 		});
 		this.#server = this.#limitedServer.server;
 		this.#connectionCloser = new ConnectionCloser(this.#server);
-		this.#server.on('clientError', (error: Error & {code?: string}, socket) => {
-			if (error.code !== 'ECONNRESET') {
-				options.log('unreadable-request', {detail: error.code ?? error.message});
-			}
-
-			if (socket.writable && error.code !== 'ECONNRESET') {
-				socket.write(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-				closeForSending(socket as Socket);
-			} else {
-				socket.destroy();
-			}
-		});
 	}
 
 	async listen(address: SocketAddress, lifecycle: LifecycleManager): Promise<void> {
--- a/packages/gateway/src/lib/limited-server.ts
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -3,15 +3,23 @@
  * ahead, whatever their callers send.
  */
 import {
-	createServer, type IncomingMessage, type Server, type ServerOptions, type ServerResponse,
+	createServer, maxHeaderSize, type IncomingMessage, type Server, type ServerOptions, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import {readMonotonicMs} from '@sequoiatally/runtime';
+import {closeForSending} from './connection-closer.js';
 import {ReadPacing} from './read-pacing.js';
 import {RequestTurns, type RequestTurnsLimits} from './request-turns.js';
 
 /** Time for requests that are incomplete in one iteration of the event loop, in milliseconds; a process with a fifth of a core then accepts 500 connections in a few seconds. */
 const maxReadMsPerIteration = 1;
+/** Code of the parser's error for a head that is too large. */
+const headTooLargeCode = 'HPE_HEADER_OVERFLOW';
+/**
+ * Largest size of a head with the empty lines before it, as a multiple of the parser's limit, which counts only names and values. The
+ * documented limits of all callers are below the parser's.
+ */
+const headSizeMultiple = 2;
 
 export type ServerLimits = RequestTurnsLimits & {
 	/** Most connections that are open at a time. */
@@ -49,9 +57,22 @@
 			}
 		});
 		this.#turns = new RequestTurns(this.server, {
-			limits, readClock: readMonotonicMs, pacing: new ReadPacing(maxReadMsPerIteration, setImmediate), onDropped(droppedBytes) {
+			limits: {...limits, headBytes: (server.maxHeaderSize ?? maxHeaderSize) * headSizeMultiple},
+			readClock: readMonotonicMs,
+			pacing: new ReadPacing(maxReadMsPerIteration, setImmediate),
+			onDropped(droppedBytes) {
 				log('read-ahead-dropped', {server: name, droppedBytes, limitBytes: limits.bytes});
 			},
+			onHeadTooLarge: socket => {
+				this.#refuseUnreadable(socket, headTooLargeCode);
+			},
+		});
+		this.server.on('clientError', (error: Error & {code?: string}, socket) => {
+			if (error.code === 'ECONNRESET') {
+				socket.destroy();
+			} else {
+				this.#refuseUnreadable(socket as Socket, error.code ?? error.message);
+			}
 		});
 		this.server.on('connection', socket => {
 			options.onAccepted?.();
@@ -78,6 +99,18 @@
 		return this.#turns.tryReadOn(socket, now);
 	}
 
+	/** Answers bytes that are no request, and closes their connection. */
+	#refuseUnreadable(socket: Socket, detail: string): void {
+		const {name, log} = this.#options;
+		log('unreadable-request', {server: name, detail});
+		if (socket.writable) {
+			socket.write(`HTTP/1.1 ${detail === headTooLargeCode ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			closeForSending(socket);
+		} else {
+			socket.destroy();
+		}
+	}
+
 	/** Closes the most dispensable connection if there are too many. */
 	#limitConnections(newest: Socket): void {
 		const {name, limits, log} = this.#options;
--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -38,13 +38,18 @@
 	readonly bytes: number;
 };
 
+/** Limits of `RequestTurns`; `headBytes` is the largest size of a request's head with the empty lines before it. */
+type Limits = RequestTurnsLimits & {readonly headBytes: number};
+
 export type RequestTurnsOptions = {
-	readonly limits: RequestTurnsLimits;
+	readonly limits: Limits;
 	readonly readClock: () => number;
 	/** Divides the time for requests that have not arrived completely among the connections. */
 	readonly pacing: ReadPacing;
 	/** Called when a connection loses the requests that wait. */
 	readonly onDropped: (droppedBytes: number) => void;
+	/** Called when a head, with the empty lines before it, is too large; has to close the connection. */
+	readonly onHeadTooLarge: (socket: Socket) => void;
 };
 
 type ReadControl = {readonly stop: (connection: Connection) => void; readonly release: (connection: Connection) => void};
@@ -55,6 +60,8 @@
 	response?: ServerResponse;
 	/** Bytes of the body of the latest request that have not been passed on; `undefined` if it declares no length. */
 	bodyBytesLeft?: number;
+	/** Bytes that were passed on behind the latest request, of a head that is not complete and of empty lines. */
+	headBytes = 0;
 	/** The response whose end starts the next turn. */
 	awaitedResponse?: ServerResponse;
 	waitingBlocks: Uint8Array[] = [];
@@ -187,6 +194,7 @@
 			this.#connections.set(request.socket, connection);
 			connection.request = request;
 			connection.response = response;
+			connection.headBytes = 0;
 			connection.bodyBytesLeft = declaredLength === undefined ? undefined : Number(declaredLength);
 		}
 	}
@@ -250,12 +258,17 @@
 		let offset = 0;
 		while (offset < bytes.length && !isClosing(socket)) {
 			const {request: previous} = connection;
+			const isInHead = previous === undefined || previous.complete;
 			const end = findPartEnd(bytes, offset, findBodyBytesLeft(connection));
 			connection.parse(offset === 0 && end === bytes.length ? bytes : bytes.subarray(offset, end));
 			if (connection.request === previous && connection.bodyBytesLeft !== undefined) {
 				connection.bodyBytesLeft -= end - offset;
 			}
 
+			if (connection.request === previous && isInHead) {
+				this.#countHeadBytes(connection, end - offset);
+			}
+
 			offset = end;
 			const isTurnOver = readClock() - startedAt >= maxTurnMs;
 			if (offset < bytes.length && (isTurnOver || isBusy(connection) || socket.isPaused())) {
@@ -265,6 +278,15 @@
 		}
 	}
 
+	/** Counts bytes of a head that is not complete, and of the empty lines before it, of which the parser counts none. */
+	#countHeadBytes(connection: Connection, bytes: number): void {
+		const {limits, onHeadTooLarge} = this.#options;
+		connection.headBytes += bytes;
+		if (connection.headBytes > limits.headBytes && !isClosing(connection.socket)) {
+			onHeadTooLarge(connection.socket);
+		}
+	}
+
 	#hold(connection: Connection, bytes: Uint8Array): void {
 		const {socket, waitingBlocks} = connection;
 		if (isClosing(socket)) {
--- a/packages/gateway/src/test/request-turns_test.ts
+++ b/packages/gateway/src/test/request-turns_test.ts
@@ -202,6 +202,37 @@
 	assert.deepEqual(logged, []);
 });
 
+// Guards against a connection whose bytes are read and ignored without end.
+for (const lineEnd of ['\r\n', '\n']) {
+	for (const before of ['', usualRequest]) {
+		test(`empty lines (${JSON.stringify(lineEnd)}) beyond the limit for heads are refused with 431 behind ${before === '' ? 'nothing' : 'a request'}`, async () => {
+			const {open} = await startServer({}, async (request, response) => {
+				await receive(request, response);
+				response.end();
+			});
+			const socket = await open();
+			const answers = collectText(socket);
+			socket.write(before + lineEnd.repeat(100_000));
+			await waitUntil('it is refused', () => answers.isEnded);
+			assert.match(answers.text, /HTTP\/1.1 431 .*\r\nConnection: close\r\n/);
+			assert.equal(received.length, before === '' ? 0 : 1);
+			assert.deepEqual(logged, ['unreadable-request']);
+		});
+	}
+}
+
+test('a request behind a few empty lines and one with a large head are received', async () => {
+	const {open} = await startServer({}, async (request, response) => {
+		await receive(request, response);
+		response.end();
+	});
+	const socket = await open();
+	const answers = collectText(socket);
+	socket.write(`${'\r\n'.repeat(100)}${usualRequest}${'\r\n'.repeat(100)}GET /large HTTP/1.1\r\nHost: a\r\nX-Large: ${'x'.repeat(15_000)}\r\n\r\n`.repeat(20));
+	await waitUntil('all are answered', () => answers.text.split('HTTP/1.1 200').length === 41);
+	assert.deepEqual(logged, []);
+});
+
 // Guards against memory for requests that wait: the parser would create thousands of them from one block.
 test('a request is not parsed before the response to the one before it has been sent', async () => {
 	let count = 0;
