--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -52,8 +52,10 @@
 	readonly onHeadTooLarge: (socket: Socket) => void;
 };
 
+/** Stops and releases the reading of a connection for its pacing. */
 type ReadControl = {readonly stop: (connection: Connection) => void; readonly release: (connection: Connection) => void};
 
+/** What is known of a connection; `RequestTurns` decides about it. */
 class Connection extends PacedReader {
 	/** The latest request and its response. */
 	request?: IncomingMessage;
