Targets: a response whose head is not valid HTTP is lost, whatever the parser accepts

A name that Node.js itself refuses to write then failed in the middle of a delivery, which left an empty 200.

Ruled out: the project's own code changes no head, and undici's parser, which the router uses, is its own and follows no option of the process.

Change: the bytes of each response are checked before the parser reads them, interim heads included. An invalid head ends the exchange as lost: it proves nothing, not even that the request has not run.

Why it works: the check sees what the target sent, not what a parser made of it, and the same chunk is passed to the parser only after it; an exchange that has ended ignores what the parser still reports.

--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -24,6 +24,7 @@
 import {
 	findDeclaredLength, findForm, hasBody, isSelfDelimited, ResponseBody, type BodyListener,
 } from './response-body.js';
+import {checkResponseHeads} from './response-head-check.js';
 import {TargetActivity} from './target-activity.js';
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
@@ -184,6 +185,9 @@
 		});
 		// Without an agent, Node.js assumes that the connection closes after the response.
 		this.#request.shouldKeepAlive = true;
+		checkResponseHeads(this.#request, detail => {
+			this.#abort(this.#failureOutcome, detail);
+		});
 		this.#request.on('information', () => {
 			if (++this.#interimResponseCount > maxInterimResponses) {
 				this.#abort(this.#failureOutcome, 'too many interim responses');
@@ -337,6 +341,10 @@
 	}
 
 	#handleResponse(response: IncomingMessage): void {
+		if (this.#hasEnded) {
+			return;
+		}
+
 		const {statusCode = 0, headers} = response;
 		this.#response = response;
 		const responseHead = this.#options.protocol.readResponseHead(statusCode, headers, this.#caller.head.requestId);
--- a/packages/gateway/src/test/response-end_test.ts
+++ b/packages/gateway/src/test/response-end_test.ts
@@ -26,7 +26,7 @@
 	let start = 0;
 	for (const end of [...cuts, text.length]) {
 		if (end > start && !socket.destroyed) {
-			socket.write(text.slice(start, end));
+			socket.write(text.slice(start, end), 'latin1');
 			await delay(2);
 		}
 
@@ -172,3 +172,56 @@
 		}
 	}
 });
+
+// Guards against bytes that are no valid response of HTTP and reach a caller as one.
+test('a response with a control byte in its status line loses the request', async () => {
+	for (const isStream of [false, true]) {
+		fixture.nextOpenId = 1;
+		await fixture.startTarget((socket, requestId) => {
+			socket.write(createResponse(requestId, isStream ? events : body).replace('OK', 'O\u0001K'));
+		});
+		const caller = fixture.startSend({isStream});
+		await fixture.assertOutcome(sendOutcome.lost);
+		assert.equal(caller.deliveryCount, 0);
+		await fixture.close();
+	}
+});
+
+/** Bytes that no field name of HTTP may hold, other than the colon that ends it. */
+const invalidNameBytes = Array.from({length: 256}, (_, byte) => String.fromCodePoint(byte)).filter(byte => !/[\w!#$%&'*+.^`|~:-]/.test(byte));
+
+// Guards against MIXED: a line that is no field reaches a caller in the value before it, or as a part of the body.
+test('a response with a field name that holds an invalid byte loses the request, wherever it stands and is cut into segments', async () => {
+	const drawn = fc.record({
+		byte: fc.constantFrom(...invalidNameBytes),
+		name: fc.constantFrom('x-odd', 'id', 'content-length', 'transfer-encoding'),
+		offset: fc.nat({max: 20}),
+		place: fc.nat({max: 3}),
+		isInterim: fc.boolean(),
+		isStream: fc.boolean(),
+		cuts: fc.uniqueArray(fc.nat({max: 120}), {maxLength: 3}),
+	});
+	await fc.assert(fc.asyncProperty(drawn, async ({byte, name, offset, place, isInterim, isStream, cuts}) => {
+		// Closes what a failed run has left.
+		await fixture.close();
+		fixture.nextOpenId = 1;
+		const content = isStream ? events : body;
+		const at = Math.min(offset, name.length);
+		const fields = ['id: 1', 'limit: 3', `content-length: ${content.length}`];
+		const oddField = `${name.slice(0, at)}${byte}${name.slice(at)}: 3`;
+		const createHead = (status: string, lines: readonly string[]) => `HTTP/1.1 ${status} Odd\r\n${lines.map(line => `${line}\r\n`).join('')}\r\n`;
+		const text = isInterim ? createHead('103', [oddField]) + createHead('200', fields) : createHead('200', fields.toSpliced(place, 0, oddField));
+		await fixture.startTarget(async socket => {
+			await writeSegments(socket, text + content, cuts.toSorted((a, b) => a - b));
+		});
+		const caller = fixture.startSend({isStream});
+		const {outcome, detail, targetReport} = await fixture.waitForEnd();
+		await delay(1);
+		assert.equal(outcome, sendOutcome.lost, oddField);
+		// The parser of another release of Node.js may accept the head.
+		assert.match(detail, /^the head of the response is invalid/);
+		assert.equal(targetReport, undefined, oddField);
+		assert.equal(caller.deliveryCount, 0, oddField);
+		assert.equal(caller.received, '', oddField);
+	}), {seed: 62, numRuns: 300});
+});
