Peers and store: a response whose head is not valid HTTP is not used

A call then took its message, and the store client its facts, from bytes that were no response of HTTP.

Cause: the same as for targets; both read whole responses with readResponse, where only the parser of Node.js checked the head.

Change: readResponse checks the head, as for targets. Probes are left as they are: any bytes that a target sends show that it can be reached, and its health is not read from them.

--- a/packages/gateway/src/lib/read-response.ts
+++ b/packages/gateway/src/lib/read-response.ts
@@ -7,12 +7,13 @@
 import {err, ok, type Result} from 'neverthrow';
 import {ByteCollector} from './byte-collector.js';
 import {ResponseBody} from './response-body.js';
+import {checkResponseHeads} from './response-head-check.js';
 
 /** A response that arrived as a whole. */
 export type WholeResponse = {readonly head: IncomingMessage; readonly body: Uint8Array};
 
 export const responseFaultKind = {
-	/** No response, or one that broke off. */
+	/** No response, one that broke off, or one whose head is invalid. */
 	lost: 'response-lost',
 	/** More bytes than the caller accepts. */
 	tooLarge: 'response-too-large',
@@ -28,6 +29,9 @@
 			request.destroy();
 		};
 
+		checkResponseHeads(request, detail => {
+			fail(responseFaultKind.lost, detail);
+		});
 		request.on('error', error => {
 			// Behind a complete response, only bytes that do not belong to it can cause an error.
 			if (!head?.complete) {
--- a/packages/gateway/src/test/peer-transport_test.ts
+++ b/packages/gateway/src/test/peer-transport_test.ts
@@ -112,6 +112,27 @@
 	}
 });
 
+async function assertCallFails(answer: string): Promise<void> {
+	events = [];
+	handle = socket => {
+		socket.write(answer);
+	};
+
+	const [event, ...others] = await callPeer();
+	assert.equal(event?.kind, eventKind.peerFailed, answer);
+	assert.deepEqual(others, []);
+}
+
+// Guards against messages that are taken from bytes that are no valid response of HTTP.
+test('a call to a peer fails if the head of the answer is invalid', async () => {
+	const answer = createAnswer();
+	await assertCallFails(answer.replace('OK', 'O\u0001K'));
+	for (const line of ['x odd: 3', ' x-odd: 3', '\rx-odd: 3', 'x\0odd: 3']) {
+		await assertCallFails(answer.replace('\r\n', `\r\n${line}\r\n`));
+		await assertCallFails(answer.replace('\r\n\r\n', `\r\n${line}\r\n\r\n`));
+	}
+});
+
 test('a call to a peer that sends bytes without end fails, and its connection is closed', async () => {
 	handle = socket => {
 		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 900000000\r\n\r\n');
