Peers: a message is taken only from a response with status 200

Nothing of a response with an invalid status can be relied on, and a peer answers a call only with 200.

Cause: the body was parsed without a look at the status. A peer of this project answers other statuses with a body that is no message, so only another process at its address could cause this.

Evidence: peer-transport_test, "fails if the answer states another status than 200", failed before: the message in a response with status 000 was passed on.

--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -142,7 +142,8 @@
 		});
 		request.end(body);
 		const response = await readResponse(request, maxMessageBytes);
-		return response.mapErr(({detail}) => detail).andThen(({head, body}) => parseBody(head, body, parse));
+		return response.mapErr(({detail}) => detail).andThen(({head, body}) =>
+			head.statusCode === 200 ? parseBody(head, body, parse) : err(`status ${head.statusCode}`));
 	}
 
 	async #handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/gateway/src/test/peer-transport_test.ts
+++ b/packages/gateway/src/test/peer-transport_test.ts
@@ -133,6 +133,13 @@
 	}
 });
 
+// Guards against messages that are taken from a response that states a failure, or none of the statuses of HTTP.
+test('a call to a peer fails if the answer states another status than 200', async () => {
+	for (const status of ['000', '099', '500', '600']) {
+		await assertCallFails(createAnswer().replace('200', status));
+	}
+});
+
 test('a call to a peer that sends bytes without end fails, and its connection is closed', async () => {
 	handle = socket => {
 		socket.write('HTTP/1.1 200 OK\r\ncontent-length: 900000000\r\n\r\n');
