Router: an answer whose status is not one of HTTP is not delivered

Cause: undici reads statuses up to 999, but a Response object accepts only 200 to 599. The request was marked as finished, and the answer kept, before the creation of the response failed; a finished request is not refused any more. The load that such an answer states was used as well.

Evidence: target-client_test, "an answer with an invalid status is not delivered, and nothing that it states is used", failed before with 600 and with 999: the answer was kept.

Change: the status is checked before anything of the answer is used; the attempt ends as unknown, since the request may have run. The same check covers probes.

--- a/packages/router/src/lib/target-client.ts
+++ b/packages/router/src/lib/target-client.ts
@@ -23,6 +23,10 @@
 /** Largest plain answer that is accepted from a target. */
 const maxPlainAnswerBytes = 8 * 1024 * 1024;
 
+/** Statuses that HTTP allows for final answers; undici also reads larger ones. */
+const minStatus = 200;
+const maxStatus = 599;
+
 /** Codes of errors that occur before a connection is established. */
 const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
@@ -96,6 +100,7 @@
 		const askedAt = this.#readClock();
 		try {
 			const response = await request(`http://${address}${loadReportPath}`, {dispatcher: this.#agent, signal: AbortSignal.timeout(probeTimeoutMs)});
+			checkStatus(response);
 			this.#reportLoad(targetId, response, askedAt);
 			await response.body.dump();
 		} catch {
@@ -138,6 +143,7 @@
 			dispatcher: agent,
 			signal,
 		});
+		checkStatus(response);
 		this.#reportLoad(effect.targetId, response, askedAt);
 		checkRequestId(response, content.requestId);
 		if (response.statusCode === 503 && response.headers['x-not-started'] === 'true') {
@@ -189,6 +195,15 @@
 	body.destroy();
 }
 
+/** Discards an answer whose status is not one of HTTP: nothing that it states can be relied on, and no caller can get it. */
+function checkStatus(response: Dispatcher.ResponseData): void {
+	const {statusCode} = response;
+	if (statusCode < minStatus || statusCode > maxStatus) {
+		destroyBody(response);
+		throw new AttemptError({outcome: attemptOutcome.unknown, detail: `the answer has the invalid status ${statusCode}`});
+	}
+}
+
 /** Discards an answer that does not echo the request's identifier, and closes its connection. */
 function checkRequestId(response: Dispatcher.ResponseData, requestId: string): void {
 	if (response.headers[requestIdHeader] !== requestId) {
--- a/packages/router/src/test/target-client_test.ts
+++ b/packages/router/src/test/target-client_test.ts
@@ -129,6 +129,34 @@
 	}
 });
 
+/** Runs an attempt whose answer `change` makes invalid; nothing of it may reach the caller. */
+async function assertNotDelivered(change: (answer: string) => string): Promise<void> {
+	const createAnswer = forms[0]![1];
+	target.respond = (socket, requestId) => {
+		socket.end(change(createAnswer(requestId)), 'latin1');
+	};
+
+	const events: Event[] = [];
+	const head = change(createAnswer('r')).slice(0, 100);
+	assert.equal(await runAttempt(createClient(events)), undefined, head);
+	assert.deepEqual(events.map(event => event.kind === eventKind.attemptEnded && event.outcome), [attemptOutcome.unknown], head);
+}
+
+// Guards against callers that get no response: no response object can be created with such a status.
+test('an answer with an invalid status is not delivered, and nothing that it states is used', async () => {
+	for (const status of ['000', '099', '600', '999', '1000', '2x0', '']) {
+		await assertNotDelivered(answer => answer.replace('200', status).replace('\r\n', '\r\nx-engine-boot: b\r\n'));
+	}
+});
+
+// Guards against MIXED: a line that is no field reaches a caller in the value before it, or as a part of the body.
+test('an answer with a line that is no field is not delivered', async () => {
+	for (const line of [' x-odd: 3', '\tx-odd: 3', 'x odd: 3', 'x-odd : 3', '\rx-odd: 3', 'x\rodd: 3', 'x\0odd: 3', '\u0001x-odd: 3', 'x-odd\u007F: 3', 'x-odd: a\0b']) {
+		await assertNotDelivered(answer => answer.replace('\r\n', `\r\n${line}\r\n`));
+		await assertNotDelivered(answer => answer.replace('\r\n\r\n', `\r\n${line}\r\n\r\n`));
+	}
+});
+
 // Guards against answers that are refused because of how they arrive: blocks for small parts take more memory than their bytes.
 test('an answer of just less than the size limit is delivered although it arrives in tiny parts', async () => {
 	const large = 'x'.repeat((8 * 1024 * 1024) - 1);
