Targets: a response whose status line names another version than HTTP/1 is lost

What callers saw: a status line with HTTP/0.9 or HTTP/2.0 reached them as 200, with what was read as its body.

Cause: the parser of Node.js accepts both versions and then reads the bytes as HTTP/1.1. Neither can be right: 0.9 has no status line, and 2.0 is not sent as text.

Evidence: response-end_test, "with another version than HTTP/1, loses the request", failed before with HTTP/0.9 (complete instead of lost; the test ends there); node:http alone reads HTTP/2.0 as 200 too.

Change: the check of heads accepts major version 1 only, for targets, peers and the store.

--- a/packages/gateway/src/lib/response-head-check.ts
+++ b/packages/gateway/src/lib/response-head-check.ts
@@ -21,7 +21,7 @@
 /** Longest part of a line that a fault quotes, in characters. */
 const maxQuotedLength = 40;
 
-const statusLinePattern = /^HTTP\/\d\.\d (\d{3})(?: .*)?$/;
+const statusLinePattern = /^HTTP\/1\.\d (\d{3})(?: .*)?$/;
 
 const nameBytes = createByteSet(byte => /[\w!#$%&'*+.^`|~-]/.test(String.fromCodePoint(byte)));
 /** Bytes of values and of status lines. */
--- a/packages/gateway/src/test/response-end_test.ts
+++ b/packages/gateway/src/test/response-end_test.ts
@@ -174,16 +174,18 @@
 });
 
 // Guards against bytes that are no valid response of HTTP and reach a caller as one.
-test('a response with a control byte in its status line loses the request', async () => {
-	for (const isStream of [false, true]) {
-		fixture.nextOpenId = 1;
-		await fixture.startTarget((socket, requestId) => {
-			socket.write(createResponse(requestId, isStream ? events : body).replace('OK', 'O\u0001K'));
-		});
-		const caller = fixture.startSend({isStream});
-		await fixture.assertOutcome(sendOutcome.lost);
-		assert.equal(caller.deliveryCount, 0);
-		await fixture.close();
+test('a response with a control byte in its status line, or with another version than HTTP/1, loses the request', async () => {
+	for (const statusLine of ['HTTP/1.1 200 O\u0001K', 'HTTP/0.9 200 OK', 'HTTP/2.0 200 OK']) {
+		for (const isStream of [false, true]) {
+			fixture.nextOpenId = 1;
+			await fixture.startTarget((socket, requestId) => {
+				socket.write(createResponse(requestId, isStream ? events : body).replace('HTTP/1.1 200 OK', statusLine));
+			});
+			const caller = fixture.startSend({isStream});
+			await fixture.assertOutcome(sendOutcome.lost);
+			assert.equal(caller.deliveryCount, 0);
+			await fixture.close();
+		}
 	}
 });
 
--- a/packages/gateway/src/test/response-head-check_test.ts
+++ b/packages/gateway/src/test/response-head-check_test.ts
@@ -55,6 +55,8 @@
 		'HTTP/1.1  200 OK\r\n',
 		'HTTP/1.1 200\tOK\r\n',
 		'HTTP/1.1 200 O\u0001K',
+		'HTTP/0.9 200 OK\r\n',
+		'HTTP/2.0 200 OK\r\n',
 		'HTTP/1.1 200 OK\n',
 		'HTTP/1.1 200 OK\r\r',
 		'HTTP/1.1 200 OK\r\na: b\n',
