--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -4,9 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {deflateSync, inflateSync} from 'node:zlib';
-import {
-	Agent, request as startRequest, type IncomingMessage, type ServerResponse,
-} from 'node:http';
+import {Agent, type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	eventKind, type CallPeerEffect, type CallStreamPeerEffect, type Event, type PeerMessage, type StreamMessage,
 } from '@sequoiatally/dispatch';
@@ -20,6 +18,7 @@
 import {parsePeerMessage, parseStreamMessage} from './parse-peer-message.js';
 import {readResponse} from './read-response.js';
 import {isRelayRequest} from './relay-headers.js';
+import {startStrictRequest} from './strict-request.js';
 
 const peerPath = '/peers';
 const streamPath = '/streams';
@@ -132,7 +131,7 @@
 			return err('invalid peer address');
 		}
 
-		const request = startRequest({
+		const request = startStrictRequest({
 			agent: path === streamPath ? this.#streamAgent : this.#agent,
 			...socketAddress,
 			method: 'POST',
--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -3,7 +3,7 @@
  * more than the exchange proves, and only the target's response to this request
  * is forwarded to the caller.
  */
-import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import {
 	eventKind, sendOutcome, type Event, type RelayOrigin, type SendEffect, type SendOutcome, type TargetReport,
 } from '@sequoiatally/dispatch';
@@ -25,6 +25,7 @@
 	findDeclaredLength, findForm, hasBody, isSelfDelimited, ResponseBody, type BodyListener,
 } from './response-body.js';
 import {checkResponseHeads} from './response-head-check.js';
+import {startStrictRequest} from './strict-request.js';
 import {TargetActivity} from './target-activity.js';
 
 /** Time limit for opening a connection, in milliseconds: many round trips of the longest path, but less than the retransmission timeout of a lost SYN. */
@@ -176,7 +177,7 @@
 			});
 		}
 
-		this.#request = startRequest({
+		this.#request = startStrictRequest({
 			createConnection: () => socket,
 			method: request.method,
 			path: request.url,
--- a/packages/gateway/src/lib/target-prober.ts
+++ b/packages/gateway/src/lib/target-prober.ts
@@ -3,11 +3,11 @@
  * costs little over a connection of its own. Any response counts, also an error; an open
  * connection alone does not, since a proxy may have accepted it.
  */
-import {request as startRequest} from 'node:http';
 import {connect} from 'node:net';
 import {probeResult, type ProbeTargetEffect, type TargetProbedEvent} from '@sequoiatally/dispatch';
 import {parseAddress, type LifecycleManager} from '@sequoiatally/runtime';
 import type {TargetProtocol} from './protocol.js';
+import {startStrictRequest} from './strict-request.js';
 
 /** Time limits for opening the connection, and for the response after that, in milliseconds. */
 const connectTimeoutMs = 300;
@@ -38,7 +38,7 @@
 		const startedAt = this.#readClock();
 		const {host, port} = parseAddress(address)!;
 		const socket = connect({host, port, noDelay: true});
-		const request = startRequest({
+		const request = startStrictRequest({
 			createConnection: () => socket, method: 'GET', path: path ?? '/', headers: this.#protocol.createProbeHeaders(targetId), setHost: false,
 		});
 		let hasOpened = false;
--- a/packages/gateway/src/test/response-head-check_test.ts
+++ b/packages/gateway/src/test/response-head-check_test.ts
@@ -3,6 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
+import {validateHeaderName, validateHeaderValue} from 'node:http';
 import {test} from 'node:test';
 import {ResponseHeadCheck} from '../lib/response-head-check.js';
 
@@ -84,3 +85,17 @@
 		}
 	}
 });
+
+// Guards against responses that fail while they are written to their callers.
+test('Node.js writes each byte that a field may hold', () => {
+	for (let byte = 0; byte < 256; byte++) {
+		const character = String.fromCodePoint(byte);
+		const field = `a${character}: b${character}`;
+		for (const check of checkText(`HTTP/1.1 200 OK\r\n${field}\r\n\r\n`)) {
+			if (check.fault === undefined && character !== ':') {
+				validateHeaderName(`a${character}`);
+				validateHeaderValue('a', `b${character}`);
+			}
+		}
+	}
+});
