--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -250,6 +250,8 @@
 			zone: this.#settings.zone,
 			bounds: this.#settings.bounds,
 			seeds: this.#settings.seedAddresses,
+			nodeVersion: process.versions.node,
+			httpParserVersion: process.versions.llhttp,
 			startCpuMs: Math.round((user + system) / 1000),
 			residentMb: Math.round(process.memoryUsage.rss() / (1024 * 1024)),
 		});
