--- a/packages/gateway/src/test/response-end_test.ts
+++ b/packages/gateway/src/test/response-end_test.ts
@@ -204,7 +204,7 @@
 		cuts: fc.uniqueArray(fc.nat({max: 120}), {maxLength: 3}),
 	});
 	await fc.assert(fc.asyncProperty(drawn, async ({byte, name, offset, place, isInterim, isStream, cuts}) => {
-		// Closes what a failed run has left.
+		// The run before is still open; one that failed would otherwise keep the process alive.
 		await fixture.close();
 		fixture.nextOpenId = 1;
 		const content = isStream ? events : body;
