Gateway: a request that waited for a turn after a pause is not sent for a caller that disconnected

What targets saw: after a pause of the gateway's process, a request whose caller had disconnected 700 ms before was sent (GONE).

Cause: the end of a connection is read in the poll after the one that reads the request before it. A request that takes more than 1 ms to parse waits for another turn, and its connection is not read meanwhile. Its end counted as unknown from that moment on, not from the last poll before the pause. By the time of its turn, other polls had been sampled and the turn had been short, so that the request was sent at once.

A connection that is held back now keeps the time up to which ends were known then. The limit is 150 instead of 100 ms, since this time is up to 50 ms older than the moment while the event loop keeps up; 300 ms for a new connection to the target are left of the 500.

--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -15,6 +15,7 @@
 } from '@sequoiatally/runtime';
 import {CallerExchange, createFailureBody} from './caller-exchange.js';
 import {ConnectionCloser} from './connection-closer.js';
+import type {DisconnectMonitor} from './disconnect-monitor.js';
 import type {Result} from 'neverthrow';
 import type {CallerProtocol, HeadFault} from './protocol.js';
 import {LimitedServer, type ServerLimits} from './limited-server.js';
@@ -47,8 +48,8 @@
 	/** Bounds for connections and for what is read ahead on them. */
 	readonly limits: ServerLimits;
 	readonly emit: (event: Event) => void;
-	/** Called when a connection has been accepted. */
-	readonly onAccepted?: () => void;
+	/** Learns of accepted connections, and knows up to when their ends are known. */
+	readonly disconnects?: DisconnectMonitor;
 	/** Checks what the head alone decides; returns the time after which an incomplete body gives way to others, in milliseconds. */
 	readonly checkHead: (head: RequestHead, relayedFrom: RelayOrigin | undefined) => Result<number, Failure>;
 	/** Draws a number in [0, 1). */
@@ -97,7 +98,7 @@
 				maxHeaderSize: absoluteMaxHeadBytes, headersTimeout: headTimeoutMs, requestTimeout: requestTimeoutMs, keepAliveTimeout: 60_000, noDelay: true,
 			},
 			limits: options.limits,
-			onAccepted: options.onAccepted,
+			disconnects: options.disconnects,
 			handle: (request, response) => {
 				this.#handleInTurn(request, response);
 			},
--- a/packages/gateway/src/lib/disconnect-monitor.ts
+++ b/packages/gateway/src/lib/disconnect-monitor.ts
@@ -61,6 +61,11 @@
 		});
 	}
 
+	/** Time before which the end of each connection that is read has become known. */
+	get endsKnownUntil(): number {
+		return Math.min(this.#olderPollAt, this.#allAcceptedAt);
+	}
+
 	/** True if a caller may have disconnected too long ago without it being known. */
 	isBehind(now: number): boolean {
 		return this.#computeUnknownMs(now) > maxUnknownMs;
@@ -99,6 +104,6 @@
 	}
 
 	#computeUnknownMs(now: number): number {
-		return now - Math.min(this.#olderPollAt, this.#allAcceptedAt);
+		return now - this.endsKnownUntil;
 	}
 }
--- a/packages/gateway/src/lib/gateway.ts
+++ b/packages/gateway/src/lib/gateway.ts
@@ -156,10 +156,6 @@
 				event, bodyBytes: bufferBudget.bodyBytes, bodyBytesLimit: bufferBudget.bodyBytesLimit, open: this.#callers.openExchanges.size,
 			});
 		});
-		const onAccepted = () => {
-			this.#disconnects.recordAccepted();
-		};
-
 		const pool = new ConnectionPool(readMonotonicMs, lifecycle);
 		this.#pool = pool;
 		this.#prober = new TargetProber(protocols.targets, readMonotonicMs, lifecycle);
@@ -168,7 +164,7 @@
 			bufferBudget,
 			limits: this.#serverShares.callers,
 			random: Math.random,
-			onAccepted,
+			disconnects: this.#disconnects,
 			checkHead: (head, relayedFrom) => checkHead(this.state, {...head, relayedFrom}, readMonotonicMs()),
 			emit,
 			log,
@@ -214,7 +210,7 @@
 			handleRelayed: (request, response) => {
 				this.#callers.handleRelayed(request, response);
 			},
-			onAccepted,
+			disconnects: this.#disconnects,
 			renderMetrics: async () => this.#metrics.render(),
 			log,
 		}, lifecycle);
--- a/packages/gateway/src/lib/limited-server.ts
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -8,6 +8,7 @@
 import type {Socket} from 'node:net';
 import {readMonotonicMs} from '@sequoiatally/runtime';
 import {closeForSending} from './connection-closer.js';
+import type {DisconnectMonitor} from './disconnect-monitor.js';
 import {ReadPacing} from './read-pacing.js';
 import {RequestTurns, type RequestTurnsLimits} from './request-turns.js';
 
@@ -32,8 +33,8 @@
 	readonly server: ServerOptions;
 	readonly limits: ServerLimits;
 	readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
-	/** Called when a connection has been accepted. */
-	readonly onAccepted?: () => void;
+	/** Learns of accepted connections. Without one, the ends of connections that are read count as known. */
+	readonly disconnects?: DisconnectMonitor;
 	/** Writes a log line. */
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 };
@@ -59,6 +60,7 @@
 		this.#turns = new RequestTurns(this.server, {
 			limits: {...limits, headBytes: (server.maxHeaderSize ?? maxHeaderSize) * headSizeMultiple},
 			readClock: readMonotonicMs,
+			readEndsKnownUntil: () => options.disconnects?.endsKnownUntil ?? readMonotonicMs(),
 			pacing: new ReadPacing(maxReadMsPerIteration, setImmediate),
 			onDropped(droppedBytes) {
 				log('read-ahead-dropped', {server: name, droppedBytes, limitBytes: limits.bytes});
@@ -75,7 +77,7 @@
 			}
 		});
 		this.server.on('connection', socket => {
-			options.onAccepted?.();
+			options.disconnects?.recordAccepted();
 			this.#limitConnections(socket);
 		});
 	}
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -12,6 +12,7 @@
 	describeError, parseAddress, type LifecycleManager, type SocketAddress,
 } from '@sequoiatally/runtime';
 import {err, type Result} from 'neverthrow';
+import type {DisconnectMonitor} from './disconnect-monitor.js';
 import {LimitedServer, type ServerLimits} from './limited-server.js';
 import {listenOn} from './listen.js';
 import {MessageReader, PeerMessageError} from './message-reader.js';
@@ -42,8 +43,8 @@
 	readonly readClock: () => number;
 	/** Handles a request of a caller that a peer relays. */
 	readonly handleRelayed: (request: IncomingMessage, response: ServerResponse) => void;
-	/** Called when a connection has been accepted. */
-	readonly onAccepted?: () => void;
+	/** Learns of accepted connections, and knows up to when their ends are known. */
+	readonly disconnects?: DisconnectMonitor;
 	/** Renders the metrics page. */
 	readonly renderMetrics: () => Promise<string>;
 	/** Writes a log line. */
@@ -81,7 +82,7 @@
 			name,
 			server: {keepAliveTimeout: 10_000, maxHeaderSize: maxHeadBytes, noDelay: true},
 			limits,
-			onAccepted: this.#options.onAccepted,
+			disconnects: this.#options.disconnects,
 			handle: (request, response) => {
 				if (isRelayRequest(request.headers)) {
 					this.#options.handleRelayed(request, response);
--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -25,8 +25,8 @@
 const maxWaitingBlocks = 16;
 /** Time from which on a connection passes no further part to the parser between two polls for input, in milliseconds. */
 const maxTurnMs = 1;
-/** Time for which a connection may have been held back when a request of it is sent, in milliseconds; the connection to the target can take 300 ms more. */
-const maxUnreadMs = 100;
+/** Longest time for which the end of a connection may be unknown when a request of it is sent, in milliseconds; the connection to the target can take 300 ms more. */
+const maxUnreadMs = 150;
 /** Multiple of the bytes of a connection up to which it is read on, and part of the bytes of all connections up to which it is. */
 const readOnMultiple = 2;
 const readOnFraction = 0.5;
@@ -44,6 +44,8 @@
 export type RequestTurnsOptions = {
 	readonly limits: Limits;
 	readonly readClock: () => number;
+	/** Reads the time before which the end of each connection that is read has become known. */
+	readonly readEndsKnownUntil: () => number;
 	/** Divides the time for requests that have not arrived completely among the connections. */
 	readonly pacing: ReadPacing;
 	/** Called when a connection loses the requests that wait. */
@@ -72,7 +74,7 @@
 	isHeldBack = false;
 	/** True while its pacing lets it wait for a later iteration of the event loop. */
 	isStopped = false;
-	/** Time from which on its end may not have been read, although it has arrived. */
+	/** Time from which on its end may not have been read, although it has arrived: earlier than the time at which it was held back if the event loop lagged then. */
 	unreadSince?: number;
 	/** True while it is read beyond its limit to find its end. */
 	isReadingOn = false;
@@ -392,7 +394,7 @@
 
 	#holdBack(connection: Connection): void {
 		connection.isHeldBack = true;
-		connection.unreadSince ??= this.#options.readClock();
+		connection.unreadSince ??= this.#options.readEndsKnownUntil();
 		stopReading(connection.socket);
 	}
 
