Gateway: a large request that is read after a pause is not sent for a caller that disconnected

Cause: a send is safe once all connections have been polled twice, since the second poll reads the end behind what the first one has read. A body that fills several blocks takes more polls, and its end comes after all of them. A connection that was held back counted as read again after two polls in the same way.

The end of a connection now counts as unknown from its first full block on, and after it was held back, until a poll has read nothing from it. Smaller requests do nothing new; for larger ones there is one immediate per poll in which they are read.

--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -27,6 +27,8 @@
 const maxTurnMs = 1;
 /** Longest time for which the end of a connection may be unknown when a request of it is sent, in milliseconds; the connection to the target can take 300 ms more. */
 const maxUnreadMs = 150;
+/** Size of the block that Node.js reads from a connection at a time; one that is full may have more behind it. */
+const readBlockBytes = 64 * 1024;
 /** Multiple of the bytes of a connection up to which it is read on, and part of the bytes of all connections up to which it is. */
 const readOnMultiple = 2;
 const readOnFraction = 0.5;
@@ -76,6 +78,10 @@
 	isStopped = false;
 	/** Time from which on its end may not have been read, although it has arrived: earlier than the time at which it was held back if the event loop lagged then. */
 	unreadSince?: number;
+	/** True if it has been read since the last poll that was checked for its end. */
+	hasRead = false;
+	/** True while each poll is checked for its end. */
+	isFindingEnd = false;
 	/** True while it is read beyond its limit to find its end. */
 	isReadingOn = false;
 	/** True if the requests that waited have been dropped. */
@@ -179,11 +185,15 @@
 			&& this.waitingBytes + limits.bytesPerConnection <= limits.bytes * readOnFraction;
 		if (isHeldBack && (isDropped || hasRoom)) {
 			connection.isReadingOn = true;
-			this.#startReading(connection, () => {
-				connection.isReadingOn = false;
-				if (!isClosing(socket) && (connection.isDropped || connection.waitingBytes >= limits.bytesPerConnection)) {
-					this.#holdBack(connection);
-				}
+			this.#startReading(connection);
+			// The second poll reads the end behind what the first one has read.
+			setImmediate(() => {
+				setImmediate(() => {
+					connection.isReadingOn = false;
+					if (!isClosing(socket) && (connection.isDropped || connection.waitingBytes >= limits.bytesPerConnection)) {
+						this.#holdBack(connection);
+					}
+				});
 			});
 		}
 
@@ -232,6 +242,11 @@
 			return;
 		}
 
+		connection.hasRead = true;
+		if (bytes.length >= readBlockBytes) {
+			this.#findEnd(connection);
+		}
+
 		if (connection.waitingBytes > 0 || isBusy(connection)) {
 			this.#hold(connection, bytes);
 			return;
@@ -394,25 +409,46 @@
 
 	#holdBack(connection: Connection): void {
 		connection.isHeldBack = true;
-		connection.unreadSince ??= this.#options.readEndsKnownUntil();
+		this.#markUnread(connection);
 		stopReading(connection.socket);
 	}
 
-	/** Reads a connection again that was held back; calls `onRead` after two polls, of which the second has read the end behind what the first has read. */
-	#startReading(connection: Connection, onRead?: () => void): void {
+	/** Reads a connection again that was held back. */
+	#startReading(connection: Connection): void {
 		connection.isHeldBack = false;
 		startReading(connection.socket);
+		connection.hasRead = true;
+		this.#findEnd(connection);
+	}
+
+	/** Treats the end of a connection as unknown until a poll has read no bytes from it: the end can be behind several blocks. */
+	#findEnd(connection: Connection): void {
+		this.#markUnread(connection);
+		if (connection.isFindingEnd) {
+			return;
+		}
+
+		connection.isFindingEnd = true;
 		setImmediate(() => {
-			setImmediate(() => {
-				if (!connection.isHeldBack) {
-					connection.unreadSince = undefined;
-				}
+			connection.isFindingEnd = false;
+			// A connection that is held back goes on with this when it is read again.
+			if (connection.isHeldBack || isClosing(connection.socket)) {
+				return;
+			}
 
-				onRead?.();
-			});
+			if (connection.hasRead) {
+				connection.hasRead = false;
+				this.#findEnd(connection);
+			} else {
+				connection.unreadSince = undefined;
+			}
 		});
 	}
 
+	#markUnread(connection: Connection): void {
+		connection.unreadSince ??= this.#options.readEndsKnownUntil();
+	}
+
 	#clearWaiting(connection: Connection): void {
 		this.waitingBytes -= connection.waitingBytes;
 		connection.waitingBytes = 0;
