--- a/packages/gateway/src/lib/caller-server.ts
+++ b/packages/gateway/src/lib/caller-server.ts
@@ -48,7 +48,7 @@
 	/** Bounds for connections and for what is read ahead on them. */
 	readonly limits: ServerLimits;
 	readonly emit: (event: Event) => void;
-	/** Learns of accepted connections, and knows up to when their ends are known. */
+	/** Is told of accepted connections; tells up to when the ends of connections are known. */
 	readonly disconnects?: DisconnectMonitor;
 	/** Checks what the head alone decides; returns the time after which an incomplete body gives way to others, in milliseconds. */
 	readonly checkHead: (head: RequestHead, relayedFrom: RelayOrigin | undefined) => Result<number, Failure>;
--- a/packages/gateway/src/lib/peer-transport.ts
+++ b/packages/gateway/src/lib/peer-transport.ts
@@ -43,7 +43,7 @@
 	readonly readClock: () => number;
 	/** Handles a request of a caller that a peer relays. */
 	readonly handleRelayed: (request: IncomingMessage, response: ServerResponse) => void;
-	/** Learns of accepted connections, and knows up to when their ends are known. */
+	/** Is told of accepted connections; tells up to when the ends of connections are known. */
 	readonly disconnects?: DisconnectMonitor;
 	/** Renders the metrics page. */
 	readonly renderMetrics: () => Promise<string>;
--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -10,7 +10,7 @@
  * bytes of a connection never wait, so that ordinary requests are received beside them.
  *
  * A connection whose caller does not pipeline passes its bytes on unchanged. One that has read far enough ahead is not read
- * any further; the end of such a connection is read late, and `tryReadOn` looks for it. If all connections together hold too much,
+ * any further. The end of such a connection is read late, and so is one behind many bytes; `tryReadOn` looks for it. If all connections together hold too much,
  * those that hold the most lose the requests that wait, which have not run, and close after the response that is due.
  */
 import {Buffer} from 'node:buffer';
@@ -417,6 +417,7 @@
 	#startReading(connection: Connection): void {
 		connection.isHeldBack = false;
 		startReading(connection.socket);
+		// The next poll reads what has arrived, and the one after it at the earliest finds nothing more.
 		connection.hasRead = true;
 		this.#findEnd(connection);
 	}
