Runtime: one check of final statuses for gateway and router

Both compared statuses with bounds of their own. The gateway's began at 100, but Node.js never reports a status below 200 as a final response, except those that no HTTP response may have, so nothing changes for callers.

--- a/packages/gateway/src/lib/target-client.ts
+++ b/packages/gateway/src/lib/target-client.ts
@@ -8,7 +8,7 @@
 	eventKind, sendOutcome, type Event, type RelayOrigin, type SendEffect, type SendOutcome, type TargetReport,
 } from '@sequoiatally/dispatch';
 import {
-	BodyCollector, describeError, maxBytesPerExchange, type BufferAccount, type BufferBudget,
+	BodyCollector, describeError, isFinalStatus, maxBytesPerExchange, type BufferAccount, type BufferBudget,
 } from '@sequoiatally/runtime';
 import {computeLength, type CallerExchange} from './caller-exchange.js';
 import type {ConnectionPool, LeasedConnection} from './connection-pool.js';
@@ -40,10 +40,6 @@
 /** Largest number of interim responses (status 1xx) before a response. */
 const maxInterimResponses = 8;
 
-/** Statuses that HTTP allows; Node.js also reads smaller and larger ones. */
-const minStatus = 100;
-const maxStatus = 599;
-
 /** Statuses that tell a caller that its request has not run; without the target's proof, the response is not forwarded but counts as lost. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -360,7 +356,7 @@
 			return;
 		}
 
-		if (statusCode < minStatus || statusCode > maxStatus) {
+		if (!isFinalStatus(statusCode)) {
 			// Nothing that such a response states can be relied on, not even that the request has not run.
 			this.#targetReport = undefined;
 			this.#abort(this.#failureOutcome, `response with the invalid status ${statusCode}`);
--- a/packages/router/src/lib/target-client.ts
+++ b/packages/router/src/lib/target-client.ts
@@ -8,7 +8,7 @@
 	attemptOutcome, eventKind, type AttemptOutcome, type DispatchEffect, type Event, type ProbeEffect,
 } from '@sequoiatally/core';
 import {
-	BodyCollector, BufferBudget, describeError, isInChunks, type BufferAccount, type LifecycleManager,
+	BodyCollector, BufferBudget, describeError, isFinalStatus, isInChunks, type BufferAccount, type LifecycleManager,
 } from '@sequoiatally/runtime';
 import {Agent, request, type Dispatcher} from 'undici';
 import {AttemptError, type AttemptResult} from './attempt-result.js';
@@ -23,10 +23,6 @@
 /** Largest plain answer that is accepted from a target. */
 const maxPlainAnswerBytes = 8 * 1024 * 1024;
 
-/** Statuses that HTTP allows for final answers; undici also reads larger ones. */
-const minStatus = 200;
-const maxStatus = 599;
-
 /** Codes of errors that occur before a connection is established. */
 const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
@@ -198,7 +194,7 @@
 /** Discards an answer whose status is not one of HTTP: nothing that it states can be relied on, and no caller can get it. */
 function checkStatus(response: Dispatcher.ResponseData): void {
 	const {statusCode} = response;
-	if (statusCode < minStatus || statusCode > maxStatus) {
+	if (!isFinalStatus(statusCode)) {
 		destroyBody(response);
 		throw new AttemptError({outcome: attemptOutcome.unknown, detail: `the answer has the invalid status ${statusCode}`});
 	}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,6 +8,7 @@
 export * from './lib/clock.js';
 export * from './lib/errors.js';
 export * from './lib/event-queue.js';
+export * from './lib/http-status.js';
 export * from './lib/key-digest.js';
 export * from './lib/lifecycle-manager.js';
 export * from './lib/logger.js';
