Request turns: reads are recorded where bytes arrive, and clearer comments

Bytes that waited for their turn passed the place where reads are recorded a second time, without a read. The listener of the connection records them now, also on a connection whose waiting requests were dropped.

--- a/packages/gateway/src/lib/disconnect-monitor.ts
+++ b/packages/gateway/src/lib/disconnect-monitor.ts
@@ -61,7 +61,7 @@
 		});
 	}
 
-	/** Time before which the end of each connection that is read has become known. */
+	/** Time up to which the ends of the connections that the process reads are known. */
 	get endsKnownUntil(): number {
 		return Math.min(this.#olderPollAt, this.#allAcceptedAt);
 	}
--- a/packages/gateway/src/lib/limited-server.ts
+++ b/packages/gateway/src/lib/limited-server.ts
@@ -33,7 +33,7 @@
 	readonly server: ServerOptions;
 	readonly limits: ServerLimits;
 	readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
-	/** Is told of accepted connections; tells up to when the ends of connections are known. Without it, the ends of those that are read always are. */
+	/** Is told of accepted connections; tells up to when the ends of connections are known. Without it, the ends of connections that are read count as known. */
 	readonly disconnects?: DisconnectMonitor;
 	/** Writes a log line. */
 	readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
--- a/packages/gateway/src/lib/request-turns.ts
+++ b/packages/gateway/src/lib/request-turns.ts
@@ -46,7 +46,7 @@
 export type RequestTurnsOptions = {
 	readonly limits: Limits;
 	readonly readClock: () => number;
-	/** Reads the time before which the end of each connection that is read has become known. */
+	/** Returns the time up to which the ends of connections are known, except of those that are held back. */
 	readonly readEndsKnownUntil: () => number;
 	/** Divides the time for requests that have not arrived completely among the connections. */
 	readonly pacing: ReadPacing;
@@ -78,9 +78,9 @@
 	isStopped = false;
 	/** Time from which on its end may not have been read, although it has arrived: earlier than the time at which it was held back if the event loop lagged then. */
 	unreadSince?: number;
-	/** True if it has been read since the last poll that was checked for its end. */
+	/** True if bytes of it have been read since the last check of `#findEnd`. */
 	hasRead = false;
-	/** True while each poll is checked for its end. */
+	/** True while a check of `#findEnd` is scheduled. */
 	isFindingEnd = false;
 	/** True while it is read beyond its limit to find its end. */
 	isReadingOn = false;
@@ -224,6 +224,11 @@
 		this.#connections.set(socket, connection);
 		socket.removeListener('data', parse);
 		socket.on('data', (bytes: Uint8Array) => {
+			connection.hasRead = true;
+			if (bytes.length >= readBlockBytes) {
+				this.#findEnd(connection);
+			}
+
 			this.#handleBytes(connection, bytes);
 		});
 		socket.on('resume', () => {
@@ -242,11 +247,6 @@
 			return;
 		}
 
-		connection.hasRead = true;
-		if (bytes.length >= readBlockBytes) {
-			this.#findEnd(connection);
-		}
-
 		if (connection.waitingBytes > 0 || isBusy(connection)) {
 			this.#hold(connection, bytes);
 			return;
@@ -417,7 +417,7 @@
 	#startReading(connection: Connection): void {
 		connection.isHeldBack = false;
 		startReading(connection.socket);
-		// The next poll reads what has arrived, and the one after it at the earliest finds nothing more.
+		// The first check may come before the next poll, so another one has to follow.
 		connection.hasRead = true;
 		this.#findEnd(connection);
 	}
@@ -432,7 +432,7 @@
 		connection.isFindingEnd = true;
 		setImmediate(() => {
 			connection.isFindingEnd = false;
-			// A connection that is held back goes on with this when it is read again.
+			// The checks of a connection that is held back start again when it is read again.
 			if (connection.isHeldBack || isClosing(connection.socket)) {
 				return;
 			}
