--- a/packages/dispatch/src/lib/requests/send-request.ts
+++ b/packages/dispatch/src/lib/requests/send-request.ts
@@ -97,7 +97,7 @@
 	const relayPeer = chooseRelayPeer(step, request);
 	if (relayPeer !== undefined) {
 		return {
-			target: relayPeer, load: relayPeer.inFlight, meanLoad: 0, isRelayed: true,
+			target: relayPeer, load: relayPeer.inFlight, meanLoad: 0, loadLimit: Number.POSITIVE_INFINITY, isRelayed: true,
 		};
 	}
 
@@ -301,7 +301,7 @@
 }
 
 function startSend(step: Step, request: OpenRequest, {
-	target, load, meanLoad, preferredSkipReason, sharerCount, isRelayed,
+	target, load, meanLoad, loadLimit, preferredSkipReason, sharerCount, isRelayed,
 }: SendChoice): void {
 	const {state, now} = step;
 	const {route} = request;
@@ -351,6 +351,8 @@
 		directoryAgeMs: computeDirectoryAge(step), inFlight: target.inFlight,
 		load: Math.round(load * 10) / 10,
 		meanLoad: Math.round(meanLoad * 10) / 10,
+		loadLimit: Number.isFinite(loadLimit) ? Math.round(loadLimit * 10) / 10 : undefined,
+		loadAgeMs: target.reportedLoad === undefined ? undefined : Math.round(now - target.reportedLoad.at),
 		prompt: route.hasPrompts ? findPromptKey(request.promptParts) : undefined,
 		sharedTokens: route.hasPrompts ? countSharedTokens(request.promptParts) : undefined,
 		passedOver: preferredSkipReason, sharers: sharerCount, copyFrom: copySource?.record.id, cold: target.coldUntil > now || undefined,
--- a/packages/dispatch/src/lib/targets/placement.ts
+++ b/packages/dispatch/src/lib/targets/placement.ts
@@ -81,6 +81,8 @@
 	readonly load: number;
 	/** Mean estimated load of the pool's targets. */
 	readonly meanLoad: number;
+	/** Largest number of requests, with this one, that the target may hold; infinite for requests without a prompt. */
+	readonly loadLimit: number;
 	/** Reason why the target that ranks first for the prompt was skipped; `undefined` if it, or one that shares its requests, was chosen. */
 	readonly preferredSkipReason?: SkipReason;
 	/** Number of targets that share the requests with the prompt; `undefined` if it is one. */
@@ -127,7 +129,9 @@
 
 	if (prefix === undefined) {
 		const target = chooseWithoutPrompt(view, candidates, accepting, load, requestId);
-		return {target, load: load.estimate(target), meanLoad: load.mean};
+		return {
+			target, load: load.estimate(target), meanLoad: load.mean, loadLimit: Number.POSITIVE_INFINITY,
+		};
 	}
 
 	const keyHash = hashText(prefix.key);
@@ -149,7 +153,7 @@
 			usable, candidates, triedTargetIds, isWithinLimit: isWithinLimits(preferred),
 		});
 	return {
-		target, load: load.estimate(target), meanLoad: load.mean, preferredSkipReason, sharerCount: sharers.length > 1 ? sharers.length : undefined,
+		target, load: load.estimate(target), meanLoad: load.mean, loadLimit, preferredSkipReason, sharerCount: sharers.length > 1 ? sharers.length : undefined,
 	};
 }
 
