Targets: the mean load does not follow from busy targets alone

Callers saw: nothing; targets were given more than the platform's limit, twice the mean and 3 (LIMIT).

Cause: the mean was the mean of the reports that an instance knew. A target that receives nothing reports nothing, and counted as an average one; each report counts the request that it responds to.

Change: targets without a report in four seconds count as idle once half of the pool reports, and a peer's request is left out of the report that responds to it.

The test in placement_test fails without the change (mean 5 instead of 3).

--- a/packages/dispatch/src/lib/targets/pool-load.ts
+++ b/packages/dispatch/src/lib/targets/pool-load.ts
@@ -3,11 +3,18 @@
  * flight, and the load from other instances that targets report. Reports become
  * outdated quickly, so the weight of a report decays with its age in favor of the
  * mean of the pool.
+ *
+ * The mean would be too large if it followed from all reports alike: a busy target reports more often than an idle
+ * one, and each report counts the request that it responds to.
  */
 import type {Target} from './target-state.js';
 
 /** Age at which a load report has lost two thirds of its weight, in milliseconds: about the duration of a request. */
 const reportDecayMs = 1200;
+/** Age up to which a load report counts for the mean, in milliseconds: within it, a report of each busy target reaches this instance. */
+const reportMaxAgeMs = 4000;
+/** Fraction of the targets of which reports have to be known for the others to count as idle; in a large pool, most reports do not reach this instance. */
+const minReportedFraction = 0.5;
 
 export class PoolLoad {
 	/** Mean load of the pool's targets. */
@@ -33,7 +40,8 @@
 	}
 
 	/** Estimates the number of requests at a target from all instances. */
-	estimate({inFlight, reportedLoad}: Target): number {
+	estimate(target: Target): number {
+		const {inFlight, reportedLoad} = target;
 		if (reportedLoad === undefined) {
 			return inFlight + this.#meanOthersLoad;
 		}
@@ -43,18 +51,23 @@
 	}
 }
 
+/** Computes the mean load from other instances at targets; old reports count only if there are no others. */
 function computeMeanOthersLoad(targets: readonly Target[], now: number): number {
+	const reports = targets.flatMap(({reportedLoad, record: {slots}}) => reportedLoad === undefined ? [] : {...reportedLoad, slots});
+	const recent = reports.filter(({at}) => now - at <= reportMaxAgeMs);
+	const counted = recent.length > 0 ? recent : reports;
+	const count = counted.length < targets.length * minReportedFraction ? counted.length : targets.length;
+	if (count === 0) {
+		return 0;
+	}
+
 	let sum = 0;
-	let totalWeight = 0;
-	for (const {reportedLoad} of targets) {
-		if (reportedLoad !== undefined) {
-			const weight = computeReportWeight(reportedLoad.at, now);
-			sum += reportedLoad.othersLoad * weight;
-			totalWeight += weight;
-		}
+	for (const {othersLoad, isFromPeer, slots} of counted) {
+		// Without the peer's request that the report responds to, unless others wait for its slot.
+		sum += Math.max(0, othersLoad - (isFromPeer && othersLoad < slots ? 1 : 0));
 	}
 
-	return totalWeight === 0 ? 0 : sum / totalWeight;
+	return sum / count;
 }
 
 function computeReportWeight(at: number, now: number): number {
--- a/packages/dispatch/src/lib/targets/target-state.ts
+++ b/packages/dispatch/src/lib/targets/target-state.ts
@@ -26,6 +26,8 @@
 	readonly load: number;
 	/** Number of requests from other instances that the target ran or queued. */
 	readonly othersLoad: number;
+	/** True if the target responded to a request of another instance, which the load counts too. */
+	readonly isFromPeer?: boolean;
 };
 
 export type Target = {
@@ -241,9 +243,14 @@
 	target.inFlight--;
 }
 
-/** Records a load report that the target made at time `at`; the report includes the requests in flight from this instance. */
-export function recordReportedLoad(target: Target, load: number, at: number): void {
-	target.reportedLoad = {at, load, othersLoad: Math.max(0, load - target.inFlight)};
+/**
+ * Records a load report that the target made at time `at`, to this instance or to a peer; the report includes the requests in flight from this
+ * instance.
+ */
+export function recordReportedLoad(target: Target, load: number, at: number, isFromPeer = false): void {
+	target.reportedLoad = {
+		at, load, othersLoad: Math.max(0, load - target.inFlight), isFromPeer,
+	};
 }
 
 /** Computes how many requests this instance may send to the target in `namedLimitWindowMs`; infinite if the target names no limit. */
@@ -289,7 +296,7 @@
 		const target = byId.get(targetId);
 		const at = messageCreatedAt - ageMs;
 		if (target !== undefined && at > (target.reportedLoad?.at ?? Number.NEGATIVE_INFINITY)) {
-			recordReportedLoad(target, load, at);
+			recordReportedLoad(target, load, at, true);
 		}
 	}
 }
--- a/packages/dispatch/src/test/placement_test.ts
+++ b/packages/dispatch/src/test/placement_test.ts
@@ -103,6 +103,20 @@
 	assert.ok(Math.abs(fresh.mean - later.mean) < 0.1);
 });
 
+// Guards against LIMIT: with a mean of the busy targets alone, the limit that follows from it is too high.
+test('targets that report nothing count towards the mean load, and the requests that reports respond to do not', () => {
+	const gateway = new GatewayFixture().loadDirectory(engines);
+	const targets = gateway.state.targets.byPool.get('engines')!;
+	const busyCount = targets.length * 3 / 4;
+	for (const target of targets.slice(0, busyCount)) {
+		target.reportedLoad = {
+			at: gateway.now, load: 5, othersLoad: 5, isFromPeer: true,
+		};
+	}
+
+	assert.ok(Math.abs(new PoolLoad(targets, [], gateway.now + 3000).mean - 3) < 0.2);
+});
+
 test('targets in a closed zone count towards the mean load that limits the other targets (hunt: mix, seed 873307827692)', () => {
 	const gateway = new GatewayFixture().loadDirectory(engines);
 	const targets = gateway.state.targets.byPool.get('engines')!;
