Targets: instances that know the same loads do not all choose the same target

Callers saw: nothing; targets were given more than the platform's limit (LIMIT) by requests without a prompt, and by those whose target had no room.

Cause: each instance chose the least loaded target, by reports that peers pass on after a second or more. All chose the same one until its next report had spread, which is worse than knowing nothing. A target in another zone had a cost of 22 requests at 64 slots, whatever the mean was.

Change: a request chooses among six targets that its hash draws, by loads that are drawn too, with the deviation that the age of the report leaves. The cost of another zone is bounded by a part of the room below the platform's limit. Pools of brittle targets, whose slots are divided among the instances, are served as before.

--- a/packages/dispatch/src/lib/targets/placement.ts
+++ b/packages/dispatch/src/lib/targets/placement.ts
@@ -2,7 +2,7 @@
  * Chooses the target of a request. Requests that share a prompt go to the same
  * target within its load limit, by a ranking that is equal on every instance, or to as
  * many targets of the ranking as the demand of the whole fleet needs; all others go to
- * the least loaded target, preferably in this availability zone, or are spread over all
+ * the least loaded of a few targets, preferably in this availability zone, or are spread over all
  * zones if the pool has few slots and its load is unknown.
  */
 import {hashText, mixHashes} from '@sequoiatally/core';
@@ -17,6 +17,8 @@
 import {PoolBrittleness} from './target-room.js';
 import {findStatedLimitsEnd, isWithinStatedLimits, type Target} from './target-state.js';
 
+/** The platform's bound for the load of a target: a multiple of its pool's mean load plus a constant. */
+const fleetLoadLimit = {multiple: 2, floor: 3};
 /**
  * Load limit of a target: a multiple of its pool's mean load plus a constant.
  * The platform's bound is 2 x mean + 3; the margin is for requests that other
@@ -31,6 +33,16 @@
 const minHealthyFraction = 0.4;
 /** Cost of a target in another zone, as a fraction of its slots. */
 const otherZonePenalty = 0.35;
+/** Largest such cost, as a fraction of the room between the mean load and the platform's bound. */
+const zonePenaltyRoomFraction = 0.3;
+/** Number of targets among which a request chooses by load. */
+const drawnTargetCount = 6;
+/** Hash seed that makes the draws of loads independent of the choice of these targets. */
+const loadDrawSeed = hashText('load');
+/** Number of different hashes. */
+const hashRange = 2 ** 32;
+/** Scale of the logistic distribution with a standard deviation of 1. */
+const logisticScale = Math.sqrt(3) / Math.PI;
 /** Part of the room between the mean load and the load limit that the requests of one prefix may take: the rest is for variations and other prompts. */
 const prefixRoomFraction = 0.3;
 
@@ -112,6 +124,7 @@
 	const usable = new Set(healthy.length >= Math.max(1, fitting.length * minHealthyFraction) ? healthy : listConnectable(fitting, triedTargetIds, now));
 	const brittleness = new PoolBrittleness(view.targets, view.fleet, now);
 	const load = new PoolLoad(accepting, draining, now);
+	const loads = {load, isDrawn: !brittleness.isStated};
 	const isWithinLimits = (target: Target) => isWithinStatedLimits(target, view.fleet, now)
 		&& brittleness.mayReject(target)
 		// What one brittle target has rejected would make the next one that is as full reject it too.
@@ -128,7 +141,7 @@
 	}
 
 	if (prefix === undefined) {
-		const target = chooseWithoutPrompt(view, candidates, accepting, load, requestId);
+		const target = chooseWithoutPrompt(view, candidates, accepting, loads, requestId);
 		return {
 			target, load: load.estimate(target), meanLoad: load.mean, loadLimit: Number.POSITIVE_INFINITY,
 		};
@@ -146,7 +159,7 @@
 		?? findFirstRanked(warm.filter(other => prefix.isHolder(other)), keyHash)
 		?? findFirstRanked(warm, keyHash)
 		?? findFirstRanked(belowLimit, keyHash)
-		?? chooseLeastLoaded(view, candidates, load, requestId);
+		?? chooseLeastLoaded(view, candidates, loads, requestId);
 	const preferredSkipReason = sharers.includes(target)
 		? undefined
 		: explainSkip(preferred, {
@@ -189,6 +202,11 @@
 	return brittleness.isStated ? 1 : Math.ceil(demand / (prefixRoomFraction * Math.max(1, room)));
 }
 
+/** Computes the platform's bound for the load of a target. */
+function computeFleetLoadLimit(meanLoad: number): number {
+	return (fleetLoadLimit.multiple * meanLoad) + fleetLoadLimit.floor;
+}
+
 /** Computes the largest number of requests that a target may hold, including the new request. */
 function computeLoadLimit(meanLoad: number, {tokenCount}: PromptPrefix): number {
 	const {multiple, floor} = tokenCount >= longPromptMinTokens ? longPromptLoadLimit : shortPromptLoadLimit;
@@ -222,20 +240,31 @@
 }
 
 /** Chooses the target of a request without a prompt. */
-function chooseWithoutPrompt(view: PlacementView, candidates: readonly Target[], accepting: readonly Target[], load: PoolLoad, requestId: string): Target {
+function chooseWithoutPrompt(view: PlacementView, candidates: readonly Target[], accepting: readonly Target[], loads: LoadView, requestId: string): Target {
 	const slotsPerInstance = computeScarceSlots(accepting, view.fleet);
 	return slotsPerInstance === undefined
-		? chooseLeastLoaded(view, candidates, load, requestId)
+		? chooseLeastLoaded(view, candidates, loads, requestId)
 		: chooseBySlots(candidates, view.zone, slotsPerInstance, requestId);
 }
 
-/** Chooses the least loaded target; ties are broken by a hash of the request, since all instances would choose the same target otherwise. */
-function chooseLeastLoaded({zone}: PlacementView, candidates: readonly Target[], load: PoolLoad, requestId: string): Target {
+/** What is known of the loads of a pool, and whether some targets and loads are drawn; the slots of brittle targets are divided among the instances already. */
+type LoadView = {readonly load: PoolLoad; readonly isDrawn: boolean};
+
+/**
+ * Chooses the target that is probably least loaded among some that a hash of the request draws. Each load is drawn too, from its estimate and deviation:
+ * all instances that know the same outdated reports would choose the same target otherwise.
+ */
+function chooseLeastLoaded({zone}: PlacementView, candidates: readonly Target[], {load, isDrawn}: LoadView, requestId: string): Target {
 	const requestHash = hashText(requestId);
-	const [first, ...rest] = candidates.map(target => {
-		const {record} = target;
-		const cost = (load.estimate(target) / Math.max(1, record.slots)) + (record.zone === zone ? 0 : otherZonePenalty);
-		return {target, cost, tieBreak: mixHashes(requestHash, target.hash)};
+	const zonePenaltyLimit = zonePenaltyRoomFraction * (computeFleetLoadLimit(load.mean) - load.mean);
+	const drawn = isDrawn ? listFirstRanked(candidates, requestHash, drawnTargetCount) : candidates;
+	const [first, ...rest] = drawn.map(target => {
+		const {record, hash} = target;
+		const slots = Math.max(1, record.slots);
+		const zonePenalty = record.zone === zone ? 0 : Math.min(otherZonePenalty * slots, zonePenaltyLimit);
+		const tieBreak = mixHashes(requestHash, hash);
+		const estimate = isDrawn ? drawLoad(target, load, mixHashes(tieBreak, loadDrawSeed)) : load.estimate(target);
+		return {target, cost: (estimate + zonePenalty) / slots, tieBreak};
 	});
 	let best = first!;
 	for (const candidate of rest) {
@@ -247,6 +276,12 @@
 	return best.target;
 }
 
+/** Draws a load of the target from a logistic distribution with the mean and the deviation of its estimate; `draw` is a hash. */
+function drawLoad(target: Target, load: PoolLoad, draw: number): number {
+	const quantile = (draw + 0.5) / hashRange;
+	return load.estimate(target) + (load.estimateDeviation(target) * logisticScale * Math.log(quantile / (1 - quantile)));
+}
+
 function hasColdCapacity({pool, fleet, coldBounds}: PlacementView, target: Target, now: number): boolean {
 	if (pool.coldRatePerS === 0) {
 		return true;
--- a/packages/dispatch/src/lib/targets/pool-load.ts
+++ b/packages/dispatch/src/lib/targets/pool-load.ts
@@ -20,12 +20,16 @@
 	/** Mean load of the pool's targets. */
 	readonly mean: number;
 	readonly #meanOthersLoad: number;
+	/** Variance of the loads from other instances among the targets. */
+	readonly #othersLoadVariance: number;
 	readonly #now: number;
 
 	/** `draining` are targets of the pool that receive no new requests; they still count in the mean. */
 	constructor(accepting: readonly Target[], draining: readonly Target[], now: number) {
 		this.#now = now;
-		this.#meanOthersLoad = computeMeanOthersLoad(accepting, now);
+		const {mean, variance} = summarizeOthersLoads(accepting, now);
+		this.#meanOthersLoad = mean;
+		this.#othersLoadVariance = variance;
 		let sum = 0;
 		for (const target of accepting) {
 			sum += this.estimate(target);
@@ -49,25 +53,47 @@
 		const weight = computeReportWeight(reportedLoad.at, this.#now);
 		return inFlight + (reportedLoad.othersLoad * weight) + (this.#meanOthersLoad * (1 - weight));
 	}
+
+	/** Estimates the standard deviation of the load of a target from the estimate. */
+	estimateDeviation(target: Target): number {
+		const {inFlight, reportedLoad} = target;
+		const weight = reportedLoad === undefined ? 0 : computeReportWeight(reportedLoad.at, this.#now);
+		// Independent arrivals vary by their number, also where all targets are equally popular.
+		const variance = Math.max(this.#othersLoadVariance, this.estimate(target) - inFlight);
+		return Math.sqrt(variance * (1 - (weight ** 2)));
+	}
 }
 
-/** Computes the mean load from other instances at targets; old reports count only if there are no others. */
-function computeMeanOthersLoad(targets: readonly Target[], now: number): number {
-	const reports = targets.flatMap(({reportedLoad, record: {slots}}) => reportedLoad === undefined ? [] : {...reportedLoad, slots});
-	const recent = reports.filter(({at}) => now - at <= reportMaxAgeMs);
-	const counted = recent.length > 0 ? recent : reports;
-	const count = counted.length < targets.length * minReportedFraction ? counted.length : targets.length;
+/** Computes the mean and the variance of the loads from other instances at targets; old reports count only if there are no others. */
+function summarizeOthersLoads(targets: readonly Target[], now: number): {readonly mean: number; readonly variance: number} {
+	const recent = sumOthersLoads(targets, now - reportMaxAgeMs);
+	const {count: reportedCount, sum, squareSum} = recent.count > 0 ? recent : sumOthersLoads(targets, Number.NEGATIVE_INFINITY);
+	const count = reportedCount < targets.length * minReportedFraction ? reportedCount : targets.length;
 	if (count === 0) {
-		return 0;
+		return {mean: 0, variance: 0};
 	}
 
+	const mean = sum / count;
+	return {mean, variance: (squareSum / count) - (mean ** 2)};
+}
+
+/** Sums the loads from other instances, and their squares, over the targets that have reported since a time. */
+function sumOthersLoads(targets: readonly Target[], since: number): {readonly count: number; readonly sum: number; readonly squareSum: number} {
+	let count = 0;
 	let sum = 0;
-	for (const {othersLoad, isFromPeer, slots} of counted) {
-		// Without the peer's request that the report responds to, unless others wait for its slot.
-		sum += Math.max(0, othersLoad - (isFromPeer && othersLoad < slots ? 1 : 0));
+	let squareSum = 0;
+	for (const {reportedLoad, record} of targets) {
+		if (reportedLoad !== undefined && reportedLoad.at >= since) {
+			const {othersLoad, isFromPeer} = reportedLoad;
+			// Without the peer's request that the report responds to, unless others wait for its slot.
+			const load = isFromPeer && othersLoad < record.slots ? Math.max(0, othersLoad - 1) : othersLoad;
+			count++;
+			sum += load;
+			squareSum += load ** 2;
+		}
 	}
 
-	return sum / count;
+	return {count, sum, squareSum};
 }
 
 function computeReportWeight(at: number, now: number): number {
