--- a/packages/dispatch/src/test/simulated-fleet.ts
+++ b/packages/dispatch/src/test/simulated-fleet.ts
@@ -5,7 +5,8 @@
  */
 import {
 	effectKind, eventKind, factKind, probeResult, sendOutcome, type CallLoadPeerEffect, type CallPeerEffect, type CallStreamPeerEffect, type Effect,
-	type Event, type FactChange, type LoadMessage, type PastChange, type PeerMessage, type PlatformHistory, type ProbeTargetEffect, type RefuseEffect, type ReportSilenceEffect, type Route,
+	type Event, type FactChange, type LoadMessage, type PastChange,
+	type PeerMessage, type PlatformHistory, type ProbeTargetEffect, type RefuseEffect, type ReportSilenceEffect, type Route,
 	type SendEffect, type SendOutcome, type StreamMessage, type Tables, type TargetReport,
 } from '../index.js';
 import {
@@ -24,6 +25,9 @@
 const lostReadIntervalMs = 500;
 /** Time from the start of a lost peer call to its failure, in milliseconds. */
 const lostCallMs = 800;
+/** Creates the event that a call arrives as. */
+type CreateCall = (callId: number) => Event;
+
 /** Creates the event of a call's end; without an answer, it has failed. */
 type CreateResult<T> = (answer?: T) => Event;
 
@@ -930,7 +934,7 @@
 	}
 
 	/** Delivers a call to a peer, and its response, or the failure after a timeout, to the caller. */
-	#exchange<T>(node: Node, address: string, createCall: (callId: number) => Event, createResult: CreateResult<T>, {callMs, timeoutMs} = exchangeTiming): void {
+	#exchange<T>(node: Node, address: string, createCall: CreateCall, createResult: CreateResult<T>, {callMs, timeoutMs} = exchangeTiming): void {
 		const callee = this.nodes.find(other => other.address === address);
 		const {gateway} = node;
 		const isLost = this.random() < (this.#options.callLoss ?? 0);
