--- a/packages/gateway/src/test/peer-transport_test.ts
+++ b/packages/gateway/src/test/peer-transport_test.ts
@@ -14,7 +14,7 @@
 } from '@sequoiatally/dispatch';
 import {createLogger, LifecycleManager, readMonotonicMs} from '@sequoiatally/runtime';
 import {PeerTransport} from '../lib/peer-transport.js';
-import {testLimits} from './caller-server-fixture.js';
+import {findFreePort, testLimits, waitUntil} from './caller-server-fixture.js';
 
 const message: PeerMessage = {
 	from: {
@@ -197,3 +197,45 @@
 	assert.ok(answered?.kind === eventKind.streamPeerAnswered);
 	assert.deepEqual(answered.message, answer);
 });
+
+test('a call about the load of a target has its own time limit, so that the request that waits for it is not held up by a silent peer', async () => {
+	handle = () => {
+		// The peer does not respond.
+	};
+
+	const startedAt = readMonotonicMs();
+	await createTransport().callLoadPeer({
+		kind: effectKind.callLoadPeer, address: findAddress(), message: {
+			from: message.from, targetId: 'engine-1', bornAt: 1, loadLimit: 9,
+		}, openId: 7, timeoutMs: 50,
+	});
+	const [event] = events;
+	assert.ok(event?.kind === eventKind.loadPeerAnswered);
+	assert.equal(event.openId, 7);
+	assert.equal(event.message, undefined);
+	assert.ok(event.fault);
+	assert.ok(readMonotonicMs() - startedAt < 700, 'less than the time limit of other calls');
+});
+
+test('instances ask each other for the load of a target', async () => {
+	const host = '127.0.0.1';
+	const port = await findFreePort();
+	const peer = createTransport();
+	await peer.listen({host, port}, {name: 'peer', limits: testLimits}, lifecycle);
+	const call = createTransport().callLoadPeer({
+		kind: effectKind.callLoadPeer, address: `${host}:${port}`, message: {
+			from: message.from, targetId: 'engine-1', bornAt: 1, loadLimit: 9,
+		}, openId: 7, timeoutMs: 700,
+	});
+	await waitUntil('the peer is called', () => events.length > 0);
+	const [called] = events;
+	assert.ok(called?.kind === eventKind.loadPeerCalled);
+	assert.equal(called.message.loadLimit, 9);
+	peer.answer(called.callId, {
+		from: message.from, targetId: 'engine-1', bornAt: 1, load: 4,
+	});
+	await call;
+	const answered = events.find(({kind}) => kind === eventKind.loadPeerAnswered);
+	assert.ok(answered?.kind === eventKind.loadPeerAnswered);
+	assert.equal(answered.message?.load, 4);
+});
