--- a/packages/dispatch/src/lib/targets/placement.ts
+++ b/packages/dispatch/src/lib/targets/placement.ts
@@ -207,13 +207,10 @@
 	return (fleetLoadLimit.multiple * meanLoad) + fleetLoadLimit.floor;
 }
 
+/** Describes what is known about the load of the target that was chosen. */
 function describeLoad(target: Target, load: PoolLoad, loadLimit: number): Pick<Placement, 'load' | 'meanLoad' | 'loadLimit' | 'isLoadUncertain'> {
-	const estimate = load.estimate(target);
 	return {
-		load: estimate,
-		meanLoad: load.mean,
-		loadLimit,
-		isLoadUncertain: isUncertain(target, load),
+		load: load.estimate(target), meanLoad: load.mean, loadLimit, isLoadUncertain: isUncertain(target, load),
 	};
 }
 
