--- a/packages/dispatch/src/lib/requests/reduce-load-queries.ts
+++ b/packages/dispatch/src/lib/requests/reduce-load-queries.ts
@@ -59,7 +59,7 @@
 }
 
 /** Tells the tracker of a target which load it reported in response to a request that was sent after a question for it. */
-export function reportLoad(step: Step, {loadQuery}: OpenRequest, target: Target): void {
+export function notifyTracker(step: Step, {loadQuery}: OpenRequest, target: Target): void {
 	const isAsked = loadQuery?.targetIds.delete(target.record.id) ?? false;
 	const address = isAsked && target.reportedLoad !== undefined ? findTrackerAddress(step, target) : undefined;
 	if (address !== undefined) {
--- a/packages/dispatch/src/lib/requests/reduce-requests.ts
+++ b/packages/dispatch/src/lib/requests/reduce-requests.ts
@@ -19,7 +19,7 @@
 } from '../paths/reduce-paths.js';
 import {findPromptKey} from '../targets/prompt.js';
 import {admitToShare, createQueueFailure, recordCompletion} from './reduce-account-share.js';
-import {findLoadQueryEnd, reportLoad} from './reduce-load-queries.js';
+import {findLoadQueryEnd, notifyTracker} from './reduce-load-queries.js';
 import {admitInDrain} from './reduce-drain.js';
 import {recordBegunStream} from '../streams/reduce-begun-streams.js';
 import {checkForCrash, recordResponseBegun} from '../quarantine/reduce-quarantine.js';
@@ -241,7 +241,7 @@
 		}
 	}
 
-	reportLoad(step, request, target);
+	notifyTracker(step, request, target);
 	if (report.unreadable !== undefined) {
 		recordLog(step, 'statement-unreadable', {target: id, statements: report.unreadable}, logLevel.warn);
 	}
--- a/packages/dispatch/src/test/assert-load-limit.ts
+++ b/packages/dispatch/src/test/check-load-limit.ts
@@ -13,7 +13,7 @@
 const windowStepMs = 500;
 
 /** Fails if too many requests of a window that starts `fromMs` after the first arrival, or later, reached targets above the limit. */
-export function assertWithinLoadLimit(arrivals: readonly Arrival[], fromMs: number): void {
+export function checkLoadLimit(arrivals: readonly Arrival[], fromMs: number): void {
 	const startedAt = arrivals[0]!.at;
 	for (let from = startedAt + fromMs; from + windowMs <= arrivals.at(-1)!.at; from += windowStepMs) {
 		const inWindow = arrivals.filter(({at}) => at >= from && at < from + windowMs);
--- a/packages/dispatch/src/test/fleet_load_limit_test.ts
+++ b/packages/dispatch/src/test/fleet_load_limit_test.ts
@@ -3,7 +3,7 @@
  * of the responses in which targets report their load.
  */
 import {test} from 'node:test';
-import {assertWithinLoadLimit, windowMs} from './assert-load-limit.js';
+import {checkLoadLimit, windowMs} from './check-load-limit.js';
 import {createRoute} from './gateway-fixture.js';
 import {SimulatedFleet, type Arrival} from './simulated-fleet.js';
 
@@ -125,7 +125,7 @@
 for (const [name, load] of loads) {
 	test(`a large fleet keeps to the load limit: ${name}`, () => {
 		for (const seed of seeds) {
-			assertWithinLoadLimit(playLoad(load, seed), 0);
+			checkLoadLimit(playLoad(load, seed), 0);
 		}
 	});
 }
--- a/packages/dispatch/src/test/prompt_demand_test.ts
+++ b/packages/dispatch/src/test/prompt_demand_test.ts
@@ -6,7 +6,7 @@
 import {test} from 'node:test';
 import {effectKind, type LogEffect} from '../index.js';
 import {PromptDemand} from '../lib/targets/prompt-demand.js';
-import {assertWithinLoadLimit, windowMs} from './assert-load-limit.js';
+import {checkLoadLimit, windowMs} from './check-load-limit.js';
 import {createRoute, GatewayFixture} from './gateway-fixture.js';
 import {SimulatedFleet, type Arrival} from './simulated-fleet.js';
 
@@ -110,7 +110,7 @@
 	test(`a hot prompt at ${gatewayCount} instances stays within the load limit of its targets once its demand is known`, () => {
 		for (const seed of [1, 2, 3]) {
 			const fleet = new SimulatedFleet({gatewayCount, engineCount, seed});
-			assertWithinLoadLimit(playHotPrompt(fleet, requestsPerS, 0.3), settlingMs);
+			checkLoadLimit(playHotPrompt(fleet, requestsPerS, 0.3), settlingMs);
 		}
 	});
 }
@@ -127,6 +127,6 @@
 				fleet.restart(fleet.nodes[restartedCount]!, 600);
 			}
 		});
-		assertWithinLoadLimit(arrivals, settlingMs);
+		checkLoadLimit(arrivals, settlingMs);
 	}
 });
