Targets: one check whether a request waits for a load, and clearer comments

The check of waiting requests for fair shares read the state of the question instead of calling findLoadQueryEnd: after a response that never arrived, a request counted as one that waits for a load although its time was over.

--- a/packages/dispatch/src/lib/requests/reduce-account-share.ts
+++ b/packages/dispatch/src/lib/requests/reduce-account-share.ts
@@ -7,6 +7,7 @@
 import {createNotRunFailure} from './end-request.js';
 import {createFailure, failureReason, type Failure} from './failure.js';
 import type {SharedAccountLoads} from '../members/peer-message.js';
+import {findLoadQueryEnd} from './reduce-load-queries.js';
 import {drawRetryAfterMs} from './resolve-request.js';
 import {
 	recordLog, type OpenRequest, type State, type Step,
@@ -94,14 +95,15 @@
 	};
 }
 
-/** True if a request for the pool waits that is not held back. */
-function hasWaiting({state, now}: Step, poolName: string): boolean {
+/** True if a request for the pool waits that is not held back, and not only for the load of a target. */
+function hasWaiting(step: Step, poolName: string): boolean {
+	const {state, now} = step;
 	if (now < (state.paths.get(poolName)?.silenceDecisionAt ?? 0)) {
 		return false;
 	}
 
 	for (const other of state.queuedRequests) {
-		if (other.poolName === poolName && other.shareReturnAt === undefined && other.sendCount === 0 && other.loadQuery?.pendingUntil === undefined) {
+		if (other.poolName === poolName && other.shareReturnAt === undefined && other.sendCount === 0 && findLoadQueryEnd(step, other) === undefined) {
 			return true;
 		}
 	}
--- a/packages/dispatch/src/lib/requests/reduce-load-queries.ts
+++ b/packages/dispatch/src/lib/requests/reduce-load-queries.ts
@@ -1,12 +1,12 @@
 /**
  * Finds out the present load of a target before a request is sent to it. Load: in a large fleet, an instance receives
- * few of a target's responses, and peers pass on what these report after a second or more. Instances that decide by the same outdated
- * report send their requests to the same target.
+ * few of a target's responses, and peers pass on the loads that these report only after a second or more. Instances that
+ * decide by the same outdated report send their requests to the same target.
  *
- * One instance tracks the load of each target: the one that ranks first for it. If the load may exceed the platform's
- * bound, as far as this instance knows, it asks the tracker, which counts the request from then on, and tells the
- * tracker what the response reports. No request depends on a tracker: without a response in
- * time, it is sent by what this instance knows.
+ * One instance, the tracker, tracks the load of each target: the instance that ranks first for the target. If the load
+ * may exceed the platform's bound, as far as this instance knows, it asks the tracker, which counts the request from then
+ * on. Later, it tells the tracker the load that the target's response reports. No request depends on a tracker: if the
+ * tracker does not respond in time, the request is sent by what this instance knows.
  */
 import {effectKind} from '../effect.js';
 import type {LoadPeerAnsweredEvent, LoadPeerCalledEvent} from '../event.js';
@@ -25,12 +25,12 @@
 const queryTimeoutMs = 50;
 /** Largest part of the time left that a request waits for a response. */
 const queryTimeFraction = 0.1;
-/** Number of targets whose load is asked for before a request is sent. */
+/** Largest number of targets whose load is asked for before a request is sent. */
 const queriesPerRequest = 3;
 /** Time for which a tracker that did not respond is not called, in milliseconds, and number of such trackers that are remembered. */
 const failedTrackerPauseMs = 1000;
 const failedTrackerLimit = 256;
-/** Age of the latest report from which a tracker knows no more than others, in milliseconds. */
+/** Age of the latest report above which a tracker states no load, in milliseconds: it knows no more than its peers. */
 const trackedLoadMaxAgeMs = 1000;
 
 /** Asks for the load of the target that was chosen if it is not known well enough; returns false if the request need not wait. */
@@ -58,7 +58,7 @@
 	return pendingUntil !== undefined && now < pendingUntil ? pendingUntil : undefined;
 }
 
-/** Tells the tracker of a target which load it reported in response to a request that was sent after a question for it. */
+/** Tells the tracker of a target the load that the target reported in response to the request, once, if the tracker was asked about it. */
 export function notifyTracker(step: Step, {loadQuery}: OpenRequest, target: Target): void {
 	const isAsked = loadQuery?.targetIds.delete(target.record.id) ?? false;
 	const address = isAsked && target.reportedLoad !== undefined ? findTrackerAddress(step, target) : undefined;
--- a/packages/dispatch/src/lib/targets/pool-load.ts
+++ b/packages/dispatch/src/lib/targets/pool-load.ts
@@ -54,7 +54,7 @@
 		return inFlight + countAnnouncedSends(target, this.#now) + (reportedLoad.othersLoad * weight) + (this.#meanOthersLoad * (1 - weight));
 	}
 
-	/** Estimates the standard deviation of the load of a target from the estimate. */
+	/** Estimates the standard deviation of the load of a target from its estimate. */
 	estimateDeviation(target: Target): number {
 		const {inFlight, reportedLoad} = target;
 		const weight = reportedLoad === undefined ? 0 : computeReportWeight(reportedLoad.at, this.#now);
@@ -85,7 +85,7 @@
 	for (const {reportedLoad, record} of targets) {
 		if (reportedLoad !== undefined && reportedLoad.at >= since) {
 			const {othersLoad, isFromPeer} = reportedLoad;
-			// Without the peer's request that the report responds to, unless others wait for its slot.
+			// The peer's request that the report responds to does not count, unless the target is full: another request takes its slot.
 			const load = isFromPeer && othersLoad < record.slots ? Math.max(0, othersLoad - 1) : othersLoad;
 			count++;
 			sum += load;
