Targets: the mean load of a pool does not take targets without a report for average ones

The limit for the load of a target follows from the mean of its pool. That mean was the sum of the single estimates, and each of these takes a target without a recent report for an average one, and counts the request that a peer's report responds to.

Trace (virtual time, 60 prompts, 100 instances, from the fourth second on): mean believed 2.39, true 1.83, from the reports alone 1.77. A quarter of all targets had never reported and held 0.1 requests on average. Of the requests above the limit, most were sent with the right load known (7.9, limit 9.4 instead of 6.7), or without a query, because the load seemed to be far below the limit. Ruled out: the reports (by age and source, each is right to 0.2 on average) and the trackers (right to 1).

The mean follows from the summary now. The limits of prompts are one higher, which leaves them where they were in that load (6.8 and 5.8, now 6.7 and 5.9).

Tried and taken back: harmonic means of few reports, and queries by instances without any report (no fewer requests above the limit).

--- a/packages/dispatch/src/lib/targets/placement.ts
+++ b/packages/dispatch/src/lib/targets/placement.ts
@@ -25,8 +25,8 @@
  * Load limit of a target, with the new request: a multiple of its pool's mean load plus a constant.
  * Prompts that are cheap to copy have a lower limit and leave a busy target first.
  */
-const longPromptLoadLimit = {multiple: 2, floor: 2};
-const shortPromptLoadLimit = {multiple: 1.6, floor: 2};
+const longPromptLoadLimit = {multiple: 2, floor: 3};
+const shortPromptLoadLimit = {multiple: 1.6, floor: 3};
 /** Shared tokens from which a prompt is long: about 50 ms for an engine that reads 38 tokens per millisecond, the rate in the users' data sheets. */
 const longPromptMinTokens = 2000;
 /** Fraction of the targets that may run the request, of the pool or of a software version, that have to be healthy; below it, health is ignored, but for targets that cannot be reached. */
--- a/packages/dispatch/src/lib/targets/pool-load.ts
+++ b/packages/dispatch/src/lib/targets/pool-load.ts
@@ -30,12 +30,9 @@
 		const {mean, variance} = summarizeOthersLoads(accepting, now);
 		this.#meanOthersLoad = mean;
 		this.#othersLoadVariance = variance;
-		let sum = 0;
-		for (const target of accepting) {
-			sum += this.estimate(target);
-		}
-
-		for (const {inFlight} of draining) {
+		// The estimates of the single targets do not sum up to the load of the pool: a target without a recent report counts as average in its own.
+		let sum = mean * accepting.length;
+		for (const {inFlight} of [...accepting, ...draining]) {
 			sum += inFlight;
 		}
 
