Load queries: the response to a notification does not try the waiting requests again

Such a response belongs to no request and changes nothing that waiting requests depend on; one arrives for each request that asked for a load. fleet_load_limit_test gives the same figures as before; placement, load_queries, load_cap, requests, drain, scarce_slots, prompt_demand and style tests pass.

--- a/packages/dispatch/src/lib/reducer.ts
+++ b/packages/dispatch/src/lib/reducer.ts
@@ -204,8 +204,11 @@
 
 		case eventKind.loadPeerAnswered: {
 			applyLoadPeerAnswered(step, event);
-			advanceQueuedRequests(step);
-			advanceDrain(step);
+			if (event.openId !== undefined) {
+				advanceQueuedRequests(step);
+				advanceDrain(step);
+			}
+
 			break;
 		}
 
