--- a/packages/dispatch/src/lib/targets/placement.ts
+++ b/packages/dispatch/src/lib/targets/placement.ts
@@ -17,16 +17,16 @@
 import {PoolBrittleness} from './target-room.js';
 import {findStatedLimitsEnd, isWithinStatedLimits, type Target} from './target-state.js';
 
-/** The platform's bound for the load of a target: a multiple of its pool's mean load plus a constant. */
-const fleetLoadLimit = {multiple: 2, floor: 3};
+/** A limit for the load of a target: a multiple of its pool's mean load plus a constant. */
+type LoadLimit = {readonly multiple: number; readonly floor: number};
+
+/** The platform's bound for the load of a target. */
+const fleetLoadLimit: LoadLimit = {multiple: 2, floor: 3};
 /** Number of standard deviations from the estimate of a load up to which the bound has to hold without asking for the present load. */
 const certainDeviations = 3;
-/**
- * Load limit of a target, with the new request: a multiple of its pool's mean load plus a constant.
- * Prompts that are cheap to copy have a lower limit and leave a busy target first.
- */
-const longPromptLoadLimit = {multiple: 2, floor: 3};
-const shortPromptLoadLimit = {multiple: 1.6, floor: 3};
+/** Limits for the load of a target with the new request. Prompts that are cheap to copy have a lower one and leave a busy target first. */
+const longPromptLoadLimit: LoadLimit = {multiple: 2, floor: 3};
+const shortPromptLoadLimit: LoadLimit = {multiple: 1.6, floor: 3};
 /** Shared tokens from which a prompt is long: about 50 ms for an engine that reads 38 tokens per millisecond, the rate in the users' data sheets. */
 const longPromptMinTokens = 2000;
 /** Fraction of the targets that may run the request, of the pool or of a software version, that have to be healthy; below it, health is ignored, but for targets that cannot be reached. */
@@ -202,9 +202,13 @@
 	return brittleness.isStated ? 1 : Math.ceil(demand / (prefixRoomFraction * Math.max(1, room)));
 }
 
+function computeLimit({multiple, floor}: LoadLimit, meanLoad: number): number {
+	return (multiple * meanLoad) + floor;
+}
+
 /** Computes the platform's bound for the load of a target. */
 function computeFleetLoadLimit(meanLoad: number): number {
-	return (fleetLoadLimit.multiple * meanLoad) + fleetLoadLimit.floor;
+	return computeLimit(fleetLoadLimit, meanLoad);
 }
 
 /** Describes what is known about the load of the target that was chosen. */
@@ -222,8 +226,7 @@
 
 /** Computes the largest number of requests that a target may hold, including the new request. */
 function computeLoadLimit(meanLoad: number, {tokenCount}: PromptPrefix): number {
-	const {multiple, floor} = tokenCount >= longPromptMinTokens ? longPromptLoadLimit : shortPromptLoadLimit;
-	return (multiple * meanLoad) + floor;
+	return computeLimit(tokenCount >= longPromptMinTokens ? longPromptLoadLimit : shortPromptLoadLimit, meanLoad);
 }
 
 type SkipContext = {
--- a/packages/dispatch/src/test/load_queries_test.ts
+++ b/packages/dispatch/src/test/load_queries_test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests the questions for the present load of a target, at the instance that asks and at the one that tracks the load.
+ * Tests the queries for the present load of a target, at the instance that asks and at the one that tracks the load.
  */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
@@ -28,7 +28,7 @@
 	return effects.findLast(effect => effect.kind === effectKind.callLoadPeer);
 }
 
-/** Receives requests with other prompts until one waits for the load of its target; returns the question. */
+/** Receives requests with other prompts until one waits for the load of its target; returns the query. */
 function receiveWaitingRequest(gateway: GatewayFixture): CallLoadPeerEffect {
 	for (let count = 0; count < 20; count++) {
 		gateway.receiveRequest(route, {prompt: [`document-${count}`, 'turn']});
